--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Targets for developers; the build itself needs only Go.
+
+.PHONY: build demo test lint generate
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	go test -race ./...
+
+lint:
+	test -z "$$(gofmt -l .)"
+	go vet ./...
+	go tool staticcheck ./...
+
+# Needs protoc; the generated code is committed.
+generate:
+	go build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH=$(CURDIR)/bin/tools:$$PATH protoc -I . --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative api/v1/*.proto
--- /dev/null
+++ b/pkg/backend/backend.go
@@ -0,0 +1,132 @@
+// Package backend holds the aggregate BackendServer: what a model engine or
+// plain service says of itself when it announces itself to the fleet.
+package backend
+
+import (
+	"encoding/json"
+	"io"
+	"net/netip"
+	"slices"
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+)
+
+// Limits of an announcement.
+const (
+	MaxAnnouncementBytes = 16 << 10
+	MaxModels            = 64
+	MaxSlots             = 4096
+
+	// AnnounceInterval is how often a BackendServer announces itself.
+	AnnounceInterval = time.Second
+	// SilenceLimit is the time without an announcement after which a
+	// BackendServer receives no new work.
+	SilenceLimit = 3 * time.Second
+)
+
+// Kind tells model engines from plain services.
+type Kind string
+
+// Kinds of BackendServer.
+const (
+	Engine  Kind = "engine"
+	Service Kind = "service"
+)
+
+// State is the life cycle state that a BackendServer announces.
+type State string
+
+// States of a BackendServer.
+const (
+	Starting State = "starting"
+	Ready    State = "ready"
+	Leaving  State = "leaving"
+)
+
+// Load is a load report. It is late by the server's reporting lag.
+type Load struct {
+	Running int   `json:"running"`  // requests in execution
+	Waiting int   `json:"waiting"`  // requests admitted but not in execution
+	AgeMS   int64 `json:"age_ms"`   // time since the values were taken
+	Cached  int   `json:"cached"`   // prefixes in the cache
+	Total   int64 `json:"requests"` // requests since start
+}
+
+// Abilities are the optional functions of a BackendServer.
+type Abilities struct {
+	Resume      bool `json:"resume"`       // continue a stream at an offset
+	Cancel      bool `json:"cancel"`       // cancel by request id
+	KVTransfer  bool `json:"kv_transfer"`  // export and import KV cache
+	CheckFence  bool `json:"check_fence"`  // refuses an old fencing number
+	RepeatsID   bool `json:"repeats_id"`   // repeats the request id in answers
+	CacheEvents bool `json:"cache_events"` // publishes prefix cache events
+}
+
+// Announcement is the message that a BackendServer sends each
+// AnnounceInterval and at once on a change of state.
+type Announcement struct {
+	Name       string    `json:"name"`
+	DataCentre string    `json:"data_centre"`
+	Address    string    `json:"address"` // IP and port
+	Pool       string    `json:"pool"`    // base model or service
+	Kind       Kind      `json:"kind"`
+	Models     []string  `json:"models"` // models and adapters it serves
+	BootID     uint64    `json:"boot_id"`
+	Slots      int       `json:"slots"` // advertised concurrency, 0 if unknown
+	ColdSlots  int       `json:"cold_slots"`
+	State      State     `json:"state"`
+	Abilities  Abilities `json:"abilities"`
+	Load       Load      `json:"load"`
+}
+
+// Decode reads one announcement and validates it. Errors carry
+// AnnouncementRefused.
+func Decode(r io.Reader) (Announcement, error) {
+	var a Announcement
+	d := json.NewDecoder(io.LimitReader(r, MaxAnnouncementBytes))
+	if err := d.Decode(&a); err != nil {
+		return Announcement{}, result.Wrap(result.AnnouncementRefused, err, "announcement is not valid JSON of at most %d bytes", MaxAnnouncementBytes)
+	}
+	return a, a.Validate()
+}
+
+// Validate reports the first value that is out of range as
+// AnnouncementRefused.
+func (a Announcement) Validate() error {
+	refuse := func(format string, args ...any) error {
+		return result.New(result.AnnouncementRefused, format, args...)
+	}
+	if !class.ValidName(a.Name) || !class.ValidName(a.DataCentre) || !class.ValidName(a.Pool) {
+		return refuse("name %q, data centre %q or pool %q is not valid", a.Name, a.DataCentre, a.Pool)
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return refuse("server %s: address %q is not IP and port", a.Name, a.Address)
+	}
+	if a.Kind != Engine && a.Kind != Service {
+		return refuse("server %s: kind %q is not engine or service", a.Name, a.Kind)
+	}
+	if a.State != Starting && a.State != Ready && a.State != Leaving {
+		return refuse("server %s: state %q is not starting, ready or leaving", a.Name, a.State)
+	}
+	if a.BootID == 0 {
+		return refuse("server %s: boot id is missing", a.Name)
+	}
+	if len(a.Models) > MaxModels {
+		return refuse("server %s: %d models, at most %d", a.Name, len(a.Models), MaxModels)
+	}
+	if a.Slots < 0 || a.Slots > MaxSlots || a.ColdSlots < 0 || a.ColdSlots > MaxSlots {
+		return refuse("server %s: slots %d or cold slots %d outside 0 to %d", a.Name, a.Slots, a.ColdSlots, MaxSlots)
+	}
+	if a.Load.Running < 0 || a.Load.Waiting < 0 || a.Load.AgeMS < 0 {
+		return refuse("server %s: load report has a negative value", a.Name)
+	}
+	return nil
+}
+
+// Serves reports whether the BackendServer serves the model. Plain services
+// serve their pool.
+func (a Announcement) Serves(model string) bool {
+	return model == "" || model == a.Pool || slices.Contains(a.Models, model)
+}
--- /dev/null
+++ b/pkg/result/result.go
@@ -0,0 +1,173 @@
+// Package result defines the numbered result codes that all programs share,
+// what each one says about execution, and the error type that carries them.
+// docs/results.md holds the same table for operators.
+package result
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Code is a numbered result. Hundreds group the codes: 1xx not run, 2xx may
+// have run, 3xx ran, 4xx operator commands, 5xx storage and settings.
+type Code uint32
+
+// Result codes of requests.
+const (
+	OK Code = 0
+
+	InvalidRequest      Code = 101
+	Unauthenticated     Code = 102
+	UnknownWorkspace    Code = 103
+	UnknownClass        Code = 104
+	UnknownModel        Code = 105
+	TargetUnreachable   Code = 106
+	WaitExpired         Code = 107
+	QueueFull           Code = 108
+	RateLimited         Code = 109
+	DataCentreOut       Code = 110
+	NoConfiguration     Code = 111
+	ShuttingDown        Code = 112
+	ControlUnavailable  Code = 113
+	TooLarge            Code = 114
+	NoServer            Code = 115
+	KeyConflict         Code = 116
+	KeyTableFull        Code = 117
+	ConnectFailed       Code = 118
+	CallerLeftWaiting   Code = 119
+	AnnouncementRefused Code = 120
+	OwnerUnavailable    Code = 121
+
+	OutcomeUnknown   Code = 201
+	StillRunning     Code = 202
+	StreamBroken     Code = 203
+	ServerSilent     Code = 204
+	CallerLeft       Code = 205
+	IdentityMismatch Code = 206
+
+	StoredAnswer   Code = 301
+	ServerError    Code = 302
+	AnswerTooLarge Code = 303
+)
+
+// Result codes of operator commands.
+const (
+	RevisionConflict Code = 401
+	NotLeader        Code = 402
+	NoQuorum         Code = 403
+	NotFound         Code = 404
+	MemberPending    Code = 406
+	NotCaughtUp      Code = 407
+	CommandReused    Code = 408
+	InvalidCommand   Code = 409
+	NotAuthorized    Code = 410
+	FenceStale       Code = 411
+)
+
+// Result codes of storage and settings.
+const (
+	LogDamaged      Code = 501
+	DiskFull        Code = 502
+	FolderLocked    Code = 503
+	InvalidSettings Code = 504
+	SyncFailed      Code = 505
+)
+
+// Executed says what is known about whether a request ran.
+type Executed string
+
+// Values of Executed, as sent in the Jackdawtrack-Executed header.
+const (
+	ExecutedNo    Executed = "no"
+	ExecutedMaybe Executed = "maybe"
+	ExecutedYes   Executed = "yes"
+)
+
+// Executed returns what the code says about the execution of a request. It is
+// meaningful for OK and for codes below 400.
+func (c Code) Executed() Executed {
+	switch {
+	case c == OK || c/100 == 3:
+		return ExecutedYes
+	case c/100 == 2:
+		return ExecutedMaybe
+	default:
+		return ExecutedNo
+	}
+}
+
+// Entry is one row of the result table.
+type Entry struct {
+	Code   Code
+	Name   string
+	Status int // HTTP status sent to callers, 0 if the code never reaches one
+	Help   string
+}
+
+// Lookup returns the table row of a code.
+func Lookup(c Code) (Entry, bool) {
+	e, ok := byCode[c]
+	return e, ok
+}
+
+// Status returns the HTTP status of a code, 500 for codes without one.
+func (c Code) Status() int {
+	if e, ok := byCode[c]; ok && e.Status != 0 {
+		return e.Status
+	}
+	return 500
+}
+
+// String returns the number and name of a code.
+func (c Code) String() string {
+	if e, ok := byCode[c]; ok {
+		return fmt.Sprintf("%d %s", uint32(c), e.Name)
+	}
+	return fmt.Sprintf("%d", uint32(c))
+}
+
+// Error carries a result code through the program.
+type Error struct {
+	Code       Code
+	Message    string
+	RetryAfter time.Duration // 0 if the caller gets no hint
+	Cause      error
+}
+
+// New returns an Error with a formatted message.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error with a cause.
+func Wrap(code Code, cause error, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Cause: cause}
+}
+
+// WithRetryAfter sets the time after which the caller should come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Code, e.Message, e.Cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Code, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// CodeOf returns the code of the first Error in the chain, and false if there
+// is none.
+func CodeOf(err error) (Code, bool) {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code, true
+	}
+	return OK, false
+}
--- /dev/null
+++ b/pkg/result/result_test.go
@@ -0,0 +1,24 @@
+package result
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a code that says "not run" after a dispatch, or a table row
+// that is missing from the operators' page.
+func TestTableIsCompleteAndDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/results.md")
+	assert.NilError(t, err)
+	for _, e := range Table {
+		row := "| " + strings.Replace(e.Code.String(), " ", " | ", 1) + " |"
+		assert.Assert(t, strings.Contains(string(page), row), "docs/results.md has no row %q", row)
+		assert.Assert(t, e.Help != "")
+	}
+	assert.Equal(t, OutcomeUnknown.Executed(), ExecutedMaybe)
+	assert.Equal(t, ConnectFailed.Executed(), ExecutedNo)
+	assert.Equal(t, ServerError.Executed(), ExecutedYes)
+}
