--- /dev/null
+++ b/pkg/pool/handover.go
@@ -0,0 +1,116 @@
+package pool
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+)
+
+// Handover stops this owner and returns its limits and open grants. Waiting
+// asks are not part of it: their routers ask the next owner.
+func (o *Owner) Handover() Handover {
+	o.closed = true
+	h := Handover{Shard: o.id, Epoch: o.epoch}
+	for _, s := range o.sorted() {
+		text, err := json.Marshal(s.ann)
+		if err != nil {
+			continue // a decoded announcement always encodes
+		}
+		st := s.limit.State()
+		h.Servers = append(h.Servers, ServerState{Announcement: text, Limit: st.Full, Cold: st.Cold})
+	}
+	for _, g := range o.grants {
+		h.Grants = append(h.Grants, held(g))
+	}
+	slices.SortFunc(h.Grants, func(a, b HeldGrant) int { return int(a.GrantID) - int(b.GrantID) })
+	return h
+}
+
+func (o *Owner) sorted() []*server {
+	list := make([]*server, 0, len(o.servers))
+	for _, s := range o.servers {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *server) int { return strings.Compare(a.ann.Name, b.ann.Name) })
+	return list
+}
+
+func held(g *grant) HeldGrant {
+	return HeldGrant{
+		Router:        g.request.router,
+		GrantID:       g.key.id,
+		Epoch:         g.key.epoch,
+		RequestID:     g.request.id,
+		Server:        g.sent.Server,
+		Workspace:     g.flow.Name,
+		Class:         g.class.Name,
+		EstimateUnits: g.estimate,
+	}
+}
+
+// Accept starts this owner with the state of the one before it.
+func (o *Owner) Accept(now time.Time, h Handover) {
+	if o.closed || h.Epoch >= o.epoch {
+		return
+	}
+	o.now = now
+	for _, state := range h.Servers {
+		a, err := backend.Decode(bytes.NewReader(state.Announcement))
+		if err != nil {
+			continue // the next announcement of the server brings it back
+		}
+		s := o.servers[a.Name]
+		if s == nil {
+			s = o.addServer(a)
+		}
+		if s.ann.BootID == a.BootID {
+			s.limit.Restore(now, state.Limit, state.Cold)
+			s.proven = true
+			o.fix(s)
+		}
+	}
+	for _, g := range h.Grants {
+		o.hold(g.Router, g)
+	}
+	o.opens, o.started = now, now
+	o.dispatch()
+}
+
+// Held takes the grants that a router still uses, after the owner changed. A
+// grant that is already known is not counted twice.
+func (o *Owner) Held(now time.Time, router RouterID, grants []HeldGrant) {
+	if o.closed {
+		return
+	}
+	o.now = now
+	for _, g := range grants {
+		o.hold(router, g)
+	}
+	o.dispatch()
+}
+
+func (o *Owner) hold(router RouterID, h HeldGrant) {
+	key := grantKey{h.Epoch, h.GrantID}
+	if o.grants[key] != nil {
+		return
+	}
+	g := o.newGrant()
+	g.key, g.request = key, requestKey{router, h.RequestID}
+	g.flow = o.queue.Flow(h.Workspace)
+	g.class = class.Class{Name: h.Class}
+	g.estimate, g.granted = h.EstimateUnits, o.now
+	g.sent = Grant{Router: router, RequestID: h.RequestID, GrantID: h.GrantID, Epoch: h.Epoch, Server: h.Server}
+	if s := o.servers[h.Server]; s != nil {
+		g.sent.Address, g.sent.BootID = s.ann.Address, s.ann.BootID
+		o.occupy(g, s)
+	}
+	// The owner that granted it charged the estimate to its own origin; the
+	// settle here adds only the difference.
+	o.queue.Served(o.now, g.flow)
+	o.grants[key], o.granted[g.request] = g, g
+}
--- /dev/null
+++ b/pkg/pool/owner_test.go
@@ -0,0 +1,128 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+)
+
+var (
+	start  = time.Unix(1_700_000_000, 0)
+	chat   = class.Class{Name: "chat", FirstToken: 2 * time.Second}.Normalize()
+	draft  = class.Class{Name: "draft", FirstToken: 30 * time.Second, MayWait: true, MaxWait: 10 * time.Minute}.Normalize()
+	router = RouterID{Name: "r1", DataCentre: "a", Incarnation: 1}
+	shardA = ShardID{DataCentre: "a", Pool: "m"}
+	shardB = ShardID{DataCentre: "b", Pool: "m"}
+)
+
+func newOwner(id ShardID, epoch uint64) *Owner {
+	ledger := fairshare.NewLedger(fairshare.Origin{Name: id.DataCentre})
+	return NewOwner(id, epoch, DefaultConfig(), ledger, start)
+}
+
+func announce(name string, total int64) backend.Announcement {
+	return backend.Announcement{
+		Name: name, DataCentre: "a", Address: "127.0.0.1:1", Pool: "m", Kind: backend.Engine,
+		BootID: 1, Slots: 8, State: backend.Ready, Load: backend.Load{Total: total},
+	}
+}
+
+func ask(id uint64, workspace string, c class.Class, now time.Time) Ask {
+	return Ask{Router: router, RequestID: id, Workspace: workspace, Class: c, Arrived: now}
+}
+
+// open returns a granting owner with cold servers and the present time.
+func open(servers ...string) (*Owner, time.Time) {
+	o := newOwner(shardA, 1)
+	now := start.Add(DefaultRecoveryWait)
+	for _, name := range servers {
+		o.Announce(now, announce(name, 0))
+	}
+	o.Tick(now)
+	o.Take()
+	return o, now
+}
+
+// Guards against a cold server that receives more than the cold limit, and a
+// slot that is lost at the settle.
+func TestGrantsUpToColdLimit(t *testing.T) {
+	o, now := open("s1")
+	for id := uint64(1); id <= 3; id++ {
+		o.Ask(now, ask(id, "w", draft, now))
+	}
+	out := o.Take()
+	assert.Equal(t, len(out.Grants), 2)
+	o.Settle(now, Settle{GrantID: out.Grants[0].GrantID, Epoch: 1, Outcome: OutcomeOK, CostUnits: 100})
+	assert.Equal(t, len(o.Take().Grants), 1)
+}
+
+// Guards against a second grant for an ask that is sent again.
+func TestRepeatedAskGetsSameGrant(t *testing.T) {
+	o, now := open("s1")
+	o.Ask(now, ask(1, "w", draft, now))
+	first := o.Take().Grants
+	o.Ask(now, ask(1, "w", draft, now))
+	assert.DeepEqual(t, o.Take().Grants, first)
+	assert.Equal(t, o.Snapshot().Grants, 1)
+}
+
+// Guards against an owner that grants before it can know the open grants.
+func TestNoGrantBeforeRecovery(t *testing.T) {
+	o := newOwner(shardA, 2)
+	o.Announce(start, announce("s1", 0))
+	o.Ask(start, ask(1, "w", draft, start))
+	assert.Equal(t, len(o.Take().Grants), 0)
+	o.Tick(start.Add(DefaultRecoveryWait))
+	assert.Equal(t, len(o.Take().Grants), 1)
+}
+
+// Guards against a full queue in front of a class that may not wait: it is
+// refused at once, with the time after which it would be accepted.
+func TestEarlyRefusal(t *testing.T) {
+	o, now := open("s1")
+	o.Ask(now, ask(1, "w", draft, now))
+	o.Ask(now, ask(2, "w", draft, now))
+	g := o.Take().Grants
+	now = now.Add(2900 * time.Millisecond)
+	o.Settle(now, Settle{GrantID: g[0].GrantID, Epoch: 1, Outcome: OutcomeOK, CostUnits: 100, FirstToken: time.Second})
+	o.Ask(now, ask(3, "w", draft, now))
+	o.Take()
+	for id := uint64(4); id < 10; id++ {
+		o.Ask(now, ask(id, "w", chat, now))
+	}
+	out := o.Take()
+	assert.Assert(t, len(out.Refusals) > 0)
+	assert.Equal(t, out.Refusals[0].Code, result.TargetUnreachable)
+	assert.Assert(t, out.Refusals[0].RetryAfter >= minRetryAfter)
+}
+
+// Guards against a loan that is used twice or whose slot is lost.
+func TestLoan(t *testing.T) {
+	a, now := open("s1")
+	b := newOwner(shardB, 1)
+	b.Tick(now)
+	b.Ask(now, ask(1, "w", draft, now))
+	b.Tick(now.Add(summaryIdleInterval))
+	now = now.Add(summaryIdleInterval)
+	for _, s := range b.Take().Summaries {
+		a.Summary(now, s)
+	}
+	loans := a.Take().Loans
+	assert.Equal(t, len(loans), 1)
+	b.Loan(now, loans[0])
+	out := b.Take()
+	assert.Equal(t, len(out.Grants), 1)
+	assert.Equal(t, out.Grants[0].Server, "s1")
+	a.LoanReturn(now, out.LoanReturns[0])
+	assert.Equal(t, a.Snapshot().Servers[0].InFlight, 1)
+	b.Settle(now, Settle{GrantID: out.Grants[0].GrantID, Epoch: 1, Outcome: OutcomeOK, CostUnits: 100})
+	a.LoanReturn(now, b.Take().LoanReturns[0])
+	assert.Equal(t, a.Snapshot().Servers[0].InFlight, 0)
+	assert.Equal(t, a.Snapshot().Lent, 0)
+}
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -124,6 +124,7 @@
 	Address string
 	BootID  uint64
 	Slots   uint32
+	Models  []string      // models that the server serves besides its pool
 	TTL     time.Duration // unused slots lapse at the lender after this time
 }
 
