--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers; the build itself needs only Go.
 
-.PHONY: build demo test lint generate
+.PHONY: build demo test lint generate measure
 
 build:
 	mkdir -p bin
@@ -22,3 +22,6 @@
 	go build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH=$(CURDIR)/bin/tools:$$PATH protoc -I . --go_out=. --go_opt=paths=source_relative \
 		--go-grpc_out=. --go-grpc_opt=paths=source_relative api/v1/*.proto
+
+measure:
+	go run ./internal/measure/cmd
--- /dev/null
+++ b/internal/measure/cmd/main.go
@@ -0,0 +1,19 @@
+// Command measure prints the figures of the decision code and ends with status
+// 1 if one of them misses its bound.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jackdawtrack.example/jackdawtrack/internal/measure"
+)
+
+func main() {
+	scenario := kingpin.Flag("scenario", "Run only this scenario.").String()
+	kingpin.Parse()
+	if !measure.Run(os.Stdout, *scenario) {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,246 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+type envelope = *apiv1.Envelope
+
+const exchangeInterval = fairshare.ExchangeInterval
+
+// policy chooses the decision code.
+type policy string
+
+const (
+	present   policy = "present"
+	localFair policy = "local-fair" // fair queues without exchange or loans
+	firstCome policy = "first-come" // first come, least connections
+)
+
+// deployment is the shape of one fleet.
+type deployment struct {
+	name     string
+	centres  []centre
+	link     time.Duration // one way between data centres
+	classes  []workClass
+	services string // name of the service pool
+}
+
+type centre struct{ routers, engines, services int }
+
+// fleet is one run: fakes around the decision code.
+type fleet struct {
+	*loop
+	d        deployment
+	policy   policy
+	local    bool
+	rnd      *rand.Rand
+	routers  []*router
+	servers  map[string]*backendServer
+	names    []string
+	pools    []string
+	channels map[route]*channel
+	epoch    uint64
+	cut      map[[2]int]bool // data centres that cannot reach each other
+	split    map[route]bool  // routers that cannot reach each other
+	m        *metrics
+	ids      uint64
+	spaces   []*workspace
+	usedAt   time.Time
+}
+
+func dcName(i int) string { return string(rune('a' + i)) }
+
+func newFleet(d deployment, p policy, seed int64) *fleet {
+	f := &fleet{
+		loop: newLoop(), d: d, policy: p, local: p != present, rnd: rand.New(rand.NewSource(seed)),
+		servers: map[string]*backendServer{}, pools: []string{"model", d.services}, channels: map[route]*channel{},
+		cut: map[[2]int]bool{}, split: map[route]bool{}, m: newMetrics(),
+	}
+	for dc, c := range d.centres {
+		for i := range c.routers {
+			r := &router{f: f, dc: dc, id: pool.RouterID{Name: fmt.Sprintf("router-%s%d", dcName(dc), i), DataCentre: dcName(dc)}}
+			f.routers = append(f.routers, r)
+		}
+		for i := range c.engines {
+			slots := engineKnee
+			if i == 1 {
+				slots = 0 // the limit has to be found
+			}
+			f.addServer(fmt.Sprintf("engine-%s%d", dcName(dc), i), dc, "model", backend.Engine, slots)
+		}
+		for i := range c.services {
+			f.addServer(fmt.Sprintf("%s-%s%d", d.services, dcName(dc), i), dc, d.services, backend.Service, serviceSlots)
+		}
+	}
+	for _, r := range f.routers {
+		r.start()
+	}
+	for _, r := range f.routers {
+		r.view(f.routersOf(r.dc))
+	}
+	for _, name := range f.names {
+		f.servers[name].start(false)
+	}
+	f.usedAt = f.now
+	return f
+}
+
+func (f *fleet) addServer(name string, dc int, p string, kind backend.Kind, slots int) {
+	f.servers[name] = &backendServer{f: f, name: name, dc: dc, pool: p, kind: kind, slots: slots}
+	f.names = append(f.names, name)
+}
+
+func (f *fleet) newDecider(id pool.ShardID, epoch uint64, ledger *fairshare.Ledger) decider {
+	cfg := pool.DefaultConfig()
+	switch f.policy {
+	case firstCome:
+		return newFirstCome(epoch, f.now)
+	case localFair:
+		cfg.Lend = false
+	}
+	return pool.NewOwner(id, epoch, cfg, ledger, f.now)
+}
+
+func (f *fleet) jitter(d time.Duration) time.Duration {
+	return time.Duration(f.rnd.Int63n(int64(d)))
+}
+
+// delay is the time one way between two data centres.
+func (f *fleet) delay(a, b int) time.Duration {
+	if a == b {
+		return 200 * time.Microsecond
+	}
+	return f.d.link*3/4 + f.jitter(f.d.link/4)
+}
+
+func (f *fleet) reach(a, b int) bool { return !f.cut[[2]int{min(a, b), max(a, b)}] }
+
+func (f *fleet) linked(a, b *router) bool {
+	return a.up && b.up && f.reach(a.dc, b.dc) && !f.split[route{a, b}] && !f.split[route{b, a}]
+}
+
+func (f *fleet) routersOf(dc int) []*router {
+	var list []*router
+	for _, r := range f.routers {
+		if r.dc == dc {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// rendezvous returns the live router with the greatest hash for the pool.
+func rendezvous(live []*router, p string) *router {
+	return slices.MaxFunc(live, func(a, b *router) int {
+		return cmp.Compare(xxhash.Sum64String(a.id.Name+p), xxhash.Sum64String(b.id.Name+p))
+	})
+}
+
+// membership renews the views of a data centre after the detection time.
+func (f *fleet) membership(dc int, after time.Duration) {
+	f.after(after, func() {
+		for _, r := range f.routersOf(dc) {
+			if !r.up {
+				continue
+			}
+			var live []*router
+			for _, x := range f.routersOf(dc) {
+				if x == r || f.linked(r, x) {
+					live = append(live, x)
+				}
+			}
+			r.view(live)
+		}
+	})
+}
+
+// forward brings an announcement to a random router of the data centre, which
+// passes it on to the owner.
+func (f *fleet) forward(s *backendServer, a backend.Announcement) {
+	f.via(s, announcementMessage(a), func(d decider) { d.Announce(f.now, a) })
+}
+
+func (f *fleet) forwardEvents(s *backendServer, stored, evicted []uint64) {
+	shard := pool.ShardID{DataCentre: dcName(s.dc), Pool: s.pool}
+	f.via(s, eventsMessage(shard, s.name, stored, evicted), func(d decider) { d.CacheEvents(f.now, s.name, stored, evicted) })
+}
+
+func (f *fleet) via(s *backendServer, env envelope, deliver func(decider)) {
+	var up []*router
+	for _, r := range f.routersOf(s.dc) {
+		if r.up {
+			up = append(up, r)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	first := up[f.rnd.Intn(len(up))]
+	owner := first.current[s.pool]
+	if owner == nil {
+		return
+	}
+	f.send(first, owner, message{env, func(to *router) {
+		if h := to.owners[s.pool]; h != nil {
+			deliver(h)
+			to.pump(h)
+		}
+	}})
+}
+
+// setOut gives the operator's command to every router within the time that a
+// configuration change takes to spread.
+func (f *fleet) setOut(dc int, out bool) {
+	f.m.outSince, f.m.outDC, f.m.isOut = f.now, dc, out
+	for _, r := range f.routersOf(dc) {
+		f.after(f.jitter(2*time.Second), func() {
+			r.out = out
+			for _, p := range f.pools {
+				if h := r.owners[p]; h != nil {
+					h.SetDataCentreOut(f.now, out)
+					r.pump(h)
+				}
+			}
+		})
+	}
+}
+
+// accountUse adds the time since the last change to the utilisation, if work
+// waited at any owner.
+func (f *fleet) accountUse() {
+	d := f.now.Sub(f.usedAt).Seconds()
+	f.usedAt = f.now
+	if d == 0 || !f.m.measuring {
+		return
+	}
+	var used, most float64
+	for _, name := range f.names {
+		s := f.servers[name]
+		if s.kind != backend.Engine || !s.up || f.m.isOut && s.dc == f.m.outDC {
+			continue
+		}
+		bears := engineKnee
+		if s.coldCap > 0 {
+			bears = s.coldCap
+		}
+		used += rate(min(len(s.running), bears))
+		most += rate(bears)
+	}
+	waits := f.m.waiting["model"] > 0
+	if waits {
+		f.m.used += used * d
+		f.m.most += most * d
+	}
+}
--- a/pkg/fairshare/ledger.go
+++ b/pkg/fairshare/ledger.go
@@ -9,6 +9,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxTombstones bounds the memory of dropped origins. An older one that
@@ -209,3 +210,7 @@
 		l.order = l.order[1:]
 	}
 }
+
+// ExchangeInterval is how often routers send each other the totals that
+// changed.
+const ExchangeInterval = 500 * time.Millisecond
