Raise the cold limit by half a step instead of doubling it

Cause: two successes at the limit 2 led to a limit of 4; an engine that bears 3 running requests at first fails there, restarts cold and fails again. Change: one ramp step raises the limit by half, after as many successes as the limit; near a limit that failed before, by one slot.

--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -17,6 +17,12 @@
 
 	// rampInterval is the shortest time between two steps of the ramp.
 	rampInterval = time.Second
+	// rampGrowth is the factor of one step. L successes at the limit L prove
+	// L running requests; doubling would jump to twice what is proven and
+	// passed the capacity of engines that bear half more than the cold limit.
+	rampGrowth = 1.5
+	// cautionPart of a limit that failed is the end of the fast ramp.
+	cautionPart = 0.75
 	// useShare is the part of the limit that has to be in use before the
 	// limit may rise: a limit that is not used says nothing.
 	useShare = 0.75
@@ -28,8 +34,8 @@
 	// slowFactor calls a token interval slow, against the uncongested
 	// baseline, when the class states no target.
 	slowFactor = 3.0
-	// rampInterval may only double while the intervals are below this part
-	// of the target; above, the limit grows by one.
+	// The ramp ends when token intervals pass this part of the target; from
+	// there the limit grows by one.
 	rampHeadroom = 0.7
 	// minCut and maxCut bound one multiplicative decrease.
 	minCut, maxCut = 0.7, 0.97
@@ -92,6 +98,7 @@
 	cold     bool
 	inFlight int
 
+	failedAt    float64   // limit at which a cold server failed, 0 if none
 	stepped     time.Time // last ramp step or start
 	completions int       // successes since stepped
 	peakUse     int       // greatest inFlight since stepped
@@ -205,6 +212,9 @@
 	l.inFlight--
 	switch s.Result {
 	case Dropped:
+		if l.cold {
+			l.failedAt = l.limit
+		}
 		l.Chill(now)
 	case Success:
 		l.observe(now, s)
@@ -215,9 +225,7 @@
 	if l.jumped(now, s) {
 		return
 	}
-	if !s.Granted.Before(l.stepped) {
-		l.completions++
-	}
+	l.completions++
 	l.count(s)
 	if l.cold {
 		l.ramp(now)
@@ -293,8 +301,17 @@
 	return float64(l.peakUse) >= useShare*float64(l.usable())
 }
 
-// ramp doubles the limit of a cold server after as many successes as the
-// limit, and not sooner than rampInterval after the last step.
+// next returns the limit of the next ramp step. Near a limit at which the
+// server failed before, the ramp adds one slot at a time.
+func (l *Limiter) next() float64 {
+	if l.failedAt > 0 && l.limit*rampGrowth >= cautionPart*l.failedAt {
+		return l.limit + 1
+	}
+	return max(math.Floor(l.limit*rampGrowth), l.limit+1)
+}
+
+// ramp raises the limit of a cold server after as many successes as the limit,
+// and not sooner than rampInterval after the last step.
 func (l *Limiter) ramp(now time.Time) {
 	if l.completions < int(l.limit) || now.Sub(l.stepped) < rampInterval || !l.used() {
 		return
@@ -303,7 +320,7 @@
 		l.warm(now)
 		return
 	}
-	l.limit = min(2*l.limit, float64(l.most))
+	l.limit = min(l.next(), float64(l.most))
 	if int(l.limit) >= l.most {
 		l.warm(now)
 		return
@@ -314,6 +331,7 @@
 
 func (l *Limiter) warm(now time.Time) {
 	l.cold = false
+	l.failedAt = 0
 	l.restartStep(now)
 	l.restartWindow(now)
 }
