--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func server(name, pool string) Server {
+	return Server{Name: name, Pool: pool, UnitsPer: 100, Since: now.Add(-time.Hour), Loadable: []string{"large", "small", "draft"}}
+}
+
+// Guards against servers that move without need, move back and forth, leave a
+// pool with demand empty, or serve drafts before callers who cannot wait.
+func TestPlan(t *testing.T) {
+	fresh := server("s3", "draft")
+	fresh.Since = now.Add(-time.Minute)
+	for _, c := range []struct {
+		name    string
+		demands []Demand
+		servers []Server
+		want    []Move
+	}{
+		{"enough capacity", []Demand{{Pool: "large", UnitsPerS: 150}},
+			[]Server{server("s1", "large"), server("s2", "large"), server("s3", "draft")}, nil},
+		{"idle pool gives", []Demand{{Pool: "large", UnitsPerS: 150}},
+			[]Server{server("s1", "large"), server("s2", "draft"), server("s3", "draft")},
+			[]Move{{"s2", "draft", "large"}}},
+		{"just arrived stays", []Demand{{Pool: "large", UnitsPerS: 150}},
+			[]Server{server("s1", "large"), fresh}, nil},
+		{"busy pool keeps", []Demand{{Pool: "large", UnitsPerS: 150}, {Pool: "draft", UnitsPerS: 90}},
+			[]Server{server("s1", "large"), server("s2", "draft"), server("s3", "draft")}, nil},
+		{"last server stays", []Demand{{Pool: "large", UnitsPerS: 150}, {Pool: "draft", UnitsPerS: 1}},
+			[]Server{server("s1", "large"), server("s2", "draft")}, nil},
+		{"callers who cannot wait first", []Demand{{Pool: "draft", UnitsPerS: 500, Waiting: 50}, {Pool: "large", UnitsPerS: 90, MustAnswer: true}},
+			[]Server{server("s1", "large"), server("s2", "small"), server("s3", "draft")},
+			[]Move{{"s2", "small", "large"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.DeepEqual(t, Plan(now, c.demands, c.servers, 1), c.want)
+		})
+	}
+}
+
+// Guards against a plan that undoes itself: the state after the moves needs
+// none.
+func TestPlanIsStable(t *testing.T) {
+	demands := []Demand{{Pool: "large", UnitsPerS: 240}, {Pool: "draft", UnitsPerS: 60}}
+	servers := []Server{server("s1", "large"), server("s2", "draft"), server("s3", "draft"), server("s4", "draft")}
+	moves := Plan(now, demands, servers, 10)
+	assert.Equal(t, len(moves), 2)
+	for i := range servers {
+		servers[i].Busy = false
+		servers[i].Since = now.Add(-time.Hour)
+	}
+	assert.Equal(t, len(Plan(now, demands, servers, 10)), 0)
+}
