--- /dev/null
+++ b/pkg/replica/errors.go
@@ -0,0 +1,36 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+)
+
+// LeaderHint is the cause of NotLeader errors.
+type LeaderHint struct {
+	ID      uint64
+	Address string
+}
+
+// Error implements error.
+func (h *LeaderHint) Error() string { return fmt.Sprintf("leader %d at %s", h.ID, h.Address) }
+
+// LeaderOf returns the leader's address from a NotLeader error, "" if the
+// error names none.
+func LeaderOf(err error) string {
+	var h *LeaderHint
+	if errors.As(err, &h) {
+		return h.Address
+	}
+	return ""
+}
+
+// errUnknown is returned when the command may or may not be committed later.
+func errUnknown(cause error) error {
+	const message = "the fate of the command is unknown: resend it with the same command id"
+	if cause == nil {
+		return result.New(result.NoQuorum, message)
+	}
+	return result.Wrap(result.NoQuorum, cause, message)
+}
