Add the stand-in BackendServers

Cause: tests and the demo need model engines and plain services with known capacity, comparable answers and faults on demand.

Measurement: `go test -race -count=3 ./pkg/standin` passes. Five deliberate faults (no cold failure, no answer swap, no fence check, resume from byte 0, no reset) each failed a test.

--- /dev/null
+++ b/pkg/standin/standin_test.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
+)
+
+const generous = 20 * time.Second
+
+func start(t *testing.T, cfg ServerSettings) (s *Server, executions string) {
+	t.Helper()
+	cfg.Name, cfg.DataCentre, cfg.Pool, cfg.Listen = "s1", "dc1", "m", "127.0.0.1:0"
+	cfg.TokenInterval = settings.Duration(time.Millisecond)
+	assert.NilError(t, cfg.complete())
+	executions = filepath.Join(t.TempDir(), "executions")
+	log, err := OpenExecutionLog(executions)
+	assert.NilError(t, err)
+	s, err = NewServer(cfg, log)
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-ended)
+	})
+	return s, executions
+}
+
+func post(t *testing.T, s *Server, path, id, offset, body string) (*http.Response, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), generous)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.Address()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set(RequestIDHeader, id)
+	if offset != "" {
+		r.Header.Set(ResumeOffsetHeader, offset)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer, string(text), err
+}
+
+func waitForLines(t *testing.T, path string, count int) []Execution {
+	t.Helper()
+	var found []Execution
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var err error
+		found, err = ReadExecutions(path)
+		if err == nil && len(found) >= count {
+			return poll.Success()
+		}
+		return poll.Continue("%d executions, %v", len(found), err)
+	}, poll.WithTimeout(generous))
+	return found
+}
+
+func chat(tokens int) string {
+	return fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"an apron"}]}`, tokens)
+}
+
+// Guards against a stand-in whose streams cannot be compared: the stream, its
+// resumed rest and the recorded sum must agree, and a resume runs nothing.
+func TestStreamResumeAndExecutionAgree(t *testing.T) {
+	s, executions := start(t, ServerSettings{Kind: backend.Engine, StartWarm: true})
+	answer, whole, err := post(t, s, "/v1/chat/completions", "a", "", chat(20))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Header.Get(RequestIDHeader), "a")
+	assert.Assert(t, strings.HasSuffix(whole, "data: [DONE]\n\n"))
+	_, rest, err := post(t, s, "/v1/chat/completions", "a", "100", chat(20))
+	assert.NilError(t, err)
+	assert.Equal(t, rest, whole[100:])
+	lines := waitForLines(t, executions, 1)
+	assert.Equal(t, len(lines), 1)
+	assert.Equal(t, lines[0].AnswerSHA256, sum([]byte(whole)))
+	assert.Equal(t, lines[0].Cost, uint64(4+4*20)) // "user\nan apron\n" is 14 bytes, 4 tokens
+}
+
+// Guards against a cold server that bears more than it says, which would hide
+// an overload by a router.
+func TestColdServerFailsUnderLoad(t *testing.T) {
+	s, executions := start(t, ServerSettings{Kind: backend.Engine, ColdSlots: 2})
+	boot := s.boot
+	for i := range 3 {
+		go post(t, s, "/v1/chat/completions", fmt.Sprint(i), "", chat(maxTokens))
+	}
+	for _, e := range waitForLines(t, executions, 3) {
+		assert.Equal(t, e.Outcome, OutcomeBroken)
+	}
+	a, _ := s.announcement(time.Now())
+	assert.Assert(t, a.BootID != boot)
+}
+
+func TestFaultsSpoilTheNextAnswer(t *testing.T) {
+	s, executions := start(t, ServerSettings{Kind: backend.Service, StartWarm: true})
+	_, first, err := post(t, s, "/orders", "a", "", "x")
+	assert.NilError(t, err)
+	assert.Assert(t, s.setFault(Fault{Kind: FaultOutOfOrder}))
+	answer, second, err := post(t, s, "/orders", "b", "", "y")
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Header.Get(RequestIDHeader), "a")
+	assert.Equal(t, second, first)
+	assert.Assert(t, s.setFault(Fault{Kind: FaultReset}))
+	_, _, err = post(t, s, "/orders", "c", "", "z")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(waitForLines(t, executions, 3)), 3)
+}
+
+// Guards against an engine that obeys an order with an old fencing number.
+func TestOrdersCheckFence(t *testing.T) {
+	s, _ := start(t, ServerSettings{Kind: backend.Engine, CheckFence: true})
+	for _, c := range []struct{ order, status string }{
+		{`{"action":"load","model":"x","fence":5}`, "200 OK"},
+		{`{"action":"unload","model":"x","fence":4}`, "409 Conflict"},
+	} {
+		answer, _, err := post(t, s, "/v1/orders", "", "", c.order)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, c.status)
+	}
+	a, _ := s.announcement(time.Now())
+	assert.Assert(t, a.Serves("x"))
+}
