--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,8 @@
 	go build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH=$(CURDIR)/bin/tools:$$PATH protoc -I . --go_out=. --go_opt=paths=source_relative \
 		--go-grpc_out=. --go-grpc_opt=paths=source_relative api/v1/*.proto
+
+# Prints the slopes of docs/CAPACITY.md.
+.PHONY: capacity
+capacity:
+	go run ./internal/capacity/cmd
