Add the agreed state of the control hosts and its gRPC service

Cause: commands, keyed requests, sessions and fences need one state that all control hosts agree on.

Change: pkg/control holds Machine (pure, no clock), State (locking, publishing), and Server (Submit, Read, Watch, Begin, Finish, Abort, RenewSession, Status, ChangeMember) over a Log interface. The machine's clock counts only while a majority works and moves at most 2 s with one command, so a wrong date or a long outage ends no session early.

Measurement: go test -race of the package passes; the stateful test compares the machine with an oracle of plain lists.

--- /dev/null
+++ b/pkg/control/command.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/workspace"
+)
+
+// commandVersion is the first byte of every command. A member that meets a
+// version it does not know refuses the command.
+const commandVersion = 1
+
+type commandKind byte
+
+const (
+	kindSubmit    commandKind = 1
+	kindBegin     commandKind = 2
+	kindFinish    commandKind = 3
+	kindAbort     commandKind = 4
+	kindTick      commandKind = 5
+	kindBootstrap commandKind = 6
+)
+
+// command is a decoded entry of the log. time is in milliseconds of the
+// machine's clock, see clock.
+type command struct {
+	time    int64
+	kind    commandKind
+	message proto.Message                // nil for a tick
+	renewed []*apiv1.RenewSessionRequest // of a tick
+}
+
+func newMessage(kind commandKind) proto.Message {
+	switch kind {
+	case kindSubmit:
+		return &apiv1.SubmitRequest{}
+	case kindBegin:
+		return &apiv1.BeginRequest{}
+	case kindFinish:
+		return &apiv1.FinishRequest{}
+	case kindAbort:
+		return &apiv1.AbortRequest{}
+	case kindBootstrap:
+		return &apiv1.Operator{}
+	}
+	return nil
+}
+
+func encodeCommand(c command) ([]byte, error) {
+	out := binary.AppendUvarint([]byte{commandVersion, byte(c.kind)}, uint64(c.time))
+	if c.kind != kindTick {
+		return proto.MarshalOptions{Deterministic: true}.MarshalAppend(out, c.message)
+	}
+	b := bytes.NewBuffer(out)
+	for _, r := range c.renewed {
+		if _, err := protodelim.MarshalTo(b, r); err != nil {
+			return nil, err
+		}
+	}
+	return b.Bytes(), nil
+}
+
+func decodeCommand(data []byte) (command, error) {
+	if len(data) < 2 || data[0] != commandVersion {
+		return command{}, result.New(result.InvalidCommand, "command of a version that this host does not know")
+	}
+	c := command{kind: commandKind(data[1])}
+	r := bytes.NewReader(data[2:])
+	time, err := binary.ReadUvarint(r)
+	if err != nil {
+		return command{}, result.Wrap(result.InvalidCommand, err, "command has no time")
+	}
+	c.time = int64(time)
+	if c.kind == kindTick {
+		c.renewed, err = decodeRenewals(r)
+		return c, err
+	}
+	if c.message = newMessage(c.kind); c.message == nil {
+		return command{}, result.New(result.InvalidCommand, "command of kind %d is not known", c.kind)
+	}
+	if err := proto.Unmarshal(data[len(data)-r.Len():], c.message); err != nil {
+		return command{}, result.Wrap(result.InvalidCommand, err, "command cannot be decoded")
+	}
+	return c, nil
+}
+
+func decodeRenewals(r *bytes.Reader) ([]*apiv1.RenewSessionRequest, error) {
+	var out []*apiv1.RenewSessionRequest
+	for {
+		m := &apiv1.RenewSessionRequest{}
+		err := protodelim.UnmarshalFrom(r, m)
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return nil, result.Wrap(result.InvalidCommand, err, "tick cannot be decoded")
+		}
+		out = append(out, m)
+	}
+}
+
+// sealKey replaces the operator's key by its hash, so that no key reaches the
+// log.
+func sealKey(in *apiv1.SubmitRequest) *apiv1.SubmitRequest {
+	out := proto.CloneOf(in)
+	out.OperatorKey = hex.EncodeToString(workspace.HashKey(in.GetOperatorKey()))
+	return out
+}
--- /dev/null
+++ b/pkg/control/limits.go
@@ -0,0 +1,69 @@
+package control
+
+import "time"
+
+// Bounds of the agreed state.
+const (
+	// RecordTTL is how long the record of a keyed request is kept after its
+	// last change.
+	RecordTTL = 24 * time.Hour
+	// MaxRecords bounds all records, MaxWorkspaceRecords those of one
+	// workspace, so that a workspace that floods leaves room for others.
+	MaxRecords          = 200_000
+	MaxWorkspaceRecords = MaxRecords / 4
+	// MaxAnswerBytes bounds one stored answer. All stored answers together
+	// stay within MaxAnswersTotal, those of one workspace within a quarter. A
+	// larger answer is recorded as truncated, without its body.
+	MaxAnswerBytes           = 64 << 10
+	MaxAnswersTotal          = 32 << 20
+	MaxWorkspaceAnswersTotal = MaxAnswersTotal / 4
+	// MaxKeyBytes bounds an idempotency key.
+	MaxKeyBytes = 255
+
+	// SessionTTL is the time without a renewal after which a router counts as
+	// gone. It exceeds an election and two lost renewals.
+	SessionTTL = 15 * time.Second
+	// sessionMemory is how long the incarnation of an ended session is kept,
+	// so that a delayed Begin of an older one is refused.
+	sessionMemory = time.Hour
+	maxSessions   = 10_000
+	// abortMemory is how long an aborted attempt is kept, so that its delayed
+	// Begin does not take the key again.
+	abortMemory = 10 * time.Minute
+	maxAborts   = 20_000
+
+	// MaxResults and maxResultBytes bound the kept results of commands; the
+	// oldest go first. At 1,500 commands a day 10,000 cover six days.
+	MaxResults     = 10_000
+	maxResultBytes = 8 << 20
+	// MaxChanges bounds the changes of one command.
+	MaxChanges = 100
+
+	// LeaseTTL is how long the holder of a fencing number keeps it without a
+	// renewal. The next holder adds 10% by its own clock.
+	LeaseTTL = 30 * time.Second
+
+	// maxStep bounds how far one command moves the clock. After a time
+	// without a majority, routers can then renew their sessions before these
+	// end.
+	maxStep = 2 * time.Second
+)
+
+// limits are the bounds that a test makes small enough to reach.
+type limits struct {
+	records, workspaceRecords            int
+	answers, workspaceAnswers            int // bytes
+	sessions, aborts, results            int
+	recordTTL, sessionTTL, sessionMemory time.Duration
+	abortMemory, leaseTTL, step          time.Duration
+}
+
+func defaultLimits() limits {
+	return limits{
+		records: MaxRecords, workspaceRecords: MaxWorkspaceRecords,
+		answers: MaxAnswersTotal, workspaceAnswers: MaxWorkspaceAnswersTotal,
+		sessions: maxSessions, aborts: maxAborts, results: MaxResults,
+		recordTTL: RecordTTL, sessionTTL: SessionTTL, sessionMemory: sessionMemory,
+		abortMemory: abortMemory, leaseTTL: LeaseTTL, step: maxStep,
+	}
+}
--- /dev/null
+++ b/pkg/control/submit.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+)
+
+// submit executes an operator command. Every outcome is kept under the
+// command id, except that of a refused credential, which anyone can cause.
+func (m *Machine) submit(in *apiv1.SubmitRequest) *apiv1.SubmitResponse {
+	if !m.authorized(in.GetOperatorName(), in.GetOperatorKey()) {
+		return refusal(result.New(result.NotAuthorized, "operator %q is not known or its key is wrong", in.GetOperatorName()))
+	}
+	if !class.ValidName(in.GetCommandId()) {
+		return refusal(result.New(result.InvalidCommand, "command id %q: 1 to %d letters, digits, '-', '_' or '.'", in.GetCommandId(), class.MaxNameLength))
+	}
+	print := fingerprint(in)
+	if first, ok := m.results.find(in.GetCommandId()); ok {
+		return repeated(first, print)
+	}
+	out := m.decide(in)
+	if out.GetRevision() == 0 {
+		out.Revision = m.catalog.Revision()
+	}
+	m.results.keep(in.GetCommandId(), print, out)
+	return out
+}
+
+// repeated answers a command id that was used before.
+func repeated(first storedResult, print string) *apiv1.SubmitResponse {
+	if first.fingerprint != print {
+		return refusal(result.New(result.CommandReused, "the command id was used for another command"))
+	}
+	out := proto.CloneOf(first.response)
+	out.RepeatedCommand = true
+	return out
+}
+
+// authorized compares the hash of an operator's key, in hexadecimal, with the
+// catalog.
+func (m *Machine) authorized(name, keyHash string) bool {
+	operator, ok := m.catalog.Operator(name)
+	if !ok {
+		return false
+	}
+	want := hex.EncodeToString(operator.KeyHash)
+	return subtle.ConstantTimeCompare([]byte(want), []byte(keyHash)) == 1
+}
+
+// fingerprint identifies the content of a command. The command id and the
+// operator's key are left out: the same command may be resent after the
+// operator's key was replaced.
+func fingerprint(in *apiv1.SubmitRequest) string {
+	content := &apiv1.SubmitRequest{
+		ExpectedRevision: in.GetExpectedRevision(),
+		Changes:          in.GetChanges(),
+		OperatorName:     in.GetOperatorName(),
+	}
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(content)
+	sum := sha256.Sum256(data)
+	return string(sum[:])
+}
+
+// decide checks a command and makes a revision of it.
+func (m *Machine) decide(in *apiv1.SubmitRequest) *apiv1.SubmitResponse {
+	if expected := in.GetExpectedRevision(); expected != 0 && expected != m.catalog.Revision() {
+		return m.conflict(in, expected)
+	}
+	if err := m.check(in.GetChanges()); err != nil {
+		return refusal(err)
+	}
+	if f := in.GetChanges()[0].GetFence(); f != nil {
+		return m.fence(f)
+	}
+	m.commit(in.GetChanges())
+	return &apiv1.SubmitResponse{Revision: m.catalog.Revision()}
+}
+
+// conflict tells the operator who lost a race what the winner made of the
+// items.
+func (m *Machine) conflict(in *apiv1.SubmitRequest, expected uint64) *apiv1.SubmitResponse {
+	out := refusal(result.New(result.RevisionConflict, "expected revision %d, the present one is %d", expected, m.catalog.Revision()))
+	for _, ch := range in.GetChanges()[:min(len(in.GetChanges()), MaxChanges)] {
+		if kind, _ := catalog.Key(ch); kind != catalog.KindUnknown {
+			out.Present = append(out.Present, m.catalog.Present(ch))
+		}
+	}
+	return out
+}
+
+func (m *Machine) check(changes []*apiv1.Change) error {
+	if n := len(changes); n == 0 || n > MaxChanges {
+		return result.New(result.InvalidCommand, "%d changes, need 1 to %d", n, MaxChanges)
+	}
+	seen := map[string]bool{}
+	for _, ch := range changes {
+		if err := catalog.Validate(ch); err != nil {
+			return err
+		}
+		kind, name := catalog.Key(ch)
+		id := fmt.Sprintf("%d %s", kind, name)
+		if seen[id] {
+			return result.New(result.InvalidCommand, "%s %s is changed twice", kind, name)
+		}
+		seen[id] = true
+		if kind == catalog.KindFence && (ch.GetDelete() || len(changes) > 1) {
+			return result.New(result.InvalidCommand, "fence %s: a fence is set alone and never deleted", name)
+		}
+		if ch.GetDelete() && !m.catalog.Has(ch) {
+			return result.New(result.NotFound, "%s %s does not exist", kind, name)
+		}
+	}
+	if len(m.catalog.With(0, changes).Operators()) == 0 {
+		return result.New(result.InvalidCommand, "the last operator cannot be deleted")
+	}
+	return nil
+}
+
+// lease is the right of a holder to give orders to one engine.
+type lease struct {
+	holder  string
+	expires int64 // ms
+}
+
+// fence gives the orders of an engine to a holder. The holder of a lease that
+// has not expired renews it without a new revision; anyone else is refused
+// until it expires and then gets the next number. A number other than 0 must
+// be the one that the caller gets.
+func (m *Machine) fence(in *apiv1.Fence) *apiv1.SubmitResponse {
+	present, _ := m.catalog.Fence(in.GetServer())
+	held, live := m.leases[in.GetServer()]
+	next := catalog.Fence{Server: in.GetServer(), Number: present.Number, Holder: in.GetHolder()}
+	renewal := live && held.holder == in.GetHolder()
+	if !renewal {
+		next.Number++
+	}
+	if (live && !renewal) || (in.GetNumber() != 0 && in.GetNumber() != next.Number) {
+		out := refusal(result.New(result.FenceStale, "server %s: %s holds number %d", in.GetServer(), present.Holder, present.Number))
+		out.Present = []*apiv1.Change{catalog.FenceChange(present)}
+		return out
+	}
+	m.leases[in.GetServer()] = lease{holder: in.GetHolder(), expires: m.after(m.limits.leaseTTL)}
+	change := catalog.FenceChange(next)
+	if !renewal {
+		m.commit([]*apiv1.Change{change})
+	}
+	return &apiv1.SubmitResponse{Revision: m.catalog.Revision(), Present: []*apiv1.Change{change}}
+}
+
+// refusal turns an error into a response.
+func refusal(err error) *apiv1.SubmitResponse {
+	out := &apiv1.SubmitResponse{Code: uint32(result.InvalidCommand), Message: err.Error()}
+	var e *result.Error
+	if errors.As(err, &e) {
+		out.Code, out.Message = uint32(e.Code), e.Message
+	}
+	return out
+}
