--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers; the build itself needs only Go.
 
-.PHONY: build demo test lint generate
+.PHONY: build demo test lint generate measure
 
 build:
 	mkdir -p bin
@@ -27,3 +27,6 @@
 .PHONY: capacity
 capacity:
 	go run ./internal/capacity/cmd
+
+measure:
+	go run ./internal/measure/cmd
