Add the router: admission, ask, dispatch, settle and admin

The router had no front. Callers need a truthful answer for every request, and the owner of a shard needs a host.

Change: pkg/router authenticates against the catalog, bounds headers, bodies, body memory, open requests and request rates, asks the owner of the pool shard, forwards through pkg/proxy and settles. It hosts the owners of its shards, takes announcements, records keyed requests before their dispatch, retries within a budget of 10%, explains the last 1,000 decisions and keeps an operator's local mark of a data centre. pkg/peer converts between the types of the pool owner and the messages. A continued stream carries an empty JSON object, because the stand-in reads a JSON body first.

Measured: go test -race passes 2 tests on the whole path from caller to a stand-in engine and a stand-in service; the streamed answer equals the one that the engine sends directly.

--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -26,8 +26,12 @@
 	return !ok || code == result.StreamBroken
 }
 
+// resumeBody is the body of a continuation. It is not the request, so a
+// server that lost the stream cannot start a second run.
+var resumeBody = []byte("{}")
+
 // resume continues the stream on a new connection at the number of bytes
-// received. The request has no body, so it cannot start a second run.
+// received.
 func (f *flow) resume() error {
 	delay := resumeDelay
 	for f.report.Resumes < maxResumes {
@@ -53,16 +57,17 @@
 	r := *f.r
 	r.Method = http.MethodPost
 	offset := strconv.FormatInt(f.received, 10)
-	err := f.open(true, &r, http.Header{HeaderResumeOffset: {offset}}, nil)
+	err := f.open(true, &r, http.Header{HeaderResumeOffset: {offset}}, resumeBody)
 	if err != nil {
 		return err
 	}
 	if err := f.checkIdentity(); err != nil {
 		return err
 	}
-	confirmed := f.resp.Header.Get(HeaderResumeOffset)
-	if f.resp.StatusCode/100 != 2 || !isEventStream(f.resp.Header) || confirmed != offset {
-		return result.New(result.StreamBroken, "the server does not continue the stream: status %d, offset %q", f.resp.StatusCode, confirmed)
+	// A server may repeat the offset; another one would lose or double bytes.
+	from := f.resp.Header.Get(HeaderResumeOffset)
+	if f.resp.StatusCode/100 != 2 || !isEventStream(f.resp.Header) || from != "" && from != offset {
+		return result.New(result.StreamBroken, "the server does not continue the stream: status %d, offset %q", f.resp.StatusCode, from)
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/router/owner.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+// Ownership says which router owns a shard.
+type Ownership interface {
+	// Owner returns the present owner of a shard and the epoch of its
+	// ownership, false while there is none.
+	Owner(shard pool.ShardID) (owner pool.RouterID, epoch uint64, ok bool)
+	// Members returns the live routers of all data centres with this one.
+	Members() []pool.RouterID
+	// Known returns the number of known and of live routers of this data
+	// centre and the rank of this one in the order of names.
+	Known() (known, live, rank int)
+}
+
+// StaticOwnership chooses owners by rendezvous hashing over a fixed list of
+// routers. It serves fleets whose routers are listed in the settings.
+type StaticOwnership struct {
+	self    pool.RouterID
+	routers []pool.RouterID // by name
+}
+
+// NewStaticOwnership returns the ownership over the routers, self included.
+func NewStaticOwnership(self pool.RouterID, others ...pool.RouterID) *StaticOwnership {
+	all := append([]pool.RouterID{self}, others...)
+	slices.SortFunc(all, func(a, b pool.RouterID) int { return strings.Compare(a.Name, b.Name) })
+	return &StaticOwnership{self: self, routers: all}
+}
+
+// staticEpoch is the only epoch of a fixed list.
+const staticEpoch = 1
+
+// Owner implements Ownership.
+func (s *StaticOwnership) Owner(shard pool.ShardID) (pool.RouterID, uint64, bool) {
+	var best pool.RouterID
+	var top uint64
+	found := false
+	for _, r := range s.routers {
+		if r.DataCentre != shard.DataCentre {
+			continue
+		}
+		if score := rendezvous(r.Name, shard); !found || score > top {
+			best, top, found = r, score, true
+		}
+	}
+	return best, staticEpoch, found
+}
+
+func rendezvous(router string, shard pool.ShardID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{shard.DataCentre, shard.Pool, router} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write([]byte{byte(shard.Shard), byte(shard.Shard >> 8), byte(shard.Shard >> 16), byte(shard.Shard >> 24)})
+	return d.Sum64()
+}
+
+// Members implements Ownership.
+func (s *StaticOwnership) Members() []pool.RouterID { return s.routers }
+
+// Known implements Ownership. Without membership every router counts as live.
+func (s *StaticOwnership) Known() (known, live, rank int) {
+	for _, r := range s.routers {
+		if r.DataCentre != s.self.DataCentre {
+			continue
+		}
+		if r == s.self {
+			rank = known
+		}
+		known++
+	}
+	return known, known, rank
+}
--- /dev/null
+++ b/pkg/router/reconcile.go
@@ -0,0 +1,208 @@
+package router
+
+import (
+	"encoding/json"
+	"time"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/peer"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+// totalsInterval is how often changed service totals are exchanged.
+const totalsInterval = 250 * time.Millisecond
+
+// operatorView is what operators say about an owned shard. It is compared to
+// send only changes to the owners.
+type operatorView struct {
+	revision uint64
+	out      bool
+	known    int
+	live     int
+	rank     int
+}
+
+// reconcile follows changes of ownership, membership and configuration. It
+// runs in the goroutine of Run only.
+func (r *Router) reconcile(now time.Time) {
+	for _, shard := range r.asks.shards() {
+		r.follow(shard)
+	}
+	r.repeatAsks()
+	r.releaseLost()
+	r.tellOwners()
+	if now.Sub(r.totalsAt) >= totalsInterval {
+		r.totalsAt = now
+		r.exchangeTotals()
+	}
+}
+
+// follow repeats asks and re-reports held grants when the owner of a shard
+// changed.
+func (r *Router) follow(shard pool.ShardID) {
+	owner, epoch, ok := r.ownership.Owner(shard)
+	if !ok {
+		return
+	}
+	now := ownerSeen{owner, epoch}
+	if r.seen[shard] == now {
+		return
+	}
+	_, known := r.seen[shard]
+	r.seen[shard] = now
+	if known {
+		r.report(shard, owner)
+	}
+}
+
+// report gives an owner all waiting asks and held grants of a shard.
+func (r *Router) report(shard pool.ShardID, owner pool.RouterID) {
+	waiting, grants := r.asks.of(shard)
+	if len(grants) > 0 {
+		if s := r.local(shard); s != nil {
+			r.with(s, func(now time.Time, o *pool.Owner) { o.Held(now, r.self, grants) })
+		} else {
+			r.send(owner.Name, peer.FromHeld(shard, grants))
+		}
+	}
+	for _, a := range waiting {
+		r.sendAsk(shard, a)
+	}
+}
+
+// repeatAsks sends asks again that met a router without ownership.
+func (r *Router) repeatAsks() {
+	for _, w := range r.asks.takeAgain() {
+		r.sendAsk(w.shard, w.ask)
+	}
+}
+
+// releaseLost drops owned shards whose owner is another router now.
+func (r *Router) releaseLost() {
+	for _, s := range r.ownedShards() {
+		owner, epoch, ok := r.ownership.Owner(s.id)
+		if ok && owner == r.self && epoch == s.epoch {
+			continue
+		}
+		if !ok {
+			continue
+		}
+		r.ownedMu.Lock()
+		if r.owned[s.id] == s {
+			delete(r.owned, s.id)
+		}
+		r.ownedMu.Unlock()
+		if owner != r.self {
+			r.handOver(s, owner)
+		}
+	}
+}
+
+// handOver stops an owned shard and gives its state to the next owner.
+func (r *Router) handOver(s *ownedShard, to pool.RouterID) bool {
+	s.mu.Lock()
+	h := s.owner.Handover()
+	s.mu.Unlock()
+	return r.send(to.Name, peer.FromHandover(h))
+}
+
+// tellOwners gives owned shards what operators and membership say.
+func (r *Router) tellOwners() {
+	cat := r.catalog.Load()
+	if cat == nil {
+		return
+	}
+	view := operatorView{revision: cat.Revision(), out: r.dataCentreOut(r.self.DataCentre)}
+	view.known, view.live, view.rank = r.ownership.Known()
+	if view == r.told {
+		return
+	}
+	r.told = view
+	departed := make(map[string]bool)
+	for _, name := range cat.Departures() {
+		departed[name] = true
+	}
+	for _, s := range r.ownedShards() {
+		r.with(s, func(now time.Time, o *pool.Owner) {
+			o.SetDataCentreOut(now, view.out)
+			o.SetKnownRouters(now, view.known, view.live, view.rank)
+			for _, srv := range r.servers.all() {
+				if srv.announcement.Pool == s.id.Pool {
+					name := srv.announcement.Name
+					o.SetDeparted(now, name, departed[name])
+				}
+			}
+		})
+	}
+}
+
+// exchangeTotals sends the own service totals that changed to every router.
+func (r *Router) exchangeTotals() {
+	changed, version := r.ledger.Changed(r.totalsVersion)
+	if len(changed) == 0 {
+		return
+	}
+	r.totalsVersion = version
+	e := r.totalsEnvelope(changed, false)
+	for _, m := range r.ownership.Members() {
+		r.send(m.Name, e)
+	}
+}
+
+func (r *Router) totalsEnvelope(totals []fairshare.Total, full bool) *apiv1.Envelope {
+	t := &apiv1.Totals{Origin: peer.FromRouter(r.self), Full: full}
+	for _, w := range totals {
+		t.Totals = append(t.Totals, &apiv1.WorkspaceTotal{Workspace: w.Workspace, Units: w.Units})
+	}
+	return &apiv1.Envelope{Item: &apiv1.Envelope_Totals{Totals: t}}
+}
+
+// Connected implements peer.Handler: messages of the earlier connection can be
+// lost, so everything that the other router needs is sent again.
+func (r *Router) Connected(to pool.RouterID) {
+	if totals, _ := r.ledger.Totals(); len(totals) > 0 {
+		r.send(to.Name, r.totalsEnvelope(totals, true))
+	}
+	if to.DataCentre != r.self.DataCentre {
+		return
+	}
+	for _, s := range r.servers.all() {
+		r.sendAnnouncement(to.Name, s.announcement)
+	}
+	for _, m := range r.marks.all() {
+		r.sendMark(to.Name, m)
+	}
+	for _, shard := range r.asks.shards() {
+		if owner, _, ok := r.ownership.Owner(shard); ok && owner.Name == to.Name {
+			r.report(shard, owner)
+		}
+	}
+}
+
+// sendMark carries a mark in an Announcement message, because the exchange has
+// no message of its own for it.
+func (r *Router) sendMark(to string, m mark) {
+	text, err := json.Marshal(markMessage{Mark: &m})
+	if err != nil {
+		return // a mark always encodes
+	}
+	r.send(to, &apiv1.Envelope{Item: &apiv1.Envelope_Announcement{Announcement: &apiv1.Announcement{Json: text}}})
+}
+
+type markMessage struct {
+	Mark *mark `json:"data_centre_mark"`
+}
+
+// receiveMark stores a mark and passes a new one on. It reports whether the
+// message was a mark.
+func (r *Router) receiveMark(text []byte) bool {
+	var m markMessage
+	if json.Unmarshal(text, &m) != nil || m.Mark == nil {
+		return false
+	}
+	if r.marks.set(*m.Mark) {
+		r.log.Infof("operator %s marked data centre %s out=%v", m.Mark.Operator, m.Mark.Name, m.Mark.Out)
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/router/router_test.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
+	"jackdawtrack.example/jackdawtrack/pkg/standin"
+	"jackdawtrack.example/jackdawtrack/pkg/workspace"
+)
+
+const (
+	testPatience = 20 * time.Second
+	wsKey        = "ws-key"
+	serverKey    = "server-key"
+	operatorKey  = "operator-key"
+)
+
+// fleet is one router on kernel ports with a configuration.
+type fleet struct {
+	router  *Router
+	store   *catalog.Store
+	callers *httptest.Server
+	announce,
+	admin *httptest.Server
+}
+
+func configuration() []*apiv1.Change {
+	chat := class.Class{Name: "chat", FirstToken: 10 * time.Second, MayWait: true, MaxWait: 10 * time.Second, MayRunTwice: true, ProgressTimeout: time.Second}
+	order := class.Class{Name: "order", Answer: 10 * time.Second, MayWait: true, MaxWait: 10 * time.Second, ProgressTimeout: time.Second}
+	return []*apiv1.Change{
+		catalog.ClassChange(chat),
+		catalog.ClassChange(order),
+		catalog.WorkspaceChange(workspace.Workspace{Name: "w", KeyHashes: [][]byte{workspace.HashKey(wsKey)}}),
+		catalog.WorkspaceChange(workspace.Workspace{Name: "slow", KeyHashes: [][]byte{workspace.HashKey(wsKey)}, RequestsPerSecond: 0.001}),
+		catalog.CredentialChange(catalog.Credential{Name: "s*", KeyHash: workspace.HashKey(serverKey)}),
+		catalog.OperatorChange(catalog.Operator{Name: "op", KeyHash: workspace.HashKey(operatorKey)}),
+	}
+}
+
+func newFleet(t testing.TB, change func(*Config, *Parts)) *fleet {
+	t.Helper()
+	cfg := NewConfig()
+	cfg.Name, cfg.DataCentre = "rt-1", "north"
+	self := pool.RouterID{Name: "rt-1", DataCentre: "north", Incarnation: 7}
+	parts := Parts{Catalog: catalog.NewStore(), Ownership: NewStaticOwnership(self), Pool: pool.DefaultConfig()}
+	parts.Pool.RecoveryWait = 0
+	parts.Catalog.ApplySnapshot(1, configuration())
+	if change != nil {
+		change(cfg, &parts)
+	}
+	r := New(cfg, self, parts)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	f := &fleet{
+		router:   r,
+		store:    parts.Catalog,
+		callers:  httptest.NewServer(r.Handler()),
+		announce: httptest.NewServer(r.AnnounceHandler()),
+		admin:    httptest.NewServer(r.AdminHandler()),
+	}
+	t.Cleanup(func() {
+		r.Close()
+		f.callers.Close()
+		f.announce.Close()
+		f.admin.Close()
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// standIn starts a stand-in that announces itself to the fleet and waits until
+// the router knows it.
+func (f *fleet) standIn(t testing.TB, s standin.ServerSettings) string {
+	t.Helper()
+	s.DataCentre, s.Listen, s.Credential, s.StartWarm = "north", "127.0.0.1:0", serverKey, true
+	s.ReportLag = settings.Duration(10 * time.Millisecond)
+	s.Announce = []settings.Address{settings.Address(f.announce.Listener.Addr().String())}
+	all := &standin.Settings{Servers: []standin.ServerSettings{s}}
+	assert.NilError(t, all.Validate())
+	log, err := standin.OpenExecutionLog(filepath.Join(t.TempDir(), "executions"))
+	assert.NilError(t, err)
+	server, err := standin.NewServer(all.Servers[0], log)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f.await(t, "stand-in is usable", func() bool {
+		for _, shard := range f.router.Status().Shards {
+			for _, v := range shard.Servers {
+				if v.Name == s.Name && v.Usable {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return server.Address()
+}
+
+// announceAs makes a server at an address known without a stand-in.
+func (f *fleet) announceAs(t testing.TB, a backend.Announcement, key string) *http.Response {
+	t.Helper()
+	if a.DataCentre == "" {
+		a.DataCentre = "north"
+	}
+	a.Pool, a.BootID, a.Slots = "p", max(a.BootID, 1), 64
+	if a.State == "" {
+		a.State = backend.Ready
+	}
+	body, err := json.Marshal(a)
+	assert.NilError(t, err)
+	req, err := http.NewRequest(http.MethodPost, f.announce.URL+"/v1/announce", bytes.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	return resp
+}
+
+func (f *fleet) await(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testPatience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+}
+
+func (f *fleet) request(t testing.TB, method, path, class, body string, header ...string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, f.callers.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+wsKey)
+	req.Header.Set(proxy.HeaderWorkspace, "w")
+	req.Header.Set(proxy.HeaderClass, class)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+func do(t testing.TB, req *http.Request) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp, string(body)
+}
+
+func chatBody(tokens int) string {
+	return fmt.Sprintf(`{"model":"p","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"an apron with a pocket"}]}`, tokens)
+}
+
+// Guards against an answer that differs from what the server sent, and a slot
+// that is not given back, on the whole path from caller to stand-in.
+func TestWholePath(t *testing.T) {
+	f := newFleet(t, nil)
+	address := f.standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p", TokenInterval: settings.Duration(time.Millisecond)})
+	resp, body := do(t, f.request(t, http.MethodPost, chatPath, "chat", chatBody(20)))
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	assert.Equal(t, resp.Header.Get(headerResult), "0")
+	assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+
+	direct, err := http.NewRequest(http.MethodPost, "http://"+address+chatPath, strings.NewReader(chatBody(20)))
+	assert.NilError(t, err)
+	direct.Header.Set(proxy.HeaderRequestID, resp.Header.Get(proxy.HeaderRequestID))
+	_, same := do(t, direct)
+	assert.Equal(t, body, same)
+
+	d, ok := f.router.ring.get(resp.Header.Get(proxy.HeaderRequestID))
+	assert.Assert(t, ok)
+	assert.Equal(t, d.Attempts[0].Server, "s1")
+	assert.Assert(t, d.Attempts[0].CostUnits > 80, "%+v", d.Attempts[0])
+	waiting, held := f.router.asks.counts()
+	assert.Equal(t, waiting+held, 0)
+}
+
+// Guards against a service path, query or method that changes on the way.
+func TestServicePath(t *testing.T) {
+	f := newFleet(t, nil)
+	f.standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Service, Pool: "stock", ProcessingTime: settings.Duration(time.Millisecond)})
+	resp, body := do(t, f.request(t, http.MethodPut, "/services/stock/items/7?x=1", "order", "{}"))
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	assert.Assert(t, strings.Contains(body, `"method":"PUT"`) && strings.Contains(body, `"path":"/items/7"`), body)
+}
