--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,10 @@
 	PATH=$(CURDIR)/bin/tools:$$PATH protoc -I . --go_out=. --go_opt=paths=source_relative \
 		--go-grpc_out=. --go-grpc_opt=paths=source_relative api/v1/*.proto
 
+# Prints the slopes of docs/CAPACITY.md.
+.PHONY: capacity
+capacity:
+	go run ./internal/capacity/cmd
+
 measure:
 	go run ./internal/measure/cmd
