--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -53,6 +53,7 @@
 	stored  []uint64
 	evicted []uint64
 	reports []report
+	inUse   float64 // slot seconds while measuring
 }
 
 type report struct {
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -235,7 +235,8 @@
 		if s.coldCap > 0 {
 			bears = s.coldCap
 		}
-		used += rate(min(len(s.running), bears))
+		s.inUse += d * float64(len(s.running))
+		used += min(rate(len(s.running)), rate(bears))
 		most += rate(bears)
 	}
 	waits := f.m.waiting["model"] > 0
--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -34,12 +34,12 @@
 	outSince    time.Time
 	lastNewWork time.Duration
 	lateNewWork int
-
-	history [][]float64 // served units per sample and workspace
+	missed      map[string]int
+	history     [][]float64 // served units per sample and workspace
 }
 
 func newMetrics() *metrics {
-	return &metrics{bytes: map[string]int{}, kinds: map[string]int{}, waiting: map[string]int{}, refusals: map[string]int{}}
+	return &metrics{bytes: map[string]int{}, kinds: map[string]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}}
 }
 
 func (m *metrics) begin(f *fleet) {
@@ -80,6 +80,7 @@
 	m.refusals[x.Code.String()]++
 	if m.counts(q) {
 		m.strict++
+		m.missed["refused "+q.class.Name]++
 	}
 	if w := q.f.now.Sub(q.arrived); m.measuring && q.workspace.small && q.class.MayWait {
 		m.maxWaitSmall = max(m.maxWaitSmall, w)
@@ -99,6 +100,10 @@
 	slow := q.class.TokenInterval > 0 && s.TokenInterval > q.class.TokenInterval
 	if start <= q.class.Target() && !slow {
 		m.met++
+	} else if slow {
+		m.missed["slow "+q.class.Name]++
+	} else {
+		m.missed["late "+q.class.Name]++
 	}
 }
 
