Send summaries only when they tell something new, in shared batches

Cause: half of the control bytes were framing: an owner confirmed every loan in a message of its own, sent four summaries a second whatever had changed, and totals and summaries left at different times. Change: a confirmation without unused slots leaves with the next summary; a summary is left out for up to 1 s while its values are within half the distance penalty; summaries and totals leave at whole multiples of their intervals.

--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -74,7 +74,7 @@
 	r.sentTo, r.current = map[*router]uint64{}, map[string]*router{}
 	r.live = nil
 	boot := r.id.Incarnation
-	r.f.every(r.f.jitter(exchangeInterval), exchangeInterval, func() bool {
+	r.f.every(exchangeInterval-time.Duration(r.f.now.UnixNano())%exchangeInterval, exchangeInterval, func() bool {
 		if r.up && r.id.Incarnation == boot {
 			r.exchange()
 		}
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -173,10 +173,15 @@
 		}
 		o.grantOn(w, nil, &borrowed{loan: l})
 	}
-	// The answer also confirms the slots that are in use.
-	o.outbox.LoanReturns = append(o.outbox.LoanReturns, LoanReturn{
-		From: o.id, To: l.From, LoanID: l.LoanID, Epoch: l.Epoch, Unused: l.Slots - used,
-	})
+	// The answer also confirms the slots that are in use. A confirmation
+	// alone can wait for the next summary; unused slots cannot.
+	r := LoanReturn{From: o.id, To: l.From, LoanID: l.LoanID, Epoch: l.Epoch, Unused: l.Slots - used}
+	o.loansSince += used
+	if r.Unused > 0 {
+		o.outbox.LoanReturns = append(o.outbox.LoanReturns, r)
+	} else {
+		o.acks = append(o.acks, r)
+	}
 	o.dispatch()
 }
 
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -66,25 +66,29 @@
 	freeGrant []*grant
 	lastGrant uint64
 
-	servers   map[string]*server
-	numbered  []*server // by number
-	laneSlots []int     // usable slots per lane
-	lanes     []serverHeap
-	laneOf    map[string]int
-	prefixes  prefixTable
-	out       bool
-	departed  map[string]bool
-	known     int
-	live      int
-	rank      int
-	inFlight  int // on own servers
-	stats     stats
-	peers     map[ShardID]*peer
-	lent      map[uint64]*lent
-	lastLoan  uint64
-	summaryAt time.Time // last summary
-	firstPeer bool      // a summary has been received
-	swept     time.Time // last housekeeping
+	servers     map[string]*server
+	numbered    []*server // by number
+	laneSlots   []int     // usable slots per lane
+	lanes       []serverHeap
+	laneOf      map[string]int
+	prefixes    prefixTable
+	out         bool
+	departed    map[string]bool
+	known       int
+	live        int
+	rank        int
+	inFlight    int // on own servers
+	stats       stats
+	peers       map[ShardID]*peer
+	lent        map[uint64]*lent
+	lastLoan    uint64
+	summaryAt   time.Time // last time a summary was considered
+	summarySent time.Time
+	lastSummary Summary
+	loansSince  uint32       // loans used since the last summary
+	acks        []LoanReturn // confirmations that leave with the next summary
+	firstPeer   bool         // a summary has been received
+	swept       time.Time    // last housekeeping
 
 	laneUsable func(int) bool
 	now        time.Time // of the present input
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -62,33 +62,6 @@
 	return a
 }
 
-// summaryDue returns when the next summary goes out: quickly while work waits
-// and no slot is free, slowly otherwise.
-func (o *Owner) summaryDue() time.Time {
-	if o.queue.Len() > 0 {
-		return o.summaryAt.Add(summaryBusyInterval)
-	}
-	return o.summaryAt.Add(summaryIdleInterval)
-}
-
-func (o *Owner) summarize() {
-	if !o.cfg.Lend || o.now.Before(o.summaryDue()) {
-		return
-	}
-	o.summaryAt = o.now
-	s := Summary{From: o.id, Epoch: o.epoch, FreeSlots: uint32(o.freeSlots()), Waiting: uint32(o.queue.Len())}
-	if o.now.Before(o.opens) {
-		s.FreeSlots, s.Waiting = 0, 0 // it could not use a loan
-	}
-	if floor, ok := o.queue.Floor(); ok && s.Waiting > 0 {
-		s.Floor = floor
-		o.queue.Lowest(summaryLowest, func(value int64, count int) {
-			s.Lowest = append(s.Lowest, WaitingValue{Value: value, Count: uint32(count)})
-		})
-	}
-	o.outbox.Summaries = append(o.outbox.Summaries, s)
-}
-
 func (o *Owner) freeSlots() int {
 	n := 0
 	for _, s := range o.servers {
