Keep warm servers warm when their owner is replaced

Cause: a new owner without a hand-over treated every engine as cold and ramped a whole data centre for minutes; it gave warm engines their full limit although requests lent to other data centres still ran there, which drove them past the knee; a lender kept the slots of a lost borrower for 9 s. Change: an engine that finished eight rounds of requests and holds a large prefix cache starts warm at a new owner; running work that the owner cannot account for takes slots of warm servers too; loans to a silent borrower end after 3 s by load reports; far below the target the limit grows by an eighth.

--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -277,7 +277,7 @@
 	a := backend.Announcement{
 		Name: s.name, DataCentre: dcName(s.dc), Address: "127.0.0.1:1", Pool: s.pool, Kind: s.kind,
 		BootID: s.boot, Slots: s.slots, State: backend.Ready,
-		Load: backend.Load{Running: seen.running, AgeMS: now.Sub(seen.at).Milliseconds(), Total: seen.total},
+		Load: backend.Load{Running: seen.running, AgeMS: now.Sub(seen.at).Milliseconds(), Total: seen.total, Cached: len(s.cache)},
 	}
 	if s.leaving {
 		a.State = backend.Leaving
@@ -300,5 +300,6 @@
 func (s *backendServer) chill() {
 	if s.kind == "engine" {
 		s.coldCap, s.coldDone, s.coldSince = coldCapacity, 0, s.f.now
+		s.cache = nil
 	}
 }
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -129,6 +129,7 @@
 	lastUse  float64 // mean slots in use in the last full window
 	lastRate float64 // tokens per second in that window
 	hold     int     // windows left without growth
+	kneeSeen bool    // since the last cold start
 
 	windowFrom   time.Time // samples granted before do not count
 	samples      int
@@ -184,7 +185,7 @@
 // Chill makes the server cold: its limit falls to the cold limit and the ramp
 // starts again.
 func (l *Limiter) Chill(now time.Time) {
-	l.cold = true
+	l.cold, l.kneeSeen, l.lastRate, l.hold = true, false, 0, 0
 	l.limit = float64(l.coldMost)
 	l.restartStep(now)
 	l.restartWindow(now)
@@ -410,7 +411,7 @@
 		l.hold = holdWindows
 	}
 	l.limit = max(math.Round(use), 1)
-	l.lastRate = 0
+	l.lastRate, l.kneeSeen = 0, true
 	l.warm(now)
 }
 
@@ -436,12 +437,21 @@
 		l.settleAt(now, enough)
 		return
 	case l.used() && l.hold == 0 && l.pressure() < aimPressure:
-		l.limit = min(l.limit+1, float64(l.most))
+		l.limit = min(l.limit+l.increase(), float64(l.most))
 	}
 	l.restartStep(now)
 	l.restartWindow(now)
 }
 
+// increase returns the additive step: one slot near the target or once the
+// knee was seen, an eighth of the limit far below.
+func (l *Limiter) increase() float64 {
+	if l.kneeSeen || l.pressure() > rampHeadroom {
+		return 1
+	}
+	return max(math.Floor(l.limit/8), 1)
+}
+
 // Report takes a load report.
 func (l *Limiter) Report(now time.Time, r Load) {
 	l.rotatePeaks(now)
@@ -475,10 +485,10 @@
 
 func (l *Limiter) usable() int {
 	full := int(math.Round(l.limit))
-	if l.cold {
-		return max(min(full-l.unseen, l.share.of(full)), 0)
+	if l.share.partial && !l.cold {
+		return l.share.of(full) // reports already lowered it
 	}
-	return min(full, l.share.of(full))
+	return max(min(full-l.unseen, l.share.of(full)), 0)
 }
 
 // Cold reports whether the server is cold.
--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -24,13 +25,25 @@
 		st := s.limit.State()
 		h.Servers = append(h.Servers, ServerState{Announcement: text, Limit: st.Full, Cold: st.Cold})
 	}
-	for _, g := range o.grants {
+	for _, g := range o.sortedGrants() {
 		h.Grants = append(h.Grants, held(g))
 	}
-	slices.SortFunc(h.Grants, func(a, b HeldGrant) int { return int(a.GrantID) - int(b.GrantID) })
 	return h
 }
 
+// sortedGrants returns the open grants in the order in which they were made,
+// so that equal inputs give equal outputs.
+func (o *Owner) sortedGrants() []*grant {
+	list := make([]*grant, 0, len(o.grants))
+	for _, g := range o.grants {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *grant) int {
+		return cmp.Or(cmp.Compare(a.key.epoch, b.key.epoch), cmp.Compare(a.key.id, b.key.id))
+	})
+	return list
+}
+
 func (o *Owner) sorted() []*server {
 	list := make([]*server, 0, len(o.servers))
 	for _, s := range o.servers {
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -6,10 +6,6 @@
 	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 )
 
-// borrowerLost is the silence after which nobody is expected to return the
-// slots of a loan. Load reports then show when they are free.
-const borrowerLost = 3 * summaryMaxAge
-
 // peer is an owner of the same pool in another data centre.
 type peer struct {
 	summary Summary
@@ -247,7 +243,9 @@
 func (o *Owner) lapse() {
 	for id, l := range o.lent {
 		p := o.peers[l.loan.To]
-		lost := p != nil && o.now.Sub(p.heard) >= borrowerLost
+		// A silent borrower may be gone; load reports then show when its
+		// slots are free.
+		lost := p != nil && !o.fresh(p)
 		if lost || !l.acked && o.now.Sub(l.given) >= 2*o.cfg.LoanTTL {
 			o.orphanLoan(id, l)
 		}
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -282,7 +282,7 @@
 			o.drop(w)
 		}
 	}
-	for _, g := range o.grants {
+	for _, g := range o.sortedGrants() {
 		if g.request.router == router {
 			o.orphan(g)
 		}
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -9,6 +9,14 @@
 	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 )
 
+const (
+	// seasonedRounds is the number of requests per slot that a seasoned
+	// engine has finished.
+	seasonedRounds = 8
+	// seasonedSlots stands for the slots of an engine that announces none.
+	seasonedSlots = 16
+)
+
 // server is one BackendServer of the shard.
 type server struct {
 	number   uint32
@@ -144,11 +152,27 @@
 		s.proven = true
 		return
 	}
+	if seasoned(&s.ann) {
+		s.proven = true
+		s.limit.Restore(o.now, max(s.ann.Slots, l.Running, seasonedSlots), false)
+		return
+	}
 	if l.Waiting == 0 && l.Total >= 2*int64(l.Running) {
 		s.limit.Proven(o.now, l.Running)
 	}
 }
 
+// seasoned reports whether an engine has run its full load since it started:
+// it has finished many requests and holds a large prefix cache, which a cold
+// start empties. A new owner would otherwise ramp a whole data centre again
+// after each router restart.
+func seasoned(a *backend.Announcement) bool {
+	slots := max(a.Slots, seasonedSlots)
+	return a.State == backend.Ready &&
+		a.Load.Total >= seasonedRounds*int64(slots) &&
+		a.Load.Cached >= 2*slots
+}
+
 func (o *Owner) releaseSlot(s *server, sample limiter.Sample) {
 	o.inFlight--
 	s.limit.Release(o.now, sample)
