--- a/internal/capacity/catalog.go
+++ b/internal/capacity/catalog.go
@@ -27,6 +27,8 @@
 
 	controlBytesPerSecond = 4_096
 	controlMemory         = 128 << 20
+	controlCorePercent    = 4.7
+	hotShardRequests      = 20 // a second; a pool with more is split
 	changeInForceSeconds  = 10
 )
 
--- /dev/null
+++ b/internal/capacity/decide.go
@@ -0,0 +1,213 @@
+package capacity
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/peer"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+const (
+	draftWait       = time.Hour
+	slotsPerServer  = 64
+	designShards    = designDataCentres * designModels
+	backloggedShard = designBacklogged * designDataCentres / designShards // a workspace waits in every data centre
+	requestsPerNode = float64(designRequests) / designRouters
+	nanosPerPercent = 1e7 // processor nanoseconds a second in one percent of a core
+)
+
+var (
+	draft   = class.Class{Name: "draft", FirstToken: 30 * time.Second, MayWait: true, MaxWait: draftWait}.Normalize()
+	router1 = pool.RouterID{Name: "router-001", DataCentre: "dc1", Incarnation: 1}
+	shard1  = pool.ShardID{DataCentre: "dc1", Pool: "model-01"}
+)
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	// Getrusage of the own process fails for no argument used here.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func announcement(i int, total int64) backend.Announcement {
+	return backend.Announcement{
+		Name: fmt.Sprintf("server-%03d", i), DataCentre: "dc1", Address: "127.0.0.1:9000", Pool: "model-01",
+		Kind: backend.Engine, BootID: 1, Slots: slotsPerServer, ColdSlots: slotsPerServer, State: backend.Ready,
+		Load: backend.Load{Total: total},
+	}
+}
+
+func newOwner(servers int) (*pool.Owner, time.Time) {
+	ledger := fairshare.NewLedger(fairshare.Origin{Name: "router-001", DataCentre: "dc1", Incarnation: 1})
+	cfg := pool.DefaultConfig()
+	cfg.MaxWaiting = 1 << 20
+	cfg.MaxWaitingTotal = 1 << 20
+	o := pool.NewOwner(shard1, 1, cfg, ledger, start)
+	now := start.Add(pool.DefaultRecoveryWait)
+	for i := range servers {
+		o.Announce(now, announcement(i, 0))
+	}
+	o.Tick(now)
+	o.Take()
+	return o, now
+}
+
+func newAsk(id uint64, workspace int, now time.Time) pool.Ask {
+	return pool.Ask{Router: router1, RequestID: id, Workspace: workspaceName(workspace), Class: draft, Arrived: now, PrefixHash: uint64(workspace)}
+}
+
+// backlog queues n asks of n workspaces at an owner without servers.
+func backlog(n int) *pool.Owner {
+	o, now := newOwner(0)
+	for i := range n {
+		o.Ask(now, newAsk(uint64(i+1), i, now))
+	}
+	return o
+}
+
+// QueueMemory measures the heap of waiting asks, each of its own workspace.
+func QueueMemory() Slope {
+	s := Slope{Role: "owner", Name: "queue memory", XName: "waiting ask", Unit: "B", At: backloggedShard * 8, Budget: controlMemory}
+	for _, n := range []int{1_000, 4_000, 16_000, 64_000} {
+		s.Points = append(s.Points, Point{float64(n), heapOf(func() any { return backlog(n) })})
+	}
+	return s
+}
+
+// ServerMemory measures the heap of the server table of a pool.
+func ServerMemory() Slope {
+	s := Slope{Role: "owner", Name: "server table memory", XName: "server", Unit: "B", At: designServers, Budget: controlMemory}
+	for _, n := range []int{50, 100, 300, 670} {
+		bytes := heapOf(func() any { o, _ := newOwner(n); return o })
+		s.Points = append(s.Points, Point{float64(n), bytes})
+	}
+	return s
+}
+
+// cycle runs ask, grant and settle at a full pool and returns the processor
+// nanoseconds of one request.
+func cycle(backlogged, servers, rounds int) float64 {
+	o, now := newOwner(servers)
+	id := uint64(0)
+	for range 2 {
+		for i := range backlogged {
+			id++
+			o.Ask(now, newAsk(id, i, now))
+		}
+	}
+	var open []pool.Grant
+	var out pool.Output
+	o.TakeInto(&out)
+	open = append(open, out.Grants...)
+	if len(open) == 0 {
+		return 0
+	}
+	before := processorTime()
+	for r := range rounds {
+		g := open[0]
+		open = open[1:]
+		now = now.Add(time.Millisecond)
+		o.Settle(now, pool.Settle{GrantID: g.GrantID, Epoch: g.Epoch, Outcome: pool.OutcomeOK, CostUnits: 900, FirstToken: 50 * time.Millisecond, TokenInterval: 20 * time.Millisecond})
+		id++
+		o.Ask(now, newAsk(id, r%backlogged, now))
+		o.TakeInto(&out)
+		open = append(open, out.Grants...)
+		if len(open) == 0 {
+			return 0
+		}
+	}
+	return float64(processorTime()-before) / float64(rounds)
+}
+
+// DecisionTime measures the processor time of the decisions on one request
+// against the number of backlogged workspaces, as percent of a core at the
+// request rate of one hot shard.
+func DecisionTime() Slope {
+	s := Slope{Role: "owner", Name: "decisions at 20 requests/s", XName: "backlogged workspace", Unit: "% of a core", At: designBacklogged, Budget: controlCorePercent}
+	for _, n := range []int{16, 400, 1_600, 4_000} {
+		s.Points = append(s.Points, Point{float64(n), cycle(n, 8, 20_000) * hotShardRequests / nanosPerPercent})
+	}
+	return s
+}
+
+// ServerChoiceTime measures the same against the number of servers of the
+// pool.
+func ServerChoiceTime() Slope {
+	s := Slope{Role: "owner", Name: "server choice at 20 requests/s", XName: "server", Unit: "% of a core", At: designServers, Budget: controlCorePercent}
+	for _, n := range []int{8, 84, 300, 670} {
+		s.Points = append(s.Points, Point{float64(n), cycle(400, n, 20_000) * hotShardRequests / nanosPerPercent})
+	}
+	return s
+}
+
+// SlotTraffic measures the control bytes a second of one router for asks,
+// grants and settles against its request rate, one message each.
+func SlotTraffic() Slope {
+	s := Slope{Role: "router", Name: "asks, grants and settles", XName: "request/s", Unit: "B/s", At: requestsPerNode, Budget: controlBytesPerSecond}
+	now := start
+	ask := peer.FromAsk(shard1, newAsk(1<<30, 39_999, now), now)
+	grant := &apiv1.Envelope{Item: &apiv1.Envelope_Grant{Grant: &apiv1.Grant{
+		Shard: peer.FromShard(shard1), RequestId: 1 << 30, GrantId: 1 << 30, Epoch: 100, Server: "server-001", Address: "127.100.100.100:9000", BootId: 1 << 60}}}
+	settle := &apiv1.Envelope{Item: &apiv1.Envelope_Settle{Settle: &apiv1.Settle{
+		Shard: peer.FromShard(shard1), GrantId: 1 << 30, Epoch: 100, Outcome: 1, CostUnits: 4_000, FirstTokenUs: 100_000, TokenIntervalUs: 30_000}}}
+	one := 3 * framing
+	for _, e := range []*apiv1.Envelope{ask, grant, settle} {
+		one += proto.Size(&apiv1.Batch{Items: []*apiv1.Envelope{e}})
+	}
+	for _, rate := range []float64{2, 5, 10, 20} {
+		s.Points = append(s.Points, Point{rate, rate * float64(one)})
+	}
+	return s
+}
+
+// TotalsTraffic measures the bytes a second that one router sends for service
+// totals to every other router, at the request rate of one node.
+func TotalsTraffic() Slope {
+	s := Slope{Role: "router", Name: "service totals to every router", XName: "router", Unit: "B/s", At: designRouters, Budget: controlBytesPerSecond}
+	interval := fairshare.ExchangeInterval.Seconds()
+	changed := int(requestsPerNode * interval)
+	totals := &apiv1.Totals{Origin: peer.FromRouter(router1)}
+	for i := range changed {
+		totals.Totals = append(totals.Totals, &apiv1.WorkspaceTotal{Workspace: workspaceName(i), Units: 1 << 32})
+	}
+	batch := &apiv1.Batch{Items: []*apiv1.Envelope{{Item: &apiv1.Envelope_Totals{Totals: totals}}}}
+	one := float64(framing+proto.Size(batch)) / interval
+	for _, n := range []int{5, 50, 150, 380} {
+		s.Points = append(s.Points, Point{float64(n), one * float64(n-1)})
+	}
+	return s
+}
+
+// LedgerMemory measures the heap of a ledger against the number of origins,
+// each of which has served the workspaces of one shard.
+func LedgerMemory() Slope {
+	s := Slope{Role: "owner", Name: "ledger memory", XName: "origin", Unit: "B", At: designRouters, Budget: controlMemory}
+	for _, n := range []int{5, 50, 150, 380} {
+		s.Points = append(s.Points, Point{float64(n), heapOf(func() any { return mergedLedger(n) })})
+	}
+	return s
+}
+
+// workspacesPerOrigin is the number of workspaces that one router dispatches
+// for: all workspaces spread over the routers, each served by ten of them.
+const workspacesPerOrigin = designWorkspaces * 10 / designRouters
+
+func mergedLedger(origins int) *fairshare.Ledger {
+	l := fairshare.NewLedger(fairshare.Origin{Name: "self"})
+	for o := range origins {
+		totals := make([]fairshare.Total, workspacesPerOrigin)
+		for i := range totals {
+			totals[i] = fairshare.Total{Workspace: workspaceName((o*workspacesPerOrigin/10 + i) % designWorkspaces), Units: 1000}
+		}
+		l.Merge(fairshare.Origin{Name: fmt.Sprintf("router-%03d", o), Incarnation: 1}, totals, true)
+	}
+	return l
+}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -14,6 +14,13 @@
 		CatalogSnapshotBytes,
 		ChangeBytes,
 		BurnMemory,
+		SlotTraffic,
+		TotalsTraffic,
+		QueueMemory,
+		ServerMemory,
+		LedgerMemory,
+		DecisionTime,
+		ServerChoiceTime,
 	} {
 		if err := measure().Write(w); err != nil {
 			return err
