--- a/pkg/router/announce.go
+++ b/pkg/router/announce.go
@@ -76,9 +76,7 @@
 // other routers of the data centre if they need it.
 func (r *Router) routeAnnouncement(a backend.Announcement, share bool) {
 	shard := r.shardOf(a.Pool)
-	if s := r.local(shard); s != nil {
-		r.with(s, func(now time.Time, o *pool.Owner) { o.Announce(now, a) })
-	} else {
+	if !r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Announce(now, a) }) {
 		r.sendAnnouncement(r.ownerName(shard), a)
 	}
 	if share {
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
@@ -26,7 +28,7 @@
 // reconcile follows changes of ownership, membership and configuration. It
 // runs in the goroutine of Run only.
 func (r *Router) reconcile(now time.Time) {
-	for _, shard := range r.asks.shards() {
+	for _, shard := range r.usedShards() {
 		r.follow(shard)
 	}
 	r.repeatAsks()
@@ -38,6 +40,16 @@
 	}
 }
 
+// usedShards returns the shards that this router has asks, grants or recent
+// settles for.
+func (r *Router) usedShards() []pool.ShardID {
+	all := r.replays.shards()
+	for _, s := range r.asks.shards() {
+		all[s] = struct{}{}
+	}
+	return slices.Collect(maps.Keys(all))
+}
+
 // follow repeats asks and re-reports held grants when the owner of a shard
 // changed.
 func (r *Router) follow(shard pool.ShardID) {
@@ -56,16 +68,17 @@
 	}
 }
 
-// report gives an owner all waiting asks and held grants of a shard.
+// report gives an owner all held grants, recent settles and waiting asks of a
+// shard, in this order: a repeated settle then ends a grant that a hand-over
+// still lists.
 func (r *Router) report(shard pool.ShardID, owner pool.RouterID) {
 	waiting, grants := r.asks.of(shard)
 	if len(grants) > 0 {
-		if s := r.local(shard); s != nil {
-			r.with(s, func(now time.Time, o *pool.Owner) { o.Held(now, r.self, grants) })
-		} else {
+		if !r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Held(now, r.self, grants) }) {
 			r.send(owner.Name, peer.FromHeld(shard, grants))
 		}
 	}
+	r.replay(shard)
 	for _, a := range waiting {
 		r.sendAsk(shard, a)
 	}
@@ -103,6 +116,7 @@
 func (r *Router) handOver(s *ownedShard, to pool.RouterID) bool {
 	s.mu.Lock()
 	h := s.owner.Handover()
+	s.closed = true
 	s.mu.Unlock()
 	return r.send(to.Name, peer.FromHandover(h))
 }
@@ -165,6 +179,7 @@
 		r.send(to.Name, r.totalsEnvelope(totals, true))
 	}
 	if to.DataCentre != r.self.DataCentre {
+		r.replayTo(to)
 		return
 	}
 	for _, s := range r.servers.all() {
@@ -173,13 +188,22 @@
 	for _, m := range r.marks.all() {
 		r.sendMark(to.Name, m)
 	}
-	for _, shard := range r.asks.shards() {
+	for _, shard := range r.usedShards() {
 		if owner, _, ok := r.ownership.Owner(shard); ok && owner.Name == to.Name {
 			r.report(shard, owner)
 		}
 	}
 }
 
+// replayTo sends logged messages to a router of another data centre again.
+func (r *Router) replayTo(to pool.RouterID) {
+	for shard := range r.replays.shards() {
+		if r.ownerName(shard) == to.Name {
+			r.replay(shard)
+		}
+	}
+}
+
 // sendMark carries a mark in an Announcement message, because the exchange has
 // no message of its own for it.
 func (r *Router) sendMark(to string, m mark) {
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -41,7 +41,7 @@
 }
 
 func (r *Router) sendRemoteSettle(shard pool.ShardID, s pool.Settle) {
-	r.sendToOwner(shard, &apiv1.Envelope{Item: &apiv1.Envelope_Settle{Settle: peer.FromSettle(shard, s)}})
+	r.sendLogged(shard, &apiv1.Envelope{Item: &apiv1.Envelope_Settle{Settle: peer.FromSettle(shard, s)}})
 }
 
 func (r *Router) sendGrant(shard pool.ShardID, g pool.Grant) {
@@ -84,7 +84,7 @@
 		r.sendToOwner(l.To, &apiv1.Envelope{Item: &apiv1.Envelope_Loan{Loan: peer.FromLoan(l)}})
 	}
 	for _, l := range out.LoanReturns {
-		r.sendToOwner(l.To, &apiv1.Envelope{Item: &apiv1.Envelope_LoanReturn{LoanReturn: peer.FromLoanReturn(l)}})
+		r.sendLogged(l.To, &apiv1.Envelope{Item: &apiv1.Envelope_LoanReturn{LoanReturn: peer.FromLoanReturn(l)}})
 	}
 	if len(out.Summaries) == 0 {
 		return
@@ -149,18 +149,7 @@
 		return
 	}
 	back := pool.LoanReturn{From: l.To, To: l.From, LoanID: l.LoanID, Epoch: l.Epoch, Unused: l.Slots}
-	r.sendToOwner(l.From, &apiv1.Envelope{Item: &apiv1.Envelope_LoanReturn{LoanReturn: peer.FromLoanReturn(back)}})
-}
-
-// atShard runs an input at an owned shard and reports whether this router owns
-// it.
-func (r *Router) atShard(shard pool.ShardID, input func(now time.Time, o *pool.Owner)) bool {
-	s := r.local(shard)
-	if s == nil {
-		return false
-	}
-	r.with(s, input)
-	return true
+	r.sendLogged(l.From, &apiv1.Envelope{Item: &apiv1.Envelope_LoanReturn{LoanReturn: peer.FromLoanReturn(back)}})
 }
 
 func (r *Router) receiveTotals(t *apiv1.Totals) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -67,6 +67,7 @@
 	transport  *proxy.Transport
 	servers    *serverTable
 	asks       *asks
+	replays    replayLog
 	marks      *marks
 	ring       *ring
 	budget     *retryBudget
@@ -150,6 +151,8 @@
 func (r *Router) Run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	follow := time.NewTicker(reconcileInterval)
+	defer follow.Stop()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
@@ -157,8 +160,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			r.reconcile(now)
 			r.tickOwners(now)
+		case now := <-follow.C:
+			r.reconcile(now)
 		case now := <-sweep.C:
 			r.servers.forget(now)
 		}
@@ -168,8 +172,9 @@
 const (
 	// tickInterval bounds how late an owner refuses an ask whose deadline has
 	// passed.
-	tickInterval  = 10 * time.Millisecond
-	sweepInterval = time.Minute
+	tickInterval      = 10 * time.Millisecond
+	reconcileInterval = 50 * time.Millisecond
+	sweepInterval     = time.Minute
 )
 
 func (r *Router) newID() string {
--- a/pkg/router/shards.go
+++ b/pkg/router/shards.go
@@ -10,10 +10,11 @@
 
 // ownedShard is a shard that this router owns. mu is the pool lock.
 type ownedShard struct {
-	mu    sync.Mutex
-	id    pool.ShardID
-	epoch uint64
-	owner *pool.Owner
+	mu     sync.Mutex
+	id     pool.ShardID
+	epoch  uint64
+	owner  *pool.Owner
+	closed bool // handed over
 }
 
 // shardOf returns the shard of a pool in this data centre. A pool has one
@@ -68,14 +69,27 @@
 	return &ownedShard{id: shard, epoch: epoch, owner: o}
 }
 
-// with runs one input of an owned shard and delivers its outputs.
-func (r *Router) with(s *ownedShard, input func(now time.Time, o *pool.Owner)) {
+// with runs one input of an owned shard and delivers its outputs. It reports
+// false, without an effect, when the shard has been handed over.
+func (r *Router) with(s *ownedShard, input func(now time.Time, o *pool.Owner)) bool {
 	now := time.Now()
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return false
+	}
 	input(now, s.owner)
 	out := s.owner.Take()
 	s.mu.Unlock()
 	r.deliver(s.id, out)
+	return true
+}
+
+// atShard runs an input at an owned shard and reports whether this router owns
+// it.
+func (r *Router) atShard(shard pool.ShardID, input func(now time.Time, o *pool.Owner)) bool {
+	s := r.local(shard)
+	return s != nil && r.with(s, input)
 }
 
 // deliver gives the outputs of an owner to their receivers.
@@ -129,16 +143,14 @@
 // sendAsk gives an ask to the owner of the shard. Without an owner, or when
 // the message is lost with its connection, reconcile repeats it.
 func (r *Router) sendAsk(shard pool.ShardID, a pool.Ask) {
-	if s := r.local(shard); s != nil {
-		r.with(s, func(now time.Time, o *pool.Owner) { o.Ask(now, a) })
+	if r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Ask(now, a) }) {
 		return
 	}
 	r.sendRemoteAsk(shard, a)
 }
 
 func (r *Router) sendCancel(shard pool.ShardID, requestID uint64) {
-	if s := r.local(shard); s != nil {
-		r.with(s, func(now time.Time, o *pool.Owner) { o.Cancel(now, r.self, requestID) })
+	if r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Cancel(now, r.self, requestID) }) {
 		return
 	}
 	r.sendRemoteCancel(shard, requestID)
@@ -147,8 +159,7 @@
 // settle ends the use of a grant and tells the owner.
 func (r *Router) settle(shard pool.ShardID, st pool.Settle) {
 	r.asks.settled(shard, st.Epoch, st.GrantID)
-	if s := r.local(shard); s != nil {
-		r.with(s, func(now time.Time, o *pool.Owner) { o.Settle(now, st) })
+	if r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Settle(now, st) }) {
 		return
 	}
 	r.sendRemoteSettle(shard, st)
