Find the knee of a batch by throughput and by the strictest target

Cause: a class without a token interval target tolerated three times the baseline, so requests of such classes raised the limit of a server past its knee and slowed the classes with a target on the same batch. Change: the strictest target seen in the last minute holds for all samples of a server; the limit stops growing at 0.93 of it; without a target, growth ends where more requests bring no more throughput; a ramp step shrinks near the target. A failure counts against the ramp once, not per dropped connection.

--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -34,8 +34,8 @@
 	// slowFactor calls a token interval slow, against the uncongested
 	// baseline, when the class states no target.
 	slowFactor = 3.0
-	// The ramp ends when token intervals pass this part of the target; from
-	// there the limit grows by one.
+	// rampHeadroom is the pressure below which slow samples do not lower the
+	// limit: single answers vary.
 	rampHeadroom = 0.7
 	// minCut and maxCut bound one multiplicative decrease.
 	minCut, maxCut = 0.7, 0.97
@@ -47,6 +47,25 @@
 	jumpSamples = 3
 	jumpFloor   = 200 * time.Millisecond
 
+	// aimPressure is the part of the target at which the limit stops growing.
+	// Between it and the target the limit stays, so that a class with an
+	// objective of 95 of 100 keeps a margin.
+	aimPressure = 0.93
+	// targetMemory is how long the strictest target of the classes on a
+	// server holds for all its requests, which share one batch.
+	targetMemory = time.Minute
+	// fullUse is the part of the limit that has to be in use on average
+	// before two windows are compared.
+	fullUse = 0.9
+	// flatGain is the least growth of throughput, as a part of the growth of
+	// use, that calls for a higher limit. Below it the batch is past its knee.
+	flatGain = 0.1
+	// holdWindows is the number of windows without growth after the knee.
+	holdWindows = 10
+	// fineStep is the greatest step over the knee that locates it. After a
+	// larger one the limit grows again at once.
+	fineStep = 2.0
+
 	baselineGain = 0.05
 	// reportMaxAge is the age above which a load report says nothing.
 	reportMaxAge = 3 * time.Second
@@ -103,8 +122,17 @@
 	completions int       // successes since stepped
 	peakUse     int       // greatest inFlight since stepped
 
+	target   time.Duration // strictest interval target, 0 if none
+	targetAt time.Time     // when it was last seen
+	area     float64       // slot seconds in use in the window
+	areaAt   time.Time
+	lastUse  float64 // mean slots in use in the last full window
+	lastRate float64 // tokens per second in that window
+	hold     int     // windows left without growth
+
 	windowFrom   time.Time // samples granted before do not count
 	samples      int
+	timed        int // samples with a token interval
 	slow         int
 	intervalSum  time.Duration
 	targetSum    time.Duration
@@ -185,8 +213,9 @@
 }
 
 func (l *Limiter) restartWindow(now time.Time) {
-	l.windowFrom, l.samples, l.slow = now, 0, 0
+	l.windowFrom, l.samples, l.timed, l.slow = now, 0, 0, 0
 	l.intervalSum, l.targetSum = 0, 0
+	l.area, l.areaAt = 0, now
 }
 
 // Acquire takes a slot if one is free.
@@ -200,6 +229,7 @@
 
 // Force counts a request that already runs.
 func (l *Limiter) Force(now time.Time) {
+	l.integrate(now)
 	l.inFlight++
 	l.peakUse = max(l.peakUse, l.inFlight)
 	l.rotatePeaks(now)
@@ -209,11 +239,12 @@
 // Release returns a slot.
 func (l *Limiter) Release(now time.Time, s Sample) {
 	l.rotatePeaks(now)
+	l.integrate(now)
 	l.inFlight--
 	switch s.Result {
 	case Dropped:
-		if l.cold {
-			l.failedAt = l.limit
+		if l.cold && l.limit > float64(l.coldMost) {
+			l.failedAt = l.limit // not the later drops of one failure
 		}
 		l.Chill(now)
 	case Success:
@@ -226,7 +257,7 @@
 		return
 	}
 	l.completions++
-	l.count(s)
+	l.count(now, s)
 	if l.cold {
 		l.ramp(now)
 		return
@@ -263,7 +294,10 @@
 
 // count adds a token interval to the present window. Samples of requests that
 // were granted before the last change show the limit before it.
-func (l *Limiter) count(s Sample) {
+func (l *Limiter) count(now time.Time, s Sample) {
+	if s.IntervalTarget > 0 && (l.target == 0 || s.IntervalTarget <= l.target || now.Sub(l.targetAt) > targetMemory) {
+		l.target, l.targetAt = s.IntervalTarget, now
+	}
 	if s.Granted.Before(l.windowFrom) {
 		return
 	}
@@ -271,11 +305,12 @@
 	if s.TokenInterval == 0 {
 		return
 	}
+	l.timed++
 	if l.baseInterval == 0 || s.TokenInterval < l.baseInterval {
 		l.baseInterval = s.TokenInterval
 	}
-	target := s.IntervalTarget
-	if target == 0 {
+	target := l.target
+	if target == 0 || now.Sub(l.targetAt) > targetMemory {
 		target = time.Duration(slowFactor * float64(l.baseInterval))
 	}
 	l.intervalSum += s.TokenInterval
@@ -297,6 +332,35 @@
 	return float64(l.slow) > lateSamples*float64(l.samples) && l.pressure() > rampHeadroom
 }
 
+// integrate adds the slots in use since the last change.
+func (l *Limiter) integrate(now time.Time) {
+	l.area += float64(l.inFlight) * now.Sub(l.areaAt).Seconds()
+	l.areaAt = now
+}
+
+// pastKnee compares the window with the one before: when more requests ran and
+// the throughput did not grow with them, it returns the use that was enough.
+func (l *Limiter) pastKnee(now time.Time) (enough float64, past bool) {
+	l.integrate(now)
+	span := now.Sub(l.windowFrom).Seconds()
+	if l.timed < minWindow || span <= 0 {
+		return 0, false
+	}
+	use := l.area / span
+	if use < fullUse*l.limit {
+		l.lastRate = 0 // the load varies, so the windows do not compare
+		return 0, false
+	}
+	rate := use / (l.intervalSum.Seconds() / float64(l.timed))
+	lastUse, lastRate := l.lastUse, l.lastRate
+	l.lastUse, l.lastRate = use, rate
+	if lastRate == 0 || use < lastUse+0.5 {
+		return 0, false
+	}
+	growth := (rate - lastRate) / lastRate
+	return lastUse, growth < flatGain*(use-lastUse)/lastUse
+}
+
 func (l *Limiter) used() bool {
 	return float64(l.peakUse) >= useShare*float64(l.usable())
 }
@@ -307,7 +371,11 @@
 	if l.failedAt > 0 && l.limit*rampGrowth >= cautionPart*l.failedAt {
 		return l.limit + 1
 	}
-	return max(math.Floor(l.limit*rampGrowth), l.limit+1)
+	growth := rampGrowth
+	if p := l.pressure(); p > 0 {
+		growth = min(growth, aimPressure/p) // intervals grow at most like the limit
+	}
+	return max(math.Floor(l.limit*growth), l.limit+1)
 }
 
 // ramp raises the limit of a cold server after as many successes as the limit,
@@ -316,7 +384,14 @@
 	if l.completions < int(l.limit) || now.Sub(l.stepped) < rampInterval || !l.used() {
 		return
 	}
-	if l.samples > 0 && l.pressure() > rampHeadroom {
+	if l.most == MaxLimit && l.timed < minWindow && l.intervalSum > 0 {
+		return // without announced slots the knee has to be seen in time
+	}
+	if enough, past := l.pastKnee(now); past {
+		l.settleAt(now, enough)
+		return
+	}
+	if l.samples > 0 && l.pressure() >= aimPressure {
 		l.warm(now)
 		return
 	}
@@ -329,6 +404,16 @@
 	l.restartWindow(now)
 }
 
+// settleAt ends the growth at the use that was enough.
+func (l *Limiter) settleAt(now time.Time, use float64) {
+	if l.limit <= use+fineStep {
+		l.hold = holdWindows
+	}
+	l.limit = max(math.Round(use), 1)
+	l.lastRate = 0
+	l.warm(now)
+}
+
 func (l *Limiter) warm(now time.Time) {
 	l.cold = false
 	l.failedAt = 0
@@ -341,11 +426,16 @@
 	if l.samples < max(minWindow, int(l.limit/2)) {
 		return
 	}
+	enough, past := l.pastKnee(now)
+	l.hold = max(l.hold-1, 0)
 	switch {
 	case l.congested():
 		cut := min(max(1/l.pressure(), minCut), maxCut)
 		l.limit = max(l.limit*cut, 1)
-	case l.used():
+	case past:
+		l.settleAt(now, enough)
+		return
+	case l.used() && l.hold == 0 && l.pressure() < aimPressure:
 		l.limit = min(l.limit+1, float64(l.most))
 	}
 	l.restartStep(now)
