End grants and loans whose settle or return was lost

Cause: a settle that is lost with a connection, or that reaches a new owner before the hand-over that lists its grant, left a slot taken for ever; so did a lost return of a loan. Change: the list of held grants of a router ends its older grants that are not on it; a hand-over adds no grant of a router that has reported; ten load reports in a row below the count end the oldest loan of a server.

--- a/pkg/pool/config.go
+++ b/pkg/pool/config.go
@@ -38,6 +38,13 @@
 	maxAside          = 8           // asks that one round passes over
 	// maxLanes bounds the models that callers can name.
 	maxLanes = 256
+	// grantTravel is the longest time that a grant is on its way to its
+	// router, with a reconnection.
+	grantTravel = 5 * time.Second
+	// leakReports is the number of load reports in a row that show fewer
+	// running requests than are counted before an old loan ends: its return
+	// was lost.
+	leakReports = 10
 	// forgetAfter is the silence after which a server is forgotten.
 	forgetAfter = 10 * time.Minute
 )
--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -88,22 +88,36 @@
 		}
 	}
 	for _, g := range h.Grants {
-		o.hold(g.Router, g)
+		// A router that has reported already listed what it still uses.
+		if !o.reported[g.Router] {
+			o.hold(g.Router, g)
+		}
 	}
 	o.opens, o.started = now, now
 	o.dispatch()
 }
 
-// Held takes the grants that a router still uses, after the owner changed. A
-// grant that is already known is not counted twice.
+// Held takes all grants that a router still uses, after the owner or the
+// connection changed. A grant that is already known is not counted twice. One
+// that the router no longer lists has ended and its settle was lost; a young
+// grant may still be on its way to the router.
 func (o *Owner) Held(now time.Time, router RouterID, grants []HeldGrant) {
 	if o.closed {
 		return
 	}
 	o.now = now
+	o.reported[router] = true
+	listed := make(map[grantKey]bool, len(grants))
 	for _, g := range grants {
+		listed[grantKey{g.Epoch, g.GrantID}] = true
 		o.hold(router, g)
 	}
+	for _, g := range o.sortedGrants() {
+		old := g.key.epoch != o.epoch || now.Sub(g.granted) >= grantTravel
+		if g.request.router == router && old && !listed[g.key] {
+			o.orphan(g)
+		}
+	}
 	o.dispatch()
 }
 
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 )
 
@@ -261,6 +262,28 @@
 	}
 }
 
+// findLeak ends the oldest loan of a server when many load reports in a row
+// show fewer requests than are counted.
+func (o *Owner) findLeak(s *server, running int) {
+	if running >= s.limit.State().InFlight {
+		s.emptier = 0
+		return
+	}
+	if s.emptier++; s.emptier < leakReports {
+		return
+	}
+	s.emptier = 0
+	var oldest *lent
+	for _, l := range o.lent {
+		if l.server == s && (oldest == nil || l.loan.LoanID < oldest.loan.LoanID) {
+			oldest = l
+		}
+	}
+	if oldest != nil && o.now.Sub(oldest.given) > leakReports*backend.AnnounceInterval {
+		o.orphanLoan(oldest.loan.LoanID, oldest)
+	}
+}
+
 func (o *Owner) orphanLoan(id uint64, l *lent) {
 	l.server.orphans += int(l.open)
 	l.server.orphaned = o.now
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -79,6 +79,7 @@
 	rank        int
 	inFlight    int // on own servers
 	stats       stats
+	reported    map[RouterID]bool // routers that listed their grants
 	peers       map[ShardID]*peer
 	lent        map[uint64]*lent
 	lastLoan    uint64
@@ -117,6 +118,7 @@
 		departed:  map[string]bool{},
 		known:     1,
 		live:      1,
+		reported:  map[RouterID]bool{},
 		peers:     map[ShardID]*peer{},
 		lent:      map[uint64]*lent{},
 	}
@@ -277,6 +279,7 @@
 // load report shows that they ended.
 func (o *Owner) RouterGone(now time.Time, router RouterID) {
 	o.now = now
+	delete(o.reported, router)
 	for _, w := range o.waiting {
 		if w.ask.Router == router {
 			o.drop(w)
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -31,6 +31,7 @@
 	taken    time.Time // when the last load report was taken
 	last     uint64    // order of the last grant
 	counted  int       // slots counted in laneSlots
+	emptier  int       // load reports in a row that show less than is counted
 	lanes    []int
 	places   []int // index in the heap of each lane
 	key      float64
@@ -132,6 +133,7 @@
 	s.taken = taken
 	s.limit.Report(o.now, limiter.Load{Running: l.Running, Waiting: l.Waiting, Taken: taken})
 	o.prove(s, l, taken)
+	o.findLeak(s, l.Running+l.Waiting)
 	if s.orphans == 0 || !taken.After(s.orphaned) {
 		return
 	}
