--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -72,11 +72,11 @@
 		last = r.dispatch(q, sink, shard, grant, mayRepeat)
 		lastErr = worse(lastErr, last.Err)
 		q.decision.Attempts = append(q.decision.Attempts, finished(attempt, grant, last))
-		if last.Err == nil || !mayRepeat || !r.repeat(q, last) {
+		avoid = append(avoid, grant.Server)
+		if last.Err == nil || !mayRepeat || !r.repeat(q, last, avoid) {
 			return last, lastErr
 		}
 		r.counters.retries.Inc(1)
-		avoid = append(avoid, grant.Server)
 	}
 }
 
@@ -123,12 +123,13 @@
 	return report
 }
 
-// repeat decides whether a failed attempt is followed by another one.
-func (r *Router) repeat(q *request, report proxy.Report) bool {
+// repeat decides whether a failed attempt is followed by another one. Without
+// another server the caller gets the final answer at once instead of a wait.
+func (r *Router) repeat(q *request, report proxy.Report, tried []string) bool {
 	if report.Started || q.context().Err() != nil || r.recentlyRefused(q.pool) {
 		return false
 	}
-	return r.budget.take()
+	return r.servers.another(q.pool, tried) && r.budget.take()
 }
 
 func (r *Router) noteRefusal(name string, e *result.Error) {
--- a/pkg/router/servers.go
+++ b/pkg/router/servers.go
@@ -110,6 +110,19 @@
 	return s.announcement.Abilities
 }
 
+// another reports whether the pool has a ready server besides the given ones.
+func (t *serverTable) another(pool string, except []string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for name, s := range t.servers {
+		a := &s.announcement
+		if a.Pool == pool && a.State == backend.Ready && !slices.Contains(except, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // holder returns the announcement under a name while it is fresh.
 func (t *serverTable) holder(now time.Time, name string) (backend.Announcement, bool) {
 	t.mu.RLock()
