--- /dev/null
+++ b/pkg/raft/status.go
@@ -0,0 +1,38 @@
+package raft
+
+// Status describes a node. Match is known on the leader only.
+type Status struct {
+	Role      Role
+	State     HardState
+	Leader    uint64
+	Commit    uint64
+	Applied   uint64
+	LastIndex uint64
+	Snapshot  uint64
+	Members   []Member
+	Match     map[uint64]uint64
+}
+
+// Status returns the present state.
+func (n *Node) Status() Status {
+	s := Status{
+		Role: n.role, State: n.state, Leader: n.leader,
+		Commit: n.log.commit, Applied: n.log.applied, LastIndex: n.log.last(),
+		Snapshot: n.snapshot.Index, Members: n.log.members(),
+		Match: map[uint64]uint64{n.cfg.ID: n.log.stable},
+	}
+	for id, p := range n.progress {
+		s.Match[id] = p.match
+	}
+	return s
+}
+
+// IsNew tells that the folder has never belonged to a group.
+func (n *Node) IsNew() bool {
+	return n.state == HardState{} && n.log.last() == 0
+}
+
+// IsOnlyVoter tells that this node is a majority by itself.
+func (n *Node) IsOnlyVoter() bool {
+	return n.isVoter() && majority(n.log.members()) == 1 && n.hasQuorum(n.isSelf)
+}
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -4,6 +4,8 @@
 // ReadIndex; Ready returns what to write, send and apply.
 package raft
 
+import "slices"
+
 // EntryKind tells what an entry holds.
 type EntryKind uint8
 
@@ -39,7 +41,9 @@
 // HardState must be durable before messages are sent.
 type HardState struct {
 	Term uint64
-	Vote uint64 // ID that got the vote in Term, 0 if none
+	// Vote is the identity that got the vote in Term, 0 if none. An identity
+	// and not an ID, because an old and a new disk of one host may both ask.
+	Vote uint64
 }
 
 // SnapshotMeta describes a snapshot of the machine.
@@ -133,7 +137,7 @@
 type ReadState struct {
 	ID    uint64
 	Index uint64
-	// Failed means that the node lost the leadership before a majority
+	// Failed means that the node lost its leadership before a majority
 	// confirmed the read.
 	Failed bool
 }
@@ -155,3 +159,11 @@
 	return r.State == nil && r.Snapshot == nil && len(r.Entries) == 0 &&
 		len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
 }
+
+func findMember(members []Member, id uint64) (Member, bool) {
+	i := slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return members[i], true
+}
