Make the bounds of the oracle test reachable

Cause: with the former limits a missing bound per workspace, a missing bound of results and a void expiry entry that removes a running record passed.

Change: smaller limits, and the sizes of the tables are compared.

--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -63,8 +63,8 @@
 
 func smallLimits() limits {
 	return limits{
-		records: 6, workspaceRecords: 4, answers: 100, workspaceAnswers: 60, sessions: 4, aborts: 5, results: 6,
-		recordTTL: 20 * time.Second, sessionTTL: 5 * time.Second, sessionMemory: 10 * time.Second,
+		records: 4, workspaceRecords: 2, answers: 100, workspaceAnswers: 60, sessions: 4, aborts: 5, results: 6,
+		recordTTL: 6 * time.Second, sessionTTL: 3 * time.Second, sessionMemory: 5 * time.Second,
 		abortMemory: 6 * time.Second, leaseTTL: 6 * time.Second, step: 2 * time.Second,
 	}
 }
@@ -213,6 +213,8 @@
 	assert.Equal(t, c.machine.Now(), c.oracle.now)
 	assert.Equal(t, c.machine.Catalog().Revision(), c.oracle.revision)
 	assert.Equal(t, c.machine.Records(), len(c.oracle.records))
+	assert.Equal(t, len(c.machine.results.byID), len(c.oracle.results))
+	assert.Equal(t, len(c.machine.aborts.known), len(c.oracle.aborts))
 	for _, ch := range c.machine.Catalog().Items() {
 		if ch.GetOperator() == nil {
 			assert.Assert(t, proto.Equal(ch, c.oracle.items[itemID(ch)]), "%v", ch)
