Tell owners of departures of servers not yet known, count burn in the router

Cause: a departure reached an owner only for servers that had announced themselves, so a departed server that announced itself later would have got work. Owners now hear of every departure. Routers also count each finished request for the burn report at /v1/admin/burn.

Measured: TestDepartedServerThatAnnouncesItselfLaterGetsNoWork fails with the former rule and passes now.

--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -23,6 +23,7 @@
 	mux.HandleFunc("GET /metrics", r.serveMetrics)
 	mux.HandleFunc("GET /v1/admin/status", r.serveStatus)
 	mux.HandleFunc("GET /v1/admin/requests/{id}", r.serveDecision)
+	mux.HandleFunc("GET /v1/admin/burn", r.serveBurn)
 	mux.HandleFunc("POST /v1/admin/datacentre/{name}/{state}", r.serveMark)
 	return mux
 }
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -42,6 +42,8 @@
 	hint      uint64
 	key       string
 	decision  *Decision
+
+	dispatched time.Time // last dispatch to a server, zero if there was none
 }
 
 func (r *Router) serveChat(w http.ResponseWriter, in *http.Request) {
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -33,6 +33,7 @@
 func (r *Router) answer(q *request, sink *callerSink, report proxy.Report, err *result.Error) {
 	r.count(report, err)
 	r.record(q, err)
+	r.recordBurn(time.Now(), q, report, err)
 	switch {
 	case err == nil:
 	case !report.Started:
@@ -95,6 +96,7 @@
 // dispatch sends the request to the server of a grant and settles the grant.
 // A request of a class that may not run twice comes here once.
 func (r *Router) dispatch(q *request, sink *callerSink, shard pool.ShardID, g pool.Grant, hold bool) proxy.Report {
+	q.dispatched = time.Now()
 	report := r.transport.Forward(q.context(), &proxy.Request{
 		ID:              q.id,
 		Address:         g.Address,
--- /dev/null
+++ b/pkg/router/operators_test.go
@@ -0,0 +1,82 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/burn"
+	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/datacentre"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
+	"jackdawtrack.example/jackdawtrack/pkg/standin"
+)
+
+// Guards against new work for a departed server that the router did not know
+// when operators sent it away.
+func TestDepartedServerThatAnnouncesItselfLaterGetsNoWork(t *testing.T) {
+	f := newFleet(t, nil)
+	stock := standin.ServerSettings{Name: "s1", Kind: backend.Service, Pool: "stock", ProcessingTime: settings.Duration(time.Millisecond)}
+	f.standIn(t, stock)
+	departure := catalog.DepartureChange("s2")
+	assert.Assert(t, f.store.ApplyDelta(1, 2, []*apiv1.Change{departure}))
+	f.await(t, "the owner knows the departure", func() bool { return f.router.Status().Revision == 2 })
+	late := f.announceAs(t, backend.Announcement{Name: "s2", Address: "127.0.0.1:1", Kind: backend.Service}, serverKey)
+	assert.Equal(t, late.StatusCode, http.StatusNoContent)
+	f.await(t, "the owner knows the server", func() bool { _, ok := f.view("s2"); return ok })
+	v, _ := f.view("s2")
+	assert.Assert(t, !v.Usable)
+}
+
+func (f *fleet) view(name string) (pool.ServerView, bool) {
+	for _, shard := range f.router.Status().Shards {
+		for _, v := range shard.Servers {
+			if v.Name == name {
+				return v, true
+			}
+		}
+	}
+	return pool.ServerView{}, false
+}
+
+// Guards against requests that the burn report does not count, and against a
+// refusal after a data centre went out that is put down to something else.
+func TestBurnReportShowsCauseOfMisses(t *testing.T) {
+	f := newFleet(t, nil)
+	f.standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Service, Pool: "stock", ProcessingTime: settings.Duration(time.Millisecond)})
+	resp, body := do(t, f.request(t, http.MethodGet, "/services/stock/items/7", "order", ""))
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	out := catalog.DataCentreChange(datacentre.DataCentre{Name: "north", Out: true})
+	assert.Assert(t, f.store.ApplyDelta(1, 2, []*apiv1.Change{out}))
+	f.await(t, "the owner knows that the data centre is out", func() bool {
+		v, ok := f.view("s1")
+		return ok && !v.Usable
+	})
+	strict := f.request(t, http.MethodGet, "/services/stock/items/7", "check", "")
+	resp, body = do(t, strict)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, body)
+
+	resp, body = do(t, f.adminRequest(t, "/v1/admin/burn"))
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	var report burn.Report
+	assert.NilError(t, json.Unmarshal([]byte(body), &report))
+	rows := report.ByClass()
+	assert.Equal(t, len(rows), 2, body)
+	assert.Equal(t, rows[0].Class, "check")
+	assert.Equal(t, rows[0].Counts[0].MainCause(), burn.CauseDataCentre)
+	assert.Equal(t, rows[1].Counts[0].Total, 1.0)
+	assert.Equal(t, rows[1].Counts[0].MissedTotal(), 0.0)
+}
+
+func (f *fleet) adminRequest(t *testing.T, path string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, f.admin.URL+path, nil)
+	assert.NilError(t, err)
+	return req
+}
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -7,6 +7,7 @@
 	"time"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
 	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
@@ -34,6 +35,7 @@
 	r.repeatAsks()
 	r.releaseLost()
 	r.tellOwners()
+	r.noteDataCentres(now)
 	if now.Sub(r.totalsAt) >= totalsInterval {
 		r.totalsAt = now
 		r.exchangeTotals()
@@ -133,24 +135,31 @@
 		return
 	}
 	r.told = view
-	departed := make(map[string]bool)
-	for _, name := range cat.Departures() {
-		departed[name] = true
-	}
+	departed := departures(cat, r.servers.all())
 	for _, s := range r.ownedShards() {
 		r.with(s, func(now time.Time, o *pool.Owner) {
 			o.SetDataCentreOut(now, view.out)
 			o.SetKnownRouters(now, view.known, view.live, view.rank)
-			for _, srv := range r.servers.all() {
-				if srv.announcement.Pool == s.id.Pool {
-					name := srv.announcement.Name
-					o.SetDeparted(now, name, departed[name])
-				}
+			for name, gone := range departed {
+				o.SetDeparted(now, name, gone)
 			}
 		})
 	}
 }
 
+// departures tells for every server that is known or has departed whether it
+// has. A departed server can be unknown: it may announce itself later.
+func departures(cat *catalog.Catalog, known []server) map[string]bool {
+	departed := make(map[string]bool)
+	for _, s := range known {
+		departed[s.announcement.Name] = false
+	}
+	for _, name := range cat.Departures() {
+		departed[name] = true
+	}
+	return departed
+}
+
 // exchangeTotals sends the own service totals that changed to every router.
 func (r *Router) exchangeTotals() {
 	changed, version := r.ledger.Changed(r.totalsVersion)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/burn"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
@@ -71,6 +72,7 @@
 	marks      *marks
 	ring       *ring
 	budget     *retryBudget
+	burn       *burn.Recorder
 	rates      *workspaceRates
 	metrics    metrics.Registry
 	counters   counters
@@ -79,10 +81,13 @@
 	requests   atomic.Uint64
 	open       atomic.Int64 // requests between admission and end
 	bodyMemory atomic.Int64
-	ready      atomic.Bool
-	closing    chan struct{} // closed when waiting requests must end
-	closeOnce  sync.Once
-	background sync.WaitGroup
+	// dataCentreChanged is when a data centre last went out or came back, in
+	// Unix ns, 0 if none did.
+	dataCentreChanged atomic.Int64
+	ready             atomic.Bool
+	closing           chan struct{} // closed when waiting requests must end
+	closeOnce         sync.Once
+	background        sync.WaitGroup
 
 	ownedMu sync.RWMutex
 	owned   map[pool.ShardID]*ownedShard
@@ -92,6 +97,7 @@
 	told          operatorView
 	totalsAt      time.Time
 	totalsVersion uint64
+	outCentres    map[string]bool // data centres that are out
 
 	refusedMu sync.Mutex
 	refused   map[string]time.Time // pool to last refusal, bounds retries
@@ -118,6 +124,7 @@
 		peers:     parts.Peers,
 		log:       logging.For("router"),
 		transport: proxy.NewTransport(),
+		burn:      burn.NewRecorder(self.Name, time.Now()),
 		servers:   newServerTable(),
 		asks:      newAsks(),
 		marks:     newMarks(),
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -48,6 +48,7 @@
 	return []*apiv1.Change{
 		catalog.ClassChange(chat),
 		catalog.ClassChange(order),
+		catalog.ClassChange(class.Class{Name: "check", Answer: 10 * time.Second}),
 		catalog.WorkspaceChange(workspace.Workspace{Name: "w", KeyHashes: [][]byte{workspace.HashKey(wsKey)}}),
 		catalog.WorkspaceChange(workspace.Workspace{Name: "slow", KeyHashes: [][]byte{workspace.HashKey(wsKey)}, RequestsPerSecond: 0.001}),
 		catalog.CredentialChange(catalog.Credential{Name: "s*", KeyHash: workspace.HashKey(serverKey)}),
