--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -187,7 +187,11 @@
 		g.mu.Lock()
 		g.members[1].era++
 		g.mu.Unlock()
-		out := submit(t, c, submitOf("c2", 0, setDataCentre("north", true)))
+		// Keepalive would find the silence after 12 s.
+		ctx, cancel := within(8 * time.Second)
+		defer cancel()
+		out, err := c.Submit(ctx, submitOf("c2", 0, setDataCentre("north", true)))
+		assert.NilError(t, err)
 		assert.Equal(t, out.GetRevision(), uint64(3))
 		time.Sleep(controlclient.HeartbeatTimeout + 2*time.Second)
 		assert.Assert(t, store.Load().DataCentreOut("north"))
