--- a/pkg/control/limits.go
+++ b/pkg/control/limits.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/orders"
+)
 
 // Bounds of the agreed state.
 const (
@@ -40,8 +44,9 @@
 	MaxChanges = 100
 
 	// LeaseTTL is how long the holder of a fencing number keeps it without a
-	// renewal. The next holder adds 10% by its own clock.
-	LeaseTTL = 30 * time.Second
+	// renewal. The holder itself stops after orders.LeaseDuration, counted
+	// from before it sent the renewal.
+	LeaseTTL = time.Duration(float64(orders.LeaseDuration) * (1 + orders.ClockRateMargin))
 
 	// maxStep bounds how far one command moves the clock. After a time
 	// without a majority, routers can then renew their sessions before these
--- a/pkg/control/serveread.go
+++ b/pkg/control/serveread.go
@@ -46,12 +46,18 @@
 	err := catalog.ServeWatch(ctx, s.state.store, in.GetAfterRevision(), confirmed, stream.Send)
 	select {
 	case <-s.stopping:
-		return s.fail(stream.Context(), result.New(result.ShuttingDown, "the control host is shutting down"))
+		return s.ShuttingDown(stream.Context())
 	default:
 		return err
 	}
 }
 
+// ShuttingDown returns the error of a call to a host that is about to stop.
+// Clients turn to another host.
+func (s *Server) ShuttingDown(ctx context.Context) error {
+	return s.fail(ctx, result.New(result.ShuttingDown, "the control host is shutting down"))
+}
+
 // confirmNow asks a majority whether the applied revision is old. A router
 // that restarted relies on it, so an earlier confirmation does not do.
 func (s *Server) confirmNow(ctx context.Context) bool {
