--- a/pkg/control/operators.go
+++ b/pkg/control/operators.go
@@ -73,7 +73,8 @@
 	s.config.Audit.Infof("operator %q, command %q: %s: %s, revision %d", operator, id, what, outcome, out.GetRevision())
 }
 
-// describe names the items of a command, without their values.
+// describe names the items of a command. Of the values only the state of a
+// data centre is told.
 func describe(changes []*apiv1.Change) string {
 	const shown = 8
 	var parts []string
@@ -87,7 +88,11 @@
 			verb = "delete"
 		}
 		kind, name := catalog.Key(ch)
-		parts = append(parts, fmt.Sprintf("%s %s %q", verb, kind, name))
+		part := fmt.Sprintf("%s %s %q", verb, kind, name)
+		if d := ch.GetDataCentre(); d != nil && !ch.GetDelete() {
+			part += map[bool]string{true: " out", false: " in"}[d.GetOut()]
+		}
+		parts = append(parts, part)
 	}
 	return strings.Join(parts, ", ")
 }
--- a/pkg/control/submit.go
+++ b/pkg/control/submit.go
@@ -26,20 +26,20 @@
 	}
 	print := fingerprint(in)
 	if first, ok := m.results.find(in.GetCommandId()); ok {
-		return repeated(first, print)
+		return m.repeated(first, print)
 	}
 	out := m.decide(in)
-	if out.GetRevision() == 0 {
-		out.Revision = m.catalog.Revision()
-	}
+	out.Revision = m.catalog.Revision()
 	m.results.keep(in.GetCommandId(), print, out)
 	return out
 }
 
 // repeated answers a command id that was used before.
-func repeated(first storedResult, print string) *apiv1.SubmitResponse {
+func (m *Machine) repeated(first storedResult, print string) *apiv1.SubmitResponse {
 	if first.fingerprint != print {
-		return refusal(result.New(result.CommandReused, "the command id was used for another command"))
+		out := refusal(result.New(result.CommandReused, "the command id was used for another command"))
+		out.Revision = m.catalog.Revision()
+		return out
 	}
 	out := proto.CloneOf(first.response)
 	out.RepeatedCommand = true
@@ -83,7 +83,7 @@
 		return m.fence(f)
 	}
 	m.commit(in.GetChanges())
-	return &apiv1.SubmitResponse{Revision: m.catalog.Revision()}
+	return &apiv1.SubmitResponse{}
 }
 
 // conflict tells the operator who lost a race what the winner made of the
@@ -154,7 +154,7 @@
 	if !renewal {
 		m.commit([]*apiv1.Change{change})
 	}
-	return &apiv1.SubmitResponse{Revision: m.catalog.Revision(), Present: []*apiv1.Change{change}}
+	return &apiv1.SubmitResponse{Present: []*apiv1.Change{change}}
 }
 
 // refusal turns an error into a response.
