Let tests interpose the log of a control host

Cause: an end-to-end test has to hold back the answer of an applied command.

Change: Options.Log wraps the log of a host.

Conclusion: no change of behaviour.

--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -53,6 +53,7 @@
 	Listener net.Listener // opened at Settings.Listen if nil
 	Admin    net.Listener // opened at Settings.Admin if nil
 	Replica  func(*replica.Config)
+	Log      func(control.Log) control.Log
 }
 
 // Open opens the listeners and recovers the data folder. It serves nothing
@@ -110,7 +111,10 @@
 	if h.replica, err = replica.Open(config, h.state); err != nil {
 		return err
 	}
-	log := replicaLog{h.replica}
+	var log control.Log = replicaLog{h.replica}
+	if o.Log != nil {
+		log = o.Log(log)
+	}
 	h.server = control.NewServer(control.Config{FirstOperator: s.FirstOperator.operator(), Registry: h.registry}, log, h.state)
 	serve = append(serve, controlclient.ServerOptions()...)
 	h.grpc = grpc.NewServer(append(serve, grpc.UnaryInterceptor(h.count))...)
