--- /dev/null
+++ b/pkg/load/report.go
@@ -0,0 +1,220 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/standin"
+)
+
+const (
+	highestLatency = int64(MaxDuration / time.Microsecond)
+	figures        = 3 // significant decimal figures of latencies
+	shownBytes     = 160
+)
+
+// tally counts the requests of one class.
+type tally struct {
+	sent, answered, refused, maybe, cut, skipped int
+	firstByte, total                             *hdrhistogram.Histogram // microseconds
+	codes                                        map[result.Code]int
+}
+
+// Report collects the answers of a run. It is safe for concurrent use.
+type Report struct {
+	experiment *Experiment
+	mu         sync.Mutex // guards all below
+	open       int
+	classes    map[string]*tally
+	examples   map[string]string // first answer of each stream
+	sums       map[string]string // of whole answers: SHA-256, class
+	faults     []string
+	executions []standin.Execution
+}
+
+func newReport(e *Experiment) *Report {
+	return &Report{experiment: e, classes: map[string]*tally{}, examples: map[string]string{}, sums: map[string]string{}}
+}
+
+func (r *Report) class(name string) *tally {
+	c, ok := r.classes[name]
+	if !ok {
+		c = &tally{
+			firstByte: hdrhistogram.New(1, highestLatency, figures),
+			total:     hdrhistogram.New(1, highestLatency, figures),
+			codes:     map[result.Code]int{},
+		}
+		r.classes[name] = c
+	}
+	return c
+}
+
+func (r *Report) skip(a arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.class(a.stream.Class).skipped++
+}
+
+func (r *Report) begin(a arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.class(a.stream.Class).sent++
+	r.open++
+}
+
+func (r *Report) end(a arrival, got answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	c := r.class(a.stream.Class)
+	c.codes[got.code]++
+	switch {
+	case got.status == http.StatusOK && got.whole:
+		c.answered++
+		_ = c.firstByte.RecordValue(got.firstByte.Microseconds()) // bounded by the timeout
+		_ = c.total.RecordValue(got.total.Microseconds())
+		r.sums[got.sum] = a.stream.Class
+		if _, shown := r.examples[a.stream.Name]; !shown {
+			r.examples[a.stream.Name] = got.text
+		}
+	case got.status == http.StatusOK:
+		c.cut++
+		r.fault("an answer of class %s was cut after %d bytes: %v", a.stream.Class, len(got.text), got.err)
+	case got.executed == result.ExecutedNo:
+		c.refused++
+	default:
+		c.maybe++
+	}
+}
+
+func (r *Report) fault(format string, args ...any) {
+	r.faults = append(r.faults, fmt.Sprintf(format, args...))
+}
+
+func (r *Report) progress() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var t tally
+	for _, c := range r.classes {
+		t.sent, t.answered, t.refused = t.sent+c.sent, t.answered+c.answered, t.refused+c.refused
+	}
+	return fmt.Sprintf("sent %d, answered %d, refused %d, open %d", t.sent, t.answered, t.refused, r.open)
+}
+
+// readExecutions compares the answers with the execution file: whole answers
+// must be what a server sent, and keys of streams marked once must have run at
+// most once.
+func (r *Report) readExecutions() error {
+	if r.experiment.Executions == "" {
+		return nil
+	}
+	executions, err := standin.ReadExecutions(r.experiment.Executions)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executions = executions
+	sent := map[string]bool{}
+	runs := map[string]int{}
+	for _, e := range executions {
+		sent[e.AnswerSHA256] = true
+		runs[e.IdempotencyKey]++
+	}
+	for sum, class := range r.sums {
+		if !sent[sum] {
+			r.fault("an answer of class %s is not what a server sent", class)
+		}
+	}
+	for _, s := range r.experiment.Streams {
+		for key, count := range runs {
+			if s.Once && count > 1 && strings.HasPrefix(key, fmt.Sprintf("%s-%d-", s.Name, r.experiment.Seed)) {
+				r.fault("key %s ran %d times", key, count)
+			}
+		}
+	}
+	return nil
+}
+
+// Faults returns what no run may show: cut answers, answers that no server
+// sent, and keys that ran more than once.
+func (r *Report) Faults() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.faults)
+}
+
+// Print writes the summary.
+func (r *Report) Print(w io.Writer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(r.examples)) {
+		text := r.examples[name]
+		fmt.Fprintf(w, "first answer of %s, %d bytes: %.*q\n", name, len(text), shownBytes, text)
+	}
+	fmt.Fprintf(w, "\n%-14s %6s %9s %8s %6s %4s %8s %10s %10s %10s\n", "class", "sent", "answered", "refused", "maybe", "cut", "skipped", "first p50", "first p95", "total p50")
+	for _, name := range slices.Sorted(maps.Keys(r.classes)) {
+		c := r.classes[name]
+		fmt.Fprintf(w, "%-14s %6d %9d %8d %6d %4d %8d %8.1fms %8.1fms %8.1fms\n", name, c.sent, c.answered, c.refused, c.maybe, c.cut, c.skipped,
+			milliseconds(c.firstByte, 50), milliseconds(c.firstByte, 95), milliseconds(c.total, 50))
+	}
+	r.printCodes(w)
+	r.printExecutions(w)
+	for _, f := range r.faults {
+		fmt.Fprintf(w, "FAULT %s\n", f)
+	}
+}
+
+func milliseconds(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtQuantile(percentile)) / 1000
+}
+
+func (r *Report) printCodes(w io.Writer) {
+	for _, name := range slices.Sorted(maps.Keys(r.classes)) {
+		codes := r.classes[name].codes
+		for _, code := range slices.Sorted(maps.Keys(codes)) {
+			if code != result.OK {
+				fmt.Fprintf(w, "%-14s %6d answers with result %s\n", name, codes[code], code)
+			}
+		}
+	}
+}
+
+func (r *Report) printExecutions(w io.Writer) {
+	if r.experiment.Executions == "" {
+		return
+	}
+	service := map[string]uint64{}
+	keys := map[string]int{}
+	outcomes := map[string]int{}
+	for _, e := range r.executions {
+		service[e.Workspace] += e.Cost
+		outcomes[e.Outcome]++
+		if e.IdempotencyKey != "" {
+			keys[e.IdempotencyKey]++
+		}
+	}
+	fmt.Fprintf(w, "\nexecutions: %d", len(r.executions))
+	for _, name := range slices.Sorted(maps.Keys(outcomes)) {
+		fmt.Fprintf(w, ", %s %d", name, outcomes[name])
+	}
+	once := 0
+	for _, count := range keys {
+		if count == 1 {
+			once++
+		}
+	}
+	fmt.Fprintf(w, "\nkeys executed: %d, exactly once: %d\n", len(keys), once)
+	for _, name := range slices.Sorted(maps.Keys(service)) {
+		fmt.Fprintf(w, "service of workspace %-12s %10d units\n", name, service[name])
+	}
+}
--- a/pkg/standin/execution.go
+++ b/pkg/standin/execution.go
@@ -107,7 +107,7 @@
 		Method:         r.Method,
 		Path:           r.URL.Path,
 		Server:         s.cfg.Name,
-		Start:          time.Now(),
+		Start:          time.Now().UTC(),
 		BodySHA256:     sum(body),
 	}
 }
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -188,7 +188,7 @@
 	s.mu.Lock()
 	delete(s.active, r)
 	e := r.execution
-	e.Cost, e.End, e.Outcome = cost, time.Now(), OutcomeDone
+	e.Cost, e.End, e.Outcome = cost, time.Now().UTC(), OutcomeDone
 	switch context.Cause(r.ctx) {
 	case nil:
 		if e.BootID == s.boot {
