Add the ownership of pool shards

Cause: each shard needs one owner per data centre, chosen from the member list alone, and a share of every limit while known routers cannot be reached.

Conclusion: views of one member list agree on the owner, and a lost router moves only its own shards.

--- /dev/null
+++ b/pkg/ownership/ownership_test.go
@@ -0,0 +1,301 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "jackdawtrack.example/jackdawtrack/internal/fixedseed" // same verdict on every run
+	"jackdawtrack.example/jackdawtrack/pkg/membership"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+var epochZero = time.Unix(1_700_000_000, 0)
+
+func router(dc string, i int) membership.Member {
+	return membership.Member{Name: fmt.Sprintf("%s-router-%d", dc, i), DataCentre: dc, Role: RoleRouter, Incarnation: 1}
+}
+
+func drawMembers(t *rapid.T) []membership.Member {
+	var all []membership.Member
+	for _, dc := range []string{"a", "b"} {
+		for i := range rapid.IntRange(1, 8).Draw(t, "routers") {
+			m := router(dc, i)
+			m.Draining = rapid.Bool().Draw(t, "draining")
+			m.Status = membership.Status(rapid.IntRange(0, 3).Draw(t, "status"))
+			m.Since = epochZero.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "minutes")) * time.Minute)
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+func shardsOf(dc string, count int) []pool.ShardID {
+	var shards []pool.ShardID
+	for i := range count {
+		shards = append(shards, pool.ShardID{DataCentre: dc, Pool: fmt.Sprintf("pool-%d", i/4), Shard: uint32(i % 4)})
+	}
+	return shards
+}
+
+// Guards against two owners of one shard in views of the same member list,
+// and against an owner that is dead, of another data centre, or draining
+// without need.
+func TestOneOwnerPerView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		shuffled := rapid.Permutation(members).Draw(t, "order")
+		first := NewView(epochZero, members[0], members)
+		second := NewView(epochZero, members[len(members)-1], shuffled)
+		for _, shard := range append(shardsOf("a", 8), shardsOf("b", 8)...) {
+			one, ok := first.Owner(shard)
+			two, ok2 := second.Owner(shard)
+			if one.Name != two.Name || ok != ok2 {
+				t.Fatalf("shard %v has owners %s and %s", shard, one.Name, two.Name)
+			}
+			live, working := 0, 0
+			for _, m := range members {
+				if m.DataCentre == shard.DataCentre && m.Live() {
+					live++
+					if !m.Draining {
+						working++
+					}
+				}
+			}
+			if ok != (live > 0) || ok && (!one.Live() || one.DataCentre != shard.DataCentre || one.Draining && working > 0) {
+				t.Fatalf("shard %v: owner %+v of %d live, %d not draining", shard, one, live, working)
+			}
+		}
+	})
+}
+
+// Guards against shards that move without need: only those of a lost router
+// move, and only to others; a new router only receives.
+func TestMovementIsMinimal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []membership.Member
+		for i := range rapid.IntRange(2, 20).Draw(t, "routers") {
+			members = append(members, router("a", i))
+		}
+		lost := rapid.IntRange(0, len(members)-1).Draw(t, "lost")
+		fewer := append(append([]membership.Member{}, members[:lost]...), members[lost+1:]...)
+		full, without := NewView(epochZero, members[0], members), NewView(epochZero, members[0], fewer)
+		shards := shardsOf("a", 200)
+		owned := 0
+		for _, shard := range shards {
+			if m, _ := full.Owner(shard); m.Name == members[lost].Name {
+				owned++
+			}
+		}
+		changes := Changes(full, without, shards)
+		if len(changes) != owned {
+			t.Fatalf("%d shards moved, the lost router had %d", len(changes), owned)
+		}
+		for _, c := range changes {
+			if c.From.Name != members[lost].Name {
+				t.Fatalf("shard %v moved from %s", c.Shard, c.From.Name)
+			}
+		}
+	})
+}
+
+// Guards against shares that sum to more than the limit: each rank is used
+// once, and routers that left or were lost long ago do not count.
+func TestShare(t *testing.T) {
+	list := []membership.Member{router("a", 0), router("a", 1), router("a", 2), router("a", 3), router("b", 0)}
+	list[1].Status, list[1].Since = membership.Dead, epochZero.Add(-time.Minute)
+	list[3].Status, list[3].Since = membership.Left, epochZero
+	for i, want := range map[int]int{0: 0, 1: 1, 2: 2} {
+		known, live, rank := NewView(epochZero, list[i], list).Share()
+		assert.DeepEqual(t, []int{known, live, rank}, []int{3, 2, want})
+	}
+	known, live, rank := NewView(epochZero.Add(membership.KnownFor), list[2], list).Share()
+	assert.DeepEqual(t, []int{known, live, rank}, []int{2, 2, 1})
+}
+
+// Guards against an uneven spread of shards.
+func TestShardsSpread(t *testing.T) {
+	var members []membership.Member
+	for i := range 10 {
+		members = append(members, router("a", i))
+	}
+	v := NewView(epochZero, members[0], members)
+	count := map[string]int{}
+	for _, shard := range shardsOf("a", 2000) {
+		m, _ := v.Owner(shard)
+		count[m.Name]++
+	}
+	for _, m := range members {
+		assert.Assert(t, count[m.Name] > 100 && count[m.Name] < 400, "%s owns %d of 2000, even is 200", m.Name, count[m.Name])
+	}
+}
+
+// nextOwner returns a tracker of the router that owns the shard as soon as the
+// present owner is gone, the member list, and the position of the owner in it.
+func nextOwner(t *testing.T) (tr *Tracker, members []membership.Member, owner int) {
+	members = []membership.Member{router("a", 0), router("a", 1)}
+	present, _ := NewView(epochZero, members[0], members).Owner(tracked)
+	if present.Name == members[1].Name {
+		owner = 1
+	}
+	next := members[1-owner]
+	tr = NewTracker(epochZero, pool.RouterID{Name: next.Name, DataCentre: "a", Incarnation: 1}, true)
+	tr.Update(epochZero, members)
+	got, _, ok := tr.Owner(epochZero, tracked)
+	assert.Assert(t, ok && got.Name == present.Name)
+	return tr, members, owner
+}
+
+func granting(tr *Tracker, after time.Duration) bool {
+	owner, _, ok := tr.Owner(epochZero.Add(after), tracked)
+	return ok && owner == tr.self
+}
+
+// Guards against a hand-over that does not end the wait of the next owner.
+func TestHandoverStartsAtOnce(t *testing.T) {
+	tr, members, owner := nextOwner(t)
+	members[owner].Draining = true
+	tr.Update(epochZero, members)
+	assert.Assert(t, !granting(tr, HandoverLimit-1))
+	highEpoch := uint64(epochZero.Add(time.Hour).UnixMilli())
+	assert.Assert(t, tr.HandedOver(epochZero, tracked, highEpoch))
+	assert.Assert(t, granting(tr, 0))
+	_, epoch, _ := tr.Owner(epochZero, tracked)
+	assert.Assert(t, epoch > highEpoch)
+}
+
+// Guards against a new owner that grants before the holders of grants have
+// re-reported, and against one that waits for the hand-over of a dead router.
+func TestLostOwnerIsReplacedAfterSettleTime(t *testing.T) {
+	tr, members, owner := nextOwner(t)
+	members[owner].Status = membership.Dead
+	tr.Update(epochZero, members)
+	assert.Assert(t, !granting(tr, SettleTime-1))
+	assert.Assert(t, granting(tr, SettleTime))
+
+	tr, members, owner = nextOwner(t)
+	members[owner].Draining = true
+	tr.Update(epochZero, members)
+	members[owner].Status = membership.Dead
+	tr.Update(epochZero, members)
+	assert.Assert(t, !granting(tr, SettleTime-1))
+	assert.Assert(t, granting(tr, SettleTime))
+}
+
+// fleet runs trackers whose views lag behind the true member list.
+type fleet struct {
+	now      time.Time
+	members  []membership.Member // the true list
+	trackers map[string]*Tracker // of running routers
+	grants   map[string]uint64   // owner that grants and its epoch
+	highest  uint64              // epoch of all starts
+}
+
+var tracked = shardsOf("a", 1)[0]
+
+func (f *fleet) update(name string) {
+	f.trackers[name].Update(f.now, f.members)
+}
+
+// check asks each router for the owner and hands over as a router does when it
+// sees a new one.
+func (f *fleet) check(t *rapid.T) {
+	for _, m := range f.members {
+		tr, running := f.trackers[m.Name]
+		if !running {
+			continue
+		}
+		owner, epoch, ok := tr.Owner(f.now, tracked)
+		switch {
+		case ok && owner == tr.self:
+			if f.grants[m.Name] != epoch {
+				if epoch <= f.highest {
+					t.Fatalf("%s starts with epoch %d after %d", m.Name, epoch, f.highest)
+				}
+				f.grants[m.Name], f.highest = epoch, epoch
+			}
+		case ok && f.grants[m.Name] != 0:
+			last := f.grants[m.Name]
+			delete(f.grants, m.Name)
+			if next, running := f.trackers[owner.Name]; running {
+				next.HandedOver(f.now, tracked, last)
+			}
+		}
+	}
+	if len(f.grants) > 1 {
+		t.Fatalf("owners %v grant at a time", f.grants)
+	}
+}
+
+// Guards against two routers that grant for one shard at a time while all
+// see each other, and against epochs that do not rise. Routers learn of a change
+// in any order, all within HandoverLimit.
+func TestHandoverHasOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		f := &fleet{now: epochZero, trackers: map[string]*Tracker{}, grants: map[string]uint64{}}
+		for i := range rapid.IntRange(2, 5).Draw(t, "routers") {
+			m := router("a", i)
+			f.members = append(f.members, m)
+			f.trackers[m.Name] = NewTracker(f.now, pool.RouterID{Name: m.Name, DataCentre: "a", Incarnation: 1}, true)
+		}
+		f.spread(random, t)
+		t.Repeat(map[string]func(*rapid.T){
+			"drain or return": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(f.members)-1).Draw(t, "router")
+				f.members[i].Draining = !f.members[i].Draining
+				f.spread(random, t)
+			},
+			"crash or restart": func(t *rapid.T) {
+				m := &f.members[rapid.IntRange(0, len(f.members)-1).Draw(t, "router")]
+				if _, running := f.trackers[m.Name]; running {
+					delete(f.trackers, m.Name)
+					delete(f.grants, m.Name)
+					m.Status, m.Since = membership.Dead, f.now
+				} else {
+					m.Status, m.Incarnation, m.Draining = membership.Alive, m.Incarnation+1, false
+					tr := NewTracker(f.now, pool.RouterID{Name: m.Name, DataCentre: "a", Incarnation: m.Incarnation}, true)
+					f.trackers[m.Name] = tr
+					tr.Update(f.now, []membership.Member{*m}) // it sees itself first, and joins within JoinLimit
+					f.pass(t, time.Duration(random.Int64N(int64(JoinLimit/2))))
+				}
+				f.spread(random, t)
+			},
+			"": f.check,
+		})
+		f.pass(t, JoinLimit+HandoverLimit)
+		if len(f.trackers) > 0 && len(f.grants) != 1 {
+			t.Fatalf("%d routers run and %v grant", len(f.trackers), f.grants)
+		}
+	})
+}
+
+// spread lets each router see the present list at its own time, all within
+// less than a membership period.
+func (f *fleet) spread(random *rand.Rand, t *rapid.T) {
+	var names []string
+	for _, m := range f.members {
+		if _, running := f.trackers[m.Name]; running {
+			names = append(names, m.Name)
+		}
+	}
+	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		f.update(name)
+		f.check(t)
+		f.now = f.now.Add(time.Duration(random.Int64N(int64(HandoverLimit) / 6)))
+		f.check(t)
+	}
+	f.pass(t, time.Duration(random.Int64N(int64(JoinLimit))))
+}
+
+func (f *fleet) pass(t *rapid.T, d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(SettleTime / 10) {
+		f.check(t)
+	}
+	f.check(t)
+}
--- /dev/null
+++ b/pkg/ownership/view.go
@@ -0,0 +1,145 @@
+// Package ownership decides from the member list which router owns a pool
+// shard, which share of a limit an owner may use, and when a new owner starts.
+//
+// It is pure: it takes the present time, starts no goroutine and is not safe
+// for concurrent use.
+package ownership
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jackdawtrack.example/jackdawtrack/pkg/membership"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+// RoleRouter is the role of members that can own shards.
+const RoleRouter = "router"
+
+// View is what one member list says of all data centres. It never changes.
+type View struct {
+	self        membership.Member
+	routers     []membership.Member            // live, of all data centres, in order of names
+	candidates  map[string][]membership.Member // by data centre, in order of names
+	known, rank int
+	live        int
+}
+
+// NewView returns the view of one router. The order of the members does not
+// matter.
+func NewView(now time.Time, self membership.Member, members []membership.Member) *View {
+	v := &View{self: self, candidates: map[string][]membership.Member{}}
+	for _, m := range members {
+		if m.Role != RoleRouter {
+			continue
+		}
+		if m.Live() {
+			v.routers = append(v.routers, m)
+		}
+		if m.DataCentre == self.DataCentre && isKnown(now, m) {
+			v.count(m)
+		}
+	}
+	byName := func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) }
+	slices.SortFunc(v.routers, byName)
+	for _, m := range v.routers {
+		if len(v.candidates[m.DataCentre]) == 0 {
+			v.candidates[m.DataCentre] = candidates(v.routers, m.DataCentre)
+		}
+	}
+	return v
+}
+
+// candidates returns the routers that can own shards of a data centre.
+// Draining ones can if there are no others, so that their waiting requests can
+// still be served.
+func candidates(routers []membership.Member, dataCentre string) []membership.Member {
+	var working, draining []membership.Member
+	for _, m := range routers {
+		switch {
+		case m.DataCentre != dataCentre:
+		case m.Draining:
+			draining = append(draining, m)
+		default:
+			working = append(working, m)
+		}
+	}
+	if len(working) > 0 {
+		return working
+	}
+	return draining
+}
+
+func (v *View) count(m membership.Member) {
+	v.known++
+	if m.Live() {
+		v.live++
+	}
+	if m.Name < v.self.Name {
+		v.rank++
+	}
+}
+
+// isKnown reports whether a router counts for the shares of limits: it may
+// still run although it cannot be reached.
+func isKnown(now time.Time, m membership.Member) bool {
+	return m.Live() || m.Status == membership.Dead && now.Sub(m.Since) < membership.KnownFor
+}
+
+// Owner returns the router that owns the shard by rendezvous hashing, false
+// when its data centre has no live router.
+func (v *View) Owner(shard pool.ShardID) (owner membership.Member, ok bool) {
+	return best(v.candidates[shard.DataCentre], shard)
+}
+
+func best(routers []membership.Member, shard pool.ShardID) (owner membership.Member, ok bool) {
+	var highest uint64
+	for _, m := range routers {
+		if score := score(m.Name, shard); !ok || score > highest {
+			owner, highest, ok = m, score, true
+		}
+	}
+	return owner, ok
+}
+
+// score is the weight of a router for a shard. The name counts without the
+// incarnation, so that a restart moves no shard.
+func score(router string, shard pool.ShardID) uint64 {
+	key := make([]byte, 0, 128)
+	for _, part := range []string{shard.DataCentre, shard.Pool, router} {
+		key = append(append(key, part...), 0)
+	}
+	return xxhash.Sum64(binary.LittleEndian.AppendUint32(key, shard.Shard))
+}
+
+// Share returns the number of known and of live routers of the data centre
+// and the rank of this router by name among the known ones, from 0. A router
+// that left gracefully is not known.
+func (v *View) Share() (known, live, rank int) { return v.known, v.live, v.rank }
+
+// Routers returns the live routers of all data centres in order of names.
+func (v *View) Routers() []membership.Member { return v.routers }
+
+// Change is a shard whose owner differs between two views. An owner without
+// name stands for none.
+type Change struct {
+	Shard    pool.ShardID
+	From, To membership.Member
+}
+
+// Changes returns the shards whose owner, or its incarnation, differs.
+func Changes(previous, next *View, shards []pool.ShardID) []Change {
+	var changes []Change
+	for _, shard := range shards {
+		from, _ := previous.Owner(shard)
+		to, _ := next.Owner(shard)
+		if from.Name != to.Name || from.Incarnation != to.Incarnation {
+			changes = append(changes, Change{Shard: shard, From: from, To: to})
+		}
+	}
+	return changes
+}
