Report asks to the owner at the first look of reconcile

Cause: reconcile skipped the report when it saw a shard for the first time. An owner that moved between the first ask and that look never got the waiting asks, so they ended as owner_unavailable after their longest wait.

Measured: TestOwnerMovesUnderLoad failed in 4 of 9 runs of the package with -race before (a trace showed asks at epoch 2 and none of them at epoch 5); 10 of 10 runs pass now.

--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -53,7 +53,8 @@
 }
 
 // follow repeats asks and re-reports held grants when the owner of a shard
-// changed.
+// changed. The first look counts as a change: the owner can have moved between
+// the first ask and this look. Owners ignore what they know already.
 func (r *Router) follow(shard pool.ShardID) {
 	owner, epoch, ok := r.ownership.Owner(shard)
 	if !ok {
@@ -63,11 +64,8 @@
 	if r.seen[shard] == now {
 		return
 	}
-	_, known := r.seen[shard]
 	r.seen[shard] = now
-	if known {
-		r.report(shard, owner)
-	}
+	r.report(shard, owner)
 }
 
 // report gives an owner all held grants, recent settles and waiting asks of a
