--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -27,6 +27,9 @@
 	return s
 }
 
+// Members returns the newest membership, committed or not.
+func (n *Node) Members() []Member { return n.log.members() }
+
 // IsNew tells that the folder has never belonged to a group.
 func (n *Node) IsNew() bool {
 	return n.state == HardState{} && n.log.last() == 0
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -121,7 +121,8 @@
 // Status describes this host and its view of the group.
 type Status struct {
 	ID            uint64
-	Identity      uint64
+	Identity      uint64 // of the data folder
+	IsNew         bool   // the folder has never belonged to a group
 	Role          string
 	Leader        uint64 // 0 if unknown
 	LeaderAddress string
--- a/pkg/replica/errors.go
+++ b/pkg/replica/errors.go
@@ -26,6 +26,13 @@
 	return ""
 }
 
+func notLeader(id uint64, address string) error {
+	if id == 0 || address == "" {
+		return result.New(result.NoQuorum, "no leader is known; nothing was accepted")
+	}
+	return result.Wrap(result.NotLeader, &LeaderHint{ID: id, Address: address}, "ask the leader at %s", address)
+}
+
 // errUnknown is returned when the command may or may not be committed later.
 func errUnknown(cause error) error {
 	const message = "the fate of the command is unknown: resend it with the same command id"
@@ -34,3 +41,12 @@
 	}
 	return result.Wrap(result.NoQuorum, cause, message)
 }
+
+func errReadLate(cause error) error {
+	if cause == nil {
+		return errClosed
+	}
+	return result.Wrap(result.NoQuorum, cause, "no majority confirmed the read in time")
+}
+
+var errClosed = result.New(result.NoQuorum, "this control host is stopping; nothing was accepted")
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -10,7 +10,7 @@
 )
 
 // DefaultSegmentBytes is the size after which a new segment file begins.
-const DefaultSegmentBytes = 16 << 20
+const DefaultSegmentBytes = 4 << 20
 
 const (
 	lockName       = "lock"
@@ -38,6 +38,7 @@
 	file     File
 	number   uint64 // of the active segment
 	size     int64  // of the active segment, synced frames only
+	written  int64  // in all segments since Open
 	sequence uint64 // of the last frame
 	state    []byte // last synced hard state
 	segments []segment
@@ -47,21 +48,19 @@
 
 type segment struct {
 	number   uint64
-	maxIndex uint64 // greatest entry index in it, 0 if none
+	maxIndex uint64 // greatest index in it, 0 if none
 	bytes    int64
 }
 
 // Identity returns the random identity of the folder.
 func (l *Log) Identity() uint64 { return l.identity }
 
-// Size returns the bytes in all segments.
-func (l *Log) Size() int64 {
-	total := int64(0)
-	for _, s := range l.segments {
-		total += s.bytes
-	}
-	return total
-}
+// Written returns the bytes found at Open plus the bytes written since. The
+// difference between two calls is the growth of the log.
+func (l *Log) Written() int64 { return l.written }
+
+// Segments returns the number of segment files.
+func (l *Log) Segments() int { return len(l.segments) }
 
 // Append adds records to the next frame. They are durable after Sync.
 func (l *Log) Append(records ...Record) { l.pending = append(l.pending, records...) }
@@ -90,14 +89,6 @@
 	return nil
 }
 
-// Probe writes an empty frame. It returns DiskFull while the disk is full.
-func (l *Log) Probe() error {
-	if l.failed != nil {
-		return l.failed
-	}
-	return l.write(nil)
-}
-
 func (l *Log) write(records []Record) error {
 	frame := encodeFrame(seedOf(l.identity, l.number), l.sequence+1, records)
 	if len(frame) > maxFrameBytes {
@@ -111,6 +102,7 @@
 	}
 	l.sequence++
 	l.size += int64(len(frame))
+	l.written += int64(len(frame))
 	l.segments[len(l.segments)-1].bytes = l.size
 	return nil
 }
@@ -135,7 +127,7 @@
 	s := &l.segments[len(l.segments)-1]
 	for _, r := range records {
 		switch r.Kind {
-		case KindEntry:
+		case KindEntry, KindReset:
 			s.maxIndex = max(s.maxIndex, r.Index)
 		case KindState:
 			l.state = r.Data
--- a/pkg/wal/open.go
+++ b/pkg/wal/open.go
@@ -130,7 +130,7 @@
 func (l *Log) replay(names []string) (*Recovered, error) {
 	r := &Recovered{Identity: l.identity}
 	var err error
-	if r.Snapshot, err = l.ReadSnapshot(); err != nil {
+	if r.Snapshot, err = l.newestSnapshot(); err != nil {
 		return nil, err
 	}
 	numbers := segmentNumbers(names)
@@ -167,6 +167,9 @@
 func (l *Log) openActive(cut bool) error {
 	s := l.segments[len(l.segments)-1]
 	l.number, l.size = s.number, s.bytes
+	for _, each := range l.segments {
+		l.written += each.bytes
+	}
 	f, err := l.fs.Append(filepath.Join(l.folder, fmt.Sprintf(segmentPattern, s.number)))
 	if err != nil {
 		return result.Wrap(result.LogDamaged, err, "segment %d cannot be opened", s.number)
--- a/pkg/wal/replay.go
+++ b/pkg/wal/replay.go
@@ -92,6 +92,7 @@
 	case KindState:
 		p.log.state, p.out.State = r.Data, r.Data
 	case KindReset:
+		s.maxIndex = max(s.maxIndex, r.Index)
 		p.entries, p.next = nil, r.Index+1
 	case kindSegment:
 		if len(r.Data) != 8 || binary.LittleEndian.Uint64(r.Data) != p.log.identity {
--- a/pkg/wal/snapshot.go
+++ b/pkg/wal/snapshot.go
@@ -55,25 +55,15 @@
 	}, true
 }
 
-// SaveSnapshot writes the snapshot atomically and removes older snapshots and
-// the segments that hold only entries up to it. With reset, all entries are
-// dropped: the snapshot came from another host and replaces the log. DiskFull
-// leaves the earlier snapshot and all entries in place.
-func (l *Log) SaveSnapshot(s Snapshot, reset bool) error {
+// SaveSnapshot writes the snapshot atomically. DiskFull leaves everything as
+// it was. For a snapshot of another host that replaces the log, the caller
+// appends a KindReset record and calls Sync next; Open repeats that step if
+// a crash comes first.
+func (l *Log) SaveSnapshot(s Snapshot) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	name := fmt.Sprintf(snapPattern, s.Index)
-	if err := l.writeFile(name, encodeSnapshot(l.identity, s)); err != nil {
-		return err
-	}
-	if reset {
-		l.Append(Record{Kind: KindReset, Index: s.Index, Term: s.Term})
-		if err := l.Sync(); err != nil {
-			return err
-		}
-	}
-	return l.compact(s.Index, name)
+	return l.writeFile(fmt.Sprintf(snapPattern, s.Index), encodeSnapshot(l.identity, s))
 }
 
 // writeFile replaces a file atomically: temporary file, sync, rename, sync of
@@ -107,10 +97,14 @@
 	return nil
 }
 
-// compact removes only a prefix of the segments, because a later segment may
-// replace entries of an earlier one. A removal that is lost by a power
-// failure is repeated by the next compact.
-func (l *Log) compact(index uint64, keep string) error {
+// Compact removes the snapshots before index and the segments that hold
+// nothing after it. A snapshot at index must be saved. Only a prefix of the
+// segments is removed, because a later segment may replace entries of an
+// earlier one. A removal that a power failure undoes is repeated later.
+func (l *Log) Compact(index uint64) error {
+	if l.failed != nil {
+		return l.failed
+	}
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
 		name := fmt.Sprintf(segmentPattern, l.segments[0].number)
 		if err := l.fs.Remove(filepath.Join(l.folder, name)); err != nil {
@@ -125,6 +119,7 @@
 	if err != nil {
 		return l.fail(err, "folder cannot be listed")
 	}
+	keep := fmt.Sprintf(snapPattern, index)
 	for _, name := range names {
 		if strings.HasSuffix(name, ".snap") && name < keep {
 			if err := l.fs.Remove(filepath.Join(l.folder, name)); err != nil {
@@ -135,8 +130,13 @@
 	return nil
 }
 
-// ReadSnapshot returns the newest snapshot on disk, Index 0 if there is none.
-func (l *Log) ReadSnapshot() (Snapshot, error) {
+// ReadSnapshot returns the snapshot saved at index.
+func (l *Log) ReadSnapshot(index uint64) (Snapshot, error) {
+	return l.readSnapshotFile(fmt.Sprintf(snapPattern, index))
+}
+
+// newestSnapshot returns Index 0 if there is none.
+func (l *Log) newestSnapshot() (Snapshot, error) {
 	names, err := l.fs.List(l.folder)
 	if err != nil {
 		return Snapshot{}, err
