Keep records of keyed requests in less memory

Cause: a full table of 200,000 records whose answers fill their budget took 142 MiB of heap, more than the 128 MB that a control host may use.

Change: a record holds no message and no copy of names; the table of answers is bounded by 24 MiB instead of 32, and by 6 MiB for one workspace.

--- a/pkg/control/keyed.go
+++ b/pkg/control/keyed.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"crypto/sha256"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
@@ -38,50 +39,50 @@
 	key := keyOf(in)
 	r, ok := m.records.byKey[key]
 	if ok {
-		return m.beginAgain(key, r, in)
+		return m.beginAgain(r, in)
 	}
 	if m.records.full(in.GetWorkspace()) {
 		return begun(apiv1.BeginState_BEGIN_FULL, result.KeyTableFull)
 	}
-	r = &record{fingerprint: string(in.GetFingerprint()), owner: attemptOf(in)}
-	m.records.add(key, r)
-	m.run(key, r)
+	r = &record{key: key, fingerprint: [sha256.Size]byte(in.GetFingerprint()), owner: attemptOf(in)}
+	r.owner.router = s.router
+	m.records.add(r)
+	m.run(r)
 	return begun(apiv1.BeginState_BEGIN_STARTED, result.OK)
 }
 
 // beginAgain answers a Begin of a key that has a record.
-func (m *Machine) beginAgain(key recordKey, r *record, in *apiv1.BeginRequest) *apiv1.BeginResponse {
+func (m *Machine) beginAgain(r *record, in *apiv1.BeginRequest) *apiv1.BeginResponse {
 	switch {
-	case r.fingerprint != string(in.GetFingerprint()):
+	case !bytes.Equal(r.fingerprint[:], in.GetFingerprint()):
 		return begun(apiv1.BeginState_BEGIN_CONFLICT, result.KeyConflict)
 	case r.owner == attemptOf(in) && !r.finished():
-		m.run(key, r)
+		m.run(r)
 		return begun(apiv1.BeginState_BEGIN_STARTED, result.OK)
 	case r.state == stateRunning:
 		return begun(apiv1.BeginState_BEGIN_RUNNING, result.StillRunning)
 	case r.state == stateDone:
 		out := begun(apiv1.BeginState_BEGIN_DONE, result.StoredAnswer)
-		if r.answer.GetTruncated() {
+		if r.answer.truncated {
 			out.Code = uint32(result.AnswerTooLarge)
 		}
-		out.Answer = r.answer
+		out.Answer = r.answer.message()
 		return out
 	}
 	return begun(apiv1.BeginState_BEGIN_UNKNOWN, result.OutcomeUnknown)
 }
 
 // run marks a record as running under the session of its router.
-func (m *Machine) run(key recordKey, r *record) {
+func (m *Machine) run(r *record) {
 	r.state = stateRunning
 	r.expires = 0
-	m.sessions[r.owner.router].running[key] = struct{}{}
+	m.sessions[r.owner.router].running[r] = struct{}{}
 }
 
 // finish stores the outcome that the owner of a record reports. A repeated
 // report has no effect.
 func (m *Machine) finish(in *apiv1.FinishRequest) result.Code {
-	key := keyOf(in.GetBegin())
-	r, ok := m.records.byKey[key]
+	r, ok := m.records.byKey[keyOf(in.GetBegin())]
 	if !ok || r.owner != attemptOf(in.GetBegin()) {
 		return result.NotFound
 	}
@@ -91,13 +92,13 @@
 	if in.GetAnswer() == nil && !in.GetUnknown() {
 		return result.InvalidRequest
 	}
-	m.leave(key, r)
+	m.leave(r)
 	r.state = stateUnknown
 	if !in.GetUnknown() {
 		r.state = stateDone
-		m.records.store(key, r, in.GetAnswer())
+		m.records.store(r, answerFrom(in.GetAnswer()))
 	}
-	m.records.expireAt(key, r, m.after(m.limits.recordTTL))
+	m.records.expireAt(r, m.after(m.limits.recordTTL))
 	return result.OK
 }
 
@@ -107,8 +108,7 @@
 	if !validBegin(in) {
 		return result.InvalidRequest
 	}
-	key := keyOf(in)
-	r, ok := m.records.byKey[key]
+	r, ok := m.records.byKey[keyOf(in)]
 	if ok && r.owner == attemptOf(in) {
 		if r.state == stateDone {
 			return result.StoredAnswer
@@ -116,26 +116,27 @@
 		if r.state == stateUnknown {
 			return result.OutcomeUnknown
 		}
-		m.leave(key, r)
-		m.records.remove(key)
+		m.leave(r)
+		m.records.remove(r)
 	}
 	m.aborts.add(attemptOf(in), m.after(m.limits.abortMemory))
 	return result.OK
 }
 
 // leave takes a record from the running ones of its session.
-func (m *Machine) leave(key recordKey, r *record) {
+func (m *Machine) leave(r *record) {
 	if s, ok := m.sessions[r.owner.router]; ok && s.incarnation == r.owner.incarnation {
-		delete(s.running, key)
+		delete(s.running, r)
 	}
 }
 
 // session is one router incarnation that has keyed requests.
 type session struct {
+	router      string
 	incarnation uint64
 	ended       bool
 	expires     int64 // ms; of an ended session, when it is forgotten
-	running     map[recordKey]struct{}
+	running     map[*record]struct{}
 }
 
 // touch renews the session of a router and returns it. A greater incarnation
@@ -153,7 +154,7 @@
 		if ok {
 			m.endSession(s)
 		}
-		s = &session{incarnation: incarnation, running: map[recordKey]struct{}{}}
+		s = &session{router: router, incarnation: incarnation, running: map[*record]struct{}{}}
 		m.sessions[router] = s
 	}
 	s.ended = false
@@ -163,12 +164,11 @@
 
 // endSession makes the outcome of all running records of a session unknown.
 func (m *Machine) endSession(s *session) {
-	for key := range s.running {
-		r := m.records.byKey[key]
+	for r := range s.running {
 		r.state = stateLost
-		m.records.expireAt(key, r, m.after(m.limits.recordTTL))
+		m.records.expireAt(r, m.after(m.limits.recordTTL))
 	}
-	s.running = map[recordKey]struct{}{}
+	s.running = map[*record]struct{}{}
 	s.ended = true
 	s.expires = m.after(m.limits.sessionMemory)
 }
--- a/pkg/control/limits.go
+++ b/pkg/control/limits.go
@@ -19,8 +19,9 @@
 	// stay within MaxAnswersTotal, those of one workspace within a quarter. A
 	// larger answer is recorded as truncated, without its body.
 	MaxAnswerBytes           = 64 << 10
-	MaxAnswersTotal          = 32 << 20
+	MaxAnswersTotal          = 24 << 20
 	MaxWorkspaceAnswersTotal = MaxAnswersTotal / 4
+	maxContentType           = 128 // bytes
 	// MaxKeyBytes bounds an idempotency key.
 	MaxKeyBytes = 255
 
--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -65,7 +65,7 @@
 
 func smallLimits() limits {
 	return limits{
-		records: 4, workspaceRecords: 2, answers: 100, workspaceAnswers: 60, sessions: 4, aborts: 5, results: 6,
+		records: 4, workspaceRecords: 2, answers: 60, workspaceAnswers: 30, sessions: 4, aborts: 5, results: 6,
 		recordTTL: 6 * time.Second, sessionTTL: 3 * time.Second, sessionMemory: 5 * time.Second,
 		abortMemory: 6 * time.Second, leaseTTL: 6 * time.Second, step: 2 * time.Second,
 	}
--- a/pkg/control/records.go
+++ b/pkg/control/records.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 )
 
+const commonContentType = "application/json"
+
 type recordKey struct{ workspace, key string }
 
 // attemptID names one attempt of one router incarnation.
@@ -32,27 +35,52 @@
 	stateUnknown recordState = 4
 )
 
-// record is one keyed request.
+// record is one keyed request. The table may hold 200,000, so names are shared
+// with the table and the sessions, and the answer is no message.
 type record struct {
-	fingerprint string
+	key         recordKey
+	fingerprint [sha256.Size]byte
 	owner       attemptID
 	state       recordState
-	answer      *apiv1.StoredAnswer // of stateDone
-	expires     int64               // ms, 0 while running
+	answer      answer // of stateDone
+	expires     int64  // ms, 0 while running
+}
+
+// answer is a stored answer.
+type answer struct {
+	status      int32
+	truncated   bool
+	contentType string
+	body        []byte
+}
+
+func answerFrom(m *apiv1.StoredAnswer) answer {
+	contentType := m.GetContentType()
+	if contentType == commonContentType {
+		contentType = commonContentType // one string for all records
+	}
+	return answer{status: m.GetStatus(), truncated: m.GetTruncated(), contentType: contentType, body: m.GetBody()}
+}
+
+func (a answer) message() *apiv1.StoredAnswer {
+	return &apiv1.StoredAnswer{Status: a.status, Truncated: a.truncated, ContentType: a.contentType, Body: a.body}
 }
 
 // finished reports whether the router has reported the outcome.
 func (r *record) finished() bool { return r.state == stateDone || r.state == stateUnknown }
 
 // usage is what one workspace keeps in the table.
-type usage struct{ records, bytes int }
+type usage struct {
+	name           string
+	records, bytes int
+}
 
 // records is the table of keyed requests. Records leave it only by expiry or
 // by an abort, never to make room.
 type records struct {
 	limits      limits
 	byKey       map[recordKey]*record
-	byWorkspace map[string]usage
+	byWorkspace map[string]*usage
 	bytes       int // of all stored answers
 	// expiries is in the order of time, because all records live equally
 	// long. An entry is void when its record has another time.
@@ -60,68 +88,78 @@
 }
 
 type expiry struct {
-	key recordKey
-	at  int64 // ms
+	record *record
+	at     int64 // ms
 }
 
 func newRecords(l limits) records {
-	return records{limits: l, byKey: map[recordKey]*record{}, byWorkspace: map[string]usage{}}
+	return records{limits: l, byKey: map[recordKey]*record{}, byWorkspace: map[string]*usage{}}
+}
+
+// usageOf returns the usage of a workspace, an empty one if it has none.
+func (t *records) usageOf(workspace string) *usage {
+	if u, ok := t.byWorkspace[workspace]; ok {
+		return u
+	}
+	return &usage{name: workspace}
 }
 
 // full reports whether there is no room for a new record of the workspace.
 func (t *records) full(workspace string) bool {
-	return len(t.byKey) >= t.limits.records || t.byWorkspace[workspace].records >= t.limits.workspaceRecords
+	return len(t.byKey) >= t.limits.records || t.usageOf(workspace).records >= t.limits.workspaceRecords
 }
 
-func (t *records) add(key recordKey, r *record) {
-	t.byKey[key] = r
-	t.count(key.workspace, 1, answerSize(r))
+func (t *records) add(r *record) {
+	u := t.usageOf(r.key.workspace)
+	t.byWorkspace[u.name] = u
+	r.key.workspace = u.name
+	u.records++
+	t.byKey[r.key] = r
+	t.count(u, len(r.answer.body))
 }
 
-func (t *records) remove(key recordKey) {
-	t.count(key.workspace, -1, -answerSize(t.byKey[key]))
-	delete(t.byKey, key)
+func (t *records) remove(r *record) {
+	u := t.byWorkspace[r.key.workspace]
+	t.count(u, -len(r.answer.body))
+	delete(t.byKey, r.key)
+	u.records--
+	if u.records == 0 {
+		delete(t.byWorkspace, u.name)
+	}
 }
 
-func (t *records) count(workspace string, records, bytes int) {
-	u := t.byWorkspace[workspace]
-	u.records += records
+func (t *records) count(u *usage, bytes int) {
 	u.bytes += bytes
 	t.bytes += bytes
-	if u.records == 0 {
-		delete(t.byWorkspace, workspace)
-		return
-	}
-	t.byWorkspace[workspace] = u
 }
 
-func answerSize(r *record) int { return len(r.answer.GetBody()) }
-
 // store keeps the answer of a record, without its body when there is no room.
-func (t *records) store(key recordKey, r *record, answer *apiv1.StoredAnswer) {
-	size := len(answer.GetBody())
-	room := size <= MaxAnswerBytes && t.bytes+size <= t.limits.answers &&
-		t.byWorkspace[key.workspace].bytes+size <= t.limits.workspaceAnswers
-	if !room || answer.GetTruncated() {
-		answer = &apiv1.StoredAnswer{Status: answer.GetStatus(), ContentType: answer.GetContentType(), Truncated: true}
-		size = 0
+func (t *records) store(r *record, a answer) {
+	u := t.byWorkspace[r.key.workspace]
+	size := len(a.body)
+	room := size <= MaxAnswerBytes && t.bytes+size <= t.limits.answers && u.bytes+size <= t.limits.workspaceAnswers
+	if !room || a.truncated {
+		a.body, a.truncated = nil, true
+	}
+	if len(a.contentType) > maxContentType {
+		a.contentType = ""
 	}
-	r.answer = answer
-	t.count(key.workspace, 0, size)
+	r.answer = a
+	t.count(u, len(a.body))
 }
 
 // expireAt lets a record that is not running live until a time.
-func (t *records) expireAt(key recordKey, r *record, at int64) {
+func (t *records) expireAt(r *record, at int64) {
 	r.expires = at
-	t.expiries = append(t.expiries, expiry{key: key, at: at})
+	t.expiries = append(t.expiries, expiry{record: r, at: at})
 }
 
 func (t *records) expire(now int64) {
 	for len(t.expiries) > 0 && t.expiries[0].at <= now {
 		e := t.expiries[0]
 		t.expiries = t.expiries[1:]
-		if r, ok := t.byKey[e.key]; ok && r.expires == e.at {
-			t.remove(e.key)
+		if t.byKey[e.record.key] == e.record && e.record.expires == e.at {
+			t.remove(e.record)
 		}
 	}
 }
@@ -141,9 +179,9 @@
 // rebuild restores the order of expiry after a snapshot.
 func (t *records) rebuild() {
 	t.expiries = nil
-	for k, r := range t.byKey {
+	for _, r := range t.byKey {
 		if r.expires != 0 {
-			t.expiries = append(t.expiries, expiry{key: k, at: r.expires})
+			t.expiries = append(t.expiries, expiry{record: r, at: r.expires})
 		}
 	}
 	slices.SortFunc(t.expiries, func(a, b expiry) int { return cmp.Compare(a.at, b.at) })
--- a/pkg/control/snapshot.go
+++ b/pkg/control/snapshot.go
@@ -14,7 +14,10 @@
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
-const snapshotVersion = 1
+const (
+	snapshotVersion = 1
+	recordEstimate  = 160 // bytes of an encoded record without its answer
+)
 
 // encoder writes numbers and length-delimited messages.
 type encoder struct {
@@ -71,6 +74,7 @@
 // Snapshot returns the whole state. Equal states give equal bytes.
 func (m *Machine) Snapshot() ([]byte, error) {
 	var e encoder
+	e.buffer.Grow(m.Records()*recordEstimate + m.records.bytes + m.results.bytes)
 	e.number(snapshotVersion)
 	e.number(m.now)
 	e.message(&apiv1.Snapshot{Revision: m.catalog.Revision(), Items: m.catalog.Items()})
@@ -126,9 +130,9 @@
 	}
 }
 
-func beginOf(key recordKey, owner attemptID, print string) *apiv1.BeginRequest {
+func beginOf(key recordKey, owner attemptID, print []byte) *apiv1.BeginRequest {
 	return &apiv1.BeginRequest{
-		Workspace: key.workspace, Key: key.key, Fingerprint: []byte(print),
+		Workspace: key.workspace, Key: key.key, Fingerprint: print,
 		Router: owner.router, Incarnation: owner.incarnation, Attempt: owner.attempt,
 	}
 }
@@ -139,17 +143,33 @@
 		r := m.records.byKey[key]
 		e.number(int64(r.state))
 		e.number(r.expires)
-		e.message(&apiv1.FinishRequest{Begin: beginOf(key, r.owner, r.fingerprint), Answer: r.answer})
+		in := &apiv1.FinishRequest{Begin: beginOf(key, r.owner, r.fingerprint[:])}
+		if r.state == stateDone {
+			in.Answer = r.answer.message()
+		}
+		e.message(in)
 	}
 }
 
 func (m *Machine) readRecords(d *decoder) {
+	routers := map[string]string{} // one string for each
 	for range d.count() {
 		r := &record{state: recordState(d.number()), expires: d.number()}
 		var in apiv1.FinishRequest
 		d.message(&in)
-		r.owner, r.fingerprint, r.answer = attemptOf(in.GetBegin()), string(in.GetBegin().GetFingerprint()), in.GetAnswer()
-		m.records.add(keyOf(in.GetBegin()), r)
+		if d.err == nil && len(in.GetBegin().GetFingerprint()) != len(r.fingerprint) {
+			d.err = result.New(result.LogDamaged, "record without a fingerprint")
+		}
+		if d.err != nil {
+			return
+		}
+		copy(r.fingerprint[:], in.GetBegin().GetFingerprint())
+		r.key, r.owner, r.answer = keyOf(in.GetBegin()), attemptOf(in.GetBegin()), answerFrom(in.GetAnswer())
+		if name, ok := routers[r.owner.router]; ok {
+			r.owner.router = name
+		}
+		routers[r.owner.router] = r.owner.router
+		m.records.add(r)
 	}
 }
 
@@ -174,13 +194,13 @@
 		var in apiv1.RenewSessionRequest
 		d.message(&in)
 		m.sessions[in.GetRouter()] = &session{
-			incarnation: in.GetIncarnation(), expires: d.number(), ended: d.number() == 1,
-			running: map[recordKey]struct{}{},
+			router: in.GetRouter(), incarnation: in.GetIncarnation(), expires: d.number(), ended: d.number() == 1,
+			running: map[*record]struct{}{},
 		}
 	}
-	for key, r := range m.records.byKey {
+	for _, r := range m.records.byKey {
 		if s, ok := m.sessions[r.owner.router]; ok && r.state == stateRunning {
-			s.running[key] = struct{}{}
+			s.running[r] = struct{}{}
 		}
 	}
 }
@@ -188,7 +208,7 @@
 func (m *Machine) writeAborts(e *encoder) {
 	e.number(int64(len(m.aborts.order)))
 	for _, id := range m.aborts.order {
-		e.message(beginOf(recordKey{}, id, ""))
+		e.message(beginOf(recordKey{}, id, nil))
 		e.number(m.aborts.known[id])
 	}
 }
