--- /dev/null
+++ b/pkg/fairshare/ledger_test.go
@@ -0,0 +1,99 @@
+package fairshare
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against totals that depend on lost, repeated or reordered messages,
+// or that change when a dead origin is folded into the base.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(Origin{Name: "own"})
+		type sent struct {
+			origin Origin
+			totals []Total
+		}
+		var log []sent
+		grown := map[Origin]map[string]uint64{}
+		for range rapid.IntRange(1, 30).Draw(t, "messages") {
+			o := Origin{Name: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "origin"))}
+			w := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "workspace"))
+			if grown[o] == nil {
+				grown[o] = map[string]uint64{}
+			}
+			grown[o][w] += rapid.Uint64Range(0, 100).Draw(t, "units")
+			log = append(log, sent{o, []Total{{w, grown[o][w]}}})
+		}
+		seen := map[Origin]map[string]uint64{}
+		for range 2 * len(log) {
+			m := log[rapid.IntRange(0, len(log)-1).Draw(t, "delivered")]
+			l.Merge(m.origin, m.totals, false)
+			if seen[m.origin] == nil {
+				seen[m.origin] = map[string]uint64{}
+			}
+			s := seen[m.origin]
+			s[m.totals[0].Workspace] = max(s[m.totals[0].Workspace], m.totals[0].Units)
+		}
+		if rapid.Bool().Draw(t, "drop") {
+			l.DropOrigin(Origin{Name: "0"})
+		}
+		for w := range 4 {
+			want := uint64(0)
+			for _, s := range seen {
+				want += s[fmt.Sprint(w)]
+			}
+			assert.Equal(t, l.Value(fmt.Sprint(w)), int64(want))
+		}
+	})
+}
+
+// Guards against a dropped origin whose service counts twice when it returns.
+func TestReturnOfDroppedOrigin(t *testing.T) {
+	l, o := NewLedger(Origin{Name: "own"}), Origin{Name: "other"}
+	l.Merge(o, []Total{{"w", 100}}, true)
+	l.DropOrigin(o)
+	l.Merge(o, []Total{{"w", 150}}, false) // not full: no basis to count from
+	assert.Equal(t, l.Value("w"), int64(100))
+	l.Merge(o, []Total{{"w", 160}}, true)
+	l.Merge(o, []Total{{"w", 190}}, false)
+	assert.Equal(t, l.Value("w"), int64(130))
+}
+
+// Guards against a published total that falls: peers would ignore it, and
+// everything charged until it is passed again.
+func TestPublishedTotalNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(Origin{Name: "own"})
+		a := l.Account("w")
+		last, own := uint64(0), int64(0)
+		for range 50 {
+			estimate := rapid.Uint64Range(0, 100).Draw(t, "estimate")
+			cost := rapid.Uint64Range(0, 100).Draw(t, "cost")
+			l.Charge(a, estimate)
+			l.Settle(a, estimate, cost)
+			own += int64(cost)
+			assert.Equal(t, a.Total(), own)
+			if totals, _ := l.Totals(); len(totals) > 0 {
+				assert.Assert(t, totals[0].Units >= last && int64(totals[0].Units) >= own)
+				last = totals[0].Units
+			}
+		}
+	})
+}
+
+// Guards against hints that stay wrong: after a few requests a hint that is
+// ten times off gives an estimate within a factor of two.
+func TestHintCalibration(t *testing.T) {
+	for _, factor := range []float64{0.1, 1, 10} {
+		e := NewEstimates()
+		for range 6 {
+			e.Learn("w", "c", uint64(2000*factor), 100, 2000)
+		}
+		got := e.Estimate("w", "c", uint64(4000*factor), 100)
+		assert.Assert(t, got >= 2000 && got <= 8000, "factor %v: estimate %d of a cost of 4000", factor, got)
+	}
+}
--- /dev/null
+++ b/pkg/limiter/limiter_test.go
@@ -0,0 +1,146 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a slot above the limit, a cold limit above two, and a ramp
+// that steps too far, too soon or without successes.
+func TestRampAndLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(0, 64).Draw(t, "slots")
+		l, now := New(start, slots, 0), start
+		inFlight, done, step := 0, 0, start
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": func(t *rapid.T) {
+				free := inFlight < l.Limit()
+				assert.Equal(t, l.Acquire(now), free)
+				if free {
+					inFlight++
+				}
+			},
+			"release": func(t *rapid.T) {
+				if inFlight == 0 {
+					return
+				}
+				inFlight--
+				before := l.State()
+				r := rapid.SampledFrom([]Result{Success, Success, Success, Neutral, Stalled, Dropped}).Draw(t, "result")
+				l.Release(now, Sample{Result: r, Granted: now, TokenInterval: 20 * time.Millisecond, FirstToken: 100 * time.Millisecond})
+				after := l.State()
+				if r == Success {
+					done++
+				}
+				if r == Dropped {
+					assert.Assert(t, after.Cold && after.Full <= ColdLimit)
+					done, step = 0, now
+				}
+				if before.Cold && after.Full > before.Full {
+					assert.Assert(t, float64(after.Full) <= max(rampGrowth*float64(before.Full), float64(before.Full+1)))
+					assert.Assert(t, done >= before.Full && now.Sub(step) >= rampInterval)
+				}
+				if after.Full != before.Full || after.Cold != before.Cold {
+					done, step = 0, now
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"report": func(t *rapid.T) {
+				l.Report(now, Load{Running: inFlight, Taken: now})
+			},
+			"": func(t *rapid.T) {
+				st := l.State()
+				assert.Equal(t, st.InFlight, inFlight)
+				assert.Assert(t, slots == 0 || st.Full <= slots)
+			},
+		})
+	})
+}
+
+// Guards against shares that add up to more than a limit.
+func TestSharesAddUpToLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		known := rapid.IntRange(1, 9).Draw(t, "known")
+		limit := rapid.IntRange(0, 100).Draw(t, "limit")
+		sum := 0
+		for rank := range known {
+			l := New(start, 0, 0)
+			l.limit = float64(limit)
+			l.SetKnownRouters(start, known, known-1, rank)
+			sum += l.Limit()
+		}
+		if known > 1 {
+			assert.Equal(t, sum, limit)
+		}
+	})
+}
+
+// Guards against a warm limit that stays halved after a neighbour died, and
+// against a cold share that grows while the neighbour may only be cut off.
+func TestReportsRestoreWarmShareOnly(t *testing.T) {
+	warm, cold := New(start, 32, 0), New(start, 32, 0)
+	warm.Restore(start, 32, false)
+	for _, l := range []*Limiter{warm, cold} {
+		l.SetKnownRouters(start, 2, 1, 0)
+	}
+	assert.Equal(t, warm.Limit(), 16)
+	assert.Equal(t, cold.Limit(), 1)
+	now := start
+	for range shareSteps {
+		now = now.Add(time.Second)
+		warm.Report(now, Load{Taken: now})
+		cold.Report(now, Load{Taken: now})
+	}
+	assert.Equal(t, warm.Limit(), 32)
+	assert.Equal(t, cold.Limit(), 1)
+	warm.Report(now.Add(time.Second), Load{Running: 10, Taken: now.Add(time.Second)})
+	assert.Equal(t, warm.Limit(), 22)
+}
+
+// Guards against an unannounced cold start that is not noticed: the first
+// token takes several times as long as before.
+func TestLatencyJumpChills(t *testing.T) {
+	l, now := New(start, 32, 0), start
+	l.Restore(start, 32, false)
+	for i := range 40 {
+		now = now.Add(100 * time.Millisecond)
+		first := 100 * time.Millisecond
+		if i >= 37 {
+			first = 2 * time.Second
+		}
+		assert.Assert(t, !l.Cold(), "cold at sample %d", i)
+		l.Force(now)
+		l.Release(now, Sample{Granted: now, FirstToken: first, TokenInterval: 20 * time.Millisecond})
+	}
+	assert.Assert(t, l.Cold())
+	assert.Equal(t, l.Limit(), ColdLimit)
+}
+
+// Guards against a limit past the knee of a batch, with and without a target.
+func TestLimitFindsKnee(t *testing.T) {
+	const knee = 20
+	for _, target := range []time.Duration{0, 25 * time.Millisecond} {
+		l, now := New(start, 0, 0), start
+		for range 4000 {
+			for l.Acquire(now) {
+			}
+			n := l.State().InFlight
+			interval := 20 * time.Millisecond
+			if n > knee {
+				interval = interval * time.Duration(n*n) / (knee * knee)
+			}
+			now = now.Add(2 * time.Second / time.Duration(n))
+			l.Release(now, Sample{Granted: now.Add(-time.Millisecond), TokenInterval: interval, IntervalTarget: target})
+		}
+		if got := l.Limit(); got < knee-2 || got > knee+3 {
+			t.Errorf("target %s: limit %d, knee %d", target, got, knee)
+		}
+	}
+}
--- a/pkg/limiter/share.go
+++ b/pkg/limiter/share.go
@@ -30,7 +30,7 @@
 	if s.rank < limit%s.known {
 		own++
 	}
-	return min(max(own+s.raised*limit/shareSteps-s.lowered, 0), limit)
+	return max(min(own+s.raised*limit/shareSteps, limit)-s.lowered, 0)
 }
 
 // report restores a quarter of the limit for each report that shows no work of
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -112,9 +112,21 @@
 	o.servers[a.Name] = s
 	o.numbered = append(o.numbered, s)
 	o.place(s)
+	o.claimHeld(s)
 	return s
 }
 
+// claimHeld counts grants that were reported before the server announced
+// itself to this owner.
+func (o *Owner) claimHeld(s *server) {
+	for _, g := range o.grants {
+		if g.server == nil && g.loan == nil && g.sent.Server == s.ann.Name {
+			g.sent.Address, g.sent.BootID = s.ann.Address, s.ann.BootID
+			o.occupy(g, s)
+		}
+	}
+}
+
 // rebooted makes a server cold. Requests of the earlier boot have ended there,
 // but their routers still settle them.
 func (o *Owner) rebooted(s *server) {
