--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
@@ -130,12 +132,7 @@
 }
 
 func (s *backendServer) inOrder() []*request {
-	list := make([]*request, 0, len(s.running))
-	for r := range s.running {
-		list = append(list, r)
-	}
-	sortRequests(list)
-	return list
+	return sortRequests(slices.Collect(maps.Keys(s.running)))
 }
 
 // advance moves the progress of all running requests to the present.
@@ -199,18 +196,14 @@
 	}
 	head := s.order[0]
 	left := (head.at - s.virtual) * s.perToken(len(s.running)).Seconds()
-	version, n := s.version, len(s.running)
+	version := s.version
 	s.f.after(time.Duration(math.Max(left, 0)*float64(time.Second))+time.Microsecond, func() {
 		if s.version != version || len(s.order) == 0 || s.order[0].r != head.r {
 			return
 		}
 		s.advance()
 		if s.virtual < head.at {
-			if len(s.running) != n {
-				s.schedule()
-			} else {
-				s.schedule()
-			}
+			s.schedule()
 			return
 		}
 		s.complete(head.r)
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -15,8 +16,6 @@
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
-type envelope = *apiv1.Envelope
-
 const exchangeInterval = fairshare.ExchangeInterval
 
 // policy chooses the decision code.
@@ -44,7 +43,6 @@
 	*loop
 	d        deployment
 	policy   policy
-	local    bool
 	rnd      *rand.Rand
 	routers  []*router
 	servers  map[string]*backendServer
@@ -64,7 +62,7 @@
 
 func newFleet(d deployment, p policy, seed int64) *fleet {
 	f := &fleet{
-		loop: newLoop(), d: d, policy: p, local: p != present, rnd: rand.New(rand.NewSource(seed)),
+		loop: newLoop(), d: d, policy: p, rnd: rand.New(rand.NewSource(seed)),
 		servers: map[string]*backendServer{}, pools: []string{"model", d.services}, channels: map[route]*channel{},
 		cut: map[[2]int]bool{}, split: map[route]bool{}, m: newMetrics(),
 	}
@@ -106,7 +104,7 @@
 	cfg := pool.DefaultConfig()
 	switch f.policy {
 	case firstCome:
-		return newFirstCome(epoch, f.now)
+		return newFirstCome(id, epoch, f.now)
 	case localFair:
 		cfg.Lend = false
 	}
@@ -141,8 +139,8 @@
 	return list
 }
 
-// rendezvous returns the live router with the greatest hash for the pool.
-func rendezvous(live []*router, p string) *router {
+// owner returns the live router with the greatest hash for the pool.
+func (f *fleet) owner(live []*router, p string) *router {
 	return slices.MaxFunc(live, func(a, b *router) int {
 		return cmp.Compare(xxhash.Sum64String(a.id.Name+p), xxhash.Sum64String(b.id.Name+p))
 	})
@@ -157,10 +155,13 @@
 			}
 			var live []*router
 			for _, x := range f.routersOf(dc) {
-				if x == r || f.linked(r, x) {
+				if x == r && !r.draining || f.linked(r, x) && !x.draining {
 					live = append(live, x)
 				}
 			}
+			if len(live) == 0 {
+				live = []*router{r} // nobody else can own the shards
+			}
 			r.view(live)
 		}
 	})
@@ -169,35 +170,32 @@
 // forward brings an announcement to a random router of the data centre, which
 // passes it on to the owner.
 func (f *fleet) forward(s *backendServer, a backend.Announcement) {
-	f.via(s, announcementMessage(a), func(d decider) { d.Announce(f.now, a) })
+	text, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // a fixed type always encodes
+	}
+	f.via(s, wrap(&apiv1.Announcement{Json: text}), func(d decider) { d.Announce(f.now, a) })
 }
 
 func (f *fleet) forwardEvents(s *backendServer, stored, evicted []uint64) {
-	shard := pool.ShardID{DataCentre: dcName(s.dc), Pool: s.pool}
-	f.via(s, eventsMessage(shard, s.name, stored, evicted), func(d decider) { d.CacheEvents(f.now, s.name, stored, evicted) })
+	m := &apiv1.CacheEvents{Shard: &apiv1.ShardID{DataCentre: dcName(s.dc), Pool: s.pool}, Server: s.name, Stored: stored, Evicted: evicted}
+	f.via(s, wrap(m), func(d decider) { d.CacheEvents(f.now, s.name, stored, evicted) })
 }
 
-func (f *fleet) via(s *backendServer, env envelope, deliver func(decider)) {
-	var up []*router
-	for _, r := range f.routersOf(s.dc) {
-		if r.up {
-			up = append(up, r)
-		}
-	}
-	if len(up) == 0 {
-		return
-	}
-	first := up[f.rnd.Intn(len(up))]
-	owner := first.current[s.pool]
-	if owner == nil {
-		return
+func (f *fleet) via(s *backendServer, env *apiv1.Envelope, input func(decider)) {
+	if up := f.upOf(s.dc); len(up) > 0 {
+		up[f.rnd.Intn(len(up))].toOwner(s.pool, env, input)
 	}
-	f.send(first, owner, message{env, func(to *router) {
-		if h := to.owners[s.pool]; h != nil {
-			deliver(h)
-			to.pump(h)
-		}
-	}})
+}
+
+// upOf returns the routers that the platform's balancer sends to.
+func (f *fleet) upOf(dc int) []*router {
+	return slices.DeleteFunc(f.routersOf(dc), func(r *router) bool { return !r.up || r.draining })
+}
+
+// knownOf returns the routers that did not leave gracefully.
+func (f *fleet) knownOf(dc int) []*router {
+	return slices.DeleteFunc(f.routersOf(dc), func(r *router) bool { return r.draining })
 }
 
 // setOut gives the operator's command to every router within the time that a
@@ -208,10 +206,7 @@
 		f.after(f.jitter(2*time.Second), func() {
 			r.out = out
 			for _, p := range f.pools {
-				if h := r.owners[p]; h != nil {
-					h.SetDataCentreOut(f.now, out)
-					r.pump(h)
-				}
+				r.with(p, func(d decider) { d.SetDataCentreOut(f.now, out) })
 			}
 		})
 	}
@@ -239,8 +234,7 @@
 		used += min(rate(len(s.running)), rate(bears))
 		most += rate(bears)
 	}
-	waits := f.m.waiting["model"] > 0
-	if waits {
+	if f.m.waiting["model"] > 0 {
 		f.m.used += used * d
 		f.m.most += most * d
 	}
--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -1,11 +1,12 @@
 package measure
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"time"
 
+	"google.golang.org/protobuf/reflect/protoreflect"
+
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
@@ -13,9 +14,9 @@
 type metrics struct {
 	measuring bool
 	from      time.Time
-	bytes     map[string]int // sent by each router
-	kinds     map[string]int // payload bytes by message
-	waiting   map[string]int // by pool
+	bytes     map[string]int            // sent by each router
+	kinds     map[protoreflect.Name]int // payload bytes by message
+	waiting   map[string]int            // by pool
 	used      float64
 	most      float64
 
@@ -39,13 +40,13 @@
 }
 
 func newMetrics() *metrics {
-	return &metrics{bytes: map[string]int{}, kinds: map[string]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}}
+	return &metrics{bytes: map[string]int{}, kinds: map[protoreflect.Name]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}}
 }
 
 func (m *metrics) begin(f *fleet) {
 	f.accountUse()
 	m.measuring, m.from = true, f.now
-	m.bytes, m.kinds = map[string]int{}, map[string]int{}
+	m.bytes, m.kinds = map[string]int{}, map[protoreflect.Name]int{}
 }
 
 func (m *metrics) asked(q *request) {
@@ -176,5 +177,3 @@
 	}
 	fmt.Fprintf(w, "measure %s %s %s %.4g %s target %s%.4g %s\n", g.deployment, g.scenario, g.name, g.value, g.unit, sign, g.bound, verdict)
 }
-
-func (s *backendServer) reheap() { heap.Init(&s.order) }
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -5,13 +5,15 @@
 	"strings"
 	"time"
 
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
 const (
-	// detection is the time until membership shows a lost or returned router.
+	// detection is the time until membership shows a lost router.
 	detection = 2 * time.Second
 	// gossip is the time until an ordinary membership change is known.
 	gossip = 200 * time.Millisecond
@@ -41,18 +43,18 @@
 // router is a fake of a router process: it hosts real deciders and a real
 // ledger, and keeps the requests of its callers.
 type router struct {
-	f      *fleet
-	id     pool.RouterID
-	dc     int
-	up     bool
-	ledger *fairshare.Ledger
-	owners map[string]*hosted // by pool
-	live   []*router          // of the data centre, in this router's view
-	out    bool
-
+	f        *fleet
+	id       pool.RouterID
+	dc       int
+	up       bool
+	draining bool
+	out      bool
+	ledger   *fairshare.Ledger
+	owners   map[string]*hosted // by pool
+	live     []*router          // of the data centre, in this router's view
+	current  map[string]*router // owner by pool, in this router's view
 	requests map[uint64]*request
-	sentTo   map[*router]uint64
-	current  map[string]*router // owner by pool
+	sentTo   map[*router]uint64 // version of the totals sent last
 }
 
 type hosted struct {
@@ -63,22 +65,23 @@
 }
 
 func (r *router) shard(p string) pool.ShardID {
-	return pool.ShardID{DataCentre: dcName(r.dc), Pool: p}
+	return pool.ShardID{DataCentre: r.id.DataCentre, Pool: p}
 }
 
 func (r *router) start() {
 	r.id.Incarnation++
-	r.up = true
+	r.up, r.draining, r.live = true, false, nil
 	r.ledger = fairshare.NewLedger(fairshare.Origin{Name: r.id.Name, DataCentre: r.id.DataCentre, Incarnation: r.id.Incarnation})
-	r.owners, r.requests = map[string]*hosted{}, map[uint64]*request{}
-	r.sentTo, r.current = map[*router]uint64{}, map[string]*router{}
-	r.live = nil
+	r.owners, r.current = map[string]*hosted{}, map[string]*router{}
+	r.requests, r.sentTo = map[uint64]*request{}, map[*router]uint64{}
 	boot := r.id.Incarnation
-	r.f.every(exchangeInterval-time.Duration(r.f.now.UnixNano())%exchangeInterval, exchangeInterval, func() bool {
-		if r.up && r.id.Incarnation == boot {
-			r.exchange()
+	aligned := exchangeInterval - time.Duration(r.f.now.UnixNano())%exchangeInterval
+	r.f.every(aligned, exchangeInterval, func() bool {
+		if !r.up || r.id.Incarnation != boot {
+			return false
 		}
-		return r.up && r.id.Incarnation == boot
+		r.exchange()
+		return true
 	})
 }
 
@@ -98,18 +101,12 @@
 	for _, q := range r.requests {
 		list = append(list, q)
 	}
-	sortRequests(list)
-	return list
+	return sortRequests(list)
 }
 
 // view sets the live routers of the data centre and moves shards.
 func (r *router) view(live []*router) {
-	gone := []*router{}
-	for _, x := range r.live {
-		if !slices.Contains(live, x) {
-			gone = append(gone, x)
-		}
-	}
+	gone := slices.DeleteFunc(slices.Clone(r.live), func(x *router) bool { return slices.Contains(live, x) || x.draining })
 	r.live = live
 	for _, p := range r.f.pools {
 		r.settleOwner(p, gone)
@@ -117,64 +114,59 @@
 }
 
 func (r *router) settleOwner(p string, gone []*router) {
-	owner := rendezvous(r.live, p)
+	owner := r.f.owner(r.live, p)
 	old := r.owners[p]
-	switch {
-	case owner == r && old == nil:
-		r.host(p)
-	case owner != r && old != nil:
+	if owner == r && old == nil {
+		r.f.epoch++
+		r.owners[p] = &hosted{decider: r.f.newDecider(r.shard(p), r.f.epoch, r.ledger), shard: r.shard(p)}
+		r.owners[p].SetDataCentreOut(r.f.now, r.out)
+	}
+	if owner != r && old != nil {
 		old.gone = true
 		delete(r.owners, p)
 		h := old.Handover()
 		r.pump(old)
-		r.f.send(r, owner, message{handoverMessage(h), func(to *router) {
-			if n := to.owners[p]; n != nil {
-				n.Accept(r.f.now, h)
-				to.pump(n)
-			}
-		}})
+		r.f.send(r, owner, message{peer.FromHandover(h), func(to *router) { to.with(p, func(d decider) { d.Accept(r.f.now, h) }) }})
 	}
-	if h := r.owners[p]; h != nil {
+	r.with(p, func(d decider) {
 		for _, x := range gone {
-			h.RouterGone(r.f.now, x.id)
+			d.RouterGone(r.f.now, x.id)
 		}
-		known := r.f.routersOf(r.dc)
-		h.SetKnownRouters(r.f.now, len(known), len(r.live), slices.Index(known, r))
-		r.pump(h)
-	}
+		known := r.f.knownOf(r.dc)
+		d.SetKnownRouters(r.f.now, len(known), len(r.live), slices.Index(known, r))
+	})
 	if r.current[p] != owner {
 		r.current[p] = owner
-		r.reportTo(p, owner)
+		r.reportTo(p)
+	}
+}
+
+// with runs an input of the own decider of a pool and sends what follows.
+func (r *router) with(p string, input func(decider)) {
+	if h := r.owners[p]; h != nil {
+		input(h)
+		r.pump(h)
 	}
 }
 
-func (r *router) host(p string) {
-	r.f.epoch++
-	h := &hosted{decider: r.f.newDecider(r.shard(p), r.f.epoch, r.ledger), shard: r.shard(p)}
-	r.owners[p] = h
-	if r.out {
-		h.SetDataCentreOut(r.f.now, true)
+// toOwner sends a message to the owner of the pool in the data centre.
+func (r *router) toOwner(p string, env *apiv1.Envelope, input func(decider)) {
+	if owner := r.current[p]; owner != nil {
+		r.f.send(r, owner, message{env, func(to *router) { to.with(p, input) }})
 	}
-	r.pump(h)
 }
 
 // reportTo sends held grants and waiting asks to a new owner.
-func (r *router) reportTo(p string, owner *router) {
+func (r *router) reportTo(p string) {
 	var held []pool.HeldGrant
 	for _, q := range r.open() {
-		if q.pool != p || q.state != running {
-			continue
+		if q.pool == p && q.state == running {
+			held = append(held, pool.HeldGrant{Router: r.id, GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, RequestID: q.id,
+				Server: q.grant.Server, Workspace: q.workspace.name, Class: q.class.Name, EstimateUnits: q.cost()})
 		}
-		held = append(held, pool.HeldGrant{Router: r.id, GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, RequestID: q.id,
-			Server: q.grant.Server, Workspace: q.workspace.name, Class: q.class.Name, EstimateUnits: q.cost()})
 	}
 	id := r.id
-	r.f.send(r, owner, message{heldMessage(r.shard(p), held), func(to *router) {
-		if h := to.owners[p]; h != nil {
-			h.Held(r.f.now, id, held)
-			to.pump(h)
-		}
-	}})
+	r.toOwner(p, peer.FromHeld(r.shard(p), held), func(d decider) { d.Held(r.f.now, id, held) })
 	for _, q := range r.open() {
 		if q.pool == p && q.state == waiting {
 			r.ask(q)
@@ -183,70 +175,40 @@
 }
 
 func (r *router) ask(q *request) {
-	owner := r.current[q.pool]
-	if owner == nil {
-		return
-	}
 	a := pool.Ask{Router: r.id, RequestID: q.id, Workspace: q.workspace.name, Class: q.class, Arrived: q.arrived,
 		HintUnits: q.hint, PromptUnits: uint32(q.prompt), PrefixHash: q.prefix, Avoid: q.avoid}
-	r.f.send(r, owner, message{askMessage(r.shard(q.pool), a, r.f.now.Sub(q.arrived)), func(to *router) {
-		if h := to.owners[q.pool]; h != nil {
-			h.Ask(r.f.now, a)
-			to.pump(h)
-		}
-	}})
+	r.toOwner(q.pool, peer.FromAsk(r.shard(q.pool), a, r.f.now), func(d decider) { d.Ask(r.f.now, a) })
 }
 
 func (r *router) settle(p string, s pool.Settle) {
-	owner := r.current[p]
-	if owner == nil {
-		return
-	}
-	r.f.send(r, owner, message{settleMessage(r.shard(p), s), func(to *router) {
-		if h := to.owners[p]; h != nil {
-			h.Settle(r.f.now, s)
-			to.pump(h)
-		}
-	}})
+	r.toOwner(p, wrap(peer.FromSettle(r.shard(p), s)), func(d decider) { d.Settle(r.f.now, s) })
 }
 
 // pump sends the outputs of a decider and sets its timer.
 func (r *router) pump(h *hosted) {
-	out := h.Take()
-	p := h.shard.Pool
+	out, p := h.Take(), h.shard.Pool
 	for _, g := range out.Grants {
-		g := g
-		r.toRouter(g.Router, grantMessage(h.shard, g), func(to *router) { to.granted(p, g) })
+		r.toRouter(g.Router, wrap(peer.FromGrant(h.shard, g)), func(to *router) { to.granted(p, g) })
 	}
 	for _, x := range out.Refusals {
-		x := x
-		r.toRouter(x.Router, refusalMessage(h.shard, x), func(to *router) { to.refused(x) })
+		r.toRouter(x.Router, wrap(peer.FromRefusal(h.shard, x)), func(to *router) { to.refused(x) })
 	}
 	for _, l := range out.Loans {
-		l := l
-		r.toOwner(l.To, loanMessage(l), func(d decider) { d.Loan(r.f.now, l) })
+		r.toShard(l.To, wrap(peer.FromLoan(l)), func(d decider) { d.Loan(r.f.now, l) })
 	}
 	for _, x := range out.LoanReturns {
-		x := x
-		r.toOwner(x.To, returnMessage(x), func(d decider) { d.LoanReturn(r.f.now, x) })
+		r.toShard(x.To, wrap(peer.FromLoanReturn(x)), func(d decider) { d.LoanReturn(r.f.now, x) })
 	}
 	for _, s := range out.Summaries {
-		s := s
 		for dc := range r.f.d.centres {
 			if dc != r.dc {
-				r.toOwner(pool.ShardID{DataCentre: dcName(dc), Pool: p}, summaryMessage(s), func(d decider) { d.Summary(r.f.now, clone(s)) })
+				r.toShard(pool.ShardID{DataCentre: dcName(dc), Pool: p}, wrap(peer.FromSummary(s)), func(d decider) {
+					s.Lowest = slices.Clone(s.Lowest) // each owner counts its loans there
+					d.Summary(r.f.now, s)
+				})
 			}
 		}
 	}
-	r.arm(h)
-}
-
-func clone(s pool.Summary) pool.Summary {
-	s.Lowest = slices.Clone(s.Lowest)
-	return s
-}
-
-func (r *router) arm(h *hosted) {
 	if h.gone {
 		return
 	}
@@ -260,7 +222,7 @@
 	})
 }
 
-func (r *router) toRouter(id pool.RouterID, env envelope, deliver func(*router)) {
+func (r *router) toRouter(id pool.RouterID, env *apiv1.Envelope, deliver func(*router)) {
 	for _, to := range r.f.routers {
 		if to.id == id && to.up {
 			r.f.send(r, to, message{env, deliver})
@@ -268,38 +230,36 @@
 	}
 }
 
-func (r *router) toOwner(s pool.ShardID, env envelope, deliver func(decider)) {
+func (r *router) toShard(s pool.ShardID, env *apiv1.Envelope, input func(decider)) {
 	for _, to := range r.f.routers {
 		if h := to.owners[s.Pool]; to.up && h != nil && h.shard == s {
-			r.f.send(r, to, message{env, func(to *router) {
-				if h := to.owners[s.Pool]; h != nil {
-					deliver(h)
-					to.pump(h)
-				}
-			}})
+			r.f.send(r, to, message{env, func(to *router) { to.with(s.Pool, input) }})
 		}
 	}
 }
 
 // exchange sends the changed totals to every router.
 func (r *router) exchange() {
-	if r.f.local {
-		return
-	}
 	origin := r.ledger.Origin()
 	for _, to := range r.f.routers {
-		if to == r || !r.f.linked(r, to) {
+		if to == r || r.f.policy != present {
+			continue
+		}
+		if !r.f.linked(r, to) {
 			r.sentTo[to] = 0
 			continue
 		}
-		since := r.sentTo[to]
-		totals, version := r.ledger.Changed(since)
+		full := r.sentTo[to] == 0
+		totals, version := r.ledger.Changed(r.sentTo[to])
 		r.sentTo[to] = version
 		if len(totals) == 0 {
 			continue
 		}
-		full := since == 0
 		slices.SortFunc(totals, func(a, b fairshare.Total) int { return strings.Compare(a.Workspace, b.Workspace) })
-		r.f.send(r, to, message{totalsMessage(origin, totals, full), func(to *router) { to.ledger.Merge(origin, totals, full) }})
+		m := &apiv1.Totals{Origin: peer.FromRouter(pool.RouterID(origin)), Full: full}
+		for _, t := range totals {
+			m.Totals = append(m.Totals, &apiv1.WorkspaceTotal{Workspace: t.Workspace, Units: t.Units})
+		}
+		r.f.send(r, to, message{wrap(m), func(to *router) { to.ledger.Merge(origin, totals, full) }})
 	}
 }
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -1,13 +1,13 @@
 package measure
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
-	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
 const (
@@ -83,8 +83,9 @@
 	startTokens float64
 }
 
-func sortRequests(list []*request) {
+func sortRequests(list []*request) []*request {
 	slices.SortFunc(list, func(a, b *request) int { return int(a.id) - int(b.id) })
+	return list
 }
 
 func (q *request) cost() uint64 { return q.work.cost(q.prompt, q.tokens) }
@@ -159,11 +160,7 @@
 func (w *workspace) entry() *router {
 	var up []*router
 	for _, dc := range w.centres {
-		for _, r := range w.f.routersOf(dc) {
-			if r.up {
-				up = append(up, r)
-			}
-		}
+		up = append(up, w.f.upOf(dc)...)
 	}
 	if len(up) == 0 {
 		return nil
@@ -226,7 +223,6 @@
 	r.f.m.refused(q, x)
 	q.end()
 	q.workspace.again(x.RetryAfter)
-	_ = result.OK
 }
 
 func (q *request) firstToken() {
@@ -291,11 +287,7 @@
 	delete(s.running, q)
 	for i, x := range s.order {
 		if x.r == q {
-			s.order[i].r = nil
-			last := len(s.order) - 1
-			s.order[i] = s.order[last]
-			s.order = s.order[:last]
-			s.reheap()
+			heap.Remove(&s.order, i)
 			break
 		}
 	}
