--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
 const (
@@ -125,7 +126,7 @@
 	s.version++
 	for _, r := range s.inOrder() {
 		r := r
-		s.f.after(s.f.delay(s.dc, r.router.dc), func() { r.broken() })
+		s.f.after(s.f.delay(s.dc, r.router.dc), func() { r.broken(pool.OutcomeBroken) })
 	}
 	s.running = map[*request]bool{}
 	s.f.after(restartTime, func() { s.start(true) })
@@ -164,6 +165,7 @@
 	s.total++
 	if s.coldCap > 0 && len(s.running) > s.coldCap {
 		s.f.m.coldOverloads++
+		s.f.m.cut += len(s.running) // cut by a decision of the fleet
 		s.crash()
 		return
 	}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -201,7 +201,14 @@
 // setOut gives the operator's command to every router within the time that a
 // configuration change takes to spread.
 func (f *fleet) setOut(dc int, out bool) {
-	f.m.outSince, f.m.outDC, f.m.isOut = f.now, dc, out
+	f.m.outDC, f.m.isOut = dc, out
+	for name, s := range f.servers {
+		if s.dc == dc && out {
+			f.m.leftAt[name] = f.now
+		} else if s.dc == dc {
+			delete(f.m.leftAt, name)
+		}
+	}
 	for _, r := range f.routersOf(dc) {
 		f.after(f.jitter(2*time.Second), func() {
 			r.out = out
--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -20,19 +20,17 @@
 	used      float64
 	most      float64
 
-	strict, met    int // classes that may not wait
-	refusals       map[string]int
-	served         int
-	broken         int
-	cut            int
-	lostWithRouter int
-	coldOverloads  int
-	hits, lookups  int
-	maxWaitSmall   time.Duration
+	strict, met   int // classes that may not wait
+	refusals      map[string]int
+	served        int
+	cut           int
+	coldOverloads int
+	hits, lookups int
+	maxWaitSmall  time.Duration
 
 	isOut       bool
 	outDC       int
-	outSince    time.Time
+	leftAt      map[string]time.Time // servers that may receive no new work
 	lastNewWork time.Duration
 	lateNewWork int
 	missed      map[string]int
@@ -40,7 +38,7 @@
 }
 
 func newMetrics() *metrics {
-	return &metrics{bytes: map[string]int{}, kinds: map[protoreflect.Name]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}}
+	return &metrics{bytes: map[string]int{}, kinds: map[protoreflect.Name]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}, leftAt: map[string]time.Time{}}
 }
 
 func (m *metrics) begin(f *fleet) {
@@ -61,8 +59,8 @@
 	if w := q.f.now.Sub(q.arrived); m.measuring && q.workspace.small {
 		m.maxWaitSmall = max(m.maxWaitSmall, w)
 	}
-	if m.isOut && q.server.dc == m.outDC {
-		after := q.f.now.Sub(m.outSince)
+	if since, out := m.leftAt[q.server.name]; out {
+		after := q.f.now.Sub(since)
 		m.lastNewWork = max(m.lastNewWork, after)
 		if after > 3*time.Second {
 			m.lateNewWork++
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -22,6 +22,7 @@
 // decider is a pool.Owner or a baseline.
 type decider interface {
 	Ask(time.Time, pool.Ask)
+	Cancel(now time.Time, r pool.RouterID, requestID uint64)
 	Settle(time.Time, pool.Settle)
 	Announce(time.Time, backend.Announcement)
 	Held(time.Time, pool.RouterID, []pool.HeldGrant)
@@ -96,6 +97,43 @@
 	}
 }
 
+// drain stops the router gracefully: it refuses what waits, others own its
+// shards, and it ends when its last answer is whole. A router that still has
+// open answers after a minute cuts them off.
+func (r *router) drain() {
+	r.draining = true
+	for _, q := range r.open() {
+		if q.state == waiting {
+			m := &apiv1.Cancel{Shard: peer.FromShard(r.shard(q.pool)), RequestId: q.id}
+			r.toOwner(q.pool, wrap(m), func(d decider) { d.Cancel(r.f.now, r.id, q.id) })
+			r.f.m.waiting[q.pool]--
+			q.end()
+			q.workspace.again(time.Second)
+		}
+	}
+	r.f.membership(r.dc, gossip)
+	boot := r.id.Incarnation
+	r.f.after(time.Minute, func() {
+		if r.up && r.id.Incarnation == boot {
+			r.f.m.cut += len(r.requests)
+			r.stop()
+		}
+	})
+}
+
+func (r *router) stopIfDrained() {
+	if r.up && r.draining && len(r.requests) == 0 {
+		r.f.after(gossip, r.stop)
+	}
+}
+
+// stop ends a drained router and starts it again.
+func (r *router) stop() {
+	if r.up && r.draining {
+		r.f.restart(r, 3*time.Second, gossip)
+	}
+}
+
 func (r *router) open() []*request {
 	list := make([]*request, 0, len(r.requests))
 	for _, q := range r.requests {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -196,9 +196,9 @@
 	r.atLeast("utilisation", f.m.utilisation(), "share", minUtilisation)
 }
 
-func (f *fleet) restart(r *router, down time.Duration) {
+func (f *fleet) restart(r *router, down, noticed time.Duration) {
 	r.kill()
-	f.membership(r.dc, detection)
+	f.membership(r.dc, noticed)
 	f.after(down, func() {
 		r.start()
 		f.membership(r.dc, gossip)
@@ -243,8 +243,8 @@
 		}},
 		{"router_restart", func(f *fleet) {
 			f.backlog(false, backlogOpen)
-			f.after(mid, func() { f.restart(f.routers[0], 8*time.Second) })
-			f.after(mid+40*time.Second, func() { f.restart(f.routers[len(f.routers)-1], 3*time.Second) })
+			f.after(mid, f.routers[0].drain)
+			f.after(mid+90*time.Second, func() { f.restart(f.routers[len(f.routers)-1], 3*time.Second, detection) })
 		}, func(f *fleet, r *report2) {
 			r.common(f)
 			r.fairness(f)
@@ -274,6 +274,7 @@
 		{"centre_out", func(f *fleet) {
 			f.spread(0.55)
 			f.after(mid, func() { f.setOut(1, true) })
+			f.after(mid+30*time.Second, func() { f.leave("engine-a0") })
 			f.after(mid+60*time.Second, func() {
 				f.setOut(1, false)
 				for _, name := range f.names {
@@ -290,7 +291,7 @@
 		}},
 		{"two_faults", func(f *fleet) {
 			f.backlog(true, backlogOpen)
-			f.after(mid, func() { f.restart(f.routers[0], 8*time.Second) })
+			f.after(mid, func() { f.restart(f.routers[0], 8*time.Second, detection) })
 			f.after(mid+time.Second, func() { f.servers["engine-a0"].coldReturn() })
 			f.after(mid+90*time.Second, func() { f.cutOff(1, true) })
 			f.after(mid+92*time.Second, func() { f.servers["engine-b0"].coldReturn() })
@@ -299,6 +300,18 @@
 	}
 }
 
+// leave makes a server announce its end and stop when it is empty.
+func (f *fleet) leave(name string) {
+	s := f.servers[name]
+	s.leaving = true
+	s.announce()
+	f.m.leftAt[name] = f.now
+	f.every(time.Second, time.Second, func() bool {
+		s.up = len(s.running) > 0
+		return s.up
+	})
+}
+
 func (f *fleet) cutOff(dc int, cut bool) {
 	for other := range f.d.centres {
 		if other == dc {
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -234,6 +234,7 @@
 func (q *request) end() {
 	q.state = ended
 	delete(q.router.requests, q.id)
+	q.router.stopIfDrained()
 }
 
 // done is the end of a whole answer.
@@ -241,6 +242,10 @@
 	if q.state != running {
 		return
 	}
+	if !q.f.reach(q.router.dc, q.server.dc) { // the rest of the answer is lost
+		q.f.after(q.class.ProgressTimeout, func() { q.broken(pool.OutcomeSilent) })
+		return
+	}
 	s := pool.Settle{GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, Outcome: pool.OutcomeOK, CostUnits: q.cost()}
 	if !q.work.service {
 		s.FirstToken = q.first.Sub(q.dispatched)
@@ -254,13 +259,12 @@
 	q.workspace.again(0)
 }
 
-// broken is a dropped connection.
-func (q *request) broken() {
+// broken is the end of an answer that is not whole.
+func (q *request) broken(outcome pool.Outcome) {
 	if q.state != running {
 		return
 	}
-	q.router.settle(q.pool, pool.Settle{GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, Outcome: pool.OutcomeBroken})
-	q.f.m.broken++
+	q.router.settle(q.pool, pool.Settle{GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, Outcome: outcome})
 	q.end()
 	q.workspace.again(0)
 }
@@ -270,11 +274,8 @@
 	q.f.accountUse()
 	if q.state == waiting {
 		q.f.m.waiting[q.pool]--
-	} else {
-		q.f.m.lostWithRouter++
-		if s := q.server; s != nil && s.running[q] {
-			s.abandon(q)
-		}
+	} else if s := q.server; s.running[q] {
+		s.abandon(q)
 	}
 	q.end()
 	q.workspace.again(time.Second)
