Keep a partly used limit from drifting past the knee

Cause: the limit of an engine without announced slots rose while only part of it was in use; the first burst filled it and every answer was slow for a minute. Change: the limit rises only if the intervals, grown in proportion to the use, would stay within the target at the next limit; half of eight samples slow are enough to lower it, starting from the slots in use; the knee is looked for before the target.

--- a/internal/measure/cmd/main.go
+++ b/internal/measure/cmd/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -12,9 +13,10 @@
 
 func main() {
 	scenario := kingpin.Flag("scenario", "Run only this scenario.").String()
+	seed := kingpin.Flag("seed", "Seed of the random input.").Default(strconv.Itoa(measure.DefaultSeed)).Int64()
 	detail := kingpin.Flag("detail", "Print what the figures are made of.").Bool()
 	kingpin.Parse()
-	if !measure.Run(os.Stdout, *scenario, *detail) {
+	if !measure.Run(os.Stdout, *scenario, *seed, *detail) {
 		os.Exit(1)
 	}
 }
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -16,7 +16,8 @@
 	warmUp     = 300 * time.Second
 	runTime    = 240 * time.Second
 	workspaces = 16
-	seed       = 20_240_817
+	// DefaultSeed is the seed of the random input.
+	DefaultSeed = 20_240_817
 
 	// Bounds, from section 1.2 of the design page.
 	minUtilisation = 0.97
@@ -323,21 +324,21 @@
 
 // Run prints the figures of every scenario and reports whether all are within
 // their bounds.
-func Run(w io.Writer, only string, detail bool) bool {
+func Run(w io.Writer, only string, seed int64, detail bool) bool {
 	ok := true
 	for _, d := range []deployment{samtryck(), cooperative()} {
 		for _, s := range scenarios() {
 			if only != "" && only != s.name {
 				continue
 			}
-			f := run(d, s, present)
+			f := run(d, s, present, seed)
 			if detail {
 				f.detail(w)
 			}
 			r := &report2{d: d.name, s: s.name}
 			s.lines(f, r)
 			if s.name == "skewed" {
-				base := run(d, s, localFair)
+				base := run(d, s, localFair, seed)
 				r.atLeast("fairness_gap_ratio", base.m.gap(numbers(workspaces))/f.m.gap(numbers(workspaces)), "times", gapFactor)
 			}
 			for _, g := range r.figures {
@@ -349,7 +350,7 @@
 	return ok
 }
 
-func run(d deployment, s scenario, p policy) *fleet {
+func run(d deployment, s scenario, p policy, seed int64) *fleet {
 	f := newFleet(d, p, seed)
 	s.setup(f)
 	f.begin()
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -367,22 +367,29 @@
 }
 
 // next returns the limit of the next ramp step. Near a limit at which the
-// server failed before, the ramp adds one slot at a time.
-func (l *Limiter) next() float64 {
+// server failed before, the ramp adds one slot at a time. Token intervals grow
+// at most like the use, so the step ends where the target would be passed.
+func (l *Limiter) next(now time.Time) float64 {
 	if l.failedAt > 0 && l.limit*rampGrowth >= cautionPart*l.failedAt {
 		return l.limit + 1
 	}
-	growth := rampGrowth
+	limit := max(math.Floor(l.limit*rampGrowth), l.limit+1)
+	use := l.meanUse(now)
+	least := l.limit
+	if use >= fullUse*l.limit {
+		least++ // one slot more is always worth a try
+	}
 	if p := l.pressure(); p > 0 {
-		growth = min(growth, aimPressure/p) // intervals grow at most like the limit
+		limit = min(limit, max(use*aimPressure/p, least))
 	}
-	return max(math.Floor(l.limit*growth), l.limit+1)
+	return limit
 }
 
 // ramp raises the limit of a cold server after as many successes as the limit,
 // and not sooner than rampInterval after the last step.
 func (l *Limiter) ramp(now time.Time) {
-	if l.completions < int(l.limit) || now.Sub(l.stepped) < rampInterval || !l.used() {
+	crowded := l.crowded()
+	if !crowded && (l.completions < int(l.limit) || now.Sub(l.stepped) < rampInterval || !l.used()) {
 		return
 	}
 	if l.most == MaxLimit && l.timed < minWindow && l.intervalSum > 0 {
@@ -392,11 +399,14 @@
 		l.settleAt(now, enough)
 		return
 	}
-	if l.samples > 0 && l.pressure() >= aimPressure {
+	if crowded {
+		l.cut()
+	}
+	if crowded || l.samples > 0 && l.pressure() >= aimPressure {
 		l.warm(now)
 		return
 	}
-	l.limit = min(l.next(), float64(l.most))
+	l.limit = min(l.next(now), float64(l.most))
 	if int(l.limit) >= l.most {
 		l.warm(now)
 		return
@@ -424,25 +434,55 @@
 
 // adjust is the additive increase and multiplicative decrease of a warm server.
 func (l *Limiter) adjust(now time.Time) {
-	if l.samples < max(minWindow, int(l.limit/2)) {
+	if l.samples < max(minWindow, int(l.limit/2)) && !l.crowded() {
 		return
 	}
 	enough, past := l.pastKnee(now)
 	l.hold = max(l.hold-1, 0)
 	switch {
-	case l.congested():
-		cut := min(max(1/l.pressure(), minCut), maxCut)
-		l.limit = max(l.limit*cut, 1)
 	case past:
 		l.settleAt(now, enough)
 		return
-	case l.used() && l.hold == 0 && l.pressure() < aimPressure:
+	case l.congested():
+		l.cut()
+	case l.used() && l.hold == 0 && l.pressure() < aimPressure && l.fits(now):
 		l.limit = min(l.limit+l.increase(), float64(l.most))
 	}
 	l.restartStep(now)
 	l.restartWindow(now)
 }
 
+// fits reports whether a full limit after the next step would stay within the
+// target. Token intervals grow at most like the use, up to the knee. Without
+// this rule a limit that is partly used drifts past the knee, and the first
+// burst slows every answer.
+func (l *Limiter) fits(now time.Time) bool {
+	use := l.meanUse(now)
+	return l.timed == 0 || use >= fullUse*l.limit || l.pressure()*(l.limit+l.increase()) < use
+}
+
+// meanUse returns the mean number of slots in use in the window.
+func (l *Limiter) meanUse(now time.Time) float64 {
+	l.integrate(now)
+	if span := now.Sub(l.windowFrom).Seconds(); span > 0 {
+		return l.area / span
+	}
+	return float64(l.inFlight)
+}
+
+// crowded reports whether so many samples are slow that the limit falls before
+// the window is full.
+func (l *Limiter) crowded() bool {
+	return l.samples >= 2*minWindow && 2*l.slow >= l.samples && l.congested()
+}
+
+// cut lowers the limit by the pressure. It starts from the slots that were in
+// use: a limit above them had no part in the pressure.
+func (l *Limiter) cut() {
+	part := min(max(1/l.pressure(), minCut), maxCut)
+	l.limit = max(min(l.limit, float64(l.peakUse))*part, 1)
+}
+
 // increase returns the additive step: one slot near the target or once the
 // knee was seen, an eighth of the limit far below.
 func (l *Limiter) increase() float64 {
