--- /dev/null
+++ b/pkg/router/bench_test.go
@@ -0,0 +1,186 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
+	"jackdawtrack.example/jackdawtrack/pkg/standin"
+)
+
+const benchSlots = 4096
+
+// warm gives the owner the full limit of a server, which it reaches in service
+// only after a ramp.
+func (f *fleet) warm(b testing.TB, name string) {
+	a, ok := f.router.servers.holder(time.Now(), name)
+	assert.Assert(b, ok)
+	text, err := json.Marshal(a)
+	assert.NilError(b, err)
+	h := pool.Handover{Shard: f.router.shardOf(a.Pool), Servers: []pool.ServerState{{Announcement: text, Limit: benchSlots}}}
+	f.router.atShard(h.Shard, func(now time.Time, o *pool.Owner) { o.Accept(now, h) })
+}
+
+func benchClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchSlots, DisableCompression: true}}
+}
+
+func (f *fleet) to(b testing.TB, base string, tokens int) *http.Request {
+	req := f.request(b, http.MethodPost, chatPath, "chat", chatBody(tokens), proxy.HeaderRequestID, "bench")
+	if base != "" {
+		direct, err := http.NewRequest(http.MethodPost, base+chatPath, strings.NewReader(chatBody(tokens)))
+		assert.NilError(b, err)
+		direct.Header = req.Header
+		return direct
+	}
+	return req
+}
+
+// firstByte returns the time to the first byte of a stream.
+func firstByte(b testing.TB, c *http.Client, req *http.Request) time.Duration {
+	began := time.Now()
+	resp, err := c.Do(req)
+	assert.NilError(b, err)
+	defer resp.Body.Close()
+	var one [1]byte
+	_, err = io.ReadFull(resp.Body, one[:])
+	assert.NilError(b, err)
+	took := time.Since(began)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(b, err)
+	return took
+}
+
+// openStreams holds n streams open until the returned function ends them.
+func (f *fleet) openStreams(b testing.TB, c *http.Client, base string, n int) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running, started sync.WaitGroup
+	started.Add(n)
+	for range n {
+		running.Go(func() {
+			resp, err := c.Do(f.to(b, base, 20000).WithContext(ctx))
+			if err != nil || resp.StatusCode != http.StatusOK {
+				b.Errorf("stream not open: %v", err)
+				started.Done()
+				return
+			}
+			defer resp.Body.Close()
+			in := bufio.NewReader(resp.Body)
+			_, _ = in.ReadString('\n')
+			started.Done()
+			_, _ = io.Copy(io.Discard, in)
+		})
+	}
+	started.Wait()
+	return func() { cancel(); running.Wait() }
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// BenchmarkStreams compares the first byte through a router with the first
+// byte of the same stand-in called directly while streams are open, and the
+// memory that an open stream takes with and without the router.
+func BenchmarkStreams(b *testing.B) {
+	for _, open := range []int{1, 100, 2000} {
+		b.Run(fmt.Sprint(open), func(b *testing.B) {
+			f := newFleet(b, nil)
+			direct := "http://" + f.standIn(b, standin.ServerSettings{
+				Name: "s1", Kind: backend.Engine, Pool: "p", Slots: benchSlots, Knee: benchSlots,
+				Prefill: settings.Duration(time.Microsecond), TokenInterval: settings.Duration(250 * time.Millisecond),
+			})
+			f.warm(b, "s1")
+			c := benchClient()
+			before := memoryInUse()
+			end := f.openStreams(b, c, direct, open)
+			without := float64(memoryInUse()-before) / float64(open)
+			end()
+			c.CloseIdleConnections()
+			before = memoryInUse()
+			end = f.openStreams(b, c, "", open)
+			with := float64(memoryInUse()-before) / float64(open)
+			var routed, straight []time.Duration
+			for b.Loop() {
+				straight = append(straight, firstByte(b, c, f.to(b, direct, 1)))
+				routed = append(routed, firstByte(b, c, f.to(b, "", 1)))
+			}
+			end()
+			slices.Sort(straight)
+			slices.Sort(routed)
+			s, r := straight[len(straight)/2], routed[len(routed)/2]
+			b.ReportMetric(float64((r-s).Microseconds())/1000, "added-ms/first-byte")
+			b.ReportMetric(float64(r)/float64(s), "ratio-first-byte")
+			b.ReportMetric((with-without)/1024, "router-KB/stream")
+			b.ReportMetric(without/1024, "direct-KB/stream")
+		})
+	}
+}
+
+// BenchmarkShortRequests compares short requests through one router with the
+// same requests sent directly.
+func BenchmarkShortRequests(b *testing.B) {
+	f := newFleet(b, nil)
+	s := newRawServer(b, answer200)
+	f.announceRaw(b, "s1", s, backend.Abilities{})
+	f.warm(b, "s1")
+	c := benchClient()
+	const callers = 64
+	const span = 2 * time.Second
+	rate := func(base string) float64 {
+		var count atomic.Int64
+		var all sync.WaitGroup
+		deadline := time.Now().Add(span)
+		for range callers {
+			all.Go(func() {
+				for time.Now().Before(deadline) {
+					req := f.request(b, http.MethodPost, "/services/p/x", "chat", "{}", proxy.HeaderRequestID, "bench")
+					if base != "" {
+						req.URL.Host = base
+					}
+					resp, err := c.Do(req)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode == http.StatusOK {
+						count.Add(1)
+					}
+				}
+			})
+		}
+		all.Wait()
+		return float64(count.Load()) / span.Seconds()
+	}
+	for b.Loop() {
+		straight := rate(s.addr)
+		// Announcements have to be fresh while the router is measured.
+		f.announceRaw(b, "s1", s, backend.Abilities{})
+		routed := rate("")
+		b.ReportMetric(routed, "routed-requests/s")
+		b.ReportMetric(straight, "direct-requests/s")
+		b.ReportMetric(routed/straight, "ratio")
+	}
+}
