--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -310,7 +310,7 @@
 
 // Run prints the figures of every scenario and reports whether all are within
 // their bounds.
-func Run(w io.Writer, only string) bool {
+func Run(w io.Writer, only string, detail bool) bool {
 	ok := true
 	for _, d := range []deployment{samtryck(), cooperative()} {
 		for _, s := range scenarios() {
@@ -318,7 +318,9 @@
 				continue
 			}
 			f := run(d, s, present)
-			f.debugEnd()
+			if detail {
+				f.detail(w)
+			}
 			r := &report2{d: d.name, s: s.name}
 			s.lines(f, r)
 			if s.name == "skewed" {
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 )
 
-// borrowerLost is the silence after which nobody is expected to return the
-// slots of a loan. Load reports then show when they are free.
-const borrowerLost = 3 * summaryMaxAge
-
 // peer is an owner of the same pool in another data centre.
 type peer struct {
 	summary Summary
@@ -173,10 +170,15 @@
 		}
 		o.grantOn(w, nil, &borrowed{loan: l})
 	}
-	// The answer also confirms the slots that are in use.
-	o.outbox.LoanReturns = append(o.outbox.LoanReturns, LoanReturn{
-		From: o.id, To: l.From, LoanID: l.LoanID, Epoch: l.Epoch, Unused: l.Slots - used,
-	})
+	// The answer also confirms the slots that are in use. A confirmation
+	// alone can wait for the next summary; unused slots cannot.
+	r := LoanReturn{From: o.id, To: l.From, LoanID: l.LoanID, Epoch: l.Epoch, Unused: l.Slots - used}
+	o.loansSince += used
+	if r.Unused > 0 {
+		o.outbox.LoanReturns = append(o.outbox.LoanReturns, r)
+	} else {
+		o.acks = append(o.acks, r)
+	}
 	o.dispatch()
 }
 
@@ -242,7 +244,9 @@
 func (o *Owner) lapse() {
 	for id, l := range o.lent {
 		p := o.peers[l.loan.To]
-		lost := p != nil && o.now.Sub(p.heard) >= borrowerLost
+		// A silent borrower may be gone; load reports then show when its
+		// slots are free.
+		lost := p != nil && !o.fresh(p)
 		if lost || !l.acked && o.now.Sub(l.given) >= 2*o.cfg.LoanTTL {
 			o.orphanLoan(id, l)
 		}
@@ -258,6 +262,28 @@
 	}
 }
 
+// findLeak ends the oldest loan of a server when many load reports in a row
+// show fewer requests than are counted.
+func (o *Owner) findLeak(s *server, running int) {
+	if running >= s.limit.State().InFlight {
+		s.emptier = 0
+		return
+	}
+	if s.emptier++; s.emptier < leakReports {
+		return
+	}
+	s.emptier = 0
+	var oldest *lent
+	for _, l := range o.lent {
+		if l.server == s && (oldest == nil || l.loan.LoanID < oldest.loan.LoanID) {
+			oldest = l
+		}
+	}
+	if oldest != nil && o.now.Sub(oldest.given) > leakReports*backend.AnnounceInterval {
+		o.orphanLoan(oldest.loan.LoanID, oldest)
+	}
+}
+
 func (o *Owner) orphanLoan(id uint64, l *lent) {
 	l.server.orphans += int(l.open)
 	l.server.orphaned = o.now
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -66,25 +66,30 @@
 	freeGrant []*grant
 	lastGrant uint64
 
-	servers   map[string]*server
-	numbered  []*server // by number
-	laneSlots []int     // usable slots per lane
-	lanes     []serverHeap
-	laneOf    map[string]int
-	prefixes  prefixTable
-	out       bool
-	departed  map[string]bool
-	known     int
-	live      int
-	rank      int
-	inFlight  int // on own servers
-	stats     stats
-	peers     map[ShardID]*peer
-	lent      map[uint64]*lent
-	lastLoan  uint64
-	summaryAt time.Time // last summary
-	firstPeer bool      // a summary has been received
-	swept     time.Time // last housekeeping
+	servers     map[string]*server
+	numbered    []*server // by number
+	laneSlots   []int     // usable slots per lane
+	lanes       []serverHeap
+	laneOf      map[string]int
+	prefixes    prefixTable
+	out         bool
+	departed    map[string]bool
+	known       int
+	live        int
+	rank        int
+	inFlight    int // on own servers
+	stats       stats
+	reported    map[RouterID]bool // routers that listed their grants
+	peers       map[ShardID]*peer
+	lent        map[uint64]*lent
+	lastLoan    uint64
+	summaryAt   time.Time // last time a summary was considered
+	summarySent time.Time
+	lastSummary Summary
+	loansSince  uint32       // loans used since the last summary
+	acks        []LoanReturn // confirmations that leave with the next summary
+	firstPeer   bool         // a summary has been received
+	swept       time.Time    // last housekeeping
 
 	laneUsable func(int) bool
 	now        time.Time // of the present input
@@ -113,6 +118,7 @@
 		departed:  map[string]bool{},
 		known:     1,
 		live:      1,
+		reported:  map[RouterID]bool{},
 		peers:     map[ShardID]*peer{},
 		lent:      map[uint64]*lent{},
 	}
@@ -273,12 +279,13 @@
 // load report shows that they ended.
 func (o *Owner) RouterGone(now time.Time, router RouterID) {
 	o.now = now
+	delete(o.reported, router)
 	for _, w := range o.waiting {
 		if w.ask.Router == router {
 			o.drop(w)
 		}
 	}
-	for _, g := range o.grants {
+	for _, g := range o.sortedGrants() {
 		if g.request.router == router {
 			o.orphan(g)
 		}
