Add status, watch, why and the burn report to jackdawctl

Operators could not see whether a data centre was out at the routers, why a request went where it went, or how fast a class burns its error budget.

--- /dev/null
+++ b/pkg/cli/admin_test.go
@@ -0,0 +1,89 @@
+package cli
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"encoding/json"
+
+	"jackdawtrack.example/jackdawtrack/pkg/burn"
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/router"
+)
+
+// fakeRouter answers the admin paths of one router at a revision.
+func fakeRouter(t *testing.T, name string, revision uint64, met bool) string {
+	t.Helper()
+	now := time.Now()
+	recorder := burn.NewRecorder(name, now.Add(-time.Hour))
+	sample := burn.Sample{Class: class.Class{Name: "chat", FirstToken: time.Second}.Normalize(), Workspace: "w", FirstByte: time.Millisecond}
+	if !met {
+		sample.Code = result.TargetUnreachable
+	}
+	recorder.Record(now, sample)
+	mux := http.NewServeMux()
+	reply := func(w http.ResponseWriter, v any) { assert.Check(t, json.NewEncoder(w).Encode(v)) }
+	mux.HandleFunc("GET /v1/admin/status", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, router.Status{Name: name, Revision: revision})
+	})
+	mux.HandleFunc("GET /v1/admin/burn", func(w http.ResponseWriter, _ *http.Request) {
+		r, err := recorder.Report(now)
+		assert.Check(t, err)
+		reply(w, r)
+	})
+	mux.HandleFunc("GET /v1/admin/requests/{id}", func(w http.ResponseWriter, in *http.Request) {
+		if in.PathValue("id") != name+"-1" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		reply(w, router.Decision{ID: name + "-1", Attempts: []router.Attempt{{Server: "s1"}}})
+	})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against a data centre reported as out while a router has not applied
+// it, as in a data centre that is cut off.
+func TestDataCentreOutIsConfirmedByRouters(t *testing.T) {
+	f := startFleet(t)
+	current := fakeRouter(t, "r1", 1<<20, true)
+	behind := fakeRouter(t, "r2", 0, true)
+	code, out, _ := f.run("", "datacentre", "out", "north", "--admin", current)
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(out, "in force at 1 of 1 routers"), out)
+	code, _, errs := f.run("", "datacentre", "in", "north", "--admin", current, "--admin", behind, "--timeout", "1s")
+	assert.Equal(t, code, ExitUnreachable)
+	assert.Assert(t, strings.Contains(errs, "not confirmed by "+behind), errs)
+	assert.Assert(t, strings.Contains(errs, "--router ADMIN-ADDRESS"), errs)
+}
+
+// Guards against a report that leaves out a router without saying so, and a
+// decision that is not found because another router holds it.
+func TestReportAndWhyAskAllRouters(t *testing.T) {
+	f := startFleet(t)
+	a, b := fakeRouter(t, "r1", 1, true), fakeRouter(t, "r2", 1, false)
+	page := filepath.Join(t.TempDir(), "burn.html")
+	code, out, _ := f.run("", "report", "burn", "--page", page, "--admin", a, "--admin", b, "--admin", "127.0.0.1:1")
+	assert.Equal(t, code, ExitOK)
+	for _, want := range []string{"50.00%", "refusal", "missing: router 127.0.0.1:1"} {
+		assert.Assert(t, strings.Contains(out, want), "%s: %s", want, out)
+	}
+	html, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(html), "<svg"))
+
+	code, out, _ = f.run("", "why", "r2-1", "--admin", a, "--admin", b)
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(out, "s1"), out)
+	code, _, _ = f.run("", "why", "r3-1", "--admin", a, "--admin", b)
+	assert.Equal(t, code, ExitRefused)
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -48,12 +48,14 @@
 	ctx context.Context
 
 	control   []string
+	routers   []string // admin addresses
 	operator  string
 	keyFile   string
 	timeout   time.Duration
 	output    string
 	revision  uint64
 	commandID string
+	made      uint64 // revision that this command made
 	tls       controlclient.TLSFiles
 
 	client *controlclient.Client
@@ -122,6 +124,7 @@
 	c.app.Terminate(func(code int) { panic(exit{code}) })
 	c.app.Flag("control", "Control host, IP and port; may be repeated.").Envar("JACKDAWTRACK_CONTROL").
 		Default(defaultControl).StringsVar(&c.control)
+	c.app.Flag("admin", "Admin address of a router, IP and port; may be repeated.").Envar("JACKDAWTRACK_ADMIN").StringsVar(&c.routers)
 	c.app.Flag("operator", "Name of the operator.").Envar("JACKDAWTRACK_OPERATOR").StringVar(&c.operator)
 	c.app.Flag("key-file", "File with the operator's key, mode 0600.").Envar("JACKDAWTRACK_KEY_FILE").StringVar(&c.keyFile)
 	c.app.Flag("timeout", "Longest time for the command.").Default(defaultTimeout.String()).DurationVar(&c.timeout)
@@ -138,7 +141,10 @@
 	c.addDataCentre()
 	c.addServer()
 	c.addMember()
-	c.action(c.app.Command("status", "Show the control hosts."), c.status)
+	c.action(c.app.Command("status", "Show the control hosts and the routers named by --admin."), c.status)
+	c.addWatch()
+	c.addWhy()
+	c.addReport()
 	c.addCompletion()
 }
 
--- a/pkg/cli/datacentre.go
+++ b/pkg/cli/datacentre.go
@@ -52,10 +52,13 @@
 		return c.markAtRouter(ctx, name, state, router)
 	}
 	err := c.submit(ctx, 0, nil, catalog.DataCentreChange(d))
-	if code, ok := result.CodeOf(err); err == nil && c.output == "table" {
-		fmt.Fprintf(c.Out, "Routers that reach control apply it within 3 s.\n")
+	if err == nil && len(c.routers) > 0 {
+		err = c.confirm(ctx)
+	} else if err == nil && c.output == "table" {
+		fmt.Fprintf(c.Out, "Routers that reach control apply it within 3 s; name them with --admin to see it confirmed.\n")
 		c.hintRouter(c.Out, name, state)
-	} else if ok && code == result.NoQuorum {
+	}
+	if code, _ := result.CodeOf(err); code == result.NoQuorum || code == result.ControlUnavailable {
 		c.hintRouter(c.Err, name, state)
 	}
 	return err
--- a/pkg/cli/member.go
+++ b/pkg/cli/member.go
@@ -130,8 +130,11 @@
 		answered++
 		t.add(address, s.GetId(), s.GetLeader(), s.GetTerm(), s.GetCommit(), s.GetApplied(), s.GetRevision(), s.GetIdempotencyRecords(), "")
 	}
-	if answered == 0 {
+	if answered == 0 && len(c.routers) == 0 {
 		return err
 	}
-	return c.print(t)
+	if err := c.print(t); err != nil || len(c.routers) == 0 {
+		return err
+	}
+	return c.fleetStatus(ctx)
 }
--- a/pkg/cli/output.go
+++ b/pkg/cli/output.go
@@ -62,6 +62,7 @@
 // done prints the outcome of a command that was applied. secrets are printed
 // once; the fleet keeps only their hashes.
 func (c *CLI) done(out *apiv1.SubmitResponse, secrets []string) error {
+	c.made = out.GetRevision()
 	if c.output == "json" {
 		v := map[string]any{"revision": out.GetRevision(), "command_id": c.commandID, "repeated": out.GetRepeatedCommand()}
 		if out.GetMessage() != "" {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -185,12 +185,12 @@
 load=$!
 pids+=("$load")
 sleep "$out_after"
-ctl datacentre out south
+ctl datacentre out south --admin "$north_admin" --admin "$south_admin"
 sleep "$out_limit"
 out_from=$(date -u +%Y-%m-%dT%H:%M:%S.%N)
 sleep $((in_after - out_after - out_limit))
 out_to=$(date -u +%Y-%m-%dT%H:%M:%S.%N)
-ctl datacentre in south
+ctl datacentre in south --admin "$north_admin" --admin "$south_admin"
 status=0
 wait "$load" || status=$?
 
@@ -203,6 +203,8 @@
 	server ~ /south/ && start > from && start < to { late++ }
 	END { print late + 0 }' "$folder/executions")
 echo "executions in south between $out_limit s after it went out and its return: $late"
+echo "== service-level burn"
+ctl report burn --admin "$north_admin" --admin "$south_admin"
 if [ "$status" -ne 0 ] || [ "$late" -ne 0 ]; then
 	echo "demo: FAILED, see above"
 	exit 1
