--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -1,12 +1,17 @@
 package replica
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/result"
@@ -110,6 +115,7 @@
 	_, err := l.Propose(g.context(), []byte("cut off"))
 	assert.Equal(t, codeOf(err), result.NoQuorum)
 	assert.ErrorContains(t, err, "resend it with the same command id")
+	assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "the leader did not notice that it is cut off")
 	var others []uint64
 	for id := range g.members {
 		if g.members[id] != l {
@@ -127,6 +133,8 @@
 // Guards against connections that go silent for good while new ones work (F9).
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	g := newGroup(t, 3)
+	// The pings of gRPC would replace the connections too, but only after 12 s.
+	g.dial = []grpc.DialOption{grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: time.Hour})}
 	g.startAll()
 	g.propose("before")
 	for id := range g.members {
