Choose owners over the membership and report held grants on every stream

Owners came from a fixed list of routers. After the owner learned to end grants that a router no longer lists, a router has to send that list on each connection; an ask whose owner moved before the first reconcile was never repeated and ended as owner_unavailable (seen once, 30 of 60 streams).

Change: without a list of peers in the settings, owners follow pkg/membership by rendezvous over the live routers that are not draining; a draining router hands its shards over and leaves after its last answer. A hand-over waits for the membership at the new owner. Each router reports its recent settles, held grants and waiting asks at the first sight of an owner, on each new stream, and held grants once more after 1 s. A class that may not wait is refused when its target has passed without an owner.

Conclusion: routers find each other through seeds.

--- a/pkg/router/asks.go
+++ b/pkg/router/asks.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
@@ -188,7 +189,7 @@
 	r.sendAsk(shard, w.ask)
 	// The owner refuses in time. The router ends the wait itself only when the
 	// owner is lost, so it waits longer than the owner does.
-	limit := time.NewTimer(a.Class.LongestWait() + r.cfg.Limits.OwnerPatience.Std())
+	limit := time.NewTimer(r.patience(&a.Class))
 	defer limit.Stop()
 	select {
 	case got := <-w.answer:
@@ -202,6 +203,17 @@
 	}
 }
 
+// ownerGrace covers the way to the owner and back for a class that may not
+// wait: without an owner its request is refused when its target has passed.
+const ownerGrace = 100 * time.Millisecond
+
+func (r *Router) patience(c *class.Class) time.Duration {
+	if !c.MayWait {
+		return c.LongestWait() + ownerGrace
+	}
+	return c.LongestWait() + r.cfg.Limits.OwnerPatience.Std()
+}
+
 // ownerRetry is about the time until a lost owner is replaced.
 const ownerRetry = 2 * time.Second
 
--- a/pkg/router/config.go
+++ b/pkg/router/config.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net/netip"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/class"
@@ -43,10 +44,12 @@
 	Listen     Listen             `yaml:"listen"`
 	TLS        TLS                `yaml:"tls"`
 	Control    []settings.Address `yaml:"control"`
-	Seeds      []settings.Address `yaml:"seeds"`
-	Peers      []PeerConfig       `yaml:"peers"`
-	Limits     Limits             `yaml:"limits"`
-	Drain      Drain              `yaml:"drain"`
+	Seeds      []settings.Address `yaml:"seeds"` // membership addresses of other routers
+	// MembershipKey is shared by all routers and authenticates their datagrams.
+	MembershipKey string       `yaml:"membership_key"`
+	Peers         []PeerConfig `yaml:"peers"`
+	Limits        Limits       `yaml:"limits"`
+	Drain         Drain        `yaml:"drain"`
 }
 
 // Listen holds the addresses of the listeners.
@@ -132,6 +135,9 @@
 	return result.New(result.InvalidSettings, format, args...)
 }
 
+// HoldsSecret implements settings.SecretHolder.
+func (c *Config) HoldsSecret() bool { return c.MembershipKey != "" }
+
 // Validate implements settings.Validator.
 func (c *Config) Validate() error {
 	if !class.ValidName(c.Name) {
@@ -146,6 +152,11 @@
 	if err := c.validatePeers(); err != nil {
 		return err
 	}
+	for name, a := range map[string]settings.Address{"peers": c.Listen.Peers, "membership": c.Listen.Membership, "admin": c.Listen.Admin} {
+		if p, err := netip.ParseAddrPort(string(a)); err != nil || p.Addr().IsUnspecified() {
+			return refuse("listen.%s %q: other routers are told this address, so it needs the IP of the host", name, a)
+		}
+	}
 	if err := c.validateTLS(); err != nil {
 		return err
 	}
--- a/pkg/router/drain.go
+++ b/pkg/router/drain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
 // drainPoll is how often a draining router looks for the end of its work.
@@ -43,22 +41,3 @@
 	r.closeOnce.Do(func() { close(r.closing) })
 	r.transport.Close()
 }
-
-// HandOver passes every owned shard to the router that next returns and
-// reports how many were sent.
-func (r *Router) HandOver(next func(pool.ShardID) (pool.RouterID, bool)) int {
-	sent := 0
-	for _, s := range r.ownedShards() {
-		to, ok := next(s.id)
-		if !ok {
-			continue
-		}
-		r.ownedMu.Lock()
-		delete(r.owned, s.id)
-		r.ownedMu.Unlock()
-		if r.handOver(s, to) {
-			sent++
-		}
-	}
-	return sent
-}
--- a/pkg/router/owner.go
+++ b/pkg/router/owner.go
@@ -40,10 +40,15 @@
 
 // Owner implements Ownership.
 func (s *StaticOwnership) Owner(shard pool.ShardID) (pool.RouterID, uint64, bool) {
-	var best pool.RouterID
+	best, found := highest(s.routers, shard)
+	return best, staticEpoch, found
+}
+
+// highest returns the router of the shard's data centre with the highest
+// rendezvous score.
+func highest(routers []pool.RouterID, shard pool.ShardID) (best pool.RouterID, found bool) {
 	var top uint64
-	found := false
-	for _, r := range s.routers {
+	for _, r := range routers {
 		if r.DataCentre != shard.DataCentre {
 			continue
 		}
@@ -51,7 +56,7 @@
 			best, top, found = r, score, true
 		}
 	}
-	return best, staticEpoch, found
+	return best, found
 }
 
 func rendezvous(router string, shard pool.ShardID) uint64 {
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -33,6 +33,7 @@
 		r.follow(shard)
 	}
 	r.repeatAsks()
+	r.repeatReports(now)
 	r.releaseLost()
 	r.tellOwners()
 	r.noteDataCentres(now)
@@ -52,6 +53,19 @@
 	return slices.Collect(maps.Keys(all))
 }
 
+// knownShards returns the used shards and those of all known pools of this
+// data centre.
+func (r *Router) knownShards() []pool.ShardID {
+	all := make(map[pool.ShardID]struct{})
+	for _, s := range r.usedShards() {
+		all[s] = struct{}{}
+	}
+	for _, name := range r.servers.poolNames() {
+		all[r.shardOf(name)] = struct{}{}
+	}
+	return slices.Collect(maps.Keys(all))
+}
+
 // follow repeats asks and re-reports held grants when the owner of a shard
 // changed.
 func (r *Router) follow(shard pool.ShardID) {
@@ -63,29 +77,46 @@
 	if r.seen[shard] == now {
 		return
 	}
-	_, known := r.seen[shard]
 	r.seen[shard] = now
-	if known {
-		r.report(shard, owner)
+	r.report(shard, owner)
+	r.reportAgain[shard] = time.Now().Add(reportDelay)
+}
+
+// reportDelay is the time after a change of the owner until held grants are
+// reported once more: the new owner may learn of its shard after this router.
+const reportDelay = time.Second
+
+func (r *Router) repeatReports(now time.Time) {
+	for shard, at := range r.reportAgain {
+		if now.Before(at) {
+			continue
+		}
+		delete(r.reportAgain, shard)
+		if owner, _, ok := r.ownership.Owner(shard); ok {
+			_, grants := r.asks.of(shard)
+			r.reportHeld(shard, owner, grants)
+		}
 	}
 }
 
-// report gives an owner all held grants, recent settles and waiting asks of a
-// shard, in this order: a repeated settle then ends a grant that a hand-over
-// still lists.
+// report gives an owner the recent settles, the held grants and the waiting
+// asks of a shard, in this order: the list of held grants ends every other
+// grant of this router, and a settle before it keeps the cost.
 func (r *Router) report(shard pool.ShardID, owner pool.RouterID) {
 	waiting, grants := r.asks.of(shard)
-	if len(grants) > 0 {
-		if !r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Held(now, r.self, grants) }) {
-			r.send(owner.Name, peer.FromHeld(shard, grants))
-		}
-	}
 	r.replay(shard)
+	r.reportHeld(shard, owner, grants)
 	for _, a := range waiting {
 		r.sendAsk(shard, a)
 	}
 }
 
+func (r *Router) reportHeld(shard pool.ShardID, owner pool.RouterID, grants []pool.HeldGrant) {
+	if !r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Held(now, r.self, grants) }) {
+		r.send(owner.Name, peer.FromHeld(shard, grants))
+	}
+}
+
 // repeatAsks sends asks again that met a router without ownership.
 func (r *Router) repeatAsks() {
 	for _, w := range r.asks.takeAgain() {
@@ -97,10 +128,7 @@
 func (r *Router) releaseLost() {
 	for _, s := range r.ownedShards() {
 		owner, epoch, ok := r.ownership.Owner(s.id)
-		if ok && owner == r.self && epoch == s.epoch {
-			continue
-		}
-		if !ok {
+		if !ok || owner.Name == r.self.Name && epoch == s.epoch {
 			continue
 		}
 		r.ownedMu.Lock()
@@ -108,7 +136,7 @@
 			delete(r.owned, s.id)
 		}
 		r.ownedMu.Unlock()
-		if owner != r.self {
+		if owner.Name != r.self.Name {
 			r.handOver(s, owner)
 		}
 	}
@@ -184,6 +212,7 @@
 // Connected implements peer.Handler: messages of the earlier connection can be
 // lost, so everything that the other router needs is sent again.
 func (r *Router) Connected(to pool.RouterID) {
+	r.restarted(to)
 	if totals, _ := r.ledger.Totals(); len(totals) > 0 {
 		r.send(to.Name, r.totalsEnvelope(totals, true))
 	}
@@ -197,7 +226,7 @@
 	for _, m := range r.marks.all() {
 		r.sendMark(to.Name, m)
 	}
-	for _, shard := range r.usedShards() {
+	for _, shard := range r.knownShards() {
 		if owner, _, ok := r.ownership.Owner(shard); ok && owner.Name == to.Name {
 			r.report(shard, owner)
 		}
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -190,7 +190,9 @@
 		r.receiveAnnouncement(item.Announcement.Json)
 	case *apiv1.Envelope_Handover:
 		h := peer.ToHandover(item.Handover)
-		r.atShard(h.Shard, func(now time.Time, o *pool.Owner) { o.Accept(now, h) })
+		if !r.atShard(h.Shard, func(now time.Time, o *pool.Owner) { o.Accept(now, h) }) {
+			r.handovers.keep(time.Now(), h)
+		}
 	case *apiv1.Envelope_CacheEvents:
 		c := item.CacheEvents
 		r.atShard(peer.ToShard(c.Shard), func(now time.Time, o *pool.Owner) { o.CacheEvents(now, c.Server, c.Stored, c.Evicted) })
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -69,6 +69,7 @@
 	servers    *serverTable
 	asks       *asks
 	replays    replayLog
+	handovers  handovers
 	marks      *marks
 	ring       *ring
 	budget     *retryBudget
@@ -97,7 +98,11 @@
 	told          operatorView
 	totalsAt      time.Time
 	totalsVersion uint64
-	outCentres    map[string]bool // data centres that are out
+	reportAgain   map[pool.ShardID]time.Time
+
+	peersMu    sync.Mutex
+	peerIDs    map[string]pool.RouterID // incarnation that each router last had
+	outCentres map[string]bool          // data centres that are out
 
 	refusedMu sync.Mutex
 	refused   map[string]time.Time // pool to last refusal, bounds retries
@@ -120,23 +125,25 @@
 		ledger: fairshare.NewLedger(fairshare.Origin{
 			Name: self.Name, DataCentre: self.DataCentre, Incarnation: self.Incarnation,
 		}),
-		records:   parts.Records,
-		peers:     parts.Peers,
-		log:       logging.For("router"),
-		transport: proxy.NewTransport(),
-		burn:      burn.NewRecorder(self.Name, time.Now()),
-		servers:   newServerTable(),
-		asks:      newAsks(),
-		marks:     newMarks(),
-		ring:      newRing(),
-		budget:    newRetryBudget(),
-		rates:     newWorkspaceRates(),
-		metrics:   metrics.NewRegistry(),
-		idPrefix:  self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
-		closing:   make(chan struct{}),
-		owned:     make(map[pool.ShardID]*ownedShard),
-		seen:      make(map[pool.ShardID]ownerSeen),
-		refused:   make(map[string]time.Time),
+		records:     parts.Records,
+		peers:       parts.Peers,
+		log:         logging.For("router"),
+		transport:   proxy.NewTransport(),
+		burn:        burn.NewRecorder(self.Name, time.Now()),
+		servers:     newServerTable(),
+		asks:        newAsks(),
+		marks:       newMarks(),
+		ring:        newRing(),
+		budget:      newRetryBudget(),
+		rates:       newWorkspaceRates(),
+		metrics:     metrics.NewRegistry(),
+		idPrefix:    self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
+		closing:     make(chan struct{}),
+		owned:       make(map[pool.ShardID]*ownedShard),
+		seen:        make(map[pool.ShardID]ownerSeen),
+		reportAgain: make(map[pool.ShardID]time.Time),
+		peerIDs:     make(map[string]pool.RouterID),
+		refused:     make(map[string]time.Time),
 	}
 	// Ids of an earlier incarnation must not meet grants of this one.
 	r.asks.next = self.Incarnation
--- a/pkg/router/servers.go
+++ b/pkg/router/servers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -110,6 +111,13 @@
 	return s.announcement.Abilities
 }
 
+// poolNames returns the names of all known pools.
+func (t *serverTable) poolNames() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return slices.Collect(maps.Keys(t.pools))
+}
+
 // another reports whether the pool has a ready server besides the given ones.
 func (t *serverTable) another(pool string, except []string) bool {
 	t.mu.RLock()
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -35,6 +35,7 @@
 	store    *catalog.Store
 	control  *controlclient.Client // nil without control hosts
 	exchange *peer.Exchange
+	members  *joined
 	grpc     *grpc.Server
 	servers  []*http.Server // callers, announce, admin
 	sockets  []net.Listener // callers, announce, admin, peers
@@ -44,7 +45,14 @@
 func NewService(cfg *Config) (*Service, error) {
 	self := pool.RouterID{Name: cfg.Name, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixNano())}
 	s := &Service{cfg: cfg, store: catalog.NewStore()}
-	parts := Parts{Catalog: s.store, Ownership: staticOwnership(cfg, self), Pool: pool.DefaultConfig()}
+	parts := Parts{Catalog: s.store, Pool: pool.DefaultConfig()}
+	var members *MemberOwnership
+	if len(cfg.Peers) > 0 {
+		parts.Ownership = staticOwnership(cfg, self)
+	} else {
+		members = NewMemberOwnership(self)
+		parts.Ownership = members
+	}
 	if err := s.connectControl(self, &parts); err != nil {
 		return nil, err
 	}
@@ -59,6 +67,12 @@
 	if err := s.open(); err != nil {
 		return nil, err
 	}
+	if members != nil {
+		if err := s.join(self, members); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
@@ -179,6 +193,9 @@
 	}
 	group.Go(func() error { return s.grpc.Serve(s.sockets[len(s.servers)]) })
 	group.Go(func() error { s.router.Run(failed); return nil })
+	if s.members != nil {
+		group.Go(func() error { s.followMembers(failed); return nil })
+	}
 	s.followControl(failed, group)
 	select {
 	case <-ctx.Done():
@@ -219,6 +236,7 @@
 	log := logging.For("router")
 	defer s.close()
 	s.router.Leave()
+	s.drainMembership()
 	log.Infof("shutting down: not ready, listeners stay for %s", s.cfg.Drain.Notice.Std())
 	if err := sleep(hard, s.cfg.Drain.Notice.Std()); err != nil {
 		return err
@@ -232,6 +250,8 @@
 	if hard.Err() != nil {
 		return errStopped
 	}
+	s.awaitHandover(hard)
+	s.leaveMembership(hard)
 	if err != nil {
 		log.Warnf("requests still ran after %s", s.cfg.Drain.Longest.Std())
 		return err
@@ -253,6 +273,9 @@
 
 func (s *Service) close() {
 	s.router.Close()
+	if s.members != nil {
+		s.members.node.Close()
+	}
 	for _, server := range s.servers {
 		_ = server.Close() // nothing is lost: the callers' answers have ended
 	}
--- a/pkg/router/shards.go
+++ b/pkg/router/shards.go
@@ -35,7 +35,7 @@
 // first use.
 func (r *Router) local(shard pool.ShardID) *ownedShard {
 	owner, epoch, ok := r.ownership.Owner(shard)
-	if !ok || owner != r.self {
+	if !ok || owner.Name != r.self.Name {
 		return nil
 	}
 	r.ownedMu.RLock()
@@ -66,6 +66,9 @@
 			o.SetDeparted(now, name, true)
 		}
 	}
+	if h, ok := r.handovers.take(now, shard); ok {
+		o.Accept(now, h)
+	}
 	return &ownedShard{id: shard, epoch: epoch, owner: o}
 }
 
