Measure capacity slopes of control hosts and membership, correct the decisions

The loop that measured decisions handed the same grants in again and again and let its servers go silent, so its figures were wrong: the server choice does not grow with the number of servers. Control hosts and membership get slopes.

--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	designShards    = designDataCentres * designModels
 	backloggedShard = designBacklogged * designDataCentres / designShards // a workspace waits in every data centre
 	requestsPerNode = float64(designRequests) / designRouters
+	decisionRounds  = 50_000
 	nanosPerPercent = 1e7 // processor nanoseconds a second in one percent of a core
 )
 
@@ -92,37 +94,56 @@
 	return s
 }
 
-// cycle runs ask, grant and settle at a full pool and returns the processor
-// nanoseconds of one request.
-func cycle(backlogged, servers, rounds int) float64 {
-	o, now := newOwner(servers)
-	id := uint64(0)
-	for range 2 {
+// loop runs requests at a full pool, one ask and one settle at a time.
+type loop struct {
+	owner *pool.Owner
+	now   time.Time
+	id    uint64
+	open  []pool.Grant // from next on
+	next  int
+	out   pool.Output
+}
+
+func newLoop(backlogged, servers int) *loop {
+	l := &loop{}
+	l.owner, l.now = newOwner(servers)
+	const asksPerWorkspace = 2
+	for range asksPerWorkspace {
 		for i := range backlogged {
-			id++
-			o.Ask(now, newAsk(id, i, now))
+			l.ask(i)
 		}
 	}
-	var open []pool.Grant
-	var out pool.Output
-	o.TakeInto(&out)
-	open = append(open, out.Grants...)
-	if len(open) == 0 {
-		return 0
-	}
+	return l
+}
+
+func (l *loop) ask(workspace int) {
+	l.id++
+	l.owner.Ask(l.now, newAsk(l.id, workspace, l.now))
+	l.out.Grants = l.out.Grants[:0]
+	l.owner.TakeInto(&l.out)
+	l.open = append(l.open, l.out.Grants...)
+}
+
+func (l *loop) settle() {
+	g := l.open[l.next]
+	l.next++
+	// The servers announce themselves once; the loop ends before they count as
+	// silent.
+	l.now = l.now.Add(time.Microsecond)
+	l.owner.Settle(l.now, pool.Settle{
+		GrantID: g.GrantID, Epoch: g.Epoch, Outcome: pool.OutcomeOK, CostUnits: 900,
+		FirstToken: 50 * time.Millisecond, TokenInterval: 20 * time.Millisecond,
+	})
+}
+
+// cycle returns the processor nanoseconds of the decisions on one request.
+func cycle(backlogged, servers, rounds int) float64 {
+	l := newLoop(backlogged, servers)
+	l.open = slices.Grow(l.open, 2*rounds)
 	before := processorTime()
 	for r := range rounds {
-		g := open[0]
-		open = open[1:]
-		now = now.Add(time.Millisecond)
-		o.Settle(now, pool.Settle{GrantID: g.GrantID, Epoch: g.Epoch, Outcome: pool.OutcomeOK, CostUnits: 900, FirstToken: 50 * time.Millisecond, TokenInterval: 20 * time.Millisecond})
-		id++
-		o.Ask(now, newAsk(id, r%backlogged, now))
-		o.TakeInto(&out)
-		open = append(open, out.Grants...)
-		if len(open) == 0 {
-			return 0
-		}
+		l.settle()
+		l.ask(r % backlogged)
 	}
 	return float64(processorTime()-before) / float64(rounds)
 }
@@ -133,7 +154,7 @@
 func DecisionTime() Slope {
 	s := Slope{Role: "owner", Name: "decisions at 20 requests/s", XName: "backlogged workspace", Unit: "% of a core", At: designBacklogged, Budget: controlCorePercent}
 	for _, n := range []int{16, 400, 1_600, 4_000} {
-		s.Points = append(s.Points, Point{float64(n), cycle(n, 8, 20_000) * hotShardRequests / nanosPerPercent})
+		s.Points = append(s.Points, Point{float64(n), cycle(n, 8, decisionRounds) * hotShardRequests / nanosPerPercent})
 	}
 	return s
 }
@@ -143,7 +164,7 @@
 func ServerChoiceTime() Slope {
 	s := Slope{Role: "owner", Name: "server choice at 20 requests/s", XName: "server", Unit: "% of a core", At: designServers, Budget: controlCorePercent}
 	for _, n := range []int{8, 84, 300, 670} {
-		s.Points = append(s.Points, Point{float64(n), cycle(400, n, 20_000) * hotShardRequests / nanosPerPercent})
+		s.Points = append(s.Points, Point{float64(n), cycle(400, n, decisionRounds) * hotShardRequests / nanosPerPercent})
 	}
 	return s
 }
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -14,6 +14,9 @@
 		CatalogSnapshotBytes,
 		ChangeBytes,
 		BurnMemory,
+		MembershipTraffic,
+		MembershipTime,
+		MembershipMemory,
 		SlotTraffic,
 		TotalsTraffic,
 		QueueMemory,
@@ -21,6 +24,13 @@
 		LedgerMemory,
 		DecisionTime,
 		ServerChoiceTime,
+		RecordMemory,
+		RecordTraffic,
+		SnapshotSize,
+		RestoreTime,
+		HeartbeatTraffic,
+		ChangeSpread,
+		RestartStorm,
 	} {
 		if err := measure().Write(w); err != nil {
 			return err
