Add benchmarks and tests for late answers of a lost disk

Late answers of a lost disk must not count for the new disk of the same host, and a wiped host must not take entries meant for its old disk: both rules had no test that failed without them. The founder now asks again when its first write finds a full disk, and the queue of received messages is bounded to 128.

--- a/pkg/raft/named_test.go
+++ b/pkg/raft/named_test.go
@@ -102,6 +102,8 @@
 	wiped := s.other(l)
 	s.crash(s.other(l, wiped))
 	s.wipe(wiped)
+	s.propose(l)
+	s.run(2)
 	s.crash(l)
 	s.start(l)
 	s.run(200)
@@ -163,15 +165,33 @@
 	n.Step(m)
 }
 
-// Guards against an entry of an earlier term that counts as committed because
-// a majority holds it: a leader of a term in between may still replace it.
-func TestEntryOfEarlierTermIsNotCommittedAlone(t *testing.T) {
+// leadingHostOne is the leader of term 3. Its last entry of an earlier term
+// has the index 2.
+func leadingHostOne(t *testing.T) *Node {
 	n := newHostOne(2, Entry{Index: 2, Term: 2})
 	n.Campaign()
 	n.stepFrom(2, 12, 3, Message{Kind: MsgPreVoteAnswer})
 	n.stepFrom(2, 12, 3, Message{Kind: MsgVoteAnswer})
 	n.Advance()
 	assert.Equal(t, n.role, Leader)
+	return n
+}
+
+// Guards against late answers of a lost disk that count for the new disk of
+// the same host.
+func TestAnswersOfLostDiskDoNotCount(t *testing.T) {
+	n := leadingHostOne(t)
+	n.stepFrom(2, 12, 3, Message{Kind: MsgAppendAnswer, Index: 3})
+	index, _, err := n.ProposeMembership(AddLearner, Member{ID: 2, Identity: 99, Address: "new"})
+	assert.NilError(t, err)
+	n.stepFrom(2, 12, 3, Message{Kind: MsgAppendAnswer, Index: index})
+	assert.Equal(t, n.Status().Match[2], uint64(0))
+}
+
+// Guards against an entry of an earlier term that counts as committed because
+// a majority holds it: a leader of a term in between may still replace it.
+func TestEntryOfEarlierTermIsNotCommittedAlone(t *testing.T) {
+	n := leadingHostOne(t)
 	n.stepFrom(2, 12, 3, Message{Kind: MsgAppendAnswer, Index: 2})
 	assert.Equal(t, n.log.commit, uint64(0))
 	n.stepFrom(2, 12, 3, Message{Kind: MsgAppendAnswer, Index: 3})
--- /dev/null
+++ b/pkg/replica/bench_test.go
@@ -0,0 +1,134 @@
+package replica
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/wal"
+)
+
+const (
+	benchClients    = 64
+	benchCommits    = 4000
+	benchSingle     = 400
+	benchCommand    = 200 // bytes
+	benchFewEntries = 10
+)
+
+// commitAll commits n commands from many clients and returns the time taken.
+func commitAll(b *testing.B, m *member, n int) time.Duration {
+	start := time.Now()
+	var wait sync.WaitGroup
+	for c := range benchClients {
+		wait.Go(func() {
+			for i := c; i < n; i += benchClients {
+				_, err := m.Propose(b.Context(), fmt.Appendf(make([]byte, benchCommand), "%d", i))
+				assert.Check(b, err)
+			}
+		})
+	}
+	wait.Wait()
+	return time.Since(start)
+}
+
+// syncEach commits n records with one sync each.
+func syncEach(b *testing.B, n int) time.Duration {
+	l, _, err := wal.Open(b.TempDir(), wal.Options{})
+	assert.NilError(b, err)
+	defer l.Close()
+	start := time.Now()
+	for i := range uint64(n) {
+		l.Append(wal.Record{Kind: wal.KindEntry, Index: i + 1, Term: 1, Data: make([]byte, benchCommand)})
+		assert.NilError(b, l.Sync())
+	}
+	return time.Since(start)
+}
+
+// BenchmarkGroupCommit reports the commits per second of 64 clients divided
+// by those of a log that syncs each commit, and the commands in one write.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, size := range []int{1, 3} {
+		b.Run(fmt.Sprint("members=", size), func(b *testing.B) {
+			for b.Loop() {
+				g := newGroup(b, size)
+				g.startAll()
+				l := g.leader()
+				group := commitAll(b, l, benchCommits) / benchCommits
+				each := syncEach(b, benchSingle) / benchSingle
+				b.ReportMetric(float64(each)/float64(group), "x-one-sync-each")
+				b.ReportMetric(l.metrics.batch.Mean(), "commands/write")
+				g.stopAll()
+			}
+		})
+	}
+}
+
+// BenchmarkRestart reports the time from Open to a confirmed read, divided by
+// that of a log with 10 entries.
+func BenchmarkRestart(b *testing.B) {
+	few := newRestart(b, benchFewEntries, 0)
+	for _, c := range []struct {
+		entries int
+		log     int64
+	}{{10, 0}, {100, 0}, {1000, 0}, {10000, 0}, {10000, 256 << 10}} {
+		name := fmt.Sprint("entries=", c.entries)
+		if c.log > 0 {
+			name += ",snapshots"
+		}
+		b.Run(name, func(b *testing.B) {
+			g := newRestart(b, c.entries, c.log)
+			var base, total time.Duration
+			for b.Loop() {
+				base += few.restart()
+				total += g.restart()
+			}
+			b.ReportMetric(float64(total)/float64(base), "x-10-entries")
+		})
+	}
+}
+
+func newRestart(b *testing.B, entries int, log int64) *group {
+	g := newGroup(b, 1)
+	g.log = log
+	commitAll(b, g.start(1), entries)
+	return g
+}
+
+func (g *group) restart() time.Duration {
+	g.stop(1)
+	start := time.Now()
+	m := g.start(1)
+	assert.NilError(g.t, m.ReadBarrier(g.context()))
+	return time.Since(start)
+}
+
+// BenchmarkCatchUp reports the time that a returning follower needs for the
+// entries it missed, divided by the time in which they were committed.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		log  int64
+	}{{"entries", 0}, {"snapshot", 128 << 10}} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				g := newGroup(b, 3)
+				g.log = c.log
+				g.startAll()
+				g.leader()
+				g.stop(3)
+				l := g.leader(1, 2)
+				commit := commitAll(b, l, benchCommits)
+				start := time.Now()
+				m := g.start(3)
+				g.waitApplied(m, l.Status().Commit)
+				b.ReportMetric(float64(time.Since(start))/float64(commit), "x-commit-time")
+				b.ReportMetric(float64(m.metrics.restored.Count()), "snapshots")
+				g.stopAll()
+			}
+		})
+	}
+}
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -136,13 +136,12 @@
 		}
 		cancel()
 	}()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && r.Status().IsNew {
 		ready, retry := r.askMembers(ctx, members)
 		if ready {
 			r.call(ctx, func() { r.worker.found(members) })
-			return
 		}
-		if !retry {
+		if !ready && !retry {
 			r.logger.Warn("a listed member belongs to a group already: add this host with a membership change")
 			return
 		}
--- a/pkg/replica/network_test.go
+++ b/pkg/replica/network_test.go
@@ -176,14 +176,16 @@
 
 func newGroup(t testing.TB, size int) *group {
 	g := &group{t: t, net: newNetwork(), dir: t.TempDir(), size: size, fs: map[uint64]wal.FS{}, members: map[uint64]*member{}, discs: map[uint64]int{}}
-	t.Cleanup(func() {
-		for id := range g.members {
-			g.stop(id)
-		}
-	})
+	t.Cleanup(g.stopAll)
 	return g
 }
 
+func (g *group) stopAll() {
+	for id := range g.members {
+		g.stop(id)
+	}
+}
+
 func address(id uint64) string { return fmt.Sprintf("127.0.0.1:%d", 7000+id) }
 
 func (g *group) config(id uint64) Config {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -14,7 +14,7 @@
 
 const (
 	queueProposals = 1024
-	queueReceived  = 1024
+	queueReceived  = 128 // messages of up to 256 KiB
 	// MaxCommandBytes is the largest command; larger ones get TooLarge.
 	MaxCommandBytes = 2 << 20
 	// maxPending bounds the proposals that wait for a majority.
