--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -309,3 +309,27 @@
 	assert.Equal(t, m.Catalog().Revision(), uint64(1))
 	assert.Assert(t, !bytes.Contains(encode(t, 0, kindSubmit, sealKey(submitOf("g", 0))), []byte(opKey)), "the key is in the log")
 }
+
+// Guards against stored answers that together outgrow the memory of a control
+// host, of one workspace (F3) or of all, and against an answer that is dropped
+// while there is room.
+func TestAnswersStayWithinTheirBounds(t *testing.T) {
+	for name, bound := range map[string]limits{
+		"workspace": {answers: 1000, workspaceAnswers: 25},
+		"all":       {answers: 25, workspaceAnswers: 1000},
+	} {
+		l := smallLimits()
+		l.records, l.workspaceRecords, l.answers, l.workspaceAnswers = 10, 10, bound.answers, bound.workspaceAnswers
+		m := newMachine(l)
+		var kept []bool
+		for i, workspace := range []string{"w1", "w1", "w1", "w2"} {
+			in := beginRequest(workspace, fmt.Sprintf("k%d", i), "a", "r", 1, uint64(i))
+			m.Apply(1, encode(t, 0, kindBegin, in))
+			m.Apply(2, encode(t, 0, kindFinish, &apiv1.FinishRequest{Begin: in, Answer: &apiv1.StoredAnswer{Body: make([]byte, 10)}}))
+			out := m.Apply(3, encode(t, 0, kindBegin, in)).(*apiv1.BeginResponse)
+			assert.Equal(t, out.GetState(), apiv1.BeginState_BEGIN_DONE)
+			kept = append(kept, !out.GetAnswer().GetTruncated())
+		}
+		assert.DeepEqual(t, kept, []bool{true, true, false, name == "workspace"})
+	}
+}
