--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -2,10 +2,13 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
 const (
@@ -123,19 +126,14 @@
 	s.version++
 	for _, r := range s.inOrder() {
 		r := r
-		s.f.after(s.f.delay(s.dc, r.router.dc), func() { r.broken() })
+		s.f.after(s.f.delay(s.dc, r.router.dc), func() { r.broken(pool.OutcomeBroken) })
 	}
 	s.running = map[*request]bool{}
 	s.f.after(restartTime, func() { s.start(true) })
 }
 
 func (s *backendServer) inOrder() []*request {
-	list := make([]*request, 0, len(s.running))
-	for r := range s.running {
-		list = append(list, r)
-	}
-	sortRequests(list)
-	return list
+	return sortRequests(slices.Collect(maps.Keys(s.running)))
 }
 
 // advance moves the progress of all running requests to the present.
@@ -167,6 +165,7 @@
 	s.total++
 	if s.coldCap > 0 && len(s.running) > s.coldCap {
 		s.f.m.coldOverloads++
+		s.f.m.cut += len(s.running) // cut by a decision of the fleet
 		s.crash()
 		return
 	}
@@ -199,18 +198,14 @@
 	}
 	head := s.order[0]
 	left := (head.at - s.virtual) * s.perToken(len(s.running)).Seconds()
-	version, n := s.version, len(s.running)
+	version := s.version
 	s.f.after(time.Duration(math.Max(left, 0)*float64(time.Second))+time.Microsecond, func() {
 		if s.version != version || len(s.order) == 0 || s.order[0].r != head.r {
 			return
 		}
 		s.advance()
 		if s.virtual < head.at {
-			if len(s.running) != n {
-				s.schedule()
-			} else {
-				s.schedule()
-			}
+			s.schedule()
 			return
 		}
 		s.complete(head.r)
--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -1,11 +1,12 @@
 package measure
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"time"
 
+	"google.golang.org/protobuf/reflect/protoreflect"
+
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
@@ -13,25 +14,23 @@
 type metrics struct {
 	measuring bool
 	from      time.Time
-	bytes     map[string]int // sent by each router
-	kinds     map[string]int // payload bytes by message
-	waiting   map[string]int // by pool
+	bytes     map[string]int            // sent by each router
+	kinds     map[protoreflect.Name]int // payload bytes by message
+	waiting   map[string]int            // by pool
 	used      float64
 	most      float64
 
-	strict, met    int // classes that may not wait
-	refusals       map[string]int
-	served         int
-	broken         int
-	cut            int
-	lostWithRouter int
-	coldOverloads  int
-	hits, lookups  int
-	maxWaitSmall   time.Duration
+	strict, met   int // classes that may not wait
+	refusals      map[string]int
+	served        int
+	cut           int
+	coldOverloads int
+	hits, lookups int
+	maxWaitSmall  time.Duration
 
 	isOut       bool
 	outDC       int
-	outSince    time.Time
+	leftAt      map[string]time.Time // servers that may receive no new work
 	lastNewWork time.Duration
 	lateNewWork int
 	missed      map[string]int
@@ -39,13 +38,13 @@
 }
 
 func newMetrics() *metrics {
-	return &metrics{bytes: map[string]int{}, kinds: map[string]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}}
+	return &metrics{bytes: map[string]int{}, kinds: map[protoreflect.Name]int{}, waiting: map[string]int{}, refusals: map[string]int{}, missed: map[string]int{}, leftAt: map[string]time.Time{}}
 }
 
 func (m *metrics) begin(f *fleet) {
 	f.accountUse()
 	m.measuring, m.from = true, f.now
-	m.bytes, m.kinds = map[string]int{}, map[string]int{}
+	m.bytes, m.kinds = map[string]int{}, map[protoreflect.Name]int{}
 }
 
 func (m *metrics) asked(q *request) {
@@ -60,8 +59,8 @@
 	if w := q.f.now.Sub(q.arrived); m.measuring && q.workspace.small {
 		m.maxWaitSmall = max(m.maxWaitSmall, w)
 	}
-	if m.isOut && q.server.dc == m.outDC {
-		after := q.f.now.Sub(m.outSince)
+	if since, out := m.leftAt[q.server.name]; out {
+		after := q.f.now.Sub(since)
 		m.lastNewWork = max(m.lastNewWork, after)
 		if after > 3*time.Second {
 			m.lateNewWork++
@@ -176,5 +175,3 @@
 	}
 	fmt.Fprintf(w, "measure %s %s %s %.4g %s target %s%.4g %s\n", g.deployment, g.scenario, g.name, g.value, g.unit, sign, g.bound, verdict)
 }
-
-func (s *backendServer) reheap() { heap.Init(&s.order) }
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -16,7 +16,8 @@
 	warmUp     = 300 * time.Second
 	runTime    = 240 * time.Second
 	workspaces = 16
-	seed       = 20_240_817
+	// DefaultSeed is the seed of the random input.
+	DefaultSeed = 20_240_817
 
 	// Bounds, from section 1.2 of the design page.
 	minUtilisation = 0.97
@@ -196,9 +197,9 @@
 	r.atLeast("utilisation", f.m.utilisation(), "share", minUtilisation)
 }
 
-func (f *fleet) restart(r *router, down time.Duration) {
+func (f *fleet) restart(r *router, down, noticed time.Duration) {
 	r.kill()
-	f.membership(r.dc, detection)
+	f.membership(r.dc, noticed)
 	f.after(down, func() {
 		r.start()
 		f.membership(r.dc, gossip)
@@ -243,8 +244,8 @@
 		}},
 		{"router_restart", func(f *fleet) {
 			f.backlog(false, backlogOpen)
-			f.after(mid, func() { f.restart(f.routers[0], 8*time.Second) })
-			f.after(mid+40*time.Second, func() { f.restart(f.routers[len(f.routers)-1], 3*time.Second) })
+			f.after(mid, f.routers[0].drain)
+			f.after(mid+90*time.Second, func() { f.restart(f.routers[len(f.routers)-1], 3*time.Second, detection) })
 		}, func(f *fleet, r *report2) {
 			r.common(f)
 			r.fairness(f)
@@ -274,6 +275,7 @@
 		{"centre_out", func(f *fleet) {
 			f.spread(0.55)
 			f.after(mid, func() { f.setOut(1, true) })
+			f.after(mid+30*time.Second, func() { f.leave("engine-a0") })
 			f.after(mid+60*time.Second, func() {
 				f.setOut(1, false)
 				for _, name := range f.names {
@@ -290,7 +292,7 @@
 		}},
 		{"two_faults", func(f *fleet) {
 			f.backlog(true, backlogOpen)
-			f.after(mid, func() { f.restart(f.routers[0], 8*time.Second) })
+			f.after(mid, func() { f.restart(f.routers[0], 8*time.Second, detection) })
 			f.after(mid+time.Second, func() { f.servers["engine-a0"].coldReturn() })
 			f.after(mid+90*time.Second, func() { f.cutOff(1, true) })
 			f.after(mid+92*time.Second, func() { f.servers["engine-b0"].coldReturn() })
@@ -299,6 +301,18 @@
 	}
 }
 
+// leave makes a server announce its end and stop when it is empty.
+func (f *fleet) leave(name string) {
+	s := f.servers[name]
+	s.leaving = true
+	s.announce()
+	f.m.leftAt[name] = f.now
+	f.every(time.Second, time.Second, func() bool {
+		s.up = len(s.running) > 0
+		return s.up
+	})
+}
+
 func (f *fleet) cutOff(dc int, cut bool) {
 	for other := range f.d.centres {
 		if other == dc {
@@ -310,21 +324,21 @@
 
 // Run prints the figures of every scenario and reports whether all are within
 // their bounds.
-func Run(w io.Writer, only string, detail bool) bool {
+func Run(w io.Writer, only string, seed int64, detail bool) bool {
 	ok := true
 	for _, d := range []deployment{samtryck(), cooperative()} {
 		for _, s := range scenarios() {
 			if only != "" && only != s.name {
 				continue
 			}
-			f := run(d, s, present)
+			f := run(d, s, present, seed)
 			if detail {
 				f.detail(w)
 			}
 			r := &report2{d: d.name, s: s.name}
 			s.lines(f, r)
 			if s.name == "skewed" {
-				base := run(d, s, localFair)
+				base := run(d, s, localFair, seed)
 				r.atLeast("fairness_gap_ratio", base.m.gap(numbers(workspaces))/f.m.gap(numbers(workspaces)), "times", gapFactor)
 			}
 			for _, g := range r.figures {
@@ -336,7 +350,7 @@
 	return ok
 }
 
-func run(d deployment, s scenario, p policy) *fleet {
+func run(d deployment, s scenario, p policy, seed int64) *fleet {
 	f := newFleet(d, p, seed)
 	s.setup(f)
 	f.begin()
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -1,13 +1,13 @@
 package measure
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
-	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
 const (
@@ -83,8 +83,9 @@
 	startTokens float64
 }
 
-func sortRequests(list []*request) {
+func sortRequests(list []*request) []*request {
 	slices.SortFunc(list, func(a, b *request) int { return int(a.id) - int(b.id) })
+	return list
 }
 
 func (q *request) cost() uint64 { return q.work.cost(q.prompt, q.tokens) }
@@ -159,11 +160,7 @@
 func (w *workspace) entry() *router {
 	var up []*router
 	for _, dc := range w.centres {
-		for _, r := range w.f.routersOf(dc) {
-			if r.up {
-				up = append(up, r)
-			}
-		}
+		up = append(up, w.f.upOf(dc)...)
 	}
 	if len(up) == 0 {
 		return nil
@@ -226,7 +223,6 @@
 	r.f.m.refused(q, x)
 	q.end()
 	q.workspace.again(x.RetryAfter)
-	_ = result.OK
 }
 
 func (q *request) firstToken() {
@@ -238,6 +234,7 @@
 func (q *request) end() {
 	q.state = ended
 	delete(q.router.requests, q.id)
+	q.router.stopIfDrained()
 }
 
 // done is the end of a whole answer.
@@ -245,6 +242,10 @@
 	if q.state != running {
 		return
 	}
+	if !q.f.reach(q.router.dc, q.server.dc) { // the rest of the answer is lost
+		q.f.after(q.class.ProgressTimeout, func() { q.broken(pool.OutcomeSilent) })
+		return
+	}
 	s := pool.Settle{GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, Outcome: pool.OutcomeOK, CostUnits: q.cost()}
 	if !q.work.service {
 		s.FirstToken = q.first.Sub(q.dispatched)
@@ -258,13 +259,12 @@
 	q.workspace.again(0)
 }
 
-// broken is a dropped connection.
-func (q *request) broken() {
+// broken is the end of an answer that is not whole.
+func (q *request) broken(outcome pool.Outcome) {
 	if q.state != running {
 		return
 	}
-	q.router.settle(q.pool, pool.Settle{GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, Outcome: pool.OutcomeBroken})
-	q.f.m.broken++
+	q.router.settle(q.pool, pool.Settle{GrantID: q.grant.GrantID, Epoch: q.grant.Epoch, Outcome: outcome})
 	q.end()
 	q.workspace.again(0)
 }
@@ -274,11 +274,8 @@
 	q.f.accountUse()
 	if q.state == waiting {
 		q.f.m.waiting[q.pool]--
-	} else {
-		q.f.m.lostWithRouter++
-		if s := q.server; s != nil && s.running[q] {
-			s.abandon(q)
-		}
+	} else if s := q.server; s.running[q] {
+		s.abandon(q)
 	}
 	q.end()
 	q.workspace.again(time.Second)
@@ -291,11 +288,7 @@
 	delete(s.running, q)
 	for i, x := range s.order {
 		if x.r == q {
-			s.order[i].r = nil
-			last := len(s.order) - 1
-			s.order[i] = s.order[last]
-			s.order = s.order[:last]
-			s.reheap()
+			heap.Remove(&s.order, i)
 			break
 		}
 	}
