Test three control hosts end to end

Cause: the agreed state must hold over the real consensus, not only over a log in memory.

Change: tests of three hosts in one process over loopback: a leader killed after it applied a command and before it answered, a keyed request across the loss of the leader and a restart of all hosts, the replacement of a lost host followed by the loss of another, admin listener and graceful shutdown.

Conclusion: a resent command gets its first result through the next leader.

--- /dev/null
+++ b/pkg/controlhost/host_test.go
@@ -0,0 +1,338 @@
+package controlhost
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/cli"
+	"jackdawtrack.example/jackdawtrack/pkg/control"
+	"jackdawtrack.example/jackdawtrack/pkg/controlclient"
+	"jackdawtrack.example/jackdawtrack/pkg/datacentre"
+	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/replica"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
+	"jackdawtrack.example/jackdawtrack/pkg/workspace"
+)
+
+const (
+	testKey   = "the key of alice"
+	testTick  = 50 * time.Millisecond
+	waitLimit = time.Minute // for anything that must happen
+)
+
+func TestMain(m *testing.M) {
+	if err := logging.Setup("error", io.Discard); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// cluster is a group of control hosts in this process.
+type cluster struct {
+	t         *testing.T
+	addresses map[uint64]string
+	folders   map[uint64]string
+	hosts     map[uint64]*running
+	members   []Member
+	armed     atomic.Bool // the next proposal that is applied gets no answer
+	caught    chan uint64 // id of the host that holds back the answer
+	keyFile   string
+}
+
+type running struct {
+	host *Host
+	stop context.CancelFunc
+	done chan error
+}
+
+func startCluster(t *testing.T) *cluster {
+	c := &cluster{
+		t: t, addresses: map[uint64]string{}, folders: map[uint64]string{}, hosts: map[uint64]*running{},
+		caught: make(chan uint64, 1), keyFile: filepath.Join(t.TempDir(), "key"),
+	}
+	assert.NilError(t, os.WriteFile(c.keyFile, []byte(testKey), 0o600))
+	listeners := map[uint64]net.Listener{}
+	for id := uint64(1); id <= 3; id++ {
+		listeners[id] = c.reserve(id)
+		c.members = append(c.members, Member{ID: id, Address: settings.Address(c.addresses[id])})
+	}
+	for id, l := range listeners {
+		c.start(id, l, c.members)
+	}
+	t.Cleanup(func() {
+		for id := range c.hosts {
+			c.end(id)
+		}
+	})
+	c.waitFor("the first operator", func() bool {
+		_, out, _ := c.ctl("operator", "list")
+		return strings.Contains(out, "alice")
+	})
+	return c
+}
+
+func (c *cluster) reserve(id uint64) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	c.addresses[id] = l.Addr().String()
+	c.folders[id] = filepath.Join(c.t.TempDir(), "data")
+	return l
+}
+
+func (c *cluster) start(id uint64, l net.Listener, members []Member) {
+	s := NewSettings()
+	s.ID, s.DataFolder, s.Members = id, c.folders[id], members
+	s.Listen, s.Admin = settings.Address(c.addresses[id]), "127.0.0.1:0"
+	s.FirstOperator = FirstOperator{Name: "alice", KeyHash: hex.EncodeToString(workspace.HashKey(testKey))}
+	assert.NilError(c.t, s.Validate())
+	host, err := Open(s, Options{
+		Listener: l,
+		Replica:  func(r *replica.Config) { r.Tick = testTick },
+		Log:      func(inner control.Log) control.Log { return &holdingLog{Log: inner, cluster: c, id: id} },
+	})
+	assert.NilError(c.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{host: host, stop: stop, done: make(chan error, 1)}
+	c.hosts[id] = r
+	go func() { r.done <- host.Run(ctx) }()
+}
+
+// end shuts a host down gracefully.
+func (c *cluster) end(id uint64) {
+	r := c.hosts[id]
+	delete(c.hosts, id)
+	r.stop()
+	assert.Check(c.t, <-r.done)
+}
+
+// kill cuts all connections of a host and stops its replica.
+func (c *cluster) kill(id uint64) {
+	r := c.hosts[id]
+	delete(c.hosts, id)
+	r.host.grpc.Stop()
+	_ = r.host.replica.Close()
+	r.stop()
+	<-r.done
+}
+
+// holdingLog holds back the answer of an armed proposal until its call ends.
+type holdingLog struct {
+	control.Log
+	cluster *cluster
+	id      uint64
+}
+
+func (l *holdingLog) Propose(ctx context.Context, command []byte) (any, error) {
+	out, err := l.Log.Propose(ctx, command)
+	if err == nil && l.cluster.armed.CompareAndSwap(true, false) {
+		l.cluster.caught <- l.id
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return out, err
+}
+
+func (c *cluster) client(router string) *controlclient.Client {
+	config := controlclient.Config{Router: router, Incarnation: 1}
+	for _, a := range c.addresses {
+		config.Addresses = append(config.Addresses, a)
+	}
+	client, err := controlclient.New(config)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(client.Close)
+	return client
+}
+
+func (c *cluster) ctl(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	global := []string{"--operator", "alice", "--key-file", c.keyFile, "--timeout", "30s"}
+	for _, a := range c.addresses {
+		global = append(global, "--control", a)
+	}
+	code = cli.Run(c.t.Context(), append(global, args...), cli.Streams{Out: &o, Err: &e}, "test")
+	return code, o.String(), e.String()
+}
+
+func (c *cluster) waitFor(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ok() {
+		assert.Assert(c.t, time.Now().Before(deadline), "no %s within %s", what, waitLimit)
+	}
+}
+
+func submitOut(id string, expected uint64, out bool) *apiv1.SubmitRequest {
+	return &apiv1.SubmitRequest{
+		CommandId: id, ExpectedRevision: expected, OperatorName: "alice", OperatorKey: testKey,
+		Changes: []*apiv1.Change{catalog.DataCentreChange(datacentre.DataCentre{Name: "north", Out: out})},
+	}
+}
+
+func limited(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a command that runs twice, or whose first result is lost,
+// when the leader dies after it has applied the command and before it answers
+// (F6, F10), and against watchers that miss the change.
+func TestLeaderKilledBetweenProposeAndAnswer(t *testing.T) {
+	c := startCluster(t)
+	ctx := limited(t)
+	store := catalog.NewStore()
+	changed, unsubscribe := store.Subscribe()
+	defer unsubscribe()
+	watching, endWatch := context.WithCancel(ctx)
+	defer endWatch()
+	router := c.client("r1")
+	go func() { _ = router.Watch(watching, store) }()
+
+	operator := c.client("")
+	c.armed.Store(true)
+	outs := make(chan *apiv1.SubmitResponse, 1)
+	go func() {
+		out, err := operator.Submit(ctx, submitOut("c1", 1, true))
+		assert.Check(t, err)
+		outs <- out
+	}()
+	leader := <-c.caught
+	c.kill(leader)
+	out := <-outs
+	assert.Equal(t, out.GetCode(), uint32(0), out.GetMessage())
+	assert.Equal(t, out.GetRevision(), uint64(2))
+	assert.Assert(t, out.GetRepeatedCommand())
+	for store.Revision() < 2 {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			t.Fatal("the watcher missed the change")
+		}
+	}
+	assert.Assert(t, store.Load().DataCentreOut("north"))
+
+	c.restart(leader)
+	again, err := c.client("").Submit(ctx, submitOut("c1", 1, true))
+	assert.NilError(t, err)
+	assert.Equal(t, again.GetRevision(), uint64(2))
+	conflict, err := operator.Submit(ctx, submitOut("c2", 1, false))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Code(conflict.GetCode()), result.RevisionConflict)
+}
+
+// restart opens a host again with its folder and address.
+func (c *cluster) restart(id uint64) {
+	l, err := net.Listen("tcp", c.addresses[id])
+	assert.NilError(c.t, err)
+	c.start(id, l, c.members)
+}
+
+func keyed(router string, attempt uint64) *apiv1.BeginRequest {
+	sum := sha256.Sum256([]byte("order"))
+	return &apiv1.BeginRequest{Workspace: "w", Key: "k", Fingerprint: sum[:], Router: router, Incarnation: 1, Attempt: attempt}
+}
+
+// Guards against a keyed request that a second router may dispatch, or whose
+// answer is lost, after the leader died and all hosts restarted (I7, F8, F10).
+func TestKeyedRequestSurvivesLeaderAndRestart(t *testing.T) {
+	c := startCluster(t)
+	ctx := limited(t)
+	one, two := c.client("r1"), c.client("r2")
+	begin := func(client *controlclient.Client, in *apiv1.BeginRequest) *apiv1.BeginResponse {
+		out, err := client.Begin(ctx, in)
+		assert.NilError(t, err)
+		return out
+	}
+	c.armed.Store(true)
+	started := make(chan apiv1.BeginState, 1)
+	go func() {
+		out, err := one.Begin(ctx, keyed("r1", 1))
+		assert.Check(t, err)
+		started <- out.GetState()
+	}()
+	leader := <-c.caught
+	c.kill(leader)
+	assert.Equal(t, <-started, apiv1.BeginState_BEGIN_STARTED)
+	assert.Equal(t, begin(two, keyed("r2", 1)).GetState(), apiv1.BeginState_BEGIN_RUNNING)
+	answer := &apiv1.StoredAnswer{Status: 201, Body: []byte("printed")}
+	_, err := one.Finish(ctx, &apiv1.FinishRequest{Begin: keyed("r1", 1), Answer: answer})
+	assert.NilError(t, err)
+
+	c.restart(leader)
+	for id := uint64(1); id <= 3; id++ {
+		c.end(id)
+	}
+	for id := uint64(1); id <= 3; id++ {
+		c.restart(id)
+	}
+	out := begin(two, keyed("r2", 2))
+	assert.Equal(t, out.GetState(), apiv1.BeginState_BEGIN_DONE)
+	assert.Equal(t, string(out.GetAnswer().GetBody()), "printed")
+}
+
+// Guards against a replacement of a lost host that needs the lost host, or that
+// loses the configuration when a second host is lost right after (F7).
+func TestReplaceLostHostThenLoseAnother(t *testing.T) {
+	c := startCluster(t)
+	code, _, errs := c.ctl("datacentre", "out", "north")
+	assert.Equal(t, code, cli.ExitOK, errs)
+	c.kill(3)
+	l := c.reserve(4)
+	c.start(4, l, nil)
+	code, out, errs := c.ctl("member", "replace", "3", "4", c.addresses[4])
+	assert.Equal(t, code, cli.ExitOK, out+errs)
+	delete(c.addresses, 3)
+	c.kill(2)
+	delete(c.addresses, 2)
+	code, out, errs = c.ctl("datacentre", "list")
+	assert.Equal(t, code, cli.ExitOK, errs)
+	assert.Assert(t, strings.Contains(out, "true"), out)
+	code, _, errs = c.ctl("datacentre", "in", "north")
+	assert.Equal(t, code, cli.ExitOK, errs)
+}
+
+// Guards against an admin listener that calls a host ready that cannot take
+// part, and against a graceful shutdown that hangs on a watch stream.
+func TestAdminAndGracefulShutdown(t *testing.T) {
+	c := startCluster(t)
+	ctx := limited(t)
+	store := catalog.NewStore()
+	go func() { _ = c.client("r1").Watch(ctx, store) }()
+	get := func(path string) (int, string) {
+		in, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", c.hosts[1].host.admin.Addr(), path), nil)
+		assert.NilError(t, err)
+		answer, err := http.DefaultClient.Do(in)
+		assert.NilError(t, err)
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		return answer.StatusCode, string(body)
+	}
+	c.waitFor("readiness", func() bool { code, _ := get("/readyz"); return code == http.StatusOK })
+	code, body := get("/metrics")
+	assert.Equal(t, code, http.StatusOK)
+	assert.Assert(t, strings.Contains(body, "control.revision"), body)
+	c.end(2)
+	c.end(3)
+	c.waitFor("loss of readiness without a majority", func() bool { code, _ := get("/readyz"); return code == http.StatusServiceUnavailable })
+	code, _ = get("/healthz")
+	assert.Equal(t, code, http.StatusOK)
+	c.end(1)
+}
