--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,9 +23,16 @@
 
 // tally counts the requests of one class.
 type tally struct {
-	sent, answered, refused, maybe, cut, skipped int
-	firstByte, total                             *hdrhistogram.Histogram // microseconds
-	codes                                        map[result.Code]int
+	sent, answered, refused, maybe, cut, broken, skipped int
+	firstByte, total                                     *hdrhistogram.Histogram // microseconds
+	codes                                                map[result.Code]int
+}
+
+// outcome counts what became of the copies of one request.
+type outcome struct {
+	class          string
+	once           bool
+	refused, other int
 }
 
 // Report collects the answers of a run. It is safe for concurrent use.
@@ -35,14 +41,15 @@
 	mu         sync.Mutex // guards all below
 	open       int
 	classes    map[string]*tally
-	examples   map[string]string // first answer of each stream
-	sums       map[string]string // of whole answers: SHA-256, class
+	examples   map[string]string   // first answer of each stream
+	sums       map[string]string   // of whole answers: SHA-256, class
+	requests   map[string]*outcome // by SHA-256 of the request body
 	faults     []string
 	executions []standin.Execution
 }
 
 func newReport(e *Experiment) *Report {
-	return &Report{experiment: e, classes: map[string]*tally{}, examples: map[string]string{}, sums: map[string]string{}}
+	return &Report{experiment: e, classes: map[string]*tally{}, examples: map[string]string{}, sums: map[string]string{}, requests: map[string]*outcome{}}
 }
 
 func (r *Report) class(name string) *tally {
@@ -77,6 +84,7 @@
 	r.open--
 	c := r.class(a.stream.Class)
 	c.codes[got.code]++
+	r.note(a, got)
 	switch {
 	case got.status == http.StatusOK && got.whole:
 		c.answered++
@@ -86,9 +94,14 @@
 		if _, shown := r.examples[a.stream.Name]; !shown {
 			r.examples[a.stream.Name] = got.text
 		}
+	case got.status == http.StatusOK && got.broken:
+		c.broken++
+		if !r.experiment.MayBreak {
+			r.fault("an answer of class %s broke after %d bytes: %v", a.stream.Class, len(got.text), got.err)
+		}
 	case got.status == http.StatusOK:
 		c.cut++
-		r.fault("an answer of class %s was cut after %d bytes: %v", a.stream.Class, len(got.text), got.err)
+		r.fault("an answer of class %s was cut after %d bytes", a.stream.Class, len(got.text))
 	case got.executed == result.ExecutedNo:
 		c.refused++
 	default:
@@ -96,6 +109,25 @@
 	}
 }
 
+// note keeps what the execution file is checked against. Requests without a
+// body cannot be told apart.
+func (r *Report) note(a arrival, got answer) {
+	if len(a.body) == 0 {
+		return
+	}
+	key := sum(a.body)
+	o, ok := r.requests[key]
+	if !ok {
+		o = &outcome{class: a.stream.Class, once: a.stream.Once}
+		r.requests[key] = o
+	}
+	if got.executed == result.ExecutedNo {
+		o.refused++
+	} else {
+		o.other++
+	}
+}
+
 func (r *Report) fault(format string, args ...any) {
 	r.faults = append(r.faults, fmt.Sprintf(format, args...))
 }
@@ -111,8 +143,8 @@
 }
 
 // readExecutions compares the answers with the execution file: whole answers
-// must be what a server sent, and keys of streams marked once must have run at
-// most once.
+// must be what a server sent, requests refused as not run must not have run,
+// and requests of streams marked once must have run at most once.
 func (r *Report) readExecutions() error {
 	if r.experiment.Executions == "" {
 		return nil
@@ -128,25 +160,26 @@
 	runs := map[string]int{}
 	for _, e := range executions {
 		sent[e.AnswerSHA256] = true
-		runs[e.IdempotencyKey]++
+		runs[e.BodySHA256]++
 	}
 	for sum, class := range r.sums {
 		if !sent[sum] {
 			r.fault("an answer of class %s is not what a server sent", class)
 		}
 	}
-	for _, s := range r.experiment.Streams {
-		for key, count := range runs {
-			if s.Once && count > 1 && strings.HasPrefix(key, fmt.Sprintf("%s-%d-", s.Name, r.experiment.Seed)) {
-				r.fault("key %s ran %d times", key, count)
-			}
+	for body, o := range r.requests {
+		switch count := runs[body]; {
+		case o.once && count > 1:
+			r.fault("a request of class %s ran %d times", o.class, count)
+		case o.other == 0 && count > 0:
+			r.fault("a request of class %s ran and was reported as not run", o.class)
 		}
 	}
 	return nil
 }
 
 // Faults returns what no run may show: cut answers, answers that no server
-// sent, and keys that ran more than once.
+// sent, requests that ran more often than allowed or than reported.
 func (r *Report) Faults() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -161,10 +194,10 @@
 		text := r.examples[name]
 		fmt.Fprintf(w, "first answer of %s, %d bytes: %.*q\n", name, len(text), shownBytes, text)
 	}
-	fmt.Fprintf(w, "\n%-14s %6s %9s %8s %6s %4s %8s %10s %10s %10s\n", "class", "sent", "answered", "refused", "maybe", "cut", "skipped", "first p50", "first p95", "total p50")
+	fmt.Fprintf(w, "\n%-14s %6s %9s %8s %6s %4s %7s %8s %10s %10s %10s\n", "class", "sent", "answered", "refused", "maybe", "cut", "broken", "skipped", "first p50", "first p95", "total p50")
 	for _, name := range slices.Sorted(maps.Keys(r.classes)) {
 		c := r.classes[name]
-		fmt.Fprintf(w, "%-14s %6d %9d %8d %6d %4d %8d %8.1fms %8.1fms %8.1fms\n", name, c.sent, c.answered, c.refused, c.maybe, c.cut, c.skipped,
+		fmt.Fprintf(w, "%-14s %6d %9d %8d %6d %4d %7d %8d %8.1fms %8.1fms %8.1fms\n", name, c.sent, c.answered, c.refused, c.maybe, c.cut, c.broken, c.skipped,
 			milliseconds(c.firstByte, 50), milliseconds(c.firstByte, 95), milliseconds(c.total, 50))
 	}
 	r.printCodes(w)
--- a/pkg/load/request.go
+++ b/pkg/load/request.go
@@ -59,8 +59,9 @@
 	firstByte time.Duration // from the intended arrival
 	total     time.Duration
 	sum       string // SHA-256 of the body, in hexadecimal
-	text      string // begin of the body
+	text      string // the body
 	whole     bool
+	broken    bool // incomplete, and the caller can see it
 	err       error
 }
 
@@ -135,7 +136,8 @@
 	got.executed = result.Executed(response.Header.Get(headerExecuted))
 	got.read(response.Body, a)
 	got.total = time.Since(a.at)
-	got.whole = got.err == nil && a.complete(got)
+	got.broken = got.err != nil || a.stream.Stream && strings.Contains(got.text, streamError)
+	got.whole = !got.broken && a.complete(got)
 	return got
 }
 
@@ -154,14 +156,18 @@
 	}
 	got.err = err
 	all := append(first[:n], rest...)
-	h := sha256.Sum256(all)
-	got.sum, got.text = hex.EncodeToString(h[:]), string(all)
+	got.sum, got.text = sum(all), string(all)
+}
+
+func sum(b []byte) string {
+	h := sha256.Sum256(b)
+	return hex.EncodeToString(h[:])
 }
 
 // complete reports whether the body is the whole answer.
 func (a arrival) complete(got answer) bool {
 	if a.stream.Stream && got.status == http.StatusOK {
-		return strings.HasSuffix(got.text, streamEnd) && !strings.Contains(got.text, streamError)
+		return strings.HasSuffix(got.text, streamEnd)
 	}
 	return json.Valid([]byte(got.text))
 }
@@ -177,8 +183,8 @@
 }
 
 // chatBody returns a chat completion request with its own prompt.
-func (s *Stream) chatBody(number int) []byte {
-	text := fmt.Sprintf("%s request %d of %s ", s.Prefix, number, s.Name)
+func (s *Stream) chatBody(seed uint64, number int) []byte {
+	text := fmt.Sprintf("%s request %d of %s %d ", s.Prefix, number, s.Name, seed)
 	for len(text) < s.Prompt {
 		text += "apron pocket stitch colour size "
 	}
@@ -192,9 +198,9 @@
 	return body
 }
 
-func (s *Stream) serviceBody(number int) []byte {
+func (s *Stream) serviceBody(seed uint64, number int) []byte {
 	if s.Method == http.MethodGet {
 		return nil
 	}
-	return fmt.Appendf(nil, `{"stream":%q,"number":%d}`, s.Name, number)
+	return fmt.Appendf(nil, `{"stream":%q,"seed":%d,"number":%d}`, s.Name, seed, number)
 }
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -41,9 +41,9 @@
 func (e *Experiment) arrival(s *Stream, number int, after time.Duration) []arrival {
 	a := arrival{stream: s, number: number, workspace: s.Workspaces[number%len(s.Workspaces)]}
 	if s.Service == "" {
-		a.body = s.chatBody(number)
+		a.body = s.chatBody(e.Seed, number)
 	} else {
-		a.body = s.serviceBody(number)
+		a.body = s.serviceBody(e.Seed, number)
 	}
 	if s.Keyed {
 		a.key = fmt.Sprintf("%s-%d-%d", s.Name, e.Seed, number)
--- a/pkg/load/settings.go
+++ b/pkg/load/settings.go
@@ -34,6 +34,7 @@
 	Timeout    settings.Duration  `yaml:"timeout"`  // of one request
 	Seed       uint64             `yaml:"seed"`
 	Executions string             `yaml:"executions"` // file of the stand-ins, may be empty
+	MayBreak   bool               `yaml:"may_break"`  // processes are killed: answers that break visibly are no fault
 	Workspaces []Workspace        `yaml:"workspaces"`
 	Streams    []Stream           `yaml:"streams"`
 }
@@ -63,7 +64,7 @@
 	Keyed      bool              `yaml:"keyed"`      // with an Idempotency-Key
 	Copies     int               `yaml:"copies"`     // sends of each keyed request
 	Resend     settings.Duration `yaml:"resend"`     // between two copies
-	Once       bool              `yaml:"once"`       // each key runs at most once
+	Once       bool              `yaml:"once"`       // each request runs at most once
 }
 
 // New returns the defaults.
