Let the routers of the demo find each other through seeds

Cause: the demo used a fixed list of routers; routers now follow the membership.

The readiness probe sends one request of each kind instead of five.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -55,7 +55,7 @@
 	shift
 	until "$@" >/dev/null 2>&1; do
 		[ "$SECONDS" -lt "$deadline" ] || fail "$what is not ready after $wait_seconds s"
-		sleep 0.2
+		sleep 0.5
 	done
 }
 
@@ -65,6 +65,7 @@
 
 readonly operator_key=$(od -An -tx1 -N16 /dev/urandom | tr -d ' \n')
 readonly server_key=$(od -An -tx1 -N16 /dev/urandom | tr -d ' \n')
+readonly membership_key=$(od -An -tx1 -N16 /dev/urandom | tr -d ' \n')
 readonly caller_key=$(od -An -tx1 -N16 /dev/urandom | tr -d ' \n')
 umask 077
 printf '%s\n' "$operator_key" >"$folder/operator.key"
@@ -88,24 +89,23 @@
 first_operator: {name: desk, key_hash: $(hash_of "$operator_key")}
 YAML
 
-router_settings() { # data centre, other data centre
+router_settings() { # data centre
 	local v
 	for v in callers announce peers membership admin; do
 		declare -n "$v=${1}_$v"
 	done
-	declare -n other_peers="${2}_peers"
 	cat <<YAML
 name: router-$1
 data_centre: $1
 listen: {callers: "$callers", announce: "$announce", peers: "$peers", membership: "$membership", admin: "$admin"}
 control: ["$control"]
-peers:
-  - {name: router-$2, data_centre: $2, address: "$other_peers"}
+seeds: ["$north_membership", "$south_membership"]
+membership_key: $membership_key
 drain: {notice: 100ms, longest: 5s}
 YAML
 }
-router_settings north south >"$folder/router-north.yaml"
-router_settings south north >"$folder/router-south.yaml"
+router_settings north >"$folder/router-north.yaml"
+router_settings south >"$folder/router-south.yaml"
 
 server_settings() { # data centre
 	declare -n announce_to="${1}_announce"
@@ -160,21 +160,23 @@
 start router-south "$bin/jackdawtrack-router" --settings "$folder/router-south.yaml"
 start standin "$bin/jackdawtrack-standin" --settings "$folder/standin.yaml"
 
-# The desk is open when one small request of each kind has been answered by
-# each router.
+# A router is ready when one request of each kind has been answered.
 probe() { # caller address
-	cat >"$folder/probe.yaml" <<YAML
+	local wanted
+	for wanted in "class: chat-reply, model: apron-7b, stream: true, max_tokens: 1" \
+		"class: size-check, service: size-check, path: /check" \
+		"class: status, service: print-desk, path: /status/0, method: GET"; do
+		cat >"$folder/probe.yaml" <<YAML
 routers: ["$1"]
 log_level: error
-duration: 5ms
+duration: 1s
+max_requests: 1
 timeout: 2s
 workspaces: [{name: samtryck, key: $caller_key}]
-streams:
-  - {name: p-chat, class: chat-reply, workspaces: [samtryck], rate: 1000, model: apron-7b, stream: true, max_tokens: 1}
-  - {name: p-sizes, class: size-check, workspaces: [samtryck], rate: 1000, service: size-check, path: /check}
-  - {name: p-desk, class: status, workspaces: [samtryck], rate: 1000, service: print-desk, path: /status/0, method: GET}
+streams: [{name: probe, workspaces: [samtryck], rate: 1000, $wanted}]
 YAML
-	[ "$("$bin/jackdawtrack-load" --settings "$folder/probe.yaml" | grep -c '^first answer')" = 3 ]
+		"$bin/jackdawtrack-load" --settings "$folder/probe.yaml" | grep -q '^first answer' || return 1
+	done
 }
 wait_for "router-north" probe "$north_callers"
 wait_for "router-south" probe "$south_callers"
