--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	copyBufferBytes = 8 << 10
+	copyBufferBytes = 4 << 10
 	// maxResumes bounds how often one stream is continued.
 	maxResumes = 3
 	// resumeDelay is the pause before the first attempt to continue a stream;
--- a/pkg/router/chat.go
+++ b/pkg/router/chat.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -17,6 +16,8 @@
 	// Workspaces share system prompts, which are longer than this.
 	prefixBytes = 2 << 10
 	maxMessages = 4096
+	// maxModelName allows for names with an organisation and a tag.
+	maxModelName = 128
 )
 
 // chatRequest is what the router needs of a chat completion request.
@@ -47,8 +48,8 @@
 	if _, err := d.Token(); err != io.EOF {
 		return chatRequest{}, result.New(result.InvalidRequest, "body has data after the JSON object")
 	}
-	if !class.ValidName(in.Model) {
-		return chatRequest{}, result.New(result.InvalidRequest, "model %.80q is not a valid name", in.Model)
+	if in.Model == "" || len(in.Model) > maxModelName {
+		return chatRequest{}, result.New(result.InvalidRequest, "model %.80q: 1 to %d bytes", in.Model, maxModelName)
 	}
 	if len(in.Messages) == 0 || len(in.Messages) > maxMessages {
 		return chatRequest{}, result.New(result.InvalidRequest, "messages: %d entries, allowed are 1 to %d", len(in.Messages), maxMessages)
