Relay the configuration between routers of a data centre

Every router held a watch stream to control, and a router that restarted in a partitioned data centre stayed without a configuration.

Change: routers serve their watch stream on the peer listener. Tests cover the seal of a connection, a late release and a slow caller, whose rules the earlier tests did not see.

--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -314,6 +314,30 @@
 	assert.Equal(t, report.CostUnits, uint64(5+4*9))
 }
 
+// slowMemory is a caller that takes longer for each piece than the progress
+// timeout of the server.
+type slowMemory struct{ memory }
+
+func (m *slowMemory) Write(p []byte) (int, error) {
+	<-time.After(400 * time.Millisecond)
+	return m.memory.Write(p)
+}
+
+// Guards against a slow caller that is taken for a silent server.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	// More than the buffers of the connection hold, so that reads follow.
+	events := strings.Repeat("data: "+strings.Repeat("x", copyBufferBytes-16)+"\n\n", 5)
+	f := newFake(t, func(c net.Conn, _ *http.Request, _ int64) {
+		write(c, streamHead+chunk(events)+chunk(done)+"0\r\n\r\n")
+	})
+	tr := NewTransport()
+	defer tr.Close()
+	sink := &slowMemory{}
+	report := tr.Forward(t.Context(), request(f), sink)
+	assert.Equal(t, codeOf(report), result.OK, "%v", report.Err)
+	assert.Equal(t, sink.String(), events+done)
+}
+
 // Guards against work that goes on at the server after its caller left.
 func TestCallerLeavingCancelsTheWork(t *testing.T) {
 	cancelled := make(chan string, 1)
--- a/pkg/proxy/truth_test.go
+++ b/pkg/proxy/truth_test.go
@@ -103,3 +103,31 @@
 	}
 	t.Logf("%d requests: %d not run, %d seen by the server", requests, len(notRun), len(w.seen))
 }
+
+// Guards against a write that leaves after the refusal: the check above meets
+// this moment too rarely.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConnTable().add("server", near)
+	_, since := c.use()
+	assert.Assert(t, !c.seal(since))
+	_, err := c.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+}
+
+// Guards against a busy connection that is closed as idle: net/http reports
+// the return to its pool after another request can have taken it.
+func TestLateReleaseDoesNotMakeABusyConnectionIdle(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	table := newConnTable()
+	c := table.add("server", near)
+	first, _ := c.use()
+	_, _ = c.use()
+	c.release(first)
+	assert.Equal(t, table.dropIdle("server"), 0)
+	second, _ := c.use()
+	c.release(second)
+	assert.Equal(t, table.dropIdle("server"), 1)
+}
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -36,6 +36,7 @@
 	control  *controlclient.Client // nil without control hosts
 	exchange *peer.Exchange
 	members  *joined
+	dial     []grpc.DialOption // credentials towards other routers
 	grpc     *grpc.Server
 	servers  []*http.Server // callers, announce, admin
 	sockets  []net.Listener // callers, announce, admin, peers
@@ -61,6 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.dial = dial
 	s.exchange = peer.New(self, s.router, dial...)
 	s.exchange.SetPeers(staticPeers(cfg))
 	s.router.SetPeers(s.exchange)
@@ -106,6 +108,7 @@
 		Router:      self.Name,
 		DataCentre:  self.DataCentre,
 		Incarnation: self.Incarnation,
+		Upstreams:   s.upstreams,
 	})
 	if err != nil {
 		return err
@@ -165,6 +168,7 @@
 	}
 	s.grpc = grpc.NewServer(options...)
 	apiv1.RegisterPeerServer(s.grpc, s.exchange)
+	apiv1.RegisterControlServer(s.grpc, s.newRelay())
 	return nil
 }
 
@@ -196,6 +200,7 @@
 	if s.members != nil {
 		group.Go(func() error { s.followMembers(failed); return nil })
 	}
+	group.Go(func() error { s.adoptLoop(failed); return nil })
 	s.followControl(failed, group)
 	select {
 	case <-ctx.Done():
