Keep the order of marks within one millisecond, sharpen tests

An operator's mark of a data centre that followed another one within the same millisecond was dropped: the local test of the marks did not see it, because its last assertion held either way. Tests of a leaving caller, of lost settles and of batches passed with the code broken.

Change: a new mark is ordered after the present one. The tests check the waiting requests of callers that leave while others run, settles and asks that are lost with a connection, and one batch at most in 5 ms.

--- a/pkg/peer/exchange_test.go
+++ b/pkg/peer/exchange_test.go
@@ -155,6 +155,19 @@
 		}
 		assert.Assert(t, to.batches.Load() < count/2, "%d batches", to.batches.Load())
 	}
+	const paced = 200
+	before, began := b.batches.Load(), time.Now()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for i := range uint64(paced) {
+		<-tick.C
+		assert.Assert(t, a.exchange.Send("b", message(i)))
+	}
+	for range paced {
+		await(t, b.received)
+	}
+	most := int64(time.Since(began)/BatchInterval) + 1
+	assert.Assert(t, b.batches.Load()-before <= most, "%d batches, at most %d", b.batches.Load()-before, most)
 }
 
 // Guards against F9: a connection that goes silent for good while new ones
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -219,7 +219,7 @@
 	if !r.knowsDataCentre(dc) {
 		return mark{}, result.New(result.NotFound, "data centre %.80q is not known", dc)
 	}
-	return mark{Name: dc, Out: state == "out", Revision: cat.Revision(), Operator: name, MadeMS: unixMS(time.Now())}, nil
+	return mark{Name: dc, Out: state == "out", Revision: cat.Revision(), Operator: name, MadeMS: r.marks.after(dc, time.Now())}, nil
 }
 
 func (r *Router) knowsDataCentre(name string) bool {
--- a/pkg/router/failure_test.go
+++ b/pkg/router/failure_test.go
@@ -120,25 +120,34 @@
 	arrived := make(chan struct{}, 8)
 	s := newRawServer(t, func(net.Conn, *http.Request) { arrived <- struct{}{} })
 	f.announceRaw(t, "s1", s, backend.Abilities{})
-	ctx, leave := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
-	for range 4 { // two run on a cold server, two wait
-		callers.Go(func() {
-			req := f.request(t, http.MethodPost, "/services/p/x", "order", "{}").WithContext(ctx)
-			if resp, err := http.DefaultClient.Do(req); err == nil {
-				resp.Body.Close()
-			}
-		})
+	start := func() (leave func()) {
+		ctx, leave := context.WithCancel(context.Background())
+		for range 2 { // the slots of a cold server
+			callers.Go(func() {
+				req := f.request(t, http.MethodPost, "/services/p/x", "order", "{}").WithContext(ctx)
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					resp.Body.Close()
+				}
+			})
+		}
+		return leave
 	}
-	<-arrived
-	f.await(t, "requests wait", func() bool { waiting, _ := f.router.asks.counts(); return waiting > 0 })
-	leave()
-	callers.Wait()
-	f.await(t, "everything is settled", func() bool {
+	state := func() [4]int {
 		waiting, held := f.router.asks.counts()
 		view := f.router.Status().Shards[0]
-		return waiting == 0 && held == 0 && view.Grants == 0 && view.Waiting == 0 && f.router.open.Load() == 0
-	})
+		return [4]int{waiting, held, view.Waiting, view.Grants}
+	}
+	leaveRunning := start()
+	<-arrived
+	<-arrived
+	leaveWaiting := start()
+	f.await(t, "two requests run and two wait", func() bool { return state() == [4]int{2, 2, 2, 2} })
+	leaveWaiting()
+	f.await(t, "none waits", func() bool { return state() == [4]int{0, 2, 0, 2} })
+	leaveRunning()
+	callers.Wait()
+	f.await(t, "everything is settled", func() bool { return state() == [4]int{} && f.router.open.Load() == 0 })
 }
 
 // Guards against a caller that takes no bytes and holds its slot for ever, and
--- a/pkg/router/marks.go
+++ b/pkg/router/marks.go
@@ -41,6 +41,14 @@
 	return true
 }
 
+// after returns a time in Unix milliseconds that orders a new mark after the
+// present one, also within one millisecond.
+func (m *marks) after(name string, now time.Time) int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return max(now.UnixMilli(), m.byDC[name].MadeMS+1)
+}
+
 // get returns the mark that is in force at a configuration revision.
 func (m *marks) get(name string, revision uint64) (mark, bool) {
 	m.mu.RLock()
@@ -71,5 +79,3 @@
 	}
 	return cat.DataCentreOut(name)
 }
-
-func unixMS(t time.Time) int64 { return t.UnixMilli() }
--- a/pkg/router/refusal_test.go
+++ b/pkg/router/refusal_test.go
@@ -142,6 +142,7 @@
 	assert.Equal(t, mark(operatorKey, "in"), http.StatusOK)
 	assert.Assert(t, !f.router.dataCentreOut("north"))
 	assert.Equal(t, mark(operatorKey, "out"), http.StatusOK)
+	assert.Assert(t, f.router.dataCentreOut("north"), "marks of one millisecond keep their order")
 	assert.Assert(t, f.store.ApplyDelta(1, 2, nil))
 	assert.Assert(t, !f.router.dataCentreOut("north"))
 }
--- a/pkg/router/two_test.go
+++ b/pkg/router/two_test.go
@@ -71,10 +71,7 @@
 		p.owner[i] = &movable{all: ids, epoch: 1, self: i}
 		p.start(t, i, ids[i])
 	}
-	for i := range p.routers {
-		other := 1 - i
-		p.exchanges[i].SetPeers([]peer.Peer{{ID: ids[other], Address: p.addresses[other]}})
-	}
+	p.connect()
 	p.callers[0].await(t, "the routers are connected", func() bool {
 		return p.exchanges[0].Connected("rt-2") && p.exchanges[1].Connected("rt-1")
 	})
@@ -96,6 +93,13 @@
 	t.Cleanup(func() { x.Close(); server.Stop() })
 }
 
+func (p *pair) connect() {
+	for i := range p.routers {
+		other := 1 - i
+		p.exchanges[i].SetPeers([]peer.Peer{{ID: p.routers[other].self, Address: p.addresses[other]}})
+	}
+}
+
 // moveTo makes another router the owner in the view of both.
 func (p *pair) moveTo(owner int) {
 	for _, o := range p.owner {
@@ -144,6 +148,41 @@
 	})
 }
 
+// Guards against a slot that stays occupied because its settle was lost with
+// the connection to the owner, and against an ask that was.
+func TestLostMessagesAreRepeated(t *testing.T) {
+	p := newPair(t)
+	p.moveTo(0)
+	p.callers[0].standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p", TokenInterval: settings.Duration(20 * time.Millisecond)})
+	p.callers[1].await(t, "the other router knows the pool", func() bool {
+		_, ok := p.routers[1].servers.poolOf(time.Now(), "p")
+		return ok
+	})
+	grants := func() (open int) {
+		p.routers[0].atShard(p.routers[0].shardOf("p"), func(_ time.Time, o *pool.Owner) { open = o.Snapshot().Grants })
+		return open
+	}
+	var callers sync.WaitGroup
+	ask := func(tokens int) {
+		callers.Go(func() {
+			if resp, body := tryDo(p.callers[1].request(t, http.MethodPost, chatPath, "chat", chatBody(tokens))); resp == nil || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+				t.Errorf("%.200s", body)
+			}
+		})
+	}
+	ask(10)
+	p.callers[0].await(t, "a stream runs", func() bool { return grants() == 1 })
+	p.exchanges[0].SetPeers(nil)
+	p.exchanges[1].SetPeers(nil)
+	callers.Wait() // its settle is lost
+	ask(1)
+	p.callers[1].await(t, "the second ask waits", func() bool { waiting, _ := p.routers[1].asks.counts(); return waiting == 1 })
+	assert.Equal(t, grants(), 1)
+	p.connect()
+	callers.Wait()
+	p.callers[0].await(t, "no slot is occupied", func() bool { return grants() == 0 })
+}
+
 // Guards against a stream that is cut by a shutdown (I9), and against a
 // shutdown that an operator cannot end.
 func TestShutdownUnderLoad(t *testing.T) {
