Treat a stop before serving as graceful

Cause: gRPC's Serve returns ErrServerStopped when the server was stopped before Serve began, so a control host or router that was told to stop at once ended with an error. TestKeyedRequestSurvivesLeaderAndRestart met it in one of five runs.

Measured: TestStopBeforeServingIsGraceful fails before and passes now.

--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -142,7 +142,13 @@
 	defer stop()
 	group, failed := errgroup.WithContext(work)
 	admin := h.adminServer()
-	group.Go(func() error { return h.grpc.Serve(h.listen) })
+	group.Go(func() error {
+		// A shutdown that comes before Serve began is graceful as well.
+		if err := h.grpc.Serve(h.listen); !errors.Is(err, grpc.ErrServerStopped) {
+			return err
+		}
+		return nil
+	})
 	group.Go(func() error {
 		if err := admin.Serve(h.admin); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -336,3 +336,20 @@
 	assert.Equal(t, code, http.StatusOK)
 	c.end(1)
 }
+
+// Guards against an exit code other than 0 when a host is told to stop before
+// its listeners serve.
+func TestStopBeforeServingIsGraceful(t *testing.T) {
+	c := &cluster{t: t, addresses: map[uint64]string{}, folders: map[uint64]string{}}
+	l := c.reserve(1)
+	s := NewSettings()
+	s.ID, s.DataFolder, s.Members = 1, c.folders[1], []Member{{ID: 1, Address: settings.Address(c.addresses[1])}}
+	s.Listen, s.Admin = settings.Address(c.addresses[1]), "127.0.0.1:0"
+	assert.NilError(t, s.Validate())
+	host, err := Open(s, Options{Listener: l})
+	assert.NilError(t, err)
+	host.grpc.Stop() // the order that the scheduler chose when a run failed
+	ended, stop := context.WithCancel(context.Background())
+	stop()
+	assert.NilError(t, host.Run(ended))
+}
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -191,7 +191,13 @@
 	for i, server := range s.servers {
 		group.Go(func() error { return serve(server, s.sockets[i]) })
 	}
-	group.Go(func() error { return s.grpc.Serve(s.sockets[len(s.servers)]) })
+	group.Go(func() error {
+		// A shutdown that comes before Serve began is graceful as well.
+		if err := s.grpc.Serve(s.sockets[len(s.servers)]); !errors.Is(err, grpc.ErrServerStopped) {
+			return err
+		}
+		return nil
+	})
 	group.Go(func() error { s.router.Run(failed); return nil })
 	if s.members != nil {
 		group.Go(func() error { s.followMembers(failed); return nil })
