Take the first configuration after a restart from control

Cause: a restarted router that is not a root of the relay tree took its first configuration from a relay, whose confirmation can be 3 s old, so it could go back a revision that it had applied before. Routers without a configuration have no relays now. All neighbours are asked at once when control does not answer; a limit of 8 left some out when the first eight were silent.

--- a/pkg/router/relay.go
+++ b/pkg/router/relay.go
@@ -45,9 +45,11 @@
 }
 
 // upstreams returns the routers that this one watches, best first; none for a
-// root, which watches control.
+// root, which watches control. Nor has a router without a configuration any: a
+// relay can be confirmedWithin behind what this router applied before it
+// restarted, so its first configuration comes from control.
 func (s *Service) upstreams() []string {
-	if s.members == nil {
+	if s.members == nil || s.store.Load() == nil {
 		return nil
 	}
 	var names, addresses []string
@@ -102,7 +104,6 @@
 	addresses := s.neighbours()
 	events := make([]*apiv1.WatchEvent, len(addresses))
 	var group errgroup.Group
-	group.SetLimit(relayFanOut)
 	for i, address := range addresses {
 		group.Go(func() error {
 			events[i] = s.firstEvent(limited, address)
--- a/pkg/router/relay_test.go
+++ b/pkg/router/relay_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/settings"
 )
 
@@ -39,6 +40,15 @@
 	}
 }
 
+// Guards against a restarted router that goes back a revision: a relay can be
+// behind what the router had applied, so the first configuration comes from
+// control.
+func TestRouterWithoutConfigurationHasNoRelay(t *testing.T) {
+	store := catalog.NewStore()
+	s := &Service{cfg: &Config{Name: "rt-3", DataCentre: "north"}, store: store, members: &joined{}}
+	assert.Equal(t, len(s.upstreams()), 0)
+}
+
 // Guards against a restarted router that stays without a configuration, or
 // takes an old one, while its data centre is cut off from control.
 func TestRestartedRouterAdoptsGreatestRevision(t *testing.T) {
@@ -65,5 +75,6 @@
 	restarted := start("rt-3", 0, seed)
 	(&fleet{}).await(t, "the configuration is taken", func() bool { return restarted.store.Load() != nil })
 	assert.Equal(t, restarted.store.Revision(), uint64(5))
+	(&fleet{}).await(t, "a router with a configuration has relays", func() bool { return len(restarted.upstreams()) > 0 })
 	(&fleet{}).await(t, "the routers are connected", func() bool { return restarted.exchange.Connected("rt-1") })
 }
