Leave repeated membership changes to the log

Cause: the server answered that a learner is already one when its id and address match, although its disk may have been wiped and its identity be new.

Change: only the removal of a host that is no member is answered by the server. jackdawctl member waits for a pending change and for a learner to catch up, until its timeout.

Measurement: a new end-to-end test wipes a host, adds and promotes it under its id, stops another host and reads the configuration; it passes with -race.

Conclusion: a wiped host comes back under its id.

--- a/pkg/cli/member.go
+++ b/pkg/cli/member.go
@@ -10,9 +10,9 @@
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
-// promotePause is the time between two attempts to promote a learner that has
-// not caught up.
-const promotePause = 500 * time.Millisecond
+// memberPause is the time between two attempts at a change that has to wait
+// for another one or for a learner to catch up.
+const memberPause = 500 * time.Millisecond
 
 func (c *CLI) addMember() {
 	parent := c.app.Command("member", "Control hosts.")
@@ -23,7 +23,9 @@
 	})
 	promote := parent.Command("promote", "Give a learner that has caught up its vote.")
 	promoted := memberArgs(promote, false)
-	c.action(promote, func(ctx context.Context) error { return c.promote(ctx, promoted) })
+	c.action(promote, func(ctx context.Context) error {
+		return c.changeMember(ctx, apiv1.MemberAction_MEMBER_PROMOTE, promoted)
+	})
 	remove := parent.Command("remove", "Remove a control host.")
 	removed := memberArgs(remove, false)
 	c.action(remove, func(ctx context.Context) error { return c.changeMember(ctx, apiv1.MemberAction_MEMBER_REMOVE, removed) })
@@ -51,18 +53,18 @@
 		if err := c.changeMember(ctx, apiv1.MemberAction_MEMBER_ADD_LEARNER, next); err != nil {
 			return err
 		}
-		if err := c.promote(ctx, next); err != nil {
+		if err := c.changeMember(ctx, apiv1.MemberAction_MEMBER_PROMOTE, next); err != nil {
 			return err
 		}
 		return c.changeMember(ctx, apiv1.MemberAction_MEMBER_REMOVE, old)
 	})
 }
 
-// promote repeats the command until the learner has caught up or the time is
-// over.
-func (c *CLI) promote(ctx context.Context, m *apiv1.Member) error {
+// changeMember repeats the command until no other change is pending and the
+// learner has caught up, or the time is over.
+func (c *CLI) changeMember(ctx context.Context, action apiv1.MemberAction, m *apiv1.Member) error {
 	for {
-		err := c.changeMember(ctx, apiv1.MemberAction_MEMBER_PROMOTE, m)
+		err := c.changeMemberOnce(ctx, action, m)
 		code, _ := result.CodeOf(err)
 		if code != result.NotCaughtUp && code != result.MemberPending {
 			return err
@@ -70,12 +72,12 @@
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(promotePause):
+		case <-time.After(memberPause):
 		}
 	}
 }
 
-func (c *CLI) changeMember(ctx context.Context, action apiv1.MemberAction, m *apiv1.Member) error {
+func (c *CLI) changeMemberOnce(ctx context.Context, action apiv1.MemberAction, m *apiv1.Member) error {
 	name, key, err := c.credential()
 	if err != nil {
 		return err
--- a/pkg/control/operators.go
+++ b/pkg/control/operators.go
@@ -124,7 +124,7 @@
 	if !s.authenticated(ctx, in.GetOperatorName(), in.GetOperatorKey()) {
 		return s.refuseOperator(in.GetOperatorName(), in.GetCommandId(), what), nil
 	}
-	out := &apiv1.SubmitResponse{Message: inForce(s.log.Status(), change)}
+	out := &apiv1.SubmitResponse{Message: notMember(s.log.Status(), change)}
 	if out.Message == "" {
 		err := s.log.ChangeMember(ctx, change)
 		if code, ok := result.CodeOf(err); err != nil && (!ok || code == result.NotLeader || code == result.NoQuorum) {
@@ -139,18 +139,13 @@
 	return out, nil
 }
 
-// inForce says why a change needs no action, "" if it does.
-func inForce(status LogStatus, change MemberChange) string {
-	m, ok := status.member(change.ID)
-	switch {
-	case change.Action == AddLearner && ok && m.Address == change.Address && !m.Voter:
-		return fmt.Sprintf("control host %d is already a learner", change.ID)
-	case change.Action == Promote && ok && m.Voter:
-		return fmt.Sprintf("control host %d already votes", change.ID)
-	case change.Action == Remove && !ok:
-		return fmt.Sprintf("control host %d is not a member", change.ID)
+// notMember says that a host to be removed is not a member, "" if it is. The
+// other changes are left to the log: it knows a host whose disk was wiped.
+func notMember(status LogStatus, change MemberChange) string {
+	if _, ok := status.member(change.ID); ok || change.Action != Remove {
+		return ""
 	}
-	return ""
+	return fmt.Sprintf("control host %d is not a member", change.ID)
 }
 
 // fail turns an error into a gRPC status and adds the result code and the
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -308,6 +308,28 @@
 	assert.Equal(t, code, cli.ExitOK, errs)
 }
 
+// Guards against a host with a wiped disk that cannot come back under its id,
+// or that comes back without the configuration.
+func TestWipedHostRejoinsUnderItsID(t *testing.T) {
+	c := startCluster(t)
+	code, _, errs := c.ctl("datacentre", "out", "north")
+	assert.Equal(t, code, cli.ExitOK, errs)
+	c.kill(3)
+	assert.NilError(t, os.RemoveAll(c.folders[3]))
+	l, err := net.Listen("tcp", c.addresses[3])
+	assert.NilError(t, err)
+	c.start(3, l, nil)
+	for _, verb := range [][]string{{"add", "3", c.addresses[3]}, {"promote", "3"}} {
+		code, _, errs = c.ctl(append([]string{"member"}, verb...)...)
+		assert.Equal(t, code, cli.ExitOK, errs)
+	}
+	c.kill(2)
+	delete(c.addresses, 2)
+	code, out, errs := c.ctl("datacentre", "list")
+	assert.Equal(t, code, cli.ExitOK, errs)
+	assert.Assert(t, strings.Contains(out, "true"), out)
+}
+
 // Guards against an admin listener that calls a host ready that cannot take
 // part, and against a graceful shutdown that hangs on a watch stream.
 func TestAdminAndGracefulShutdown(t *testing.T) {
