Spread watch streams over all control hosts

Cause: calls remember the host that answered, and watch streams began with it, so that after a call they gathered at the leader.

Change: a watch begins with the host that the router's name chooses.

Conclusion: calls follow the leader, streams stay spread.

--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
@@ -225,3 +227,58 @@
 		assert.Equal(t, state(alive, beginRequest("w", "k2", "a", "other", 0, 3)), apiv1.BeginState_BEGIN_RUNNING)
 	})
 }
+
+// Guards against routers that all watch control hosts although relays exist,
+// that stay with a relay that is no longer one, or that have no configuration
+// when their relay is gone (section 3.10).
+func TestWatchFollowsRelaysAndFallsBack(t *testing.T) {
+	inGroup(t, func(t *testing.T, g *group) {
+		var relay atomic.Uint64
+		relay.Store(2)
+		c, err := controlclient.New(controlclient.Config{
+			Addresses: []string{address(1)}, Router: "r1", Logger: quiet(),
+			Upstreams:   func() []string { return []string{address(relay.Load())} },
+			DialOptions: []grpc.DialOption{grpc.WithContextDialer(g.dial)},
+		})
+		assert.NilError(t, err)
+		defer follow(t, c, catalog.NewStore())()
+		watchers := func() (out []int64) {
+			time.Sleep(3 * time.Second)
+			for id := uint64(1); id <= 3; id++ {
+				out = append(out, g.members[id].server.watchers.Count())
+			}
+			return out
+		}
+		assert.DeepEqual(t, watchers(), []int64{0, 1, 0})
+		assert.Assert(t, c.Confirmed(2*time.Second))
+		relay.Store(3)
+		assert.DeepEqual(t, watchers(), []int64{0, 0, 1})
+		g.mu.Lock()
+		gone := g.members[3]
+		delete(g.members, 3)
+		g.mu.Unlock()
+		gone.grpc.Stop()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, g.members[1].server.watchers.Count(), int64(1))
+		g.start(3)
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, watchers(), []int64{0, 0, 1})
+	})
+}
+
+// Guards against sessions that end, and records that expire, because no
+// majority worked for a long time (F1): routers that are alive could not renew.
+func TestTimeStandsStillWithoutMajority(t *testing.T) {
+	inGroup(t, func(t *testing.T, g *group) {
+		c := g.client("r1", 1)
+		defer c.Close()
+		ctx, cancel := within(72 * time.Hour)
+		defer cancel()
+		_, err := c.Begin(ctx, beginRequest("w", "k", "a", "r1", 1, 1))
+		assert.NilError(t, err)
+		time.Sleep(48 * time.Hour) // nothing is committed
+		out, err := c.Begin(ctx, beginRequest("w", "k", "a", "r2", 1, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, out.GetState(), apiv1.BeginState_BEGIN_RUNNING)
+	})
+}
--- a/pkg/controlclient/client.go
+++ b/pkg/controlclient/client.go
@@ -44,6 +44,7 @@
 // never held over a call.
 type Client struct {
 	config      Config
+	first       int          // index into Addresses with which Watch begins
 	confirmedAt atomic.Int64 // Unix nanoseconds of the last confirmed event
 
 	mu     sync.Mutex
@@ -66,8 +67,10 @@
 		config.Logger = logging.For("control")
 	}
 	c := &Client{config: config, conns: map[string]*grpc.ClientConn{}}
-	// Different routers begin with different hosts.
-	c.next = int(xxhash.Sum64String(config.Router) % uint64(len(config.Addresses)))
+	// Different routers begin with different hosts. Calls move on to the
+	// leader; watch streams stay spread over all hosts.
+	c.first = int(xxhash.Sum64String(config.Router) % uint64(len(config.Addresses)))
+	c.next = c.first
 	return c, nil
 }
 
--- a/pkg/controlclient/watch.go
+++ b/pkg/controlclient/watch.go
@@ -83,12 +83,9 @@
 	if c.config.Upstreams != nil {
 		relays = c.config.Upstreams()
 	}
-	c.mu.Lock()
-	next := c.next
-	c.mu.Unlock()
 	out := slices.Clone(relays)
 	for i := range c.config.Addresses {
-		out = append(out, c.config.Addresses[(next+i)%len(c.config.Addresses)])
+		out = append(out, c.config.Addresses[(c.first+i)%len(c.config.Addresses)])
 	}
 	return out, len(relays)
 }
