Run both baselines beside the present decisions

make measure prints the same figures for local fair queues without exchange or loans and for first come with least connections.

--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -168,31 +168,31 @@
 type scenario struct {
 	name  string
 	setup func(*fleet)
-	lines func(*fleet, *report2)
+	print func(*fleet, *lines)
 }
 
-type report2 struct {
+type lines struct {
 	d, s    string
 	figures []figure
 }
 
-func (r *report2) atMost(name string, v float64, unit string, bound float64) {
+func (r *lines) atMost(name string, v float64, unit string, bound float64) {
 	r.figures = append(r.figures, figure{r.d, r.s, name, v, unit, bound, false})
 }
 
-func (r *report2) atLeast(name string, v float64, unit string, bound float64) {
+func (r *lines) atLeast(name string, v float64, unit string, bound float64) {
 	r.figures = append(r.figures, figure{r.d, r.s, name, v, unit, bound, true})
 }
 
 const backlogOpen = 60
 
-func (r *report2) common(f *fleet) {
+func (r *lines) common(f *fleet) {
 	r.atMost("control_bytes_per_second", f.m.control(f.now), "B/s", maxControl)
 	r.atMost("cut_answers", float64(f.m.cut), "answers", 0)
 	r.atMost("cold_overload", float64(f.m.coldOverloads), "crashes", 0)
 }
 
-func (r *report2) fairness(f *fleet) {
+func (r *lines) fairness(f *fleet) {
 	r.atMost("fairness_gap", f.m.gap(numbers(len(f.spaces))), "units", f.gapBound(backlogOpen))
 	r.atLeast("utilisation", f.m.utilisation(), "share", minUtilisation)
 }
@@ -209,7 +209,7 @@
 func scenarios() []scenario {
 	mid := warmUp + runTime/3
 	return []scenario{
-		{"steady", func(f *fleet) { f.spread(0.80) }, func(f *fleet, r *report2) {
+		{"steady", func(f *fleet) { f.spread(0.80) }, func(f *fleet, r *lines) {
 			r.common(f)
 			r.atLeast("targets_met", f.m.targetsMet(), "share", minTargetsMet)
 		}},
@@ -220,13 +220,13 @@
 			for _, w := range f.spaces[1:4] {
 				w.small = false
 			}
-		}, func(f *fleet, r *report2) {
+		}, func(f *fleet, r *lines) {
 			r.common(f)
 			r.atLeast("utilisation", f.m.utilisation(), "share", minUtilisation)
 			r.atMost("max_wait_small_workspace", f.m.maxWaitSmall.Seconds(), "s", maxSmallWait)
 			r.atLeast("targets_met", f.m.targetsMet(), "share", minTargetsMet)
 		}},
-		{"skewed", func(f *fleet) { f.backlog(true, backlogOpen) }, func(f *fleet, r *report2) {
+		{"skewed", func(f *fleet) { f.backlog(true, backlogOpen) }, func(f *fleet, r *lines) {
 			r.common(f)
 			r.fairness(f)
 		}},
@@ -238,7 +238,7 @@
 					w.hint = 0.1
 				}
 			}
-		}, func(f *fleet, r *report2) {
+		}, func(f *fleet, r *lines) {
 			r.common(f)
 			r.fairness(f)
 		}},
@@ -246,7 +246,7 @@
 			f.backlog(false, backlogOpen)
 			f.after(mid, f.routers[0].drain)
 			f.after(mid+90*time.Second, func() { f.restart(f.routers[len(f.routers)-1], 3*time.Second, detection) })
-		}, func(f *fleet, r *report2) {
+		}, func(f *fleet, r *lines) {
 			r.common(f)
 			r.fairness(f)
 		}},
@@ -263,12 +263,12 @@
 				delete(f.split, route{f.routers[0], f.routers[1]})
 				f.membership(0, gossip)
 			})
-		}, func(f *fleet, r *report2) { r.common(f) }},
+		}, func(f *fleet, r *lines) { r.common(f) }},
 		{"cold_return", func(f *fleet) {
 			f.backlog(true, backlogOpen)
 			f.after(mid, func() { f.servers["engine-a0"].coldReturn() })
 			f.after(mid+20*time.Second, func() { f.servers["engine-b0"].coldReturn() })
-		}, func(f *fleet, r *report2) {
+		}, func(f *fleet, r *lines) {
 			r.common(f)
 			r.atLeast("utilisation", f.m.utilisation(), "share", minUtilisation)
 		}},
@@ -284,7 +284,7 @@
 					}
 				}
 			})
-		}, func(f *fleet, r *report2) {
+		}, func(f *fleet, r *lines) {
 			r.common(f)
 			r.atMost("new_work_after_out", float64(f.m.lateNewWork), "requests", 0)
 			r.atMost("time_to_last_new_work", f.m.lastNewWork.Seconds(), "s", maxNewWork)
@@ -297,7 +297,7 @@
 			f.after(mid+90*time.Second, func() { f.cutOff(1, true) })
 			f.after(mid+92*time.Second, func() { f.servers["engine-b0"].coldReturn() })
 			f.after(mid+110*time.Second, func() { f.cutOff(1, false) })
-		}, func(f *fleet, r *report2) { r.common(f) }},
+		}, func(f *fleet, r *lines) { r.common(f) }},
 	}
 }
 
@@ -335,11 +335,18 @@
 			if detail {
 				f.detail(w)
 			}
-			r := &report2{d: d.name, s: s.name}
-			s.lines(f, r)
-			if s.name == "skewed" {
-				base := run(d, s, localFair, seed)
-				r.atLeast("fairness_gap_ratio", base.m.gap(numbers(workspaces))/f.m.gap(numbers(workspaces)), "times", gapFactor)
+			r := &lines{d: d.name, s: s.name}
+			s.print(f, r)
+			for _, p := range []policy{localFair, firstCome} {
+				base := run(d, s, p, seed)
+				if s.name == "skewed" && p == localFair {
+					r.atLeast("fairness_gap_ratio", base.m.gap(numbers(workspaces))/f.m.gap(numbers(workspaces)), "times", gapFactor)
+				}
+				b := &lines{d: d.name, s: s.name}
+				s.print(base, b)
+				for _, g := range b.figures {
+					fmt.Fprintf(w, "baseline %s %s %s %s %.4g %s\n", p, g.deployment, g.scenario, g.name, g.value, g.unit)
+				}
 			}
 			for _, g := range r.figures {
 				g.write(w)
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -14,6 +14,9 @@
 	promptUnit = 1
 	tokenUnit  = 4
 	prefixes   = 24 // of one workspace
+	// connectRetry is the time before a request asks again after a failed
+	// connection.
+	connectRetry = 100 * time.Millisecond
 )
 
 // workClass is a class with the sizes of its requests. Sizes are uniform
@@ -211,7 +214,11 @@
 	q.id = q.f.ids
 	q.router.requests[q.id] = q
 	q.f.m.waiting[q.pool]++
-	q.router.ask(q)
+	q.f.after(connectRetry, func() {
+		if q.state == waiting {
+			q.router.ask(q)
+		}
+	})
 }
 
 func (r *router) refused(x pool.Refusal) {
