--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -30,6 +31,7 @@
 		_ = seed.Value.Set(testSeed)
 	}
 	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	metrics.NewMeter().Stop() // starts the library's own goroutine outside of any synctest bubble
 	os.Exit(m.Run())
 }
 
@@ -63,8 +65,8 @@
 
 func smallLimits() limits {
 	return limits{
-		records: 6, workspaceRecords: 4, answers: 100, workspaceAnswers: 60, sessions: 4, aborts: 5, results: 6,
-		recordTTL: 20 * time.Second, sessionTTL: 5 * time.Second, sessionMemory: 10 * time.Second,
+		records: 4, workspaceRecords: 2, answers: 60, workspaceAnswers: 30, sessions: 4, aborts: 5, results: 6,
+		recordTTL: 6 * time.Second, sessionTTL: 3 * time.Second, sessionMemory: 5 * time.Second,
 		abortMemory: 6 * time.Second, leaseTTL: 6 * time.Second, step: 2 * time.Second,
 	}
 }
@@ -213,6 +215,8 @@
 	assert.Equal(t, c.machine.Now(), c.oracle.now)
 	assert.Equal(t, c.machine.Catalog().Revision(), c.oracle.revision)
 	assert.Equal(t, c.machine.Records(), len(c.oracle.records))
+	assert.Equal(t, len(c.machine.results.byID), len(c.oracle.results))
+	assert.Equal(t, len(c.machine.aborts.known), len(c.oracle.aborts))
 	for _, ch := range c.machine.Catalog().Items() {
 		if ch.GetOperator() == nil {
 			assert.Assert(t, proto.Equal(ch, c.oracle.items[itemID(ch)]), "%v", ch)
@@ -305,3 +309,27 @@
 	assert.Equal(t, m.Catalog().Revision(), uint64(1))
 	assert.Assert(t, !bytes.Contains(encode(t, 0, kindSubmit, sealKey(submitOf("g", 0))), []byte(opKey)), "the key is in the log")
 }
+
+// Guards against stored answers that together outgrow the memory of a control
+// host, of one workspace (F3) or of all, and against an answer that is dropped
+// while there is room.
+func TestAnswersStayWithinTheirBounds(t *testing.T) {
+	for name, bound := range map[string]limits{
+		"workspace": {answers: 1000, workspaceAnswers: 25},
+		"all":       {answers: 25, workspaceAnswers: 1000},
+	} {
+		l := smallLimits()
+		l.records, l.workspaceRecords, l.answers, l.workspaceAnswers = 10, 10, bound.answers, bound.workspaceAnswers
+		m := newMachine(l)
+		var kept []bool
+		for i, workspace := range []string{"w1", "w1", "w1", "w2"} {
+			in := beginRequest(workspace, fmt.Sprintf("k%d", i), "a", "r", 1, uint64(i))
+			m.Apply(1, encode(t, 0, kindBegin, in))
+			m.Apply(2, encode(t, 0, kindFinish, &apiv1.FinishRequest{Begin: in, Answer: &apiv1.StoredAnswer{Body: make([]byte, 10)}}))
+			out := m.Apply(3, encode(t, 0, kindBegin, in)).(*apiv1.BeginResponse)
+			assert.Equal(t, out.GetState(), apiv1.BeginState_BEGIN_DONE)
+			kept = append(kept, !out.GetAnswer().GetTruncated())
+		}
+		assert.DeepEqual(t, kept, []bool{true, true, false, name == "workspace"})
+	}
+}
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -33,6 +33,7 @@
 func (r *Router) answer(q *request, sink *callerSink, report proxy.Report, err *result.Error) {
 	r.count(report, err)
 	r.record(q, err)
+	r.recordBurn(time.Now(), q, report, err)
 	switch {
 	case err == nil:
 	case !report.Started:
@@ -72,11 +73,11 @@
 		last = r.dispatch(q, sink, shard, grant, mayRepeat)
 		lastErr = worse(lastErr, last.Err)
 		q.decision.Attempts = append(q.decision.Attempts, finished(attempt, grant, last))
-		if last.Err == nil || !mayRepeat || !r.repeat(q, last) {
+		avoid = append(avoid, grant.Server)
+		if last.Err == nil || !mayRepeat || !r.repeat(q, last, avoid) {
 			return last, lastErr
 		}
 		r.counters.retries.Inc(1)
-		avoid = append(avoid, grant.Server)
 	}
 }
 
@@ -95,6 +96,7 @@
 // dispatch sends the request to the server of a grant and settles the grant.
 // A request of a class that may not run twice comes here once.
 func (r *Router) dispatch(q *request, sink *callerSink, shard pool.ShardID, g pool.Grant, hold bool) proxy.Report {
+	q.dispatched = time.Now()
 	report := r.transport.Forward(q.context(), &proxy.Request{
 		ID:              q.id,
 		Address:         g.Address,
@@ -123,12 +125,13 @@
 	return report
 }
 
-// repeat decides whether a failed attempt is followed by another one.
-func (r *Router) repeat(q *request, report proxy.Report) bool {
+// repeat decides whether a failed attempt is followed by another one. Without
+// another server the caller gets the final answer at once instead of a wait.
+func (r *Router) repeat(q *request, report proxy.Report, tried []string) bool {
 	if report.Started || q.context().Err() != nil || r.recentlyRefused(q.pool) {
 		return false
 	}
-	return r.budget.take()
+	return r.servers.another(q.pool, tried) && r.budget.take()
 }
 
 func (r *Router) noteRefusal(name string, e *result.Error) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/burn"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
@@ -68,9 +69,11 @@
 	servers    *serverTable
 	asks       *asks
 	replays    replayLog
+	handovers  handovers
 	marks      *marks
 	ring       *ring
 	budget     *retryBudget
+	burn       *burn.Recorder
 	rates      *workspaceRates
 	metrics    metrics.Registry
 	counters   counters
@@ -79,10 +82,13 @@
 	requests   atomic.Uint64
 	open       atomic.Int64 // requests between admission and end
 	bodyMemory atomic.Int64
-	ready      atomic.Bool
-	closing    chan struct{} // closed when waiting requests must end
-	closeOnce  sync.Once
-	background sync.WaitGroup
+	// dataCentreChanged is when a data centre last went out or came back, in
+	// Unix ns, 0 if none did.
+	dataCentreChanged atomic.Int64
+	ready             atomic.Bool
+	closing           chan struct{} // closed when waiting requests must end
+	closeOnce         sync.Once
+	background        sync.WaitGroup
 
 	ownedMu sync.RWMutex
 	owned   map[pool.ShardID]*ownedShard
@@ -92,6 +98,11 @@
 	told          operatorView
 	totalsAt      time.Time
 	totalsVersion uint64
+	reportAgain   map[pool.ShardID]time.Time
+
+	peersMu    sync.Mutex
+	peerIDs    map[string]pool.RouterID // incarnation that each router last had
+	outCentres map[string]bool          // data centres that are out
 
 	refusedMu sync.Mutex
 	refused   map[string]time.Time // pool to last refusal, bounds retries
@@ -114,22 +125,25 @@
 		ledger: fairshare.NewLedger(fairshare.Origin{
 			Name: self.Name, DataCentre: self.DataCentre, Incarnation: self.Incarnation,
 		}),
-		records:   parts.Records,
-		peers:     parts.Peers,
-		log:       logging.For("router"),
-		transport: proxy.NewTransport(),
-		servers:   newServerTable(),
-		asks:      newAsks(),
-		marks:     newMarks(),
-		ring:      newRing(),
-		budget:    newRetryBudget(),
-		rates:     newWorkspaceRates(),
-		metrics:   metrics.NewRegistry(),
-		idPrefix:  self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
-		closing:   make(chan struct{}),
-		owned:     make(map[pool.ShardID]*ownedShard),
-		seen:      make(map[pool.ShardID]ownerSeen),
-		refused:   make(map[string]time.Time),
+		records:     parts.Records,
+		peers:       parts.Peers,
+		log:         logging.For("router"),
+		transport:   proxy.NewTransport(),
+		burn:        burn.NewRecorder(self.Name, time.Now()),
+		servers:     newServerTable(),
+		asks:        newAsks(),
+		marks:       newMarks(),
+		ring:        newRing(),
+		budget:      newRetryBudget(),
+		rates:       newWorkspaceRates(),
+		metrics:     metrics.NewRegistry(),
+		idPrefix:    self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
+		closing:     make(chan struct{}),
+		owned:       make(map[pool.ShardID]*ownedShard),
+		seen:        make(map[pool.ShardID]ownerSeen),
+		reportAgain: make(map[pool.ShardID]time.Time),
+		peerIDs:     make(map[string]pool.RouterID),
+		refused:     make(map[string]time.Time),
 	}
 	// Ids of an earlier incarnation must not meet grants of this one.
 	r.asks.next = self.Incarnation
