Test reads on a replaced leader

No test of the replica failed when ReadBarrier skipped the majority, because a leader that is cut off steps down at about the time the next one starts. The new test gives the founder a long election time, so that it believes to lead after it was replaced.

Conclusion: no change of the replica was needed.

--- a/pkg/replica/network_test.go
+++ b/pkg/replica/network_test.go
@@ -169,7 +169,7 @@
 	size    int
 	fs      map[uint64]wal.FS
 	log     int64 // SnapshotBytes
-	dial    []grpc.DialOption
+	adjust  func(*Config)
 	members map[uint64]*member
 	discs   map[uint64]int // number of the folder of each host
 }
@@ -193,12 +193,15 @@
 	logger.SetOutput(io.Discard)
 	c := Config{
 		ID: id, Address: address(id), Folder: filepath.Join(g.dir, fmt.Sprint(id, "-", g.discs[id])),
-		Dial: g.net.dialer(address(id)), DialOptions: g.dial, Tick: testTick, FS: g.fs[id], SnapshotBytes: g.log,
+		Dial: g.net.dialer(address(id)), Tick: testTick, FS: g.fs[id], SnapshotBytes: g.log,
 		Seed: 1, Registry: metrics.NewRegistry(), Logger: logrus.NewEntry(logger),
 	}
 	for i := uint64(1); i <= uint64(g.size); i++ {
 		c.Bootstrap = append(c.Bootstrap, Member{ID: i, Address: address(i)})
 	}
+	if g.adjust != nil {
+		g.adjust(&c)
+	}
 	return c
 }
 
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -130,11 +130,35 @@
 	assert.Assert(t, slices.Contains(list, "after") && !slices.Contains(list, "cut off"), "%v", list)
 }
 
+// Guards against a stale read from a leader that was replaced and does not
+// know it yet.
+func TestReplacedLeaderConfirmsNoRead(t *testing.T) {
+	const founder, longTicks, shortTicks, readTimeout = 1, 10000, 50, time.Second
+	g := newGroup(t, 3)
+	g.adjust = func(c *Config) {
+		c.ElectionTicks = shortTicks
+		if c.ID == founder {
+			c.ElectionTicks = longTicks // it does not step down by itself
+		}
+	}
+	g.startAll()
+	g.propose("before", founder)
+	old := g.members[founder]
+	g.net.setCut(address(founder), true)
+	g.propose("after", 2, 3)
+	assert.Equal(t, old.Status().Role, "leader")
+	ctx, cancel := context.WithTimeout(g.context(), readTimeout)
+	defer cancel()
+	assert.Equal(t, codeOf(old.ReadBarrier(ctx)), result.NoQuorum)
+}
+
 // Guards against connections that go silent for good while new ones work (F9).
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	g := newGroup(t, 3)
 	// The pings of gRPC would replace the connections too, but only after 12 s.
-	g.dial = []grpc.DialOption{grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: time.Hour})}
+	g.adjust = func(c *Config) {
+		c.DialOptions = []grpc.DialOption{grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: time.Hour})}
+	}
 	g.startAll()
 	g.propose("before")
 	for id := range g.members {
