Follow pkg/ownership and keep what a new owner inherits

The router had its own rule for owners and epochs. Held grants that were reported before the new owner started were dropped, and a hand-over did not shorten the wait of the new owner.

Change: owners and epochs come from pkg/ownership. The owner's own recovery wait is one membership period.

Measured: go test -race of the package passes.

--- a/pkg/router/join.go
+++ b/pkg/router/join.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/membership"
+	"jackdawtrack.example/jackdawtrack/pkg/ownership"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
@@ -14,12 +15,12 @@
 // joined is a router's part in the membership, nil for a fixed list of peers.
 type joined struct {
 	node  *membership.Node
-	owner *MemberOwnership
+	owner *ownership.Shared
 	gone  map[string]uint64 // incarnation that was last seen dead, by name
 }
 
 // join opens the membership socket. The peer listener must be open.
-func (s *Service) join(self pool.RouterID, owner *MemberOwnership) error {
+func (s *Service) join(self pool.RouterID, owner *ownership.Shared) error {
 	_, _, admin, peers := s.Addresses()
 	seeds := make([]string, 0, len(s.cfg.Seeds))
 	for _, a := range s.cfg.Seeds {
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -34,6 +34,7 @@
 	}
 	r.repeatAsks()
 	r.repeatReports(now)
+	r.offerHandovers(now)
 	r.releaseLost()
 	r.tellOwners()
 	r.noteDataCentres(now)
@@ -113,9 +114,11 @@
 }
 
 func (r *Router) reportHeld(shard pool.ShardID, owner pool.RouterID, grants []pool.HeldGrant) {
-	if !r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Held(now, r.self, grants) }) {
-		r.send(owner.Name, peer.FromHeld(shard, grants))
+	if owner.Name == r.self.Name {
+		r.receiveHeld(shard, r.self, grants)
+		return
 	}
+	r.send(owner.Name, peer.FromHeld(shard, grants))
 }
 
 // repeatAsks sends asks again that met a router without ownership.
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -184,15 +184,11 @@
 	case *apiv1.Envelope_Refusal:
 		r.receiveRefusal(item.Refusal)
 	case *apiv1.Envelope_HeldGrants:
-		grants := peer.ToHeld(from, item.HeldGrants.Grants)
-		r.atShard(peer.ToShard(item.HeldGrants.Shard), func(now time.Time, o *pool.Owner) { o.Held(now, from, grants) })
+		r.receiveHeld(peer.ToShard(item.HeldGrants.Shard), from, peer.ToHeld(from, item.HeldGrants.Grants))
 	case *apiv1.Envelope_Announcement:
 		r.receiveAnnouncement(item.Announcement.Json)
 	case *apiv1.Envelope_Handover:
-		h := peer.ToHandover(item.Handover)
-		if !r.atShard(h.Shard, func(now time.Time, o *pool.Owner) { o.Accept(now, h) }) {
-			r.handovers.keep(time.Now(), h)
-		}
+		r.receiveHandover(peer.ToHandover(item.Handover))
 	case *apiv1.Envelope_CacheEvents:
 		c := item.CacheEvents
 		r.atShard(peer.ToShard(c.Shard), func(now time.Time, o *pool.Owner) { o.CacheEvents(now, c.Server, c.Stored, c.Evicted) })
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -63,20 +63,20 @@
 	peers     Peers
 	log       *logrus.Entry
 
-	poolConfig pool.Config
-	ledger     *fairshare.Ledger
-	transport  *proxy.Transport
-	servers    *serverTable
-	asks       *asks
-	replays    replayLog
-	handovers  handovers
-	marks      *marks
-	ring       *ring
-	budget     *retryBudget
-	burn       *burn.Recorder
-	rates      *workspaceRates
-	metrics    metrics.Registry
-	counters   counters
+	poolConfig   pool.Config
+	ledger       *fairshare.Ledger
+	transport    *proxy.Transport
+	servers      *serverTable
+	asks         *asks
+	replays      replayLog
+	inheritances inheritances
+	marks        *marks
+	ring         *ring
+	budget       *retryBudget
+	burn         *burn.Recorder
+	rates        *workspaceRates
+	metrics      metrics.Registry
+	counters     counters
 
 	idPrefix   string
 	requests   atomic.Uint64
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -16,6 +16,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/controlclient"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/ownership"
 	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
@@ -47,11 +48,12 @@
 	self := pool.RouterID{Name: cfg.Name, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixNano())}
 	s := &Service{cfg: cfg, store: catalog.NewStore()}
 	parts := Parts{Catalog: s.store, Pool: pool.DefaultConfig()}
-	var members *MemberOwnership
+	var members *ownership.Shared
 	if len(cfg.Peers) > 0 {
 		parts.Ownership = staticOwnership(cfg, self)
 	} else {
-		members = NewMemberOwnership(self)
+		members = ownership.NewShared(self, len(cfg.Seeds) > 0)
+		parts.Pool.RecoveryWait = ownership.SettleTime
 		parts.Ownership = members
 	}
 	if err := s.connectControl(self, &parts); err != nil {
--- a/pkg/router/shards.go
+++ b/pkg/router/shards.go
@@ -66,8 +66,8 @@
 			o.SetDeparted(now, name, true)
 		}
 	}
-	if h, ok := r.handovers.take(now, shard); ok {
-		o.Accept(now, h)
+	if v := r.inheritances.take(now, shard); v != nil {
+		v.inherit(now, o)
 	}
 	return &ownedShard{id: shard, epoch: epoch, owner: o}
 }
