--- a/pkg/router/two_test.go
+++ b/pkg/router/two_test.go
@@ -227,13 +227,16 @@
 }
 
 // newService returns a service on kernel ports with the test configuration.
-func newService(t *testing.T) (*Service, *fleet) {
+func newService(t *testing.T, change ...func(*Config)) (*Service, *fleet) {
 	t.Helper()
 	cfg := NewConfig()
 	cfg.Name, cfg.DataCentre = "rt-1", "north"
 	const any = "127.0.0.1:0"
 	cfg.Listen = Listen{Callers: any, Announce: any, Peers: any, Membership: any, Admin: any}
 	cfg.Drain.Notice = settings.Duration(50 * time.Millisecond)
+	for _, c := range change {
+		c(cfg)
+	}
 	s, err := NewService(cfg)
 	assert.NilError(t, err)
 	s.router.poolConfig.RecoveryWait = 0
