Forget the incarnation of an ended session after 10 min

Cause: incarnations come from the clock of a host. A router that restarts with a clock that was set back could record no keyed request for an hour.

Change: the incarnation of an ended session is kept for 10 min, which is far longer than any call lives.

Measurement: go test -race of the packages passes.

Conclusion: such a router refuses keyed requests as not run for 10 min.

--- a/pkg/control/limits.go
+++ b/pkg/control/limits.go
@@ -29,8 +29,10 @@
 	// gone. It exceeds an election and two lost renewals.
 	SessionTTL = 15 * time.Second
 	// sessionMemory is how long the incarnation of an ended session is kept,
-	// so that a delayed Begin of an older one is refused.
-	sessionMemory = time.Hour
+	// so that a delayed Begin of an older one is refused. Calls end after
+	// 10 s; a router that restarts with a lesser incarnation, because its
+	// clock was set back, cannot record keyed requests for this long.
+	sessionMemory = 10 * time.Minute
 	maxSessions   = 10_000
 	// abortMemory is how long an aborted attempt is kept, so that its delayed
 	// Begin does not take the key again.
