--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -276,7 +276,7 @@
 		defer cancel()
 		_, err := c.Begin(ctx, beginRequest("w", "k", "a", "r1", 1, 1))
 		assert.NilError(t, err)
-		time.Sleep(48 * time.Hour) // nothing is committed
+		time.Sleep(48 * time.Hour)       // nothing is committed
 		for attempt := range uint64(2) { // the first one moves the clock
 			out, err := c.Begin(ctx, beginRequest("w", "k", "a", "r2", 1, attempt))
 			assert.NilError(t, err)
