Answer callers whose body does not arrive, wait for announcements after a start

A refusal of a request whose body did not arrive was never sent: net/http reads the rest of the body first, and the deadline of the body had been taken back. A caller could hold a connection for ever that way. A router that had just started answered 404 for every model until the first announcement.

Change: the time for the body covers the whole admission and stays in force after a refusal.

Measured: the new test of the slow body found no answer within 20 s before; both cases, refused before and after the body, are answered now, with a limit of 100 ms for the body.

--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
@@ -37,8 +38,16 @@
 }
 
 // Ready reports whether the router should get requests: it holds a
-// configuration and is not draining.
-func (r *Router) Ready() bool { return r.ready.Load() && r.catalog.Load() != nil }
+// configuration, has had time to hear of the servers and is not draining.
+func (r *Router) Ready() bool {
+	return r.ready.Load() && r.catalog.Load() != nil && r.heardServers()
+}
+
+// heardServers reports whether the router knows a pool, or has run longer than
+// any server is silent.
+func (r *Router) heardServers() bool {
+	return len(r.servers.poolNames()) > 0 || time.Since(r.began) >= backend.SilenceLimit
+}
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
@@ -46,6 +55,8 @@
 		writeError(w, result.New(result.ShuttingDown, "the router is shutting down"))
 	case r.catalog.Load() == nil:
 		writeError(w, result.New(result.NoConfiguration, "the router has no configuration yet"))
+	case !r.heardServers():
+		writeError(w, result.New(result.NoServer, "the router has just started and knows no server yet"))
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -57,7 +58,7 @@
 		q.decision.Model = chat.Model
 		name, ok := r.servers.poolOf(q.arrived, chat.Model)
 		if !ok {
-			return result.New(result.UnknownModel, "no server announces model %s", chat.Model)
+			return r.unknownPool(q, "model "+chat.Model)
 		}
 		q.pool = name
 		q.path = chatPath
@@ -70,7 +71,7 @@
 		q.kind = backend.Service
 		q.pool = in.PathValue("service")
 		if !class.ValidName(q.pool) || !r.servers.service(q.arrived, q.pool) {
-			return result.New(result.UnknownModel, "no server announces service %.80q", q.pool)
+			return r.unknownPool(q, fmt.Sprintf("service %.80q", q.pool))
 		}
 		rest := strings.TrimPrefix(in.URL.EscapedPath(), servicePrefix)
 		_, rest, _ = strings.Cut(rest, "/")
@@ -82,6 +83,15 @@
 	})
 }
 
+// unknownPool refuses a request for a pool that nobody announces. A router that
+// has just started may not have heard of it yet.
+func (r *Router) unknownPool(q *request, name string) *result.Error {
+	if q.arrived.Sub(r.began) < backend.SilenceLimit {
+		return result.New(result.NoServer, "the router has just started and knows no server for %s yet", name)
+	}
+	return result.New(result.UnknownModel, "no server announces %s", name)
+}
+
 func (r *Router) serveUnknown(w http.ResponseWriter, in *http.Request) {
 	writeError(w, result.New(result.InvalidRequest, "use POST %s or %s{service}/", chatPath, servicePrefix))
 }
@@ -92,6 +102,7 @@
 	q := &request{id: r.newID(), arrived: time.Now(), w: w, in: in}
 	q.decision = &Decision{ID: q.id, Arrived: q.arrived, Method: in.Method, Path: in.URL.Path}
 	w.Header().Set(proxy.HeaderRequestID, q.id)
+	q.limitReads(r.cfg.Limits.BodyTimeout.Std())
 	if !r.ready.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -197,14 +208,17 @@
 	if r.bodyMemory.Add(reserved) > limits.BodyMemoryBytes {
 		return release, result.New(result.QueueFull, "the bodies of open requests fill the memory of the router")
 	}
-	control := http.NewResponseController(q.w)
-	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
 	var buf bytes.Buffer
 	if q.in.ContentLength > 0 {
 		buf.Grow(int(q.in.ContentLength) + bytes.MinRead)
 	}
 	_, err := buf.ReadFrom(http.MaxBytesReader(q.w, q.in.Body, limits.BodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		q.limitReads(0)
+	} else {
+		// Without it net/http would wait for the rest before the answer.
+		q.w.Header().Set("Connection", "close")
+	}
 	q.body = buf.Bytes()
 	if unused := reserved - int64(len(q.body)); unused > 0 && q.in.ContentLength < 0 {
 		r.bodyMemory.Add(-unused)
@@ -220,6 +234,17 @@
 	return release, nil
 }
 
+// limitReads sets the time for the rest of the body, 0 for none. It also bounds
+// the read of a body that net/http does before it sends a refusal.
+func (q *request) limitReads(d time.Duration) {
+	var deadline time.Time
+	if d > 0 {
+		deadline = time.Now().Add(d)
+	}
+	// Writers without deadlines are test recorders.
+	_ = http.NewResponseController(q.w).SetReadDeadline(deadline)
+}
+
 func tooLarge(limit int64) *result.Error {
 	return result.New(result.TooLarge, "the body is larger than %d bytes", limit)
 }
--- a/pkg/router/refusal_test.go
+++ b/pkg/router/refusal_test.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +17,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
 )
 
 // Guards against a request that passes admission without a right to, and
@@ -146,3 +150,62 @@
 	assert.Assert(t, f.store.ApplyDelta(1, 2, nil))
 	assert.Assert(t, !f.router.dataCentreOut("north"))
 }
+
+// Guards against a caller that holds memory with a body that never arrives.
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	f := newFleet(t, func(c *Config, _ *Parts) { c.Limits.BodyTimeout = settings.Duration(100 * time.Millisecond) })
+	for key, code := range map[string]result.Code{wsKey: result.InvalidRequest, "x": result.Unauthenticated} {
+		f.expectSlowBody(t, key, code)
+	}
+}
+
+func (f *fleet) expectSlowBody(t *testing.T, key string, code result.Code) {
+	t.Helper()
+	c, err := net.Dial("tcp", f.callers.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(testPatience)))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s: w\r\n%s: chat\r\nContent-Length: 100\r\n\r\n{",
+		chatPath, key, proxy.HeaderWorkspace, proxy.HeaderClass)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.Header.Get(headerResult), fmt.Sprint(uint32(code)))
+	f.await(t, "nothing is open", func() bool { return f.router.open.Load() == 0 && f.router.bodyMemory.Load() == 0 })
+}
+
+// Guards against a 404 for a model that a restarted router has not heard of
+// yet, and against readiness before it has.
+func TestStartedRouterWaitsForAnnouncements(t *testing.T) {
+	f := newFleet(t, nil)
+	assert.Assert(t, f.router.Ready())
+	f.router.began = time.Now()
+	assert.Assert(t, !f.router.Ready())
+	expectRefusal(t, f.request(t, http.MethodPost, chatPath, "chat", chatBody(1)), result.NoServer)
+	f.announceAs(t, backend.Announcement{Name: "s1", Address: "127.0.0.1:9", Kind: backend.Engine}, serverKey)
+	assert.Assert(t, f.router.Ready())
+}
+
+// Guards against settings that start a router which others cannot reach or
+// that accepts what it cannot hold.
+func TestSettingsAreChecked(t *testing.T) {
+	for name, edit := range map[string]func(*Config){
+		"name":            func(c *Config) { c.Name = "" },
+		"data_centre":     func(c *Config) { c.DataCentre = "a b" },
+		"listen.peers":    func(c *Config) { c.Listen.Peers = "0.0.0.0:7402" },
+		"tls.callers":     func(c *Config) { c.TLS.Callers.Key = "k" },
+		"body_bytes":      func(c *Config) { c.Limits.BodyBytes = 0 },
+		"body_memory":     func(c *Config) { c.Limits.BodyMemoryBytes = 1 },
+		"write_timeout":   func(c *Config) { c.Limits.WriteTimeout = 0 },
+		"drain.longest":   func(c *Config) { c.Drain.Longest = 0 },
+		"is used twice":   func(c *Config) { c.Peers = []PeerConfig{{"rt", "north", "127.0.0.1:1"}} },
+		"name, data_cent": func(c *Config) { c.Peers = []PeerConfig{{Name: "x"}} },
+	} {
+		c := NewConfig()
+		c.Name, c.DataCentre = "rt", "north"
+		assert.NilError(t, c.Validate())
+		edit(c)
+		assert.ErrorContains(t, c.Validate(), name)
+	}
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -78,6 +78,7 @@
 	metrics      metrics.Registry
 	counters     counters
 
+	began      time.Time
 	idPrefix   string
 	requests   atomic.Uint64
 	open       atomic.Int64 // requests between admission and end
@@ -137,6 +138,7 @@
 		budget:      newRetryBudget(),
 		rates:       newWorkspaceRates(),
 		metrics:     metrics.NewRegistry(),
+		began:       time.Now(),
 		idPrefix:    self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
 		closing:     make(chan struct{}),
 		owned:       make(map[pool.ShardID]*ownedShard),
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -72,6 +72,7 @@
 		change(cfg, &parts)
 	}
 	r := New(cfg, self, parts)
+	r.began = time.Time{} // servers have had their time to announce themselves
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); r.Run(ctx) }()
