Refuse rates and objectives that are no numbers

Cause: comparisons with NaN are false, so a class objective or request rate of NaN passed the checks of the aggregates.

--- a/pkg/class/class.go
+++ b/pkg/class/class.go
@@ -72,7 +72,7 @@
 	if c.Target() == 0 && !c.MayWait {
 		return result.New(result.InvalidCommand, "class %s: a class that may not wait needs a first token or answer target", c.Name)
 	}
-	if c.Objective < 0 || c.Objective >= 1 {
+	if !(c.Objective >= 0 && c.Objective < 1) { // also refuses NaN
 		return result.New(result.InvalidCommand, "class %s: objective %g is outside 0 to 1", c.Name, c.Objective)
 	}
 	return nil
--- a/pkg/router/keyed.go
+++ b/pkg/router/keyed.go
@@ -13,8 +13,8 @@
 
 const (
 	// beginTimeout bounds the wait for control before a keyed request is
-	// refused. An election takes 1 to 2 s.
-	beginTimeout = 3 * time.Second
+	// refused. An election takes 1.5 to 3 s.
+	beginTimeout = 4 * time.Second
 	recordRetry  = 500 * time.Millisecond
 	// recordPatience is how long a router tries to record the end of a keyed
 	// request. Control marks the record unknown when the session of the router
--- a/pkg/workspace/workspace.go
+++ b/pkg/workspace/workspace.go
@@ -14,6 +14,9 @@
 // replace a key without an interruption.
 const MaxKeys = 8
 
+// MaxRequestsPerSecond bounds the request rate limit of a workspace.
+const MaxRequestsPerSecond = 1e6
+
 // Workspace is one tenant.
 type Workspace struct {
 	Name              string
@@ -51,8 +54,8 @@
 			return result.New(result.InvalidCommand, "workspace %s: key hash has %d bytes instead of %d", w.Name, len(h), sha256.Size)
 		}
 	}
-	if w.RequestsPerSecond < 0 {
-		return result.New(result.InvalidCommand, "workspace %s: request rate %g is negative", w.Name, w.RequestsPerSecond)
+	if !(w.RequestsPerSecond >= 0 && w.RequestsPerSecond <= MaxRequestsPerSecond) { // also refuses NaN
+		return result.New(result.InvalidCommand, "workspace %s: request rate %g is outside 0 to %g", w.Name, w.RequestsPerSecond, MaxRequestsPerSecond)
 	}
 	return nil
 }
