Account for work of other owners and lost routers exactly

Change: the limiter keeps the changes of the number in flight and compares a report with the time at which it was taken; an end that is not known keeps the slot of a cold server until a report shows it free; a newer incarnation ends what the older one left; a running count no longer raises a cold limit.

--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -17,6 +17,8 @@
 	detection = 2 * time.Second
 	// gossip is the time until an ordinary membership change is known.
 	gossip = 200 * time.Millisecond
+	// drainTime is more than the longest answer of a slow engine.
+	drainTime = 3 * time.Minute
 )
 
 // decider is a pool.Owner or a baseline.
@@ -61,6 +63,7 @@
 type hosted struct {
 	decider
 	shard pool.ShardID
+	epoch uint64
 	timer int
 	gone  bool
 }
@@ -99,7 +102,7 @@
 
 // drain stops the router gracefully: it refuses what waits, others own its
 // shards, and it ends when its last answer is whole. A router that still has
-// open answers after a minute cuts them off.
+// open answers after drainTime cuts them off.
 func (r *router) drain() {
 	r.draining = true
 	for _, q := range r.open() {
@@ -113,7 +116,7 @@
 	}
 	r.f.membership(r.dc, gossip)
 	boot := r.id.Incarnation
-	r.f.after(time.Minute, func() {
+	r.f.after(drainTime, func() {
 		if r.up && r.id.Incarnation == boot {
 			r.f.m.cut += len(r.requests)
 			r.stop()
@@ -156,7 +159,7 @@
 	old := r.owners[p]
 	if owner == r && old == nil {
 		r.f.epoch++
-		r.owners[p] = &hosted{decider: r.f.newDecider(r.shard(p), r.f.epoch, r.ledger), shard: r.shard(p)}
+		r.owners[p] = &hosted{decider: r.f.newDecider(r.shard(p), r.f.epoch, r.ledger), shard: r.shard(p), epoch: r.f.epoch}
 		r.owners[p].SetDataCentreOut(r.f.now, r.out)
 	}
 	if owner != r && old != nil {
@@ -269,11 +272,16 @@
 }
 
 func (r *router) toShard(s pool.ShardID, env *apiv1.Envelope, input func(decider)) {
+	var newest *router // two owners may be cut off from each other
 	for _, to := range r.f.routers {
-		if h := to.owners[s.Pool]; to.up && h != nil && h.shard == s {
-			r.f.send(r, to, message{env, func(to *router) { to.with(s.Pool, input) }})
+		h := to.owners[s.Pool]
+		if h != nil && h.shard == s && r.f.linked(r, to) && (newest == nil || h.epoch > newest.owners[s.Pool].epoch) {
+			newest = to
 		}
 	}
+	if newest != nil {
+		r.f.send(r, newest, message{env, func(to *router) { to.with(s.Pool, input) }})
+	}
 }
 
 // exchange sends the changed totals to every router.
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -143,8 +143,7 @@
 
 	share  share
 	unseen int
-	peaks  [2]int // greatest inFlight in this and the last report window
-	peakAt time.Time
+	past   history
 }
 
 // share is the part of the limit that this router may use while known routers
@@ -201,14 +200,6 @@
 	l.restartWindow(now)
 }
 
-// Proven raises the limit of a cold server to what it is seen to bear.
-func (l *Limiter) Proven(now time.Time, running int) {
-	if l.cold && float64(running) > l.limit {
-		l.limit = float64(min(running, l.most))
-		l.restartStep(now)
-	}
-}
-
 func (l *Limiter) restartStep(now time.Time) {
 	l.stepped, l.completions, l.peakUse = now, 0, l.inFlight
 }
@@ -233,15 +224,14 @@
 	l.integrate(now)
 	l.inFlight++
 	l.peakUse = max(l.peakUse, l.inFlight)
-	l.rotatePeaks(now)
-	l.peaks[0] = max(l.peaks[0], l.inFlight)
+	l.past.mark(now, l.inFlight)
 }
 
 // Release returns a slot.
 func (l *Limiter) Release(now time.Time, s Sample) {
-	l.rotatePeaks(now)
 	l.integrate(now)
 	l.inFlight--
+	l.past.mark(now, l.inFlight)
 	switch s.Result {
 	case Dropped:
 		if l.cold && l.limit > float64(l.coldMost) {
@@ -268,11 +258,10 @@
 
 // Report takes a load report.
 func (l *Limiter) Report(now time.Time, r Load) {
-	l.rotatePeaks(now)
 	if now.Sub(r.Taken) > reportMaxAge {
 		return
 	}
-	accounted := max(l.peaks[0], l.peaks[1], l.inFlight)
+	_, accounted := l.past.around(r.Taken)
 	running := r.Running + r.Waiting
 	l.unseen = max(running-accounted, 0)
 	if !l.cold && r.Waiting > max(1, int(l.limit)/8) && r.Taken.After(l.windowFrom) {
@@ -282,18 +271,6 @@
 	l.share.report(r, l.unseen, l.cold)
 }
 
-// rotatePeaks keeps the greatest number in flight over one to two report ages.
-func (l *Limiter) rotatePeaks(now time.Time) {
-	if now.Sub(l.peakAt) < reportMaxAge {
-		return
-	}
-	if now.Sub(l.peakAt) >= 2*reportMaxAge {
-		l.peaks[0] = l.inFlight
-	}
-	l.peaks[1], l.peaks[0] = l.peaks[0], l.inFlight
-	l.peakAt = now
-}
-
 // Limit returns the number of requests that this router may have in flight.
 func (l *Limiter) Limit() int { return l.usable() }
 
@@ -305,6 +282,12 @@
 	return max(min(full-l.unseen, l.share.of(full)), 0)
 }
 
+// LeastAt returns the least number in flight around a recent time.
+func (l *Limiter) LeastAt(t time.Time) int {
+	least, _ := l.past.around(t)
+	return least
+}
+
 // Cold reports whether the server is cold.
 func (l *Limiter) Cold() bool { return l.cold }
 
--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -106,6 +106,7 @@
 		return
 	}
 	o.now = now
+	o.incarnation(router)
 	o.reported[router] = true
 	listed := make(map[grantKey]bool, len(grants))
 	for _, g := range grants {
@@ -140,4 +141,7 @@
 	// settle here adds only the difference.
 	o.queue.Served(o.now, g.flow)
 	o.grants[key], o.granted[g.request] = g, g
+	if router.Incarnation < o.latest[router.Name] {
+		o.orphan(g)
+	}
 }
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -231,6 +231,10 @@
 			break
 		}
 		l.open--
+		if s.Outcome == 0 {
+			o.orphanSlot(l.server)
+			continue
+		}
 		o.ended(l.server, l.loan.BootID, sampleOf(s, l.given, 0))
 	}
 	if l.open == 0 {
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -80,6 +80,7 @@
 	inFlight    int // on own servers
 	stats       stats
 	reported    map[RouterID]bool // routers that listed their grants
+	latest      map[string]uint64 // incarnation by router name
 	peers       map[ShardID]*peer
 	lent        map[uint64]*lent
 	lastLoan    uint64
@@ -119,6 +120,7 @@
 		known:     1,
 		live:      1,
 		reported:  map[RouterID]bool{},
+		latest:    map[string]uint64{},
 		peers:     map[ShardID]*peer{},
 		lent:      map[uint64]*lent{},
 	}
@@ -159,6 +161,7 @@
 		return
 	}
 	o.now = now
+	o.incarnation(a.Router)
 	key := requestKey{a.Router, a.RequestID}
 	if g := o.granted[key]; g != nil {
 		o.outbox.Grants = append(o.outbox.Grants, g.sent)
@@ -279,18 +282,37 @@
 // load report shows that they ended.
 func (o *Owner) RouterGone(now time.Time, router RouterID) {
 	o.now = now
-	delete(o.reported, router)
+	o.endRouter(func(id RouterID) bool { return id == router })
+	o.dispatch()
+}
+
+// endRouter drops the asks and ends the grants of the routers that match.
+func (o *Owner) endRouter(gone func(RouterID) bool) {
+	for id := range o.reported {
+		if gone(id) {
+			delete(o.reported, id)
+		}
+	}
 	for _, w := range o.waiting {
-		if w.ask.Router == router {
+		if gone(w.ask.Router) {
 			o.drop(w)
 		}
 	}
 	for _, g := range o.sortedGrants() {
-		if g.request.router == router {
+		if gone(g.request.router) {
 			o.orphan(g)
 		}
 	}
-	o.dispatch()
+}
+
+// incarnation ends what earlier incarnations of the router left. A router that
+// restarts faster than membership notices is never reported as gone.
+func (o *Owner) incarnation(r RouterID) {
+	if o.latest[r.Name] >= r.Incarnation {
+		return
+	}
+	o.latest[r.Name] = r.Incarnation
+	o.endRouter(func(id RouterID) bool { return id.Name == r.Name && id.Incarnation < r.Incarnation })
 }
 
 // SetKnownRouters tells how many routers of the data centre are known, how
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -149,7 +149,7 @@
 	if s.orphans == 0 || !taken.After(s.orphaned) {
 		return
 	}
-	others := s.limit.State().InFlight - s.orphans
+	others := s.limit.LeastAt(taken) - s.orphans
 	for s.orphans > max(l.Running+l.Waiting-others, 0) {
 		s.orphans--
 		o.releaseSlot(s, limiter.Sample{Result: limiter.Neutral})
@@ -169,10 +169,6 @@
 	if seasoned(&s.ann) {
 		s.proven = true
 		s.limit.Restore(o.now, max(s.ann.Slots, l.Running, seasonedSlots), false)
-		return
-	}
-	if l.Waiting == 0 && l.Total >= 2*int64(l.Running) {
-		s.limit.Proven(o.now, l.Running)
 	}
 }
 
@@ -226,19 +222,25 @@
 func (o *Owner) orphan(g *grant) {
 	o.queue.Ended(o.now, g.flow)
 	if g.loan != nil {
-		o.returnUsed(g.loan, Settle{Outcome: OutcomeCancelled})
+		o.returnUsed(g.loan, Settle{}) // without an outcome: its end is not known
 	}
-	if s := g.server; s != nil {
-		if s.limit.State().Cold {
-			s.orphans++
-			s.orphaned = o.now
-		} else {
-			o.releaseSlot(s, limiter.Sample{Result: limiter.Neutral})
-		}
+	if g.server != nil {
+		o.orphanSlot(g.server)
 	}
 	o.forget(g)
 }
 
+// orphanSlot ends the count of a request whose end is not known: at once on a
+// warm server, after a load report on a cold one.
+func (o *Owner) orphanSlot(s *server) {
+	if !s.limit.Cold() {
+		o.releaseSlot(s, limiter.Sample{Result: limiter.Neutral})
+		return
+	}
+	s.orphans++
+	s.orphaned = o.now
+}
+
 // SetDataCentreOut takes the data centre out or back. It comes back with cold
 // limits.
 func (o *Owner) SetDataCentreOut(now time.Time, out bool) {
