--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -178,6 +178,16 @@
 	return nil
 }
 
+// Totals returns the number of requests that were sent and that were answered.
+func (r *Report) Totals() (sent, answered int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.classes {
+		sent, answered = sent+c.sent, answered+c.answered
+	}
+	return sent, answered
+}
+
 // Faults returns what no run may show: cut answers, answers that no server
 // sent, requests that ran more often than allowed or than reported.
 func (r *Report) Faults() []string {
--- a/pkg/standin/control.go
+++ b/pkg/standin/control.go
@@ -18,7 +18,7 @@
 // act at once.
 const (
 	FaultLate          FaultKind = "late"         // first byte after DelayMS
-	FaultOutOfOrder    FaultKind = "out_of_order" // the answer of the request before
+	FaultOutOfOrder    FaultKind = "out_of_order" // the answer of an earlier request
 	FaultSilent        FaultKind = "silent"       // nothing is sent, the connection stays open
 	FaultReset         FaultKind = "reset"        // the connection breaks within the answer
 	FaultRestartCold   FaultKind = "restart_cold"
@@ -40,7 +40,7 @@
 type faults struct {
 	next   []Fault // one for each spoiled answer to come
 	quiet  bool    // no announcements
-	latest *run    // the request before
+	latest *run    // the last request that was answered without a fault
 }
 
 func (s *Server) serveFault(w http.ResponseWriter, r *http.Request) {
@@ -83,8 +83,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.faults.latest
-	s.faults.latest = one
 	if len(s.faults.next) == 0 {
+		s.faults.latest = one
 		return one, Fault{}
 	}
 	f := s.faults.next[0]
