Take a hand-over before the reports of held grants, run slow tests in parallel

A new owner that took the reports first dropped the estimated costs of the hand-over, so the requests that ran through a move were charged twice: by the old owner's estimate and by their whole cost.

The test of lost messages could cut the routers apart while its first grant was still on its way. It then waited for a request that could not get one (seen once in parallel with other tests). It now waits until the grant has arrived; what it checks is unchanged.

--- a/pkg/router/relay_test.go
+++ b/pkg/router/relay_test.go
@@ -52,6 +52,7 @@
 // Guards against a restarted router that stays without a configuration, or
 // takes an old one, while its data centre is cut off from control.
 func TestRestartedRouterAdoptsGreatestRevision(t *testing.T) {
+	t.Parallel()
 	start := func(name string, revision uint64, seeds ...settings.Address) *Service {
 		cfg := NewConfig()
 		cfg.Name, cfg.DataCentre, cfg.Seeds = name, "north", seeds
--- a/pkg/router/restart_test.go
+++ b/pkg/router/restart_test.go
@@ -20,6 +20,7 @@
 // Guards against answers that are cut, and requests that are refused, while
 // the owner of their pool is restarted gracefully (I9, F2) or stops at once.
 func TestOwnerLeavesWhileAnotherRouterServes(t *testing.T) {
+	t.Parallel()
 	for _, abrupt := range []bool{false, true} {
 		t.Run(fmt.Sprintf("abrupt=%v", abrupt), func(t *testing.T) { testOwnerLeaves(t, abrupt) })
 	}
--- a/pkg/router/succession.go
+++ b/pkg/router/succession.go
@@ -80,15 +80,16 @@
 	return out
 }
 
-// inherit gives a new owner what has waited for it: reports first, because a
-// hand-over adds no grant of a router that has reported.
+// inherit gives a new owner what has waited for it: the hand-over first,
+// because it alone knows the estimated costs. The reports then end the grants
+// that their routers no longer use.
 func (v *inheritance) inherit(now time.Time, o *pool.Owner) {
-	for from, grants := range v.held {
-		o.Held(now, from, grants)
-	}
 	if v.handover != nil {
 		o.Accept(now, *v.handover)
 	}
+	for from, grants := range v.held {
+		o.Held(now, from, grants)
+	}
 }
 
 // successor is an Ownership that starts a new owner at its hand-over.
--- a/pkg/router/two_test.go
+++ b/pkg/router/two_test.go
@@ -111,6 +111,7 @@
 // routers, and against a slot that stays occupied after the owner moved while
 // streams ran and requests waited.
 func TestOwnerMovesUnderLoad(t *testing.T) {
+	t.Parallel()
 	p := newPair(t)
 	p.moveTo(0)
 	p.callers[0].standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p", Slots: 8, TokenInterval: settings.Duration(2 * time.Millisecond)})
@@ -151,6 +152,7 @@
 // Guards against a slot that stays occupied because its settle was lost with
 // the connection to the owner, and against an ask that was.
 func TestLostMessagesAreRepeated(t *testing.T) {
+	t.Parallel()
 	p := newPair(t)
 	p.moveTo(0)
 	p.callers[0].standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p", TokenInterval: settings.Duration(20 * time.Millisecond)})
@@ -171,7 +173,8 @@
 		})
 	}
 	ask(10)
-	p.callers[0].await(t, "a stream runs", func() bool { return grants() == 1 })
+	// The grant must have arrived: its stream ends while the routers are apart.
+	p.callers[1].await(t, "a stream runs", func() bool { _, held := p.routers[1].asks.counts(); return held == 1 })
 	p.exchanges[0].SetPeers(nil)
 	p.exchanges[1].SetPeers(nil)
 	callers.Wait() // its settle is lost
@@ -186,6 +189,7 @@
 // Guards against a stream that is cut by a shutdown (I9), and against a
 // shutdown that an operator cannot end.
 func TestShutdownUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, second := range []bool{false, true} {
 		s, f := newService(t)
 		graceful, stop := context.WithCancel(context.Background())
