--- a/pkg/router/bench_test.go
+++ b/pkg/router/bench_test.go
@@ -57,6 +57,17 @@
 	return req
 }
 
+// serversIdle reports whether every server has announced that it runs nothing:
+// the answers of the streams before take memory until then.
+func (f *fleet) serversIdle() bool {
+	for _, s := range f.router.servers.all() {
+		if s.announcement.Load.Running > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // probe is a short stream of the fast server.
 func (f *fleet) probe(b testing.TB, base string) *http.Request {
 	req := f.to(b, base, 1)
@@ -139,6 +150,7 @@
 			without := float64(memoryInUse()-before) / float64(open)
 			end()
 			c.CloseIdleConnections()
+			f.await(b, "the servers are idle", f.serversIdle)
 			before = memoryInUse()
 			end = f.openStreams(b, c, "", open)
 			with := float64(memoryInUse()-before) / float64(open)
