--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -6,13 +6,9 @@
 	"syscall"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
-	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
@@ -169,44 +165,6 @@
 	return s
 }
 
-// SlotTraffic measures the control bytes a second of one router for asks,
-// grants and settles against its request rate, one message each.
-func SlotTraffic() Slope {
-	s := Slope{Role: "router", Name: "asks, grants and settles", XName: "request/s", Unit: "B/s", At: requestsPerNode, Budget: controlBytesPerSecond}
-	now := start
-	ask := peer.FromAsk(shard1, newAsk(1<<30, 39_999, now), now)
-	grant := &apiv1.Envelope{Item: &apiv1.Envelope_Grant{Grant: &apiv1.Grant{
-		Shard: peer.FromShard(shard1), RequestId: 1 << 30, GrantId: 1 << 30, Epoch: 100, Server: "server-001", Address: "127.100.100.100:9000", BootId: 1 << 60}}}
-	settle := &apiv1.Envelope{Item: &apiv1.Envelope_Settle{Settle: &apiv1.Settle{
-		Shard: peer.FromShard(shard1), GrantId: 1 << 30, Epoch: 100, Outcome: 1, CostUnits: 4_000, FirstTokenUs: 100_000, TokenIntervalUs: 30_000}}}
-	one := 3 * framing
-	for _, e := range []*apiv1.Envelope{ask, grant, settle} {
-		one += proto.Size(&apiv1.Batch{Items: []*apiv1.Envelope{e}})
-	}
-	for _, rate := range []float64{2, 5, 10, 20} {
-		s.Points = append(s.Points, Point{rate, rate * float64(one)})
-	}
-	return s
-}
-
-// TotalsTraffic measures the bytes a second that one router sends for service
-// totals to every other router, at the request rate of one node.
-func TotalsTraffic() Slope {
-	s := Slope{Role: "router", Name: "service totals to every router", XName: "router", Unit: "B/s", At: designRouters, Budget: controlBytesPerSecond}
-	interval := fairshare.ExchangeInterval.Seconds()
-	changed := int(requestsPerNode * interval)
-	totals := &apiv1.Totals{Origin: peer.FromRouter(router1)}
-	for i := range changed {
-		totals.Totals = append(totals.Totals, &apiv1.WorkspaceTotal{Workspace: workspaceName(i), Units: 1 << 32})
-	}
-	batch := &apiv1.Batch{Items: []*apiv1.Envelope{{Item: &apiv1.Envelope_Totals{Totals: totals}}}}
-	one := float64(framing+proto.Size(batch)) / interval
-	for _, n := range []int{5, 50, 150, 380} {
-		s.Points = append(s.Points, Point{float64(n), one * float64(n-1)})
-	}
-	return s
-}
-
 // LedgerMemory measures the heap of a ledger against the number of origins,
 // each of which has served the workspaces of one shard.
 func LedgerMemory() Slope {
