Sync the parent of a new data folder and dial members without a proxy

A power failure could remove a new data folder, because only its own content was synced; the host would then return with another identity. gRPC takes a proxy from the environment unless it is told not to.

Conclusion: members are dialled directly in every environment.

--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -64,6 +64,7 @@
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.options = []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/pkg/wal/open.go
+++ b/pkg/wal/open.go
@@ -124,6 +124,10 @@
 	if err := l.writeFile(identityName, b); err != nil {
 		return nil, err
 	}
+	// The folder itself may be new in its parent.
+	if err := l.fs.SyncDir(filepath.Dir(l.folder)); err != nil {
+		return nil, l.fail(err, "sync of the parent folder failed")
+	}
 	return &Recovered{Identity: identity}, nil
 }
 
