End orphaned slots only by requests that surely run

Cause: a trace of a trial run showed two ways in which the slot of a lost borrower came back while its request still ran: the slots counted when the report was taken included orphans that had ended since, and loans that were lost on their way stood for requests that ran. Change: an orphan ends when the running requests of a report are not more than the open grants and confirmed loans from before the report, or when the server is warm.

--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -46,18 +46,19 @@
 // router is a fake of a router process: it hosts real deciders and a real
 // ledger, and keeps the requests of its callers.
 type router struct {
-	f        *fleet
-	id       pool.RouterID
-	dc       int
-	up       bool
-	draining bool
-	out      bool
-	ledger   *fairshare.Ledger
-	owners   map[string]*hosted // by pool
-	live     []*router          // of the data centre, in this router's view
-	current  map[string]*router // owner by pool, in this router's view
-	requests map[uint64]*request
-	sentTo   map[*router]uint64 // version of the totals sent last
+	f         *fleet
+	id        pool.RouterID
+	dc        int
+	up        bool
+	draining  bool
+	out       bool
+	ledger    *fairshare.Ledger
+	owners    map[string]*hosted // by pool
+	live      []*router          // of the data centre, in this router's view
+	current   map[string]*router // owner by pool, in this router's view
+	ownerBoot map[string]uint64  // incarnation of that owner
+	requests  map[uint64]*request
+	sentTo    map[*router]uint64 // version of the totals sent last
 }
 
 type hosted struct {
@@ -77,6 +78,7 @@
 	r.up, r.draining, r.live = true, false, nil
 	r.ledger = fairshare.NewLedger(fairshare.Origin{Name: r.id.Name, DataCentre: r.id.DataCentre, Incarnation: r.id.Incarnation})
 	r.owners, r.current = map[string]*hosted{}, map[string]*router{}
+	r.ownerBoot = map[string]uint64{}
 	r.requests, r.sentTo = map[uint64]*request{}, map[*router]uint64{}
 	boot := r.id.Incarnation
 	aligned := exchangeInterval - time.Duration(r.f.now.UnixNano())%exchangeInterval
@@ -176,8 +178,8 @@
 		known := r.f.knownOf(r.dc)
 		d.SetKnownRouters(r.f.now, len(known), len(r.live), slices.Index(known, r))
 	})
-	if r.current[p] != owner {
-		r.current[p] = owner
+	if r.current[p] != owner || r.ownerBoot[p] != owner.id.Incarnation {
+		r.current[p], r.ownerBoot[p] = owner, owner.id.Incarnation
 		r.reportTo(p)
 	}
 }
--- a/pkg/limiter/history.go
+++ b/pkg/limiter/history.go
@@ -28,23 +28,21 @@
 	h.held = min(h.held+1, historySize)
 }
 
-// around returns the least and the greatest number in flight around a time.
-func (h *history) around(t time.Time) (least, most int) {
-	from, to := t.Add(-reportError).UnixNano(), t.Add(reportError).UnixNano()
-	found := false
+// around returns the greatest number in flight just before a time. The time of a report is known too late by a link delay, and a grant
+// takes another one to reach the server: a grant at that time or after is not
+// in the report.
+func (h *history) around(t time.Time) int {
+	from, to := t.Add(-reportError).UnixNano(), t.UnixNano()
+	most := 0
 	for k := 1; k <= h.held; k++ {
 		i := (h.next - k + historySize) % historySize
-		n := int(h.count[i])
-		if h.at[i] > to {
+		if h.at[i] >= to {
 			continue
 		}
-		if !found {
-			least, most, found = n, n, true
-		}
-		least, most = min(least, n), max(most, n)
+		most = max(most, int(h.count[i]))
 		if h.at[i] <= from {
-			return least, most
+			break
 		}
 	}
-	return 0, most // the time is before the first change or out of reach
+	return most
 }
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -261,7 +261,7 @@
 	if now.Sub(r.Taken) > reportMaxAge {
 		return
 	}
-	_, accounted := l.past.around(r.Taken)
+	accounted := l.past.around(r.Taken)
 	running := r.Running + r.Waiting
 	l.unseen = max(running-accounted, 0)
 	if !l.cold && r.Waiting > max(1, int(l.limit)/8) && r.Taken.After(l.windowFrom) {
@@ -282,12 +282,6 @@
 	return max(min(full-l.unseen, l.share.of(full)), 0)
 }
 
-// LeastAt returns the least number in flight around a recent time.
-func (l *Limiter) LeastAt(t time.Time) int {
-	least, _ := l.past.around(t)
-	return least
-}
-
 // Cold reports whether the server is cold.
 func (l *Limiter) Cold() bool { return l.cold }
 
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -149,13 +149,31 @@
 	if s.orphans == 0 || !taken.After(s.orphaned) {
 		return
 	}
-	others := s.limit.LeastAt(taken) - s.orphans
-	for s.orphans > max(l.Running+l.Waiting-others, 0) {
+	hidden := max(l.Running+l.Waiting-o.certain(s, taken), 0)
+	for s.orphans > hidden || s.orphans > 0 && !s.limit.Cold() {
 		s.orphans--
 		o.releaseSlot(s, limiter.Sample{Result: limiter.Neutral})
 	}
 }
 
+// certain counts the requests that surely ran on the server when a report was
+// taken: grants, and loans that their borrower has confirmed. A loan that was
+// lost on its way would otherwise stand for an orphan that still runs.
+func (o *Owner) certain(s *server, taken time.Time) int {
+	n := 0
+	for _, g := range o.grants {
+		if g.server == s && g.granted.Before(taken) {
+			n++
+		}
+	}
+	for _, l := range o.lent {
+		if l.server == s && l.acked && l.given.Before(taken) {
+			n += int(l.open)
+		}
+	}
+	return n
+}
+
 // prove raises the limit at a new owner that got no hand-over: a server that
 // has finished requests and runs many of them now is not cold.
 func (o *Owner) prove(s *server, l backend.Load, taken time.Time) {
