Compare each answer with the execution of its own request

Cause: with the identity check of the proxy disabled, or with a second send of requests that may not run twice, the end-to-end tests still passed: the load tool accepted the answer of any request, and a retry found no second server. One run failed because an outgoing connection had taken the port of a router.

Change: an answer must be one that a server sent for the same request body. Each data centre of the end-to-end fleets has two desks. Each fleet has a loopback IP address of its own.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -102,6 +103,7 @@
 type fleet struct {
 	t          *testing.T
 	folder     string
+	ip         string
 	control    []*process
 	routers    []*process
 	standin    *process
@@ -111,13 +113,19 @@
 	seed       uint64
 }
 
+// fleets numbers the fleets of this test process.
+var fleets atomic.Uint32
+
 // ports returns free loopback addresses. All are open at a time, so that none
-// is given twice.
-func ports(t *testing.T, count int) []string {
+// is given twice. Each fleet has an IP address of its own in 127.0.0.0/8: on
+// 127.0.0.1 an outgoing connection can take a port before its process opens
+// it.
+func (f *fleet) ports(count int) []string {
+	t := f.t
 	t.Helper()
 	var all []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", f.ip+":0")
 		assert.NilError(t, err)
 		defer l.Close()
 		all = append(all, l.Addr().String())
@@ -128,6 +136,8 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, folder: t.TempDir()}
+	pid := os.Getpid()
+	f.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, fleets.Add(1))
 	f.executions = filepath.Join(f.folder, "executions")
 	t.Cleanup(func() {
 		for _, p := range f.all() {
@@ -137,8 +147,8 @@
 			f.printLogs()
 		}
 	})
-	f.writeControl(ports(t, 6))
-	f.writeRouters(ports(t, 15))
+	f.writeControl(f.ports(6))
+	f.writeRouters(f.ports(15))
 	for _, p := range f.control {
 		p.start()
 	}
@@ -198,7 +208,8 @@
 			name, dc, r[0], r[1], r[2], r[3], r[4], f.controls[0], f.controls[1], f.controls[2], seeds, secret)))
 	}
 	for dc, announce := range map[string]string{"a": fmt.Sprintf("[%q, %q]", a[1], a[6]), "b": fmt.Sprintf("[%q]", a[11])} {
-		for _, s := range []string{"engine", "desk"} {
+		// Two desks, so that a retry finds another server.
+		for _, s := range []string{"engine", "desk", "desk2"} {
 			kind, pool := "service", "desk"
 			if s == "engine" {
 				kind, pool = "engine", "model"
@@ -249,7 +260,7 @@
 		"class set status --answer 2s --may-run-twice",
 		"workspace set shop --key-stdin",
 		"credential set engine-* --key-stdin",
-		"credential set desk-* --key-stdin",
+		"credential set desk* --key-stdin",
 	} {
 		f.await(strings.Fields(command)...)
 	}
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -73,12 +73,13 @@
 func TestExecutionsAreChecked(t *testing.T) {
 	e := experiment(t, nil, Stream{Service: "x", Keyed: true, Once: true})
 	e.Executions = filepath.Join(t.TempDir(), "executions")
-	line := func(number int) string {
-		return fmt.Sprintf(`{"body_sha256":%q}`, sum(e.Streams[0].serviceBody(e.Seed, number))) + "\n"
+	line := func(number int, answer string) string {
+		return fmt.Sprintf(`{"answer_sha256":%q,"body_sha256":%q}`, answer, sum(e.Streams[0].serviceBody(e.Seed, number))) + "\n"
 	}
-	assert.NilError(t, os.WriteFile(e.Executions, []byte(line(0)+line(0)+line(1)+line(2)), 0o600))
+	assert.NilError(t, os.WriteFile(e.Executions, []byte(line(0, "aa")+line(0, "aa")+line(1, "bb")+line(2, "cc")), 0o600))
 	r := newReport(e)
-	r.sums["bb"] = "c"
+	r.wholes[whole{sum(e.Streams[0].serviceBody(e.Seed, 0)), "aa"}] = "c"
+	r.wholes[whole{sum(e.Streams[0].serviceBody(e.Seed, 1)), "aa"}] = "c" // the answer of another request
 	for number, executed := range []result.Executed{result.ExecutedYes, result.ExecutedNo, result.ExecutedMaybe} {
 		r.note(e.arrival(&e.Streams[0], number, 0)[0], answer{executed: executed})
 	}
@@ -88,6 +89,6 @@
 	assert.DeepEqual(t, got, []string{
 		"a request of class c ran 2 times",
 		"a request of class c ran and was reported as not run",
-		"an answer of class c is not what a server sent",
+		"an answer of class c is not what a server sent for its request",
 	})
 }
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -35,6 +35,9 @@
 	refused, other int
 }
 
+// whole is a whole answer: SHA-256 of the request body and of the answer.
+type whole struct{ request, answer string }
+
 // Report collects the answers of a run. It is safe for concurrent use.
 type Report struct {
 	experiment *Experiment
@@ -42,14 +45,14 @@
 	open       int
 	classes    map[string]*tally
 	examples   map[string]string   // first answer of each stream
-	sums       map[string]string   // of whole answers: SHA-256, class
+	wholes     map[whole]string    // class of each whole answer
 	requests   map[string]*outcome // by SHA-256 of the request body
 	faults     []string
 	executions []standin.Execution
 }
 
 func newReport(e *Experiment) *Report {
-	return &Report{experiment: e, classes: map[string]*tally{}, examples: map[string]string{}, sums: map[string]string{}, requests: map[string]*outcome{}}
+	return &Report{experiment: e, classes: map[string]*tally{}, examples: map[string]string{}, wholes: map[whole]string{}, requests: map[string]*outcome{}}
 }
 
 func (r *Report) class(name string) *tally {
@@ -90,7 +93,7 @@
 		c.answered++
 		_ = c.firstByte.RecordValue(got.firstByte.Microseconds()) // bounded by the timeout
 		_ = c.total.RecordValue(got.total.Microseconds())
-		r.sums[got.sum] = a.stream.Class
+		r.wholes[whole{sum(a.body), got.sum}] = a.stream.Class
 		if _, shown := r.examples[a.stream.Name]; !shown {
 			r.examples[a.stream.Name] = got.text
 		}
@@ -143,7 +146,7 @@
 }
 
 // readExecutions compares the answers with the execution file: whole answers
-// must be what a server sent, requests refused as not run must not have run,
+// must be what a server sent for the same request body, requests refused as not run must not have run,
 // and requests of streams marked once must have run at most once.
 func (r *Report) readExecutions() error {
 	if r.experiment.Executions == "" {
@@ -156,15 +159,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.executions = executions
-	sent := map[string]bool{}
+	sent := map[whole]bool{}
 	runs := map[string]int{}
 	for _, e := range executions {
-		sent[e.AnswerSHA256] = true
+		sent[whole{e.BodySHA256, e.AnswerSHA256}] = true
 		runs[e.BodySHA256]++
 	}
-	for sum, class := range r.sums {
-		if !sent[sum] {
-			r.fault("an answer of class %s is not what a server sent", class)
+	for w, class := range r.wholes {
+		if !sent[w] {
+			r.fault("an answer of class %s is not what a server sent for its request", class)
 		}
 	}
 	for body, o := range r.requests {
