Keep asks for the next owner, connect anew after a false death

Asks that met the next owner before it may grant were refused and sent again every 50 ms. A router that membership took for dead, although its stream was open, lost its asks and grants at the owner and was never asked for them. Closing the exchange while a stream began was a data race.

A death in the membership also replaces the stream to that router, so that both sides report again. The exchange starts no task after Close.

The test of kept asks fails when they are refused.

--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -71,6 +71,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	taskMu sync.Mutex // orders the start of tasks before the wait for them
+	closed bool
 	tasks  sync.WaitGroup
 
 	mu    sync.Mutex
@@ -94,10 +97,22 @@
 
 // Close ends all streams and waits for their goroutines.
 func (x *Exchange) Close() {
+	x.taskMu.Lock()
+	x.closed = true
+	x.taskMu.Unlock()
 	x.cancel()
 	x.tasks.Wait()
 }
 
+// start runs a task that Close waits for, none after Close.
+func (x *Exchange) start(task func()) {
+	x.taskMu.Lock()
+	defer x.taskMu.Unlock()
+	if !x.closed {
+		x.tasks.Go(task)
+	}
+}
+
 // SetPeers replaces the list of other routers.
 func (x *Exchange) SetPeers(peers []Peer) {
 	x.mu.Lock()
@@ -130,7 +145,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	l := &link{name: p.ID.Name, address: p.Address, ctx: ctx, stop: cancel, wake: make(chan struct{}, 1)}
 	if x.self.Name < p.ID.Name {
-		x.tasks.Go(func() { x.keep(l) })
+		x.start(func() { x.keep(l) })
 	}
 	return l
 }
@@ -148,6 +163,14 @@
 	return l != nil && l.push(e)
 }
 
+// Reset replaces the stream to a router by a new one, so that both sides tell
+// each other again what they need.
+func (x *Exchange) Reset(name string) {
+	if l := x.link(name); l != nil {
+		l.reset()
+	}
+}
+
 // Connected reports whether a stream to the router is open.
 func (x *Exchange) Connected(name string) bool {
 	l := x.link(name)
@@ -218,7 +241,7 @@
 	silence := time.AfterFunc(SilenceLimit, func() { cancel(errSilent) })
 	defer silence.Stop()
 	batches := make(chan *apiv1.Batch)
-	x.tasks.Go(func() { receive(ctx, cancel, s, batches) })
+	x.start(func() { receive(ctx, cancel, s, batches) })
 	first, err := next(ctx, batches)
 	if err != nil {
 		return err
@@ -238,7 +261,7 @@
 	defer l.detach(use)
 	x.log.Infof("exchange with %s begins", from.Name)
 	x.handler.Connected(from)
-	x.tasks.Go(func() { l.send(ctx, cancel, use, s) })
+	x.start(func() { l.send(ctx, cancel, use, s) })
 	for batch := first; ; {
 		silence.Reset(SilenceLimit)
 		if len(batch.Items) > 0 {
--- a/pkg/peer/exchange_test.go
+++ b/pkg/peer/exchange_test.go
@@ -188,6 +188,20 @@
 	assert.Equal(t, await(t, b.received).GetCancel().RequestId, uint64(7))
 }
 
+// Guards against a router that was taken for dead and is not told what the
+// other still needs.
+func TestResetConnectsAnew(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	b.knows("a", a.address)
+	a.knows("b", b.address)
+	for range 2 {
+		await(t, a.connected)
+		await(t, b.connected)
+		b.exchange.Reset("a")
+	}
+	await(t, a.connected)
+}
+
 // Guards against messages of a process that is no member.
 func TestUnknownRouterIsRefused(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -49,6 +49,15 @@
 	l.queue = nil
 }
 
+// reset ends the present stream.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.end != nil {
+		l.end(errReplaced)
+	}
+}
+
 func (l *link) open() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/router/join.go
+++ b/pkg/router/join.go
@@ -72,6 +72,8 @@
 		if s.members.gone[m.Name] != m.Incarnation {
 			s.members.gone[m.Name] = m.Incarnation
 			s.router.Lost(m.Name)
+			// If the router runs after all, it asks and reports anew.
+			s.exchange.Reset(m.Name)
 		}
 	}
 }
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -34,7 +34,7 @@
 	}
 	r.repeatAsks()
 	r.repeatReports(now)
-	r.offerHandovers(now)
+	r.offerInheritances(now)
 	r.releaseLost()
 	r.tellOwners()
 	r.noteDataCentres(now)
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -172,8 +172,9 @@
 	case *apiv1.Envelope_Ask:
 		r.receiveAsk(from, item.Ask)
 	case *apiv1.Envelope_Cancel:
-		id := item.Cancel.RequestId
-		r.atShard(peer.ToShard(item.Cancel.Shard), func(now time.Time, o *pool.Owner) { o.Cancel(now, from, id) })
+		shard, id := peer.ToShard(item.Cancel.Shard), item.Cancel.RequestId
+		r.inheritances.dropAsk(shard, from, id)
+		r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Cancel(now, from, id) })
 	case *apiv1.Envelope_Settle:
 		s := peer.ToSettle(item.Settle)
 		r.atShard(peer.ToShard(item.Settle.Shard), func(now time.Time, o *pool.Owner) { o.Settle(now, s) })
@@ -200,13 +201,22 @@
 // asking router repeats.
 func (r *Router) receiveAsk(from pool.RouterID, m *apiv1.Ask) {
 	shard := peer.ToShard(m.Shard)
-	c, known := r.class(m.Class)
-	if known && r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Ask(now, peer.ToAsk(from, c, m, now)) }) {
+	if c, known := r.class(m.Class); known && r.takeAsk(shard, peer.ToAsk(from, c, m, time.Now())) {
 		return
 	}
 	r.sendRefusal(shard, pool.Refusal{Router: from, RequestID: m.RequestId, Code: result.OwnerUnavailable})
 }
 
+// takeAsk gives an ask to the owned shard, or keeps it while this router is
+// the next owner and must not grant yet.
+func (r *Router) takeAsk(shard pool.ShardID, a pool.Ask) bool {
+	if r.atShard(shard, func(now time.Time, o *pool.Owner) { o.Ask(now, a) }) {
+		return true
+	}
+	_, _, ok := r.ownership.Owner(shard)
+	return !ok && r.inheritances.addAsk(time.Now(), shard, a)
+}
+
 func (r *Router) class(name string) (class.Class, bool) {
 	cat := r.catalog.Load()
 	if cat == nil {
--- a/pkg/router/succession.go
+++ b/pkg/router/succession.go
@@ -18,8 +18,18 @@
 	at       time.Time // of the newest message
 	handover *pool.Handover
 	held     map[pool.RouterID][]pool.HeldGrant // last list of each router
+	asks     map[waitingKey]pool.Ask
 }
 
+// waitingKey names an ask of another router.
+type waitingKey struct {
+	router pool.RouterID
+	id     uint64
+}
+
+// maxInheritedAsks bounds the memory of asks that wait for a new owner.
+const maxInheritedAsks = 1 << 16
+
 // inheritances is the table of them by shard.
 type inheritances struct {
 	mu   sync.Mutex
@@ -33,7 +43,7 @@
 	}
 	v := k.kept[shard]
 	if v == nil || now.Sub(v.at) > inheritanceMemory {
-		v = &inheritance{held: make(map[pool.RouterID][]pool.HeldGrant)}
+		v = &inheritance{held: make(map[pool.RouterID][]pool.HeldGrant), asks: make(map[waitingKey]pool.Ask)}
 		k.kept[shard] = v
 	}
 	v.at = now
@@ -52,6 +62,26 @@
 	k.keep(now, shard).held[from] = grants
 }
 
+// addAsk reports whether the ask can wait here for the new owner.
+func (k *inheritances) addAsk(now time.Time, shard pool.ShardID, a pool.Ask) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.keep(now, shard)
+	if len(v.asks) >= maxInheritedAsks {
+		return false
+	}
+	v.asks[waitingKey{a.Router, a.RequestID}] = a
+	return true
+}
+
+func (k *inheritances) dropAsk(shard pool.ShardID, from pool.RouterID, id uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v := k.kept[shard]; v != nil {
+		delete(v.asks, waitingKey{from, id})
+	}
+}
+
 // take removes and returns the entry of a shard, nil if there is no fresh one.
 func (k *inheritances) take(now time.Time, shard pool.ShardID) *inheritance {
 	k.mu.Lock()
@@ -64,18 +94,18 @@
 	return v
 }
 
-// handedOver returns the kept hand-overs and drops what is too old.
-func (k *inheritances) handedOver(now time.Time) []pool.Handover {
+// waiting returns the shards with an entry, with their hand-overs or nil, and
+// drops what is too old.
+func (k *inheritances) waiting(now time.Time) map[pool.ShardID]*pool.Handover {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var out []pool.Handover
+	out := make(map[pool.ShardID]*pool.Handover)
 	for shard, v := range k.kept {
-		switch {
-		case now.Sub(v.at) > inheritanceMemory:
+		if now.Sub(v.at) > inheritanceMemory {
 			delete(k.kept, shard)
-		case v.handover != nil:
-			out = append(out, *v.handover)
+			continue
 		}
+		out[shard] = v.handover
 	}
 	return out
 }
@@ -90,6 +120,9 @@
 	for from, grants := range v.held {
 		o.Held(now, from, grants)
 	}
+	for _, a := range v.asks {
+		o.Ask(now, a)
+	}
 }
 
 // successor is an Ownership that starts a new owner at its hand-over.
@@ -109,19 +142,29 @@
 	if s, ok := r.ownership.(successor); ok && !s.HandedOver(h.Shard, h.Epoch) {
 		return
 	}
-	// A new owner takes what was kept; one that runs already gets it here.
-	if !r.atShard(h.Shard, func(time.Time, *pool.Owner) {}) {
+	r.inheritIfOwner(h.Shard)
+}
+
+// inheritIfOwner gives an owned shard what was kept for it. A new owner takes
+// it when it is created; one that runs already, or that was created while a
+// message was being kept, gets it here.
+func (r *Router) inheritIfOwner(shard pool.ShardID) {
+	if !r.atShard(shard, func(time.Time, *pool.Owner) {}) {
 		return
 	}
-	if v := r.inheritances.take(time.Now(), h.Shard); v != nil {
-		r.atShard(h.Shard, func(now time.Time, o *pool.Owner) { v.inherit(now, o) })
+	if v := r.inheritances.take(time.Now(), shard); v != nil {
+		r.atShard(shard, func(now time.Time, o *pool.Owner) { v.inherit(now, o) })
 	}
 }
 
-// offerHandovers offers kept hand-overs again.
-func (r *Router) offerHandovers(now time.Time) {
-	for _, h := range r.inheritances.handedOver(now) {
-		r.offerHandover(h)
+// offerInheritances offers again what is kept.
+func (r *Router) offerInheritances(now time.Time) {
+	for shard, h := range r.inheritances.waiting(now) {
+		if h != nil {
+			r.offerHandover(*h)
+		} else {
+			r.inheritIfOwner(shard)
+		}
 	}
 }
 
--- a/pkg/router/two_test.go
+++ b/pkg/router/two_test.go
@@ -22,6 +22,9 @@
 	"jackdawtrack.example/jackdawtrack/pkg/standin"
 )
 
+// nobody stands for a next owner that must not grant yet.
+const nobody = -1
+
 // movable is an ownership that a test moves.
 type movable struct {
 	mu    sync.Mutex
@@ -34,7 +37,7 @@
 func (m *movable) Owner(shard pool.ShardID) (pool.RouterID, uint64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if shard.DataCentre != "north" {
+	if shard.DataCentre != "north" || m.owner == nobody {
 		return pool.RouterID{}, 0, false
 	}
 	return m.all[m.owner], m.epoch, true
@@ -186,6 +189,34 @@
 	p.callers[0].await(t, "no slot is occupied", func() bool { return grants() == 0 })
 }
 
+// Guards against asks that are lost, or sent again and again, while their next
+// owner must not grant yet.
+func TestNextOwnerKeepsAsks(t *testing.T) {
+	p := newPair(t)
+	p.moveTo(0)
+	p.callers[0].standIn(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p"})
+	p.callers[1].await(t, "the other router knows the pool", func() bool {
+		_, ok := p.routers[1].servers.poolOf(time.Now(), "p")
+		return ok
+	})
+	p.owner[0].move(nobody)
+	answered := make(chan string, 1)
+	go func() {
+		_, body := tryDo(p.callers[1].request(t, http.MethodPost, chatPath, "chat", chatBody(1)))
+		answered <- body
+	}()
+	kept := &p.routers[0].inheritances
+	shard := p.routers[0].shardOf("p")
+	p.callers[0].await(t, "the ask is kept", func() bool {
+		kept.mu.Lock()
+		defer kept.mu.Unlock()
+		return kept.kept[shard] != nil && len(kept.kept[shard].asks) == 1
+	})
+	p.owner[0].move(0)
+	body := <-answered
+	assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"), body)
+}
+
 // Guards against a stream that is cut by a shutdown (I9), and against a
 // shutdown that an operator cannot end.
 func TestShutdownUnderLoad(t *testing.T) {
