Send the address in heartbeats again

Since heartbeats carried no address, a new member whose first append was lost did not know where to answer, so the leader never repeated the append and the member could not be promoted. A test of the control host found it: go test -race ./pkg/controlhost failed once in TestWipedHostRejoinsUnderItsID (407 not_caught_up for 30 s). Only the answers to heartbeats leave the address out now. TestNewMemberAnswersHeartbeat holds the case.

--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -131,10 +131,11 @@
 	return w.addresses[m.ToIdentity]
 }
 
-// ownAddress is left out of heartbeats and their answers, which make up the
-// traffic of an idle group.
+// ownAddress is left out of answers to heartbeats: a leader knows its members.
+// A new member may know the leader from a heartbeat only, when the first
+// append was lost.
 func (w *worker) ownAddress(m raft.Message) string {
-	if m.Kind == raft.MsgHeartbeat || m.Kind == raft.MsgHeartbeatAnswer {
+	if m.Kind == raft.MsgHeartbeatAnswer {
 		return ""
 	}
 	return w.config.Address
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"google.golang.org/grpc/keepalive"
 	"gotest.tools/v3/assert"
 
+	"jackdawtrack.example/jackdawtrack/pkg/raft"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -219,6 +221,34 @@
 	assert.DeepEqual(t, g.leader(1, 2).machine.list(), append(want, "last"))
 }
 
+// Guards against a new member that never catches up because its first append
+// was lost: it must answer a heartbeat of a leader that it does not know.
+func TestNewMemberAnswersHeartbeat(t *testing.T) {
+	g := newGroup(t, 1)
+	leader := g.start(1)
+	dialled := make(chan string, 10)
+	g.size = 0
+	g.adjust = func(c *Config) {
+		c.Dial = func(_ context.Context, to string) (net.Conn, error) {
+			dialled <- to
+			return nil, errUnreachable
+		}
+	}
+	learner := g.start(2)
+	m := raft.Message{Kind: raft.MsgHeartbeat, From: 1, FromIdentity: leader.Status().Identity, To: 2, ToIdentity: learner.Status().Identity, Term: 1}
+	b, err := encodeMessage(m, leader.worker.ownAddress(m))
+	assert.NilError(t, err)
+	got, from, err := decodeMessage(b)
+	assert.NilError(t, err)
+	learner.inbox <- received{got, from}
+	select {
+	case to := <-dialled:
+		assert.Equal(t, to, address(1))
+	case <-g.context().Done():
+		t.Fatal("the member did not answer")
+	}
+}
+
 // Guards against a host with a folder in use that joins another group.
 func TestUsedFolderCannotJoin(t *testing.T) {
 	g := newGroup(t, 1)
