--- a/pkg/control/operators.go
+++ b/pkg/control/operators.go
@@ -23,7 +23,7 @@
 
 // Submit implements apiv1.ControlServer.
 func (s *Server) Submit(ctx context.Context, in *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
-	if err := s.leading(); err != nil {
+	if err := s.deciding(); err != nil {
 		return nil, s.fail(ctx, err)
 	}
 	what := describe(in.GetChanges())
@@ -39,6 +39,18 @@
 	return out, nil
 }
 
+// deciding returns nil if this host can decide about operators' commands, else
+// an error that clients retry at another host or later.
+func (s *Server) deciding() error {
+	if err := s.leading(); err != nil {
+		return err
+	}
+	if s.config.FirstOperator.Name != "" && s.state.store.Revision() == 0 {
+		return result.New(result.NoQuorum, "the first operator is being created")
+	}
+	return nil
+}
+
 // authenticated checks an operator's credential against the applied catalog,
 // so that commands of others do not reach the log. The machine checks it
 // again.
@@ -116,7 +128,7 @@
 	defer metrics.GetOrRegisterTimer("control.member", s.config.Registry).UpdateSince(time.Now())
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	if err := s.leading(); err != nil {
+	if err := s.deciding(); err != nil {
 		return nil, s.fail(ctx, err)
 	}
 	change := MemberChange{Action: MemberAction(in.GetAction()), ID: in.GetMember().GetId(), Address: in.GetMember().GetAddress()}
