--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -50,6 +50,7 @@
 	pools    []string
 	channels map[route]*channel
 	epoch    uint64
+	revision uint64          // of the configuration
 	cut      map[[2]int]bool // data centres that cannot reach each other
 	split    map[route]bool  // routers that cannot reach each other
 	m        *metrics
@@ -209,9 +210,14 @@
 			delete(f.m.leftAt, name)
 		}
 	}
+	f.revision++
+	revision := f.revision
 	for _, r := range f.routersOf(dc) {
 		f.after(f.jitter(2*time.Second), func() {
-			r.out = out
+			if revision < r.revision {
+				return // a configuration never goes back
+			}
+			r.out, r.revision = out, revision
 			for _, p := range f.pools {
 				r.with(p, func(d decider) { d.SetDataCentreOut(f.now, out) })
 			}
@@ -219,6 +225,16 @@
 	}
 }
 
+// bringBack ends the time out of a data centre; its engines come back cold.
+func (f *fleet) bringBack(dc int) {
+	f.setOut(dc, false)
+	for _, name := range f.names {
+		if s := f.servers[name]; s.dc == dc && s.up {
+			s.chill()
+		}
+	}
+}
+
 // accountUse adds the time since the last change to the utilisation, if work
 // waited at any owner.
 func (f *fleet) accountUse() {
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -52,6 +52,7 @@
 	up        bool
 	draining  bool
 	out       bool
+	revision  uint64 // of out
 	ledger    *fairshare.Ledger
 	owners    map[string]*hosted // by pool
 	live      []*router          // of the data centre, in this router's view
