--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -19,6 +19,9 @@
 		MembershipMemory,
 		SlotTraffic,
 		TotalsTraffic,
+		AnnouncementTraffic,
+		SummaryTraffic,
+		SessionTraffic,
 		QueueMemory,
 		ServerMemory,
 		LedgerMemory,
@@ -29,6 +32,7 @@
 		SnapshotSize,
 		RestoreTime,
 		HeartbeatTraffic,
+		ControlIdleTraffic,
 		ChangeSpread,
 		RestartStorm,
 	} {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -63,21 +63,22 @@
 	peers     Peers
 	log       *logrus.Entry
 
-	poolConfig pool.Config
-	ledger     *fairshare.Ledger
-	transport  *proxy.Transport
-	servers    *serverTable
-	asks       *asks
-	replays    replayLog
-	handovers  handovers
-	marks      *marks
-	ring       *ring
-	budget     *retryBudget
-	burn       *burn.Recorder
-	rates      *workspaceRates
-	metrics    metrics.Registry
-	counters   counters
-
+	poolConfig   pool.Config
+	ledger       *fairshare.Ledger
+	transport    *proxy.Transport
+	servers      *serverTable
+	asks         *asks
+	replays      replayLog
+	inheritances inheritances
+	marks        *marks
+	ring         *ring
+	budget       *retryBudget
+	burn         *burn.Recorder
+	rates        *workspaceRates
+	metrics      metrics.Registry
+	counters     counters
+
+	began      time.Time
 	idPrefix   string
 	requests   atomic.Uint64
 	open       atomic.Int64 // requests between admission and end
@@ -137,6 +138,7 @@
 		budget:      newRetryBudget(),
 		rates:       newWorkspaceRates(),
 		metrics:     metrics.NewRegistry(),
+		began:       time.Now(),
 		idPrefix:    self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
 		closing:     make(chan struct{}),
 		owned:       make(map[pool.ShardID]*ownedShard),
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -16,6 +16,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/controlclient"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/ownership"
 	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
@@ -36,6 +37,7 @@
 	control  *controlclient.Client // nil without control hosts
 	exchange *peer.Exchange
 	members  *joined
+	dial     []grpc.DialOption // credentials towards other routers
 	grpc     *grpc.Server
 	servers  []*http.Server // callers, announce, admin
 	sockets  []net.Listener // callers, announce, admin, peers
@@ -46,11 +48,12 @@
 	self := pool.RouterID{Name: cfg.Name, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixNano())}
 	s := &Service{cfg: cfg, store: catalog.NewStore()}
 	parts := Parts{Catalog: s.store, Pool: pool.DefaultConfig()}
-	var members *MemberOwnership
+	var members *ownership.Shared
 	if len(cfg.Peers) > 0 {
 		parts.Ownership = staticOwnership(cfg, self)
 	} else {
-		members = NewMemberOwnership(self)
+		members = ownership.NewShared(self, len(cfg.Seeds) > 0)
+		parts.Pool.RecoveryWait = ownership.SettleTime
 		parts.Ownership = members
 	}
 	if err := s.connectControl(self, &parts); err != nil {
@@ -61,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.dial = dial
 	s.exchange = peer.New(self, s.router, dial...)
 	s.exchange.SetPeers(staticPeers(cfg))
 	s.router.SetPeers(s.exchange)
@@ -106,6 +110,7 @@
 		Router:      self.Name,
 		DataCentre:  self.DataCentre,
 		Incarnation: self.Incarnation,
+		Upstreams:   s.upstreams,
 	})
 	if err != nil {
 		return err
@@ -165,6 +170,7 @@
 	}
 	s.grpc = grpc.NewServer(options...)
 	apiv1.RegisterPeerServer(s.grpc, s.exchange)
+	apiv1.RegisterControlServer(s.grpc, s.newRelay())
 	return nil
 }
 
@@ -191,11 +197,18 @@
 	for i, server := range s.servers {
 		group.Go(func() error { return serve(server, s.sockets[i]) })
 	}
-	group.Go(func() error { return s.grpc.Serve(s.sockets[len(s.servers)]) })
+	group.Go(func() error {
+		// A shutdown that comes before Serve began is graceful as well.
+		if err := s.grpc.Serve(s.sockets[len(s.servers)]); !errors.Is(err, grpc.ErrServerStopped) {
+			return err
+		}
+		return nil
+	})
 	group.Go(func() error { s.router.Run(failed); return nil })
 	if s.members != nil {
 		group.Go(func() error { s.followMembers(failed); return nil })
 	}
+	group.Go(func() error { s.adoptLoop(failed); return nil })
 	s.followControl(failed, group)
 	select {
 	case <-ctx.Done():
