Give each refused caller a time of its own to come back

Cause: all callers that were refused together got the same Retry-After, came back together and were refused again. Change: each refusal takes one turn of its workspace, and the next one is told a later time.

--- a/pkg/fairshare/queue.go
+++ b/pkg/fairshare/queue.go
@@ -59,6 +59,9 @@
 type Flow struct {
 	Name     string
 	InFlight int // granted requests, maintained by Served and Ended
+	// Promised is the time up to which refused requests were told to come
+	// back. The owner of the queue maintains it.
+	Promised time.Time
 
 	account *Account
 	offset  int64
--- a/pkg/pool/predict.go
+++ b/pkg/pool/predict.go
@@ -38,9 +38,29 @@
 	if o.remoteFree() {
 		wait = min(wait, loanDelay)
 	}
-	// The wait shrinks as the queue drains; after the excess has passed, the
-	// same ask would be accepted.
-	return result.TargetUnreachable, wait - budget, wait > budget
+	if wait <= budget {
+		return 0, 0, false
+	}
+	return result.TargetUnreachable, o.promise(flow, lane, wait-budget), true
+}
+
+// promise returns when a refused request should come back. The wait shrinks as
+// the queue drains, so after the excess has passed the same ask would be
+// accepted; but only one caller for each slot that becomes free. Callers with
+// the same answer would come back together and be refused again.
+func (o *Owner) promise(flow *fairshare.Flow, lane int, excess time.Duration) time.Duration {
+	at := o.now.Add(max(excess, minRetryAfter))
+	if at.Before(flow.Promised) {
+		at = flow.Promised
+	}
+	if latest := o.now.Add(maxRetryAfter); at.After(latest) {
+		at = latest
+	}
+	if slots := o.usableSlots(lane); slots > 0 {
+		turn := o.stats.hold / time.Duration(slots) * time.Duration(max(o.queue.Active(), 1))
+		flow.Promised = at.Add(turn)
+	}
+	return at.Sub(o.now)
 }
 
 func expiredCode(a *Ask) result.Code {
