Take fences of engines by compare-and-set

Each acquisition made a revision, so a router would have failed guarded commands of operators.

Change: AcquireFence compares the record (number, holder, renewal) with the one that the router observed and answers with the present one. The records are in the machine, outside of the catalog, and hold no expiry: the successor waits by its own clock. At most 10,000 records are kept; one that has stood for 1 h gives way, and later records begin above its number. Commands of operators cannot set fences any more.

The tests of fences in commands now expect a refusal.

Conclusion: one rule for leases, that of pkg/orders.

--- a/pkg/control/command.go
+++ b/pkg/control/command.go
@@ -27,6 +27,7 @@
 	kindAbort     commandKind = 4
 	kindTick      commandKind = 5
 	kindBootstrap commandKind = 6
+	kindFence     commandKind = 7
 )
 
 // command is a decoded entry of the log. time is in milliseconds of the
@@ -50,6 +51,8 @@
 		return &apiv1.AbortRequest{}
 	case kindBootstrap:
 		return &apiv1.Operator{}
+	case kindFence:
+		return &apiv1.AcquireFenceRequest{}
 	}
 	return nil
 }
--- a/pkg/control/limits.go
+++ b/pkg/control/limits.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"jackdawtrack.example/jackdawtrack/pkg/orders"
 )
 
 // Bounds of the agreed state.
@@ -46,10 +44,11 @@
 	// MaxChanges bounds the changes of one command.
 	MaxChanges = 100
 
-	// LeaseTTL is how long the holder of a fencing number keeps it without a
-	// renewal. The holder itself stops after orders.LeaseDuration, counted
-	// from before it sent the renewal.
-	LeaseTTL = time.Duration(float64(orders.LeaseDuration) * (1 + orders.ClockRateMargin))
+	// maxFences bounds the records of leases, fifteen for each engine at the
+	// size to design for. fenceMemory is how long one stands unchanged before
+	// another server may take its place; it is far longer than any lease.
+	maxFences   = 10_000
+	fenceMemory = time.Hour
 
 	// maxStep bounds how far one command moves the clock. After a time
 	// without a majority, routers can then renew their sessions before these
@@ -61,17 +60,17 @@
 type limits struct {
 	records, workspaceRecords            int
 	answers, workspaceAnswers            int // bytes
-	sessions, aborts, results            int
+	sessions, aborts, results, fences    int
 	recordTTL, sessionTTL, sessionMemory time.Duration
-	abortMemory, leaseTTL, step          time.Duration
+	abortMemory, fenceMemory, step       time.Duration
 }
 
 func defaultLimits() limits {
 	return limits{
 		records: MaxRecords, workspaceRecords: MaxWorkspaceRecords,
 		answers: MaxAnswersTotal, workspaceAnswers: MaxWorkspaceAnswersTotal,
-		sessions: maxSessions, aborts: maxAborts, results: MaxResults,
+		sessions: maxSessions, aborts: maxAborts, results: MaxResults, fences: maxFences,
 		recordTTL: RecordTTL, sessionTTL: SessionTTL, sessionMemory: sessionMemory,
-		abortMemory: abortMemory, leaseTTL: LeaseTTL, step: maxStep,
+		abortMemory: abortMemory, fenceMemory: fenceMemory, step: maxStep,
 	}
 }
--- a/pkg/control/machine.go
+++ b/pkg/control/machine.go
@@ -1,7 +1,7 @@
 // Package control holds the state that control hosts agree on and serves it:
 // the catalog, the results of operator commands, the records of keyed
-// requests, router sessions, and the fencing numbers and leases of orders to
-// engines.
+// requests, router sessions, and the leases of orders to engines with their
+// fencing numbers.
 package control
 
 import (
@@ -27,7 +27,7 @@
 	records  records
 	sessions map[string]*session
 	aborts   aborts
-	leases   map[string]lease
+	fences   fences
 }
 
 // NewMachine returns the empty state.
@@ -41,7 +41,7 @@
 		records:  newRecords(l),
 		sessions: map[string]*session{},
 		aborts:   newAborts(l.aborts),
-		leases:   map[string]lease{},
+		fences:   newFences(l.fences),
 	}
 }
 
@@ -57,7 +57,7 @@
 // NeedsTime reports whether anything in the state depends on the passing of
 // time.
 func (m *Machine) NeedsTime() bool {
-	return len(m.sessions) > 0 || m.Records() > 0 || len(m.leases) > 0
+	return len(m.sessions) > 0 || m.Records() > 0
 }
 
 // Apply executes one command and returns the response message of its kind, or
@@ -85,6 +85,8 @@
 		return &apiv1.AbortResponse{Code: uint32(m.abort(in.GetBegin()))}
 	case *apiv1.Operator:
 		return m.bootstrap(in)
+	case *apiv1.AcquireFenceRequest:
+		return m.acquireFence(in)
 	}
 	for _, r := range c.renewed {
 		m.touch(r.GetRouter(), r.GetIncarnation())
@@ -100,11 +102,6 @@
 	m.now = min(to, m.now+m.limits.step.Milliseconds())
 	m.records.expire(m.now)
 	m.aborts.expire(m.now)
-	for server, l := range m.leases {
-		if l.expires <= m.now {
-			delete(m.leases, server)
-		}
-	}
 }
 
 // after returns the time a duration from now.
--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -17,6 +17,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/datacentre"
+	"jackdawtrack.example/jackdawtrack/pkg/orders"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/workspace"
 )
@@ -67,7 +68,7 @@
 	return limits{
 		records: 4, workspaceRecords: 2, answers: 60, workspaceAnswers: 30, sessions: 4, aborts: 5, results: 6,
 		recordTTL: 6 * time.Second, sessionTTL: 3 * time.Second, sessionMemory: 5 * time.Second,
-		abortMemory: 6 * time.Second, leaseTTL: 6 * time.Second, step: 2 * time.Second,
+		abortMemory: 6 * time.Second, fences: 3, fenceMemory: 6 * time.Second, step: 2 * time.Second,
 	}
 }
 
@@ -78,10 +79,11 @@
 	index   uint64
 	sent    []*apiv1.SubmitRequest
 	begins  []*apiv1.BeginRequest
+	highest map[string]uint64 // greatest fencing number that each server was given
 }
 
 func newComparison(t assert.TestingT) *comparison {
-	c := &comparison{machine: newMachine(smallLimits()), oracle: newOracle(smallLimits())}
+	c := &comparison{machine: newMachine(smallLimits()), oracle: newOracle(smallLimits()), highest: map[string]uint64{}}
 	c.apply(t, 0, kindBootstrap, catalog.OperatorTo(firstOperator()))
 	c.oracle.revision = 1
 	return c
@@ -199,6 +201,36 @@
 	c.oracle.end()
 }
 
+// acquire draws a fence request with the present record, an earlier one, or one
+// that was never there, and a next record that follows it.
+func (c *comparison) acquire(t *rapid.T) {
+	server := fmt.Sprintf("s%d", rapid.IntRange(0, 4).Draw(t, "server"))
+	observed := c.oracle.presentFence(server)
+	if rapid.IntRange(0, 2).Draw(t, "stale") == 0 {
+		observed.Number += rapid.Uint64Range(0, 1).Draw(t, "number") - 1
+		observed.Renewal = rapid.Uint64Range(0, 2).Draw(t, "renewal")
+	}
+	router, incarnation := fmt.Sprintf("r%d", rapid.IntRange(0, 2).Draw(t, "router")), rapid.Uint64Range(1, 2).Draw(t, "incarnation")
+	next := orders.Record{Server: server, Number: observed.Number + 1, Holder: orders.Holder(router, incarnation)}
+	if next.Holder == observed.Holder && rapid.Bool().Draw(t, "renew") {
+		next = observed
+		next.Renewal++
+	}
+	before, at := c.highest[server], c.time(t)
+	got := c.apply(t, at, kindFence, &apiv1.AcquireFenceRequest{
+		Observed: orders.ToFence(observed), Next: orders.ToFence(next), Router: router, Incarnation: incarnation,
+	}).(*apiv1.AcquireFenceResponse)
+	assert.Equal(t, result.Code(got.GetCode()), c.oracle.acquire(observed, next))
+	assert.Equal(t, orders.FromFence(got.GetPresent()), c.oracle.presentFence(server))
+	if got.GetCode() == 0 {
+		if next.Number < before {
+			t.Fatalf("number %d of server %s fell to %d", before, server, next.Number)
+		}
+		c.highest[server] = next.Number
+	}
+	c.oracle.end()
+}
+
 // restart replaces the machine by one that was restored from its snapshot.
 func (c *comparison) restart(t *rapid.T) {
 	data, err := c.machine.Snapshot()
@@ -216,6 +248,7 @@
 	assert.Equal(t, c.machine.Catalog().Revision(), c.oracle.revision)
 	assert.Equal(t, c.machine.Records(), len(c.oracle.records))
 	assert.Equal(t, len(c.machine.results.byID), len(c.oracle.results))
+	assert.Equal(t, len(c.machine.fences.byServer), len(c.oracle.fences))
 	assert.Equal(t, len(c.machine.aborts.known), len(c.oracle.aborts))
 	for _, ch := range c.machine.Catalog().Items() {
 		if ch.GetOperator() == nil {
@@ -238,7 +271,7 @@
 		c := newComparison(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": c.drawSubmit, "resend": c.resend, "begin": c.begin, "begin2": c.begin, "finish": c.finish,
-			"abort": c.abort, "tick": c.tick, "restart": c.restart, "": c.check,
+			"abort": c.abort, "tick": c.tick, "restart": c.restart, "fence": c.acquire, "": c.check,
 		})
 	})
 }
@@ -280,7 +313,7 @@
 }
 
 // Guards against a wrong operator key, a command without changes, the removal
-// of the last operator and a fence that starts again at its first number.
+// of the last operator and a fence that is set or deleted beside the lease of a router.
 func TestSubmitRefusals(t *testing.T) {
 	m := NewMachine()
 	m.Apply(1, encode(t, 0, kindBootstrap, catalog.OperatorTo(firstOperator())))
@@ -299,6 +332,7 @@
 		"no change":     {submitOf("b", 0), result.InvalidCommand},
 		"last operator": {submitOf("c", 0, remove), result.InvalidCommand},
 		"delete fence":  {submitOf("d", 0, unfence), result.InvalidCommand},
+		"fence":         {submitOf("h", 0, fence), result.InvalidCommand},
 		"fence and":     {submitOf("e", 0, fence, setDataCentre("north", true)), result.InvalidCommand},
 		"twice":         {submitOf("f", 0, setDataCentre("north", true), setDataCentre("north", false)), result.InvalidCommand},
 		"no id":         {submitOf("", 0, setDataCentre("north", true)), result.InvalidCommand},
--- a/pkg/control/oracle_test.go
+++ b/pkg/control/oracle_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/orders"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -22,7 +24,8 @@
 	records  []*oracleRecord
 	sessions map[string]*oracleSession
 	aborts   []oracleAbort
-	leases   map[string]oracleLease
+	fences   []*oracleFence
+	floor    uint64
 }
 
 type oracleResult struct {
@@ -50,13 +53,8 @@
 	expires int64
 }
 
-type oracleLease struct {
-	holder  string
-	expires int64
-}
-
 func newOracle(l limits) *oracle {
-	return &oracle{limits: l, items: map[string]*apiv1.Change{}, sessions: map[string]*oracleSession{}, leases: map[string]oracleLease{}}
+	return &oracle{limits: l, items: map[string]*apiv1.Change{}, sessions: map[string]*oracleSession{}}
 }
 
 func itemID(ch *apiv1.Change) string {
@@ -238,13 +236,13 @@
 		return result.RevisionConflict
 	}
 	ch := in.GetChanges()[0]
+	if ch.GetFence() != nil {
+		return result.InvalidCommand
+	}
 	_, has := o.items[itemID(ch)]
 	if ch.GetDelete() && !has {
 		return result.NotFound
 	}
-	if f := ch.GetFence(); f != nil {
-		return o.fence(ch, f)
-	}
 	o.revision++
 	o.items[itemID(ch)] = ch
 	if ch.GetDelete() {
@@ -253,23 +251,48 @@
 	return result.OK
 }
 
-func (o *oracle) fence(ch *apiv1.Change, f *apiv1.Fence) result.Code {
-	number := o.items[itemID(ch)].GetFence().GetNumber()
-	l, ok := o.leases[f.GetServer()]
-	live := ok && l.expires > o.now
-	if live && l.holder != f.GetHolder() {
-		return result.FenceStale
+// fence is the record of one server with the time of its last change.
+type oracleFence struct {
+	record  orders.Record
+	changed int64
+}
+
+func (o *oracle) fence(server string) *oracleFence {
+	for _, f := range o.fences {
+		if f.record.Server == server {
+			return f
+		}
 	}
-	if !live {
-		number++
+	return nil
+}
+
+func (o *oracle) presentFence(server string) orders.Record {
+	if f := o.fence(server); f != nil {
+		return f.record
 	}
-	if f.GetNumber() != 0 && f.GetNumber() != number {
+	return orders.Record{Server: server, Number: o.floor}
+}
+
+func (o *oracle) acquire(observed, next orders.Record) result.Code {
+	if o.presentFence(observed.Server) != observed {
 		return result.FenceStale
 	}
-	o.leases[f.GetServer()] = oracleLease{f.GetHolder(), o.after(o.limits.leaseTTL)}
-	if !live {
-		o.revision++
-		o.items[itemID(ch)] = catalog.FenceChange(catalog.Fence{Server: f.GetServer(), Number: number, Holder: f.GetHolder()})
+	f := o.fence(observed.Server)
+	if f == nil && len(o.fences) == o.limits.fences {
+		// The least recently changed one is first; of equal ones the first name.
+		slices.SortFunc(o.fences, func(a, b *oracleFence) int {
+			return cmp.Or(cmp.Compare(a.changed, b.changed), cmp.Compare(a.record.Server, b.record.Server))
+		})
+		if o.now-o.fences[0].changed < o.limits.fenceMemory.Milliseconds() {
+			return result.QueueFull
+		}
+		o.floor = max(o.floor, o.fences[0].record.Number)
+		o.fences = o.fences[1:]
+	}
+	if f == nil {
+		f = &oracleFence{}
+		o.fences = append(o.fences, f)
 	}
+	f.record, f.changed = next, o.now
 	return result.OK
 }
--- a/pkg/control/snapshot.go
+++ b/pkg/control/snapshot.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	snapshotVersion = 1
+	snapshotVersion = 2
 	recordEstimate  = 160 // bytes of an encoded record without its answer
 )
 
@@ -82,7 +82,7 @@
 	m.writeRecords(&e)
 	m.writeSessions(&e)
 	m.writeAborts(&e)
-	m.writeLeases(&e)
+	m.writeFences(&e)
 	return e.buffer.Bytes(), e.err
 }
 
@@ -102,7 +102,7 @@
 	next.readRecords(d)
 	next.readSessions(d)
 	next.readAborts(d)
-	next.readLeases(d)
+	next.readFences(d)
 	if d.err != nil {
 		return result.Wrap(result.LogDamaged, d.err, "snapshot cannot be decoded")
 	}
@@ -220,20 +220,3 @@
 		m.aborts.add(attemptOf(&in), d.number())
 	}
 }
-
-func (m *Machine) writeLeases(e *encoder) {
-	e.number(int64(len(m.leases)))
-	for _, server := range slices.Sorted(maps.Keys(m.leases)) {
-		l := m.leases[server]
-		e.message(&apiv1.Fence{Server: server, Holder: l.holder})
-		e.number(l.expires)
-	}
-}
-
-func (m *Machine) readLeases(d *decoder) {
-	for range d.count() {
-		var in apiv1.Fence
-		d.message(&in)
-		m.leases[in.GetServer()] = lease{holder: in.GetHolder(), expires: d.number()}
-	}
-}
--- a/pkg/control/submit.go
+++ b/pkg/control/submit.go
@@ -79,9 +79,6 @@
 	if err := m.check(in.GetChanges()); err != nil {
 		return refusal(err)
 	}
-	if f := in.GetChanges()[0].GetFence(); f != nil {
-		return m.fence(f)
-	}
 	m.commit(in.GetChanges())
 	return &apiv1.SubmitResponse{}
 }
@@ -113,8 +110,10 @@
 			return result.New(result.InvalidCommand, "%s %s is changed twice", kind, name)
 		}
 		seen[id] = true
-		if kind == catalog.KindFence && (ch.GetDelete() || len(changes) > 1) {
-			return result.New(result.InvalidCommand, "fence %s: a fence is set alone and never deleted", name)
+		if kind == catalog.KindFence {
+			// A holder set by hand could give orders beside the router whose
+			// lease still runs.
+			return result.New(result.InvalidCommand, "fence %s: only routers take fences, with AcquireFence", name)
 		}
 		if ch.GetDelete() && !m.catalog.Has(ch) {
 			return result.New(result.NotFound, "%s %s does not exist", kind, name)
@@ -126,37 +125,6 @@
 	return nil
 }
 
-// lease is the right of a holder to give orders to one engine.
-type lease struct {
-	holder  string
-	expires int64 // ms
-}
-
-// fence gives the orders of an engine to a holder. The holder of a lease that
-// has not expired renews it without a new revision; anyone else is refused
-// until it expires and then gets the next number. A number other than 0 must
-// be the one that the caller gets.
-func (m *Machine) fence(in *apiv1.Fence) *apiv1.SubmitResponse {
-	present, _ := m.catalog.Fence(in.GetServer())
-	held, live := m.leases[in.GetServer()]
-	next := catalog.Fence{Server: in.GetServer(), Number: present.Number, Holder: in.GetHolder()}
-	renewal := live && held.holder == in.GetHolder()
-	if !renewal {
-		next.Number++
-	}
-	if (live && !renewal) || (in.GetNumber() != 0 && in.GetNumber() != next.Number) {
-		out := refusal(result.New(result.FenceStale, "server %s: %s holds number %d", in.GetServer(), present.Holder, present.Number))
-		out.Present = []*apiv1.Change{catalog.FenceChange(present)}
-		return out
-	}
-	m.leases[in.GetServer()] = lease{holder: in.GetHolder(), expires: m.after(m.limits.leaseTTL)}
-	change := catalog.FenceChange(next)
-	if !renewal {
-		m.commit([]*apiv1.Change{change})
-	}
-	return &apiv1.SubmitResponse{Present: []*apiv1.Change{change}}
-}
-
 // refusal turns an error into a response.
 func refusal(err error) *apiv1.SubmitResponse {
 	out := &apiv1.SubmitResponse{Code: uint32(result.InvalidCommand), Message: err.Error()}
--- a/pkg/controlclient/client.go
+++ b/pkg/controlclient/client.go
@@ -107,6 +107,14 @@
 	return call(ctx, c, in, apiv1.ControlClient.RenewSession)
 }
 
+// AcquireFence takes or renews the right to give orders to one engine, or reads
+// its record if no next record is given. Code 0 means that this call made the
+// next record the present one. After an error its fate is unknown.
+func (c *Client) AcquireFence(ctx context.Context, observed, next *apiv1.Fence) (*apiv1.AcquireFenceResponse, error) {
+	in := &apiv1.AcquireFenceRequest{Observed: observed, Next: next, Router: c.config.Router, Incarnation: c.config.Incarnation}
+	return call(ctx, c, in, apiv1.ControlClient.AcquireFence)
+}
+
 // Submit applies an operator command. A refusal is a response with a code and
 // no error. After an error the command may be resent with the same id.
 func (c *Client) Submit(ctx context.Context, in *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
