Grant the lease of orders only to the proposal that made the record

Cause: Candidate.Committed granted the lease for any own record that the log held. With the compare-and-set of the log, a router that repeats a proposal whose answer was lost is told its own record, which the first proposal made earlier. The lease then counted from the second proposal, up to the whole time between both beyond what a successor waits for.

Change: Refused ends a proposal that was not applied and grants nothing; the router takes the next number at once, since the record is its own.

--- a/pkg/orders/lease.go
+++ b/pkg/orders/lease.go
@@ -122,8 +122,9 @@
 	c.pendingAt = now
 }
 
-// Committed takes the record that the log holds after the proposal. The lease
-// counts from the time of sending.
+// Committed takes the record that the open proposal made. It must be called
+// only if this very proposal was applied: the lease counts from its sending,
+// and a record that an earlier, lost proposal made may be older.
 func (c *Candidate) Committed(now time.Time, r Record) {
 	sentAt := c.pendingAt
 	c.pending = false
@@ -135,6 +136,13 @@
 	c.nextRenew = sentAt.Add(RenewInterval)
 }
 
+// Refused ends a proposal that was not applied and takes the record that the
+// log holds instead. It grants nothing, also if that record is an own one.
+func (c *Candidate) Refused(now time.Time, present Record) {
+	c.pending = false
+	c.Observe(now, present)
+}
+
 // Failed ends a proposal whose fate is not known. The record may hold it, so
 // it grants nothing until it is observed and committed anew.
 func (c *Candidate) Failed() { c.pending = false }
