Let the stand-in engine load the model of another pool

Cause: the stand-in waited for the load before it answered an order, longer than an order may take, and kept its pool; no engine said what it can load.

Change: announcements have an optional list loadable. The stand-in answers an order at once, announces starting, breaks what still runs, and serves the other pool after its load time under a new boot id, cold. GET /v1/orders lists the orders it carried out.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -17,6 +17,7 @@
 const (
 	MaxAnnouncementBytes = 16 << 10
 	MaxModels            = 64
+	MaxLoadable          = 64
 	MaxSlots             = 4096
 
 	// AnnounceInterval is how often a BackendServer announces itself.
@@ -72,7 +73,8 @@
 	Address    string    `json:"address"` // IP and port
 	Pool       string    `json:"pool"`    // base model or service
 	Kind       Kind      `json:"kind"`
-	Models     []string  `json:"models"` // models and adapters it serves
+	Models     []string  `json:"models"`             // models and adapters it serves
+	Loadable   []string  `json:"loadable,omitempty"` // pools that it can serve after an order to load
 	BootID     uint64    `json:"boot_id"`
 	Slots      int       `json:"slots"` // advertised concurrency, 0 if unknown
 	ColdSlots  int       `json:"cold_slots"`
@@ -116,6 +118,9 @@
 	if len(a.Models) > MaxModels {
 		return refuse("server %s: %d models, at most %d", a.Name, len(a.Models), MaxModels)
 	}
+	if len(a.Loadable) > MaxLoadable || slices.ContainsFunc(a.Loadable, func(p string) bool { return !class.ValidName(p) }) {
+		return refuse("server %s: loadable has more than %d entries or one that is not a valid name", a.Name, MaxLoadable)
+	}
 	if a.Slots < 0 || a.Slots > MaxSlots || a.ColdSlots < 0 || a.ColdSlots > MaxSlots {
 		return refuse("server %s: slots %d or cold slots %d outside 0 to %d", a.Name, a.Slots, a.ColdSlots, MaxSlots)
 	}
--- a/pkg/router/servers.go
+++ b/pkg/router/servers.go
@@ -67,7 +67,7 @@
 
 func sameServer(a, b backend.Announcement) bool {
 	return a.BootID == b.BootID && a.Address == b.Address && a.Pool == b.Pool && a.Kind == b.Kind &&
-		a.Abilities == b.Abilities && a.State == b.State && slices.Equal(a.Models, b.Models)
+		a.Abilities == b.Abilities && a.State == b.State && slices.Equal(a.Models, b.Models) && slices.Equal(a.Loadable, b.Loadable)
 }
 
 // sawPool keeps a pool known that serves in another data centre.
--- a/pkg/standin/announce.go
+++ b/pkg/standin/announce.go
@@ -86,7 +86,7 @@
 	engine := s.cfg.Kind == backend.Engine
 	return backend.Announcement{
 		Name: s.cfg.Name, DataCentre: s.cfg.DataCentre, Address: s.Address(),
-		Pool: s.cfg.Pool, Kind: s.cfg.Kind, Models: slices.Clone(s.models),
+		Pool: s.pool, Kind: s.cfg.Kind, Models: slices.Clone(s.models), Loadable: s.cfg.Loadable,
 		BootID: s.boot, Slots: s.cfg.Slots, ColdSlots: s.cfg.ColdSlots, State: s.state,
 		Abilities: backend.Abilities{
 			Resume: engine, Cancel: true, CheckFence: s.cfg.CheckFence, RepeatsID: true, CacheEvents: engine,
--- a/pkg/standin/control.go
+++ b/pkg/standin/control.go
@@ -1,10 +1,8 @@
 package standin
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -95,58 +93,6 @@
 	return one, f
 }
 
-// Order is the body of POST /v1/orders: load or unload a model, or change the
-// role.
-type Order struct {
-	Action string `json:"action"` // load, unload, role
-	Model  string `json:"model"`
-	Role   string `json:"role"`
-	Fence  uint64 `json:"fence"`
-}
-
-func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
-	if s.cfg.OrderKey != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+s.cfg.OrderKey)) != 1 {
-		http.Error(w, "credential refused", http.StatusUnauthorized)
-		return
-	}
-	var o Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		http.Error(w, "body is not an order", http.StatusBadRequest)
-		return
-	}
-	if o.Action == "load" {
-		time.Sleep(s.cfg.LoadTime.Std())
-	}
-	status := s.obey(o)
-	s.mu.Lock()
-	answer := map[string]any{"fence": s.fence, "models": slices.Clone(s.models), "role": s.role}
-	s.mu.Unlock()
-	writeJSON(w, status, answer)
-}
-
-func (s *Server) obey(o Order) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cfg.CheckFence && o.Fence < s.fence {
-		return http.StatusConflict
-	}
-	s.fence = o.Fence
-	switch o.Action {
-	case "load":
-		if !slices.Contains(s.models, o.Model) {
-			s.models = append(s.models, o.Model)
-		}
-	case "unload":
-		s.models = slices.DeleteFunc(s.models, func(m string) bool { return m == o.Model })
-	case "role":
-		s.role = o.Role
-	default:
-		return http.StatusBadRequest
-	}
-	s.announceNow()
-	return http.StatusOK
-}
-
 func (s *Server) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64) // absent: all
 	s.mu.Lock()
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -50,9 +50,11 @@
 	runs      map[string]*run // by request id
 	runOrder  []string
 	cache     *prefixCache
+	pool      string // changes with a load
 	models    []string
 	role      string
 	fence     uint64
+	obeyed    []ObeyedOrder
 	faults    faults
 	samples   []loadSample
 }
@@ -73,7 +75,7 @@
 		log:        logging.For("standin").WithField("server", cfg.Name),
 		announceAt: make(chan struct{}, 1),
 		active:     map[*run]struct{}{}, runs: map[string]*run{},
-		models: slices.Clone(cfg.Models),
+		pool: cfg.Pool, models: slices.Clone(cfg.Models),
 	}
 	s.boot = uint64(time.Now().UnixNano())
 	s.state, s.warm = backend.Ready, cfg.StartWarm
@@ -112,6 +114,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/faults", s.serveFault)
 	mux.HandleFunc("POST /v1/orders", s.serveOrder)
+	mux.HandleFunc("GET /v1/orders", s.serveOrders)
 	mux.HandleFunc("POST /v1/cancel", s.serveCancel)
 	mux.HandleFunc("GET /v1/cache_events", s.serveCacheEvents)
 	if s.cfg.Kind == backend.Engine {
@@ -162,6 +165,14 @@
 // restart breaks all running requests and begins a cold start under a new
 // boot id. Its caller holds the server lock.
 func (s *Server) restart() {
+	boot := s.coldStart()
+	time.AfterFunc(s.cfg.StartTime.Std(), func() { s.ready(boot) })
+	s.announceNow()
+}
+
+// coldStart breaks all running requests and loses what the server knew. It
+// returns the new boot id. Its caller holds the server lock.
+func (s *Server) coldStart() uint64 {
 	for r := range s.active {
 		r.cancel(errBroken)
 	}
@@ -169,9 +180,7 @@
 	s.state, s.warm, s.completed = backend.Starting, false, 0
 	s.cache = newPrefixCache(s.cfg.CacheBlocks, s.cfg.EventLossEvery)
 	s.runs, s.runOrder = map[string]*run{}, nil
-	boot := s.boot
-	time.AfterFunc(s.cfg.StartTime.Std(), func() { s.ready(boot) })
-	s.announceNow()
+	return s.boot
 }
 
 func (s *Server) ready(boot uint64) {
--- a/pkg/standin/settings.go
+++ b/pkg/standin/settings.go
@@ -42,6 +42,7 @@
 	Kind           backend.Kind       `yaml:"kind"`
 	Pool           string             `yaml:"pool"`
 	Models         []string           `yaml:"models"`
+	Loadable       []string           `yaml:"loadable"` // pools that it can serve after an order
 	Announce       []settings.Address `yaml:"announce"` // tried in turn until one accepts
 	Credential     string             `yaml:"credential"`
 	OrderKey       string             `yaml:"order_key"` // empty: orders are not authenticated
--- a/pkg/standin/standin_test.go
+++ b/pkg/standin/standin_test.go
@@ -137,3 +137,29 @@
 	a, _ := s.announcement(time.Now())
 	assert.Assert(t, a.Serves("x"))
 }
+
+// Guards against a load that the order waits for, one that begins again while
+// the server loads, and a server that serves the other pool before its time or
+// as a warm one.
+func TestLoadMovesServerToAnotherPool(t *testing.T) {
+	s, _ := start(t, ServerSettings{Kind: backend.Engine, StartWarm: true, Loadable: []string{"other"}, LoadTime: settings.Duration(time.Second)})
+	before, _ := s.announcement(time.Now())
+	assert.DeepEqual(t, before.Loadable, []string{"other"})
+	for _, status := range []string{"200 OK", "409 Conflict"} {
+		answer, _, err := post(t, s, "/v1/orders", "", "", `{"action":"load","model":"other","fence":1}`)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, status)
+		a, _ := s.announcement(time.Now())
+		assert.Equal(t, a.State, backend.Starting)
+		assert.Equal(t, a.Pool, before.Pool)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	a, _ := s.announcement(time.Now())
+	for a.State == backend.Starting && time.Now().Before(deadline) {
+		<-time.After(5 * time.Millisecond)
+		a, _ = s.announcement(time.Now())
+	}
+	assert.Equal(t, a.State, backend.Ready)
+	assert.Equal(t, a.Pool, "other")
+	assert.Assert(t, a.BootID != before.BootID && !s.warm)
+}
