Hold engines under an order and measure the demand of a shard

Cause: nothing told the placement what callers ask of a pool, and an engine could not be emptied before an order.

Conclusion: an owner can empty one engine.

--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -74,6 +74,9 @@
 	prefixes    prefixTable
 	out         bool
 	departed    map[string]bool
+	ordered     map[string]bool // under an order
+	offered     uint64          // service units
+	lastUrgent  time.Time
 	known       int
 	live        int
 	rank        int
@@ -116,6 +119,7 @@
 		lanes:     make([]serverHeap, 1),
 		laneSlots: make([]int, 1),
 		departed:  map[string]bool{},
+		ordered:   map[string]bool{},
 		known:     1,
 		live:      1,
 		reported:  map[RouterID]bool{},
@@ -168,6 +172,7 @@
 		w.ask.Avoid = a.Avoid
 		return
 	}
+	o.offer(&a)
 	flow := o.queue.Flow(a.Workspace)
 	if flow.Waiting() >= o.cfg.MaxWaiting || o.queue.Len() >= o.cfg.MaxWaitingTotal {
 		o.refuse(key, result.QueueFull, o.drainTime(flow))
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -47,6 +47,7 @@
 		!s.failed &&
 		!o.out &&
 		!o.departed[s.ann.Name] &&
+		!o.ordered[s.ann.Name] &&
 		o.now.Sub(s.heard) < backend.SilenceLimit
 }
 
