Plan placement on one router per data centre and give orders to engines

Cause: pkg/orders and pkg/placement were not wired to anything.

Change: owners of pool shards report demand and engines each 5 s to the planner of their data centre, which the rendezvous chooses. The planner makes one move at a time, paced by placement.loads_per_minute and only while all known routers are live. The owner of the engine gives it no new work, waits until a load report shows it idle, takes its lease from the control log, sends POST /v1/orders with the number, and waits until the engine announces its other pool. Placement is off without the setting.

Conclusion: demand can move engines.

--- a/pkg/orders/lease.go
+++ b/pkg/orders/lease.go
@@ -116,6 +116,9 @@
 	return StepRenew, next
 }
 
+// Observed returns the record that a proposal of Next compares with.
+func (c *Candidate) Observed() Record { return c.record }
+
 // Sent marks that the proposal of Next left this router at that time.
 func (c *Candidate) Sent(now time.Time) {
 	c.pending = true
--- a/pkg/router/config.go
+++ b/pkg/router/config.go
@@ -50,6 +50,7 @@
 	Peers         []PeerConfig `yaml:"peers"`
 	Limits        Limits       `yaml:"limits"`
 	Drain         Drain        `yaml:"drain"`
+	Placement     Placement    `yaml:"placement"`
 }
 
 // Listen holds the addresses of the listeners.
@@ -128,6 +129,7 @@
 			Notice:  settings.Duration(defaultDrainNotice),
 			Longest: settings.Duration(defaultDrainLongest),
 		},
+		Placement: Placement{MinStay: settings.Duration(defaultMinStay)},
 	}
 }
 
@@ -136,7 +138,7 @@
 }
 
 // HoldsSecret implements settings.SecretHolder.
-func (c *Config) HoldsSecret() bool { return c.MembershipKey != "" }
+func (c *Config) HoldsSecret() bool { return c.MembershipKey != "" || c.Placement.OrderKey != "" }
 
 // Validate implements settings.Validator.
 func (c *Config) Validate() error {
@@ -160,6 +162,9 @@
 	if err := c.validateTLS(); err != nil {
 		return err
 	}
+	if err := c.validatePlacement(); err != nil {
+		return err
+	}
 	return c.validateLimits()
 }
 
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -189,6 +189,10 @@
 		r.receiveAnnouncement(item.Announcement.Json)
 	case *apiv1.Envelope_Handover:
 		r.receiveHandover(peer.ToHandover(item.Handover))
+	case *apiv1.Envelope_PoolReport:
+		r.receivePoolReport(item.PoolReport)
+	case *apiv1.Envelope_PlannedMove:
+		r.receiveMove(from.Name, item.PlannedMove)
 	case *apiv1.Envelope_CacheEvents:
 		c := item.CacheEvents
 		r.atShard(peer.ToShard(c.Shard), func(now time.Time, o *pool.Owner) { o.CacheEvents(now, c.Server, c.Stored, c.Evicted) })
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -51,6 +51,7 @@
 	Pool      pool.Config
 	Records   Records // nil: no control host is configured
 	Peers     Peers   // nil: no other router
+	Fences    Fences  // nil: no orders to engines
 }
 
 // Router is safe for concurrent use.
@@ -71,6 +72,7 @@
 	replays      replayLog
 	inheritances inheritances
 	marks        *marks
+	placer       *placer // nil: placement is off
 	ring         *ring
 	budget       *retryBudget
 	burn         *burn.Recorder
@@ -133,6 +135,7 @@
 		servers:     newServerTable(),
 		asks:        newAsks(),
 		marks:       newMarks(),
+		placer:      newPlacer(cfg.Placement, parts.Fences),
 		ring:        newRing(),
 		budget:      newRetryBudget(),
 		rates:       newWorkspaceRates(),
@@ -163,6 +166,11 @@
 
 // Run does the periodic work until ctx ends.
 func (r *Router) Run(ctx context.Context) {
+	if r.placer != nil {
+		var placing sync.WaitGroup
+		placing.Go(func() { r.runPlacement(ctx) })
+		defer placing.Wait()
+	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	follow := time.NewTicker(reconcileInterval)
--- a/pkg/router/servers.go
+++ b/pkg/router/servers.go
@@ -21,6 +21,7 @@
 type server struct {
 	announcement backend.Announcement
 	seen         time.Time
+	joined       time.Time // when this router first saw it in its pool
 	shared       time.Time // last time that update asked to share it
 }
 
@@ -51,8 +52,11 @@
 func (t *serverTable) update(now time.Time, a backend.Announcement) (share bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := &server{announcement: a, seen: now, shared: now}
+	s := &server{announcement: a, seen: now, joined: now, shared: now}
 	old := t.servers[a.Name]
+	if old != nil && old.announcement.Pool == a.Pool {
+		s.joined = old.joined
+	}
 	share = old == nil || !sameServer(old.announcement, a) || now.Sub(old.shared) >= shareInterval
 	if !share {
 		s.shared = old.shared
@@ -142,6 +146,18 @@
 	return s.announcement, true
 }
 
+// placeable returns which pools a server of the pool can load, since when it
+// serves its pool, and whether it is ready there.
+func (t *serverTable) placeable(name, pool string) (loadable []string, joined time.Time, ready bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s := t.servers[name]
+	if s == nil || s.announcement.Pool != pool {
+		return nil, time.Time{}, false
+	}
+	return s.announcement.Loadable, s.joined, s.announcement.State == backend.Ready
+}
+
 // all returns every announcement, for a peer that has just connected.
 func (t *serverTable) all() []server {
 	t.mu.RLock()
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	s.control = client
-	parts.Records = client
+	parts.Records, parts.Fences = client, client
 	return nil
 }
 
