Test that demand moves engines within the limits

Cause: the wiring of placement had no proof.

Change: tests with real routers, stand-ins and the control server: a shift of demand moves two engines to the short pool, no answer is cut, no load breaks a request, and two orders are at least the time of the weight store's limit apart; an engine that refuses an old number gets work again; an order to an engine that ignores numbers waits for the lease of the earlier holder. A test of the planner covers the pace and a router that is not live.

--- a/pkg/router/placement.go
+++ b/pkg/router/placement.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/http"
@@ -83,12 +84,12 @@
 }
 
 // newPlacer returns nil if placement is off.
-func newPlacer(cfg Placement, fences Fences) *placer {
-	if cfg.LoadsPerMinute <= 0 || fences == nil {
+func newPlacer(cfg Placement, parts Parts) *placer {
+	if cfg.LoadsPerMinute <= 0 || parts.Fences == nil {
 		return nil
 	}
 	return &placer{
-		cfg: cfg, fences: fences, interval: reportInterval,
+		cfg: cfg, fences: parts.Fences, interval: cmp.Or(parts.reportInterval, reportInterval),
 		client: &http.Client{
 			Timeout:   orders.OrderTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true}, // a reused connection could repeat an order
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -52,6 +52,8 @@
 	Records   Records // nil: no control host is configured
 	Peers     Peers   // nil: no other router
 	Fences    Fences  // nil: no orders to engines
+
+	reportInterval time.Duration // between reports to the planner, reportInterval if 0
 }
 
 // Router is safe for concurrent use.
@@ -135,7 +137,7 @@
 		servers:     newServerTable(),
 		asks:        newAsks(),
 		marks:       newMarks(),
-		placer:      newPlacer(cfg.Placement, parts.Fences),
+		placer:      newPlacer(cfg.Placement, parts),
 		ring:        newRing(),
 		budget:      newRetryBudget(),
 		rates:       newWorkspaceRates(),
--- a/pkg/router/two_test.go
+++ b/pkg/router/two_test.go
@@ -29,6 +29,8 @@
 	owner int // index into all
 	epoch uint64
 	self  int
+	gone  int            // known routers that are not live
+	fixed map[string]int // owner by pool, before owner
 }
 
 func (m *movable) Owner(shard pool.ShardID) (pool.RouterID, uint64, bool) {
@@ -37,12 +39,15 @@
 	if shard.DataCentre != "north" {
 		return pool.RouterID{}, 0, false
 	}
+	if i, ok := m.fixed[shard.Pool]; ok {
+		return m.all[i], m.epoch, true
+	}
 	return m.all[m.owner], m.epoch, true
 }
 
 func (m *movable) Members() []pool.RouterID { return m.all }
 
-func (m *movable) Known() (known, live, rank int) { return len(m.all), len(m.all), m.self }
+func (m *movable) Known() (known, live, rank int) { return len(m.all) + m.gone, len(m.all), m.self }
 
 func (m *movable) move(owner int) {
 	m.mu.Lock()
@@ -60,7 +65,7 @@
 	addresses [2]string
 }
 
-func newPair(t *testing.T) *pair {
+func newPair(t *testing.T, change ...func(i int, cfg *Config, parts *Parts)) *pair {
 	t.Helper()
 	p := &pair{}
 	ids := []pool.RouterID{
@@ -69,7 +74,7 @@
 	}
 	for i := range p.routers {
 		p.owner[i] = &movable{all: ids, epoch: 1, self: i}
-		p.start(t, i, ids[i])
+		p.start(t, i, ids[i], change...)
 	}
 	p.connect()
 	p.callers[0].await(t, "the routers are connected", func() bool {
@@ -78,8 +83,13 @@
 	return p
 }
 
-func (p *pair) start(t *testing.T, i int, id pool.RouterID) {
-	f := newFleetAs(t, id, func(_ *Config, parts *Parts) { parts.Ownership = p.owner[i] })
+func (p *pair) start(t *testing.T, i int, id pool.RouterID, change ...func(i int, cfg *Config, parts *Parts)) {
+	f := newFleetAs(t, id, func(cfg *Config, parts *Parts) {
+		parts.Ownership = p.owner[i]
+		for _, c := range change {
+			c(i, cfg, parts)
+		}
+	})
 	p.callers[i], p.routers[i] = f, f.router
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
