--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -76,6 +76,8 @@
 	Routers       []RouterStatus `json:"routers"`
 	Shards        []pool.View    `json:"owned_shards"`
 	Servers       []ServerStatus `json:"servers"`
+	Planner       string         `json:"planner,omitempty"` // router that plans placement, if it is on
+	Orders        []OrderStatus  `json:"orders,omitempty"`  // under way at this router
 }
 
 // RouterStatus is one router as this one sees it.
@@ -130,6 +132,9 @@
 	for _, srv := range r.servers.all() {
 		s.Servers = append(s.Servers, r.serverStatus(now, srv, views))
 	}
+	if r.placer != nil {
+		s.Planner, s.Orders = r.plannerName(), r.placer.status()
+	}
 	for _, m := range r.ownership.Members() {
 		s.Routers = append(s.Routers, RouterStatus{Name: m.Name, DataCentre: m.DataCentre, Connected: r.connected(m)})
 	}
--- a/pkg/router/order.go
+++ b/pkg/router/order.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -44,6 +45,25 @@
 	sent  bool
 }
 
+// OrderStatus is an order to an engine that is under way.
+type OrderStatus struct {
+	Server string `json:"server"`
+	From   string `json:"from"`
+	To     string `json:"to"`
+	Sent   bool   `json:"sent"` // false while the engine runs empty
+}
+
+func (p *placer) status() []OrderStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []OrderStatus
+	for _, name := range slices.Sorted(maps.Keys(p.orders)) {
+		o := p.orders[name]
+		out = append(out, OrderStatus{Server: name, From: o.move.GetFrom(), To: o.move.GetTo(), Sent: o.sent})
+	}
+	return out
+}
+
 // loadOrder is the body of an order to load a model.
 type loadOrder struct {
 	Action string `json:"action"`
--- a/pkg/router/placement_test.go
+++ b/pkg/router/placement_test.go
@@ -156,10 +156,7 @@
 	t.Helper()
 	f.router.receiveMove(f.router.self.Name, &apiv1.PlannedMove{Server: name, From: "b", To: "a"})
 	f.await(t, "the order is over", func() bool {
-		p := f.router.placer
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return len(p.orders) == 0
+		return len(f.router.Status().Orders) == 0
 	})
 }
 
