Bound an order from the time at which the lease allowed it

Cause: the second of an order counted from the call to the engine, a moment after the lease had been checked.

A test of three control hosts covers AcquireFence over the client: one winner, the record after a restart of all hosts, and a refused change of holder under the same number.

Measurement: go test -race -run Fence ./pkg/control passes and fails if the record is not kept or not compared.

Conclusion: the order ends with the lease.

--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/controlclient"
+	"jackdawtrack.example/jackdawtrack/pkg/orders"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -284,3 +286,36 @@
 		}
 	})
 }
+
+// Guards against a fence that two routers get, that a host which is not the
+// leader grants, and whose number falls when every host restarts.
+func TestFenceSurvivesRestartOfAllHosts(t *testing.T) {
+	inGroup(t, func(t *testing.T, g *group) {
+		a, b := g.client("a", 1, 2, 3), g.client("b", 3, 2, 1)
+		defer a.Close()
+		defer b.Close()
+		free := &apiv1.Fence{Server: "s"}
+		next := func(router string) *apiv1.Fence {
+			return &apiv1.Fence{Server: "s", Number: 1, Holder: orders.Holder(router, 0)}
+		}
+		acquire := func(c *controlclient.Client, observed, next *apiv1.Fence) (result.Code, *apiv1.Fence) {
+			out, err := c.AcquireFence(t.Context(), observed, next)
+			assert.NilError(t, err)
+			return result.Code(out.GetCode()), out.GetPresent()
+		}
+		code, _ := acquire(a, free, next("a"))
+		assert.Equal(t, code, result.OK)
+		for id := uint64(1); id <= 3; id++ {
+			g.stop(id)
+			g.start(id)
+		}
+		code, present := acquire(b, free, next("b"))
+		assert.Equal(t, code, result.FenceStale)
+		assert.Assert(t, proto.Equal(present, next("a")), "%v", present)
+		code, present = acquire(b, free, nil)
+		assert.Equal(t, code, result.OK)
+		assert.Assert(t, proto.Equal(present, next("a")), "%v", present)
+		code, _ = acquire(b, present, next("b"))
+		assert.Equal(t, code, result.InvalidRequest, "the number stays with another holder")
+	})
+}
--- a/pkg/router/order.go
+++ b/pkg/router/order.go
@@ -132,8 +132,9 @@
 		if !owned {
 			return result.New(result.OwnerUnavailable, "another router owns the pool")
 		}
-		if number, ok := lease.Number(time.Now()); ok && idle {
-			return r.sendOrder(ctx, o, number)
+		now := time.Now()
+		if number, ok := lease.Number(now); ok && idle {
+			return r.sendOrder(ctx, now, o, number)
 		}
 		if idle && r.stepLease(ctx, lease, o.move.GetServer()) {
 			continue
@@ -193,9 +194,10 @@
 	return held
 }
 
-// sendOrder sends the order once. An error means that the engine refused it;
+// sendOrder sends the order once, within OrderTimeout from the time at which the
+// lease allowed it. An error means that the engine refused it;
 // after a lost answer the announcements of the engine tell what it did.
-func (r *Router) sendOrder(ctx context.Context, o *engineOrder, number uint64) error {
+func (r *Router) sendOrder(ctx context.Context, allowed time.Time, o *engineOrder, number uint64) error {
 	a, live := r.servers.holder(time.Now(), o.move.GetServer())
 	if !live {
 		return result.New(result.NoServer, "it is silent")
@@ -204,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, orders.OrderTimeout)
+	ctx, cancel := context.WithDeadline(ctx, allowed.Add(orders.OrderTimeout))
 	defer cancel()
 	in, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+orderPath, bytes.NewReader(body))
 	if err != nil {
--- a/pkg/router/placement.go
+++ b/pkg/router/placement.go
@@ -10,7 +10,6 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
-	"jackdawtrack.example/jackdawtrack/pkg/orders"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/settings"
 )
@@ -91,7 +90,6 @@
 	return &placer{
 		cfg: cfg, fences: parts.Fences, interval: cmp.Or(parts.reportInterval, reportInterval),
 		client: &http.Client{
-			Timeout:   orders.OrderTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true}, // a reused connection could repeat an order
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
