Hand a shard over only after an order on its way has ended

Cause: the next owner of a pool could give work to an engine while an order of the owner before it was on its way, which would cut the new answer.

Measurement: go test -race ./pkg/router passes; the new test fails without the check.

Conclusion: with a planned hand-over no order meets work of the next owner, but for the time until it hears that the engine starts.

--- a/pkg/router/order.go
+++ b/pkg/router/order.go
@@ -130,7 +130,7 @@
 	for {
 		idle, owned := r.emptied(o)
 		if !owned {
-			return result.New(result.OwnerUnavailable, "another router owns the pool")
+			return errOwnerMoved()
 		}
 		now := time.Now()
 		if number, ok := lease.Number(now); ok && idle {
@@ -147,6 +147,10 @@
 	}
 }
 
+func errOwnerMoved() error {
+	return result.New(result.OwnerUnavailable, "another router owns the pool")
+}
+
 // emptied reports whether the engine runs nothing, by a load report that was
 // taken after it began to get no new work, and whether this router still owns
 // its pool.
@@ -216,7 +220,11 @@
 	if key := r.placer.cfg.OrderKey; key != "" {
 		in.Header.Set("Authorization", bearer+key)
 	}
+	if !r.with(o.shard, func(time.Time, *pool.Owner) { o.shard.ordering++ }) {
+		return errOwnerMoved()
+	}
 	answer, err := r.placer.client.Do(in)
+	r.with(o.shard, func(time.Time, *pool.Owner) { o.shard.ordering-- })
 	r.placer.mu.Lock()
 	o.sent = true
 	r.placer.mu.Unlock()
--- a/pkg/router/placement_test.go
+++ b/pkg/router/placement_test.go
@@ -253,3 +253,20 @@
 		assert.Equal(t, next(), "", "a move while a router is not live")
 	}
 }
+
+// Guards against a hand-over while an order is on its way: the next owner would
+// give work to the engine, and the order would cut it.
+func TestHandoverWaitsForOrderOnItsWay(t *testing.T) {
+	cfg := NewConfig()
+	ids := []pool.RouterID{{Name: "rt-1", DataCentre: "north"}, {Name: "rt-2", DataCentre: "north"}}
+	own := &movable{all: ids}
+	r := New(cfg, ids[0], Parts{Catalog: catalog.NewStore(), Ownership: own, Pool: pool.DefaultConfig()})
+	s := r.local(pool.ShardID{DataCentre: "north", Pool: "b"})
+	s.ordering = 1
+	own.move(1)
+	r.releaseLost()
+	assert.Assert(t, !s.closed && len(r.ownedShards()) == 1)
+	s.ordering = 0
+	r.releaseLost()
+	assert.Assert(t, s.closed && len(r.ownedShards()) == 0)
+}
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -135,24 +135,36 @@
 		if !ok || owner.Name == r.self.Name && epoch == s.epoch {
 			continue
 		}
-		r.ownedMu.Lock()
-		if r.owned[s.id] == s {
-			delete(r.owned, s.id)
+		if owner.Name == r.self.Name {
+			r.drop(s)
+			continue
 		}
-		r.ownedMu.Unlock()
-		if owner.Name != r.self.Name {
-			r.handOver(s, owner)
+		if h, ok := s.handOver(); ok {
+			r.drop(s)
+			r.send(owner.Name, peer.FromHandover(h))
 		}
 	}
 }
 
-// handOver stops an owned shard and gives its state to the next owner.
-func (r *Router) handOver(s *ownedShard, to pool.RouterID) bool {
+func (r *Router) drop(s *ownedShard) {
+	r.ownedMu.Lock()
+	defer r.ownedMu.Unlock()
+	if r.owned[s.id] == s {
+		delete(r.owned, s.id)
+	}
+}
+
+// handOver stops an owned shard and returns its state for the next owner. It
+// reports false while an order to one of its engines is on its way: the next
+// owner would give work to that engine, and the order would cut it.
+func (s *ownedShard) handOver() (pool.Handover, bool) {
 	s.mu.Lock()
-	h := s.owner.Handover()
+	defer s.mu.Unlock()
+	if s.ordering > 0 {
+		return pool.Handover{}, false
+	}
 	s.closed = true
-	s.mu.Unlock()
-	return r.send(to.Name, peer.FromHandover(h))
+	return s.owner.Handover(), true
 }
 
 // tellOwners gives owned shards what operators and membership say.
--- a/pkg/router/shards.go
+++ b/pkg/router/shards.go
@@ -15,6 +15,9 @@
 	epoch  uint64
 	owner  *pool.Owner
 	closed bool // handed over
+	// ordering counts orders to engines on their way, each for at most
+	// orders.OrderTimeout.
+	ordering int
 }
 
 // shardOf returns the shard of a pool in this data centre. A pool has one
