Fix the flow-control windows of all streams, add make soak

Cause: without a fixed window gRPC sends a ping for almost every message it receives, which the control budget pays for.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,9 @@
 
 measure:
 	go run ./internal/measure/cmd
+
+# Long runs of the stateful tests; the number of seeds can be set.
+.PHONY: soak
+SEEDS ?= 1000
+soak:
+	JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) go test -timeout 60m ./pkg/wal ./pkg/raft ./pkg/replica
--- a/pkg/controlclient/dial.go
+++ b/pkg/controlclient/dial.go
@@ -26,10 +26,17 @@
 	replacedConnGrace = 5 * time.Second
 )
 
+// windowBytes is a fixed flow-control window. Without one gRPC measures the
+// connection with a ping for almost every message, which would double the
+// control traffic of small messages.
+const windowBytes = 1 << 20
+
 // ServerOptions returns the options that a server for these clients needs: it
 // accepts their keepalive pings and sends its own.
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.ConnectionTimeout(dialTimeout),
@@ -39,6 +46,8 @@
 // Dial returns a connection to one address. Extra options come last.
 func Dial(address string, extra ...grpc.DialOption) (*grpc.ClientConn, error) {
 	options := []grpc.DialOption{
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
