--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
@@ -44,6 +45,7 @@
 	if s.Epoch > p.summary.Epoch && p.summary.Epoch != 0 {
 		o.borrowerGone(s.From)
 	}
+	s.Lowest = slices.Clone(s.Lowest) // loans are counted in it
 	*p = peer{summary: s, heard: now}
 	o.updateFloor()
 	o.dispatch()
