State the number of routers of a data centre in the settings

Cause: a router that restarts while it is cut off knows no other router and took the whole limit of every server after 5 s, although the router on the other side of the partition used it as well. With 'routers' in the settings it takes its share, with the last rank because the other names are unknown.

Measured: TestRestartedRouterThatIsAloneTakesAShare: two such routers may send 16 requests to a server with a limit of 8 before, 8 now.

--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	_ "jackdawtrack.example/jackdawtrack/internal/fixedseed" // same verdict on every run
+	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 	"jackdawtrack.example/jackdawtrack/pkg/membership"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
@@ -299,3 +300,27 @@
 	}
 	f.check(t)
 }
+
+// Guards against two routers that restart while they are cut off from each
+// other and both take the whole limit of a server.
+func TestRestartedRouterThatIsAloneTakesAShare(t *testing.T) {
+	const limit = 8
+	sum := 0
+	for _, name := range []string{"r1", "r2"} {
+		tr := NewTracker(epochZero, pool.RouterID{Name: name, DataCentre: "a", Incarnation: 2}, true)
+		tr.Expect(2)
+		tr.Update(epochZero, []membership.Member{{Name: name, DataCentre: "a", Role: RoleRouter, Incarnation: 2}})
+		l := limiter.New(epochZero, limit, limit)
+		l.Restore(epochZero, limit, false)
+		known, live, rank := tr.Known()
+		l.SetKnownRouters(epochZero, known, live, rank)
+		sum += l.Limit()
+	}
+	assert.Assert(t, sum <= limit, "both routers together may send %d", sum)
+	tr := NewTracker(epochZero, pool.RouterID{Name: "r1", DataCentre: "a", Incarnation: 2}, true)
+	tr.Expect(2)
+	both := []membership.Member{{Name: "r1", DataCentre: "a", Role: RoleRouter, Incarnation: 2}, {Name: "r2", DataCentre: "a", Role: RoleRouter, Incarnation: 2}}
+	tr.Update(epochZero, both)
+	known, live, rank := tr.Known()
+	assert.DeepEqual(t, []int{known, live, rank}, []int{2, 2, 0})
+}
--- a/pkg/ownership/shared.go
+++ b/pkg/ownership/shared.go
@@ -20,6 +20,13 @@
 	return &Shared{tracker: NewTracker(time.Now(), self, joins)}
 }
 
+// Expect sets how many routers the data centre has, as Tracker.Expect does.
+func (s *Shared) Expect(routers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Expect(routers)
+}
+
 // Update takes a new member list.
 func (s *Shared) Update(members []membership.Member) {
 	s.mu.Lock()
--- a/pkg/ownership/tracker.go
+++ b/pkg/ownership/tracker.go
@@ -35,6 +35,7 @@
 type Tracker struct {
 	self      pool.RouterID
 	joins     bool // there are other routers to join through, and none was seen so far
+	expected  int  // routers of the data centre by the settings, 0 if not stated
 	began     time.Time
 	changed   time.Time // last change of the candidates of this data centre
 	candidate time.Time // when this router became a candidate
@@ -94,7 +95,19 @@
 func (t *Tracker) View() *View { return t.view }
 
 // Known returns the share of this router, as View.Share does.
-func (t *Tracker) Known() (known, live, rank int) { return t.view.Share() }
+func (t *Tracker) Known() (known, live, rank int) {
+	known, live, rank = t.view.Share()
+	if known < t.expected {
+		return t.expected, live, t.expected - 1
+	}
+	return known, live, rank
+}
+
+// Expect sets how many routers the data centre has. A router that restarted
+// while it is cut off knows itself alone; it must not take the whole limit of
+// a server that others use. Its rank is not known then, so it takes the last,
+// which has the smallest share.
+func (t *Tracker) Expect(routers int) { t.expected = routers }
 
 // Members returns the live routers of all data centres with this one.
 func (t *Tracker) Members() []pool.RouterID {
--- a/pkg/router/config.go
+++ b/pkg/router/config.go
@@ -45,6 +45,8 @@
 	TLS        TLS                `yaml:"tls"`
 	Control    []settings.Address `yaml:"control"`
 	Seeds      []settings.Address `yaml:"seeds"` // membership addresses of other routers
+	// Routers is the number of routers of the data centre, 0 if not stated.
+	Routers int `yaml:"routers"`
 	// MembershipKey is shared by all routers and authenticates their datagrams.
 	MembershipKey string       `yaml:"membership_key"`
 	Peers         []PeerConfig `yaml:"peers"`
@@ -148,6 +150,9 @@
 	if !class.ValidName(c.DataCentre) {
 		return refuse("data_centre %q: 1 to %d letters, digits, '-', '_' or '.'", c.DataCentre, class.MaxNameLength)
 	}
+	if c.Routers < 0 || c.Routers > maxPeersInSettings {
+		return refuse("routers %d is outside 0 to %d", c.Routers, maxPeersInSettings)
+	}
 	if len(c.Control) > maxControlsInSettings || len(c.Peers) > maxPeersInSettings {
 		return refuse("control: at most %d addresses; peers: at most %d entries", maxControlsInSettings, maxPeersInSettings)
 	}
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -53,6 +53,7 @@
 		parts.Ownership = staticOwnership(cfg, self)
 	} else {
 		members = ownership.NewShared(self, len(cfg.Seeds) > 0)
+		members.Expect(cfg.Routers)
 		parts.Pool.RecoveryWait = ownership.SettleTime
 		parts.Ownership = members
 	}
