Carry the models of a server in its loan

Cause: the Loan message had no field for the models that a server serves besides its pool. An owner in another data centre could use a borrowed slot for the base model only.

Change: Loan gets the repeated field models, converted in both directions. New tests encode loans and loan returns as the exchange does. One of them keeps the outcome 0 (end unknown) of a returned slot.

Measurement: before, TestLoanKeepsItsModels receives a loan without models; after, all fields of the loan are equal.

Conclusion: a borrowed slot serves every model of its server, and a slot whose request may still run is not taken as free.

--- a/pkg/peer/convert.go
+++ b/pkg/peer/convert.go
@@ -212,8 +212,7 @@
 	return s
 }
 
-// FromLoan converts a loan. The message has no field for Models, so a loan
-// serves the base model of the pool only.
+// FromLoan converts a loan.
 func FromLoan(l pool.Loan) *apiv1.Loan {
 	return &apiv1.Loan{
 		From:    FromShard(l.From),
@@ -225,6 +224,7 @@
 		BootId:  l.BootID,
 		Slots:   l.Slots,
 		TtlMs:   uint32(l.TTL.Milliseconds()),
+		Models:  l.Models,
 	}
 }
 
@@ -239,6 +239,7 @@
 		Address: m.Address,
 		BootID:  m.BootId,
 		Slots:   m.Slots,
+		Models:  m.Models,
 		TTL:     time.Duration(m.TtlMs) * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/pkg/peer/convert_test.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
+)
+
+var (
+	north = pool.ShardID{DataCentre: "north", Pool: "p"}
+	south = pool.ShardID{DataCentre: "south", Pool: "p", Shard: 1}
+)
+
+// wire encodes a message into m as the exchange does.
+func wire[M proto.Message](t *testing.T, from, m M) M {
+	t.Helper()
+	text, err := proto.Marshal(from)
+	assert.NilError(t, err)
+	assert.NilError(t, proto.Unmarshal(text, m))
+	return m
+}
+
+// Guards against a borrowed slot that serves the base model only, because the
+// models of its server are lost between two data centres.
+func TestLoanKeepsItsModels(t *testing.T) {
+	l := pool.Loan{From: north, To: south, LoanID: 3, Epoch: 4, Server: "s1", Address: "127.0.0.1:1", BootID: 5,
+		Slots: 6, Models: []string{"adapter-a", "adapter-b"}, TTL: 7 * time.Millisecond}
+	assert.DeepEqual(t, ToLoan(wire(t, FromLoan(l), &apiv1.Loan{})), l)
+}
+
+// Guards against a returned slot that counts as free although nobody knows
+// whether its request still runs (outcome 0).
+func TestLoanReturnKeepsAnUnknownEnd(t *testing.T) {
+	r := pool.LoanReturn{From: south, To: north, LoanID: 3, Epoch: 4, Unused: 1, Used: []pool.Settle{
+		{GrantID: 8, Epoch: 2},
+		{GrantID: 9, Epoch: 2, Outcome: pool.OutcomeOK, CostUnits: 10, FirstToken: time.Millisecond, TokenInterval: time.Microsecond},
+	}}
+	assert.DeepEqual(t, ToLoanReturn(wire(t, FromLoanReturn(r), &apiv1.LoanReturn{})), r)
+}
