Hold back the command of the test, not a tick of the host

Cause: the test of a leader that dies between propose and answer held back the first applied proposal, which can be a tick that the host proposes itself. The leader then died before it had the command, so the resent command was applied for the first time: allowed, but not what the test is for.

The checks are unchanged.

--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -51,7 +51,7 @@
 	folders   map[uint64]string
 	hosts     map[uint64]*running
 	members   []Member
-	armed     atomic.Bool // the next proposal that is applied gets no answer
+	armed     atomic.Pointer[string] // the next applied proposal with this text gets no answer
 	caught    chan uint64 // id of the host that holds back the answer
 	keyFile   string
 }
@@ -141,7 +141,9 @@
 
 func (l *holdingLog) Propose(ctx context.Context, command []byte) (any, error) {
 	out, err := l.Log.Propose(ctx, command)
-	if err == nil && l.cluster.armed.CompareAndSwap(true, false) {
+	text := l.cluster.armed.Load()
+	// A host proposes ticks of its own; they must not be taken for the command.
+	if err == nil && text != nil && bytes.Contains(command, []byte(*text)) && l.cluster.armed.CompareAndSwap(text, nil) {
 		l.cluster.caught <- l.id
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -206,10 +208,11 @@
 	go func() { _ = router.Watch(watching, store) }()
 
 	operator := c.client("")
-	c.armed.Store(true)
+	id := "c1"
+	c.armed.Store(&id)
 	outs := make(chan *apiv1.SubmitResponse, 1)
 	go func() {
-		out, err := operator.Submit(ctx, submitOut("c1", 1, true))
+		out, err := operator.Submit(ctx, submitOut(id, 1, true))
 		assert.Check(t, err)
 		outs <- out
 	}()
@@ -246,7 +249,7 @@
 
 func keyed(router string, attempt uint64) *apiv1.BeginRequest {
 	sum := sha256.Sum256([]byte("order"))
-	return &apiv1.BeginRequest{Workspace: "w", Key: "k", Fingerprint: sum[:], Router: router, Incarnation: 1, Attempt: attempt}
+	return &apiv1.BeginRequest{Workspace: "w", Key: "idempotency-key", Fingerprint: sum[:], Router: router, Incarnation: 1, Attempt: attempt}
 }
 
 // Guards against a keyed request that a second router may dispatch, or whose
@@ -260,7 +263,8 @@
 		assert.NilError(t, err)
 		return out
 	}
-	c.armed.Store(true)
+	key := "idempotency-key"
+	c.armed.Store(&key)
 	started := make(chan apiv1.BeginState, 1)
 	go func() {
 		out, err := one.Begin(ctx, keyed("r1", 1))
