--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -52,7 +52,7 @@
 	hosts     map[uint64]*running
 	members   []Member
 	armed     atomic.Pointer[string] // the next applied proposal with this text gets no answer
-	caught    chan uint64 // id of the host that holds back the answer
+	caught    chan uint64            // id of the host that holds back the answer
 	keyFile   string
 }
 
