Exchange totals at multiples of the interval and drop gone origins

Cause: routers exchanged totals 250 ms after the last exchange, but the bound of the fairness gap and the traffic calculation count with fairshare.ExchangeInterval (500 ms). Ledger.DropOrigin had no caller, so each restart of a router left a table of totals in every other router.

Change: totals are exchanged at whole multiples of ExchangeInterval. After each exchange, an incarnation that a later one has replaced is dropped when it has been gone for 60 s. A router that is not live and has no successor may be on the other side of a partition; its totals stay for the 10 min for which membership knows it, because a dropped origin loses what it counts until it returns, and the service of a partition has to be compensated afterwards. The incarnation of a connection counts before that of membership, which raises its own after the clock of a host went back.

The new tests fail with the drop left out, with an interval counted from the last exchange, with 250 ms, with 60 s for a partition, and with the incarnation of membership first. go test -race of pkg/router passes. The bytes on the wire were not measured.

Conclusion: control traffic and fairness follow the stated interval, and the memory of the ledger depends on the number of routers, not of restarts.

--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -8,14 +8,10 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
-	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
 	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
-// totalsInterval is how often changed service totals are exchanged.
-const totalsInterval = 250 * time.Millisecond
-
 // operatorView is what operators say about an owned shard. It is compared to
 // send only changes to the owners.
 type operatorView struct {
@@ -38,10 +34,7 @@
 	r.releaseLost()
 	r.tellOwners()
 	r.noteDataCentres(now)
-	if now.Sub(r.totalsAt) >= totalsInterval {
-		r.totalsAt = now
-		r.exchangeTotals()
-	}
+	r.followTotals(now)
 }
 
 // usedShards returns the shards that this router has asks, grants or recent
@@ -192,27 +185,6 @@
 	return departed
 }
 
-// exchangeTotals sends the own service totals that changed to every router.
-func (r *Router) exchangeTotals() {
-	changed, version := r.ledger.Changed(r.totalsVersion)
-	if len(changed) == 0 {
-		return
-	}
-	r.totalsVersion = version
-	e := r.totalsEnvelope(changed, false)
-	for _, m := range r.ownership.Members() {
-		r.send(m.Name, e)
-	}
-}
-
-func (r *Router) totalsEnvelope(totals []fairshare.Total, full bool) *apiv1.Envelope {
-	t := &apiv1.Totals{Origin: peer.FromRouter(r.self), Full: full}
-	for _, w := range totals {
-		t.Totals = append(t.Totals, &apiv1.WorkspaceTotal{Workspace: w.Workspace, Units: w.Units})
-	}
-	return &apiv1.Envelope{Item: &apiv1.Envelope_Totals{Totals: t}}
-}
-
 // Connected implements peer.Handler: messages of the earlier connection can be
 // lost, so everything that the other router needs is sent again.
 func (r *Router) Connected(to pool.RouterID) {
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -8,7 +8,6 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
-	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
 	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
@@ -152,20 +151,6 @@
 	r.sendLogged(l.From, &apiv1.Envelope{Item: &apiv1.Envelope_LoanReturn{LoanReturn: peer.FromLoanReturn(back)}})
 }
 
-func (r *Router) receiveTotals(t *apiv1.Totals) {
-	if t.Origin == nil {
-		return
-	}
-	totals := make([]fairshare.Total, 0, len(t.Totals))
-	for _, w := range t.Totals {
-		totals = append(totals, fairshare.Total{Workspace: w.Workspace, Units: w.Units})
-	}
-	origin := fairshare.Origin{Name: t.Origin.Name, DataCentre: t.Origin.DataCentre, Incarnation: t.Origin.Incarnation}
-	if origin != r.ledger.Origin() {
-		r.ledger.Merge(origin, totals, t.Full)
-	}
-}
-
 // receiveLocal handles what only routers of the same data centre send.
 func (r *Router) receiveLocal(from pool.RouterID, e *apiv1.Envelope) {
 	switch item := e.Item.(type) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -101,8 +101,9 @@
 	// Used by the goroutine of Run only.
 	seen          map[pool.ShardID]ownerSeen
 	told          operatorView
-	totalsAt      time.Time
+	totalsAt      time.Time // multiple of the exchange interval
 	totalsVersion uint64
+	goneOrigins   map[fairshare.Origin]time.Time // since when
 	reportAgain   map[pool.ShardID]time.Time
 
 	peersMu    sync.Mutex
