Add the experiments of both deployments with the real programs

The experiment files had only been checked, not run. The script starts the whole deployment, takes a data centre out and back under load and prints the load report, the burn report and the status.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 SEEDS ?= 1000
 soak:
 	JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) go test -timeout 60m ./pkg/wal ./pkg/raft ./pkg/replica
+
+# Runs the experiment of one deployment with the real programs, about 75 s.
+.PHONY: experiment
+DEPLOYMENT ?= samtryck
+experiment: build
+	./scripts/experiment.sh $(DEPLOYMENT)
