Give each grant the abilities of its server

Cause: a router looked up the abilities of a server in the announcements of its own data centre. For a server borrowed from another data centre it found none, so a broken stream there was not resumed and abandoned work was not cancelled.

Change: Grant and Loan carry the abilities that the router of a request needs (resume, cancel, repeats id). The proxy gets those of the grant; the table of announcements no longer answers for it. A grant that is sent again after a hand-over carries them too.

Conclusion: requests on borrowed servers resume and are cancelled as on local ones.

--- a/pkg/peer/convert.go
+++ b/pkg/peer/convert.go
@@ -4,6 +4,7 @@
 	"time"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
@@ -62,6 +63,14 @@
 	}
 }
 
+func fromAbilities(a backend.Abilities) *apiv1.Abilities {
+	return &apiv1.Abilities{Resume: a.Resume, Cancel: a.Cancel, RepeatsId: a.RepeatsID}
+}
+
+func toAbilities(m *apiv1.Abilities) backend.Abilities {
+	return backend.Abilities{Resume: m.GetResume(), Cancel: m.GetCancel(), RepeatsID: m.GetRepeatsId()}
+}
+
 // FromGrant converts a grant.
 func FromGrant(shard pool.ShardID, g pool.Grant) *apiv1.Grant {
 	return &apiv1.Grant{
@@ -72,6 +81,7 @@
 		Server:    g.Server,
 		Address:   g.Address,
 		BootId:    g.BootID,
+		Abilities: fromAbilities(g.Abilities),
 	}
 }
 
@@ -84,6 +94,7 @@
 		Server:    m.Server,
 		Address:   m.Address,
 		BootID:    m.BootId,
+		Abilities: toAbilities(m.Abilities),
 	}
 }
 
@@ -215,32 +226,34 @@
 // FromLoan converts a loan.
 func FromLoan(l pool.Loan) *apiv1.Loan {
 	return &apiv1.Loan{
-		From:    FromShard(l.From),
-		To:      FromShard(l.To),
-		LoanId:  l.LoanID,
-		Epoch:   l.Epoch,
-		Server:  l.Server,
-		Address: l.Address,
-		BootId:  l.BootID,
-		Slots:   l.Slots,
-		TtlMs:   uint32(l.TTL.Milliseconds()),
-		Models:  l.Models,
+		From:      FromShard(l.From),
+		To:        FromShard(l.To),
+		LoanId:    l.LoanID,
+		Epoch:     l.Epoch,
+		Server:    l.Server,
+		Address:   l.Address,
+		BootId:    l.BootID,
+		Slots:     l.Slots,
+		TtlMs:     uint32(l.TTL.Milliseconds()),
+		Models:    l.Models,
+		Abilities: fromAbilities(l.Abilities),
 	}
 }
 
 // ToLoan converts a loan.
 func ToLoan(m *apiv1.Loan) pool.Loan {
 	return pool.Loan{
-		From:    ToShard(m.From),
-		To:      ToShard(m.To),
-		LoanID:  m.LoanId,
-		Epoch:   m.Epoch,
-		Server:  m.Server,
-		Address: m.Address,
-		BootID:  m.BootId,
-		Slots:   m.Slots,
-		Models:  m.Models,
-		TTL:     time.Duration(m.TtlMs) * time.Millisecond,
+		From:      ToShard(m.From),
+		To:        ToShard(m.To),
+		LoanID:    m.LoanId,
+		Epoch:     m.Epoch,
+		Server:    m.Server,
+		Address:   m.Address,
+		BootID:    m.BootId,
+		Slots:     m.Slots,
+		Models:    m.Models,
+		Abilities: toAbilities(m.Abilities),
+		TTL:       time.Duration(m.TtlMs) * time.Millisecond,
 	}
 }
 
--- a/pkg/peer/convert_test.go
+++ b/pkg/peer/convert_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
@@ -16,6 +17,8 @@
 	south = pool.ShardID{DataCentre: "south", Pool: "p", Shard: 1}
 )
 
+var able = backend.Abilities{Resume: true, Cancel: true, RepeatsID: true}
+
 // wire encodes a message into m as the exchange does.
 func wire[M proto.Message](t *testing.T, from, m M) M {
 	t.Helper()
@@ -29,10 +32,21 @@
 // models of its server are lost between two data centres.
 func TestLoanKeepsItsModels(t *testing.T) {
 	l := pool.Loan{From: north, To: south, LoanID: 3, Epoch: 4, Server: "s1", Address: "127.0.0.1:1", BootID: 5,
-		Slots: 6, Models: []string{"adapter-a", "adapter-b"}, TTL: 7 * time.Millisecond}
+		Slots: 6, Models: []string{"adapter-a", "adapter-b"}, Abilities: able, TTL: 7 * time.Millisecond}
 	assert.DeepEqual(t, ToLoan(wire(t, FromLoan(l), &apiv1.Loan{})), l)
 }
 
+// Guards against a stream that is not continued or cancelled because the
+// router of the request does not know what its server can do.
+func TestGrantKeepsTheAbilitiesOfItsServer(t *testing.T) {
+	for _, a := range []backend.Abilities{{}, {Resume: true}, {Cancel: true}, {RepeatsID: true}, able} {
+		g := pool.Grant{RequestID: 1, GrantID: 2, Epoch: 3, Server: "s1", Address: "127.0.0.1:1", BootID: 4, Abilities: a}
+		assert.DeepEqual(t, ToGrant(wire(t, FromGrant(north, g), &apiv1.Grant{})), g)
+		l := pool.Loan{From: north, To: south, Abilities: a}
+		assert.DeepEqual(t, ToLoan(wire(t, FromLoan(l), &apiv1.Loan{})), l)
+	}
+}
+
 // Guards against a returned slot that counts as free although nobody knows
 // whether its request still runs (outcome 0).
 func TestLoanReturnKeepsAnUnknownEnd(t *testing.T) {
--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -135,6 +135,7 @@
 	g.sent = Grant{Router: router, RequestID: h.RequestID, GrantID: h.GrantID, Epoch: h.Epoch, Server: h.Server}
 	if s := o.servers[h.Server]; s != nil {
 		g.sent.Address, g.sent.BootID = s.ann.Address, s.ann.BootID
+		g.sent.Abilities = s.ann.Abilities
 		o.occupy(g, s)
 	}
 	// The owner that granted it charged the estimate to its own origin; the
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -123,16 +123,17 @@
 func (o *Owner) lend(p *peer, s *server) {
 	o.lastLoan++
 	l := &lent{server: s, given: o.now, open: 1, loan: Loan{
-		From:    o.id,
-		To:      p.summary.From,
-		LoanID:  o.lastLoan,
-		Epoch:   o.epoch,
-		Server:  s.ann.Name,
-		Address: s.ann.Address,
-		BootID:  s.ann.BootID,
-		Slots:   1,
-		Models:  s.ann.Models,
-		TTL:     o.cfg.LoanTTL,
+		From:      o.id,
+		To:        p.summary.From,
+		LoanID:    o.lastLoan,
+		Epoch:     o.epoch,
+		Server:    s.ann.Name,
+		Address:   s.ann.Address,
+		BootID:    s.ann.BootID,
+		Slots:     1,
+		Models:    s.ann.Models,
+		Abilities: s.ann.Abilities,
+		TTL:       o.cfg.LoanTTL,
 	}}
 	o.lent[o.lastLoan] = l
 	o.take(s)
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -381,10 +381,12 @@
 	if b != nil {
 		g.loan = b
 		g.sent.Server, g.sent.Address, g.sent.BootID = b.loan.Server, b.loan.Address, b.loan.BootID
+		g.sent.Abilities = b.loan.Abilities
 	} else {
 		o.occupy(g, s)
 		o.prefixes.add(w.ask.PrefixHash, s.number)
 		g.sent.Server, g.sent.Address, g.sent.BootID = s.ann.Name, s.ann.Address, s.ann.BootID
+		g.sent.Abilities = s.ann.Abilities
 	}
 	o.drop(w)
 	o.ledger.Charge(g.flow.Account(), g.estimate)
--- a/pkg/pool/owner_test.go
+++ b/pkg/pool/owner_test.go
@@ -72,6 +72,35 @@
 	assert.Equal(t, o.Snapshot().Grants, 1)
 }
 
+// Guards against a grant that lost the abilities of its server on the way: on
+// a loan, and after a hand-over when the first grant did not arrive.
+func TestGrantsCarryAbilities(t *testing.T) {
+	able := backend.Abilities{Resume: true, Cancel: true, RepeatsID: true}
+	ann := announce("s1", 0)
+	ann.Abilities = able
+	for _, announced := range []bool{true, false} { // at the new owner, before the hand-over
+		o, now := open()
+		o.Announce(now, ann)
+		o.Ask(now, ask(1, "w", draft, now))
+		assert.Equal(t, o.Take().Grants[0].Abilities, able)
+		next := newOwner(shardA, 2)
+		if announced {
+			next.Announce(now, ann)
+		}
+		next.Accept(now, o.Handover())
+		next.Ask(now, ask(1, "w", draft, now))
+		assert.Equal(t, next.Take().Grants[0].Abilities, able)
+	}
+	a, now := open()
+	a.Announce(now, ann)
+	a.Summary(now, Summary{From: shardB, Epoch: 1, Waiting: 1, Lowest: []WaitingValue{{Value: 0, Count: 1}}})
+	b := newOwner(shardB, 1)
+	b.Tick(now)
+	b.Ask(now, ask(1, "w", draft, now))
+	b.Loan(now, a.Take().Loans[0])
+	assert.Equal(t, b.Take().Grants[0].Abilities, able)
+}
+
 // Guards against an owner that grants before it can know the open grants.
 func TestNoGrantBeforeRecovery(t *testing.T) {
 	o := newOwner(shardA, 2)
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -123,6 +123,7 @@
 	for _, g := range o.grants {
 		if g.server == nil && g.loan == nil && g.sent.Server == s.ann.Name {
 			g.sent.Address, g.sent.BootID = s.ann.Address, s.ann.BootID
+			g.sent.Abilities = s.ann.Abilities
 			o.occupy(g, s)
 		}
 	}
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
@@ -52,6 +53,7 @@
 	Server    string
 	Address   string // IP and port
 	BootID    uint64
+	Abilities backend.Abilities // those that api/v1 carries
 }
 
 // Refusal ends an ask without a grant. The request has not run.
@@ -116,16 +118,17 @@
 
 // Loan lends free slots of one BackendServer to another owner of the pool.
 type Loan struct {
-	From    ShardID
-	To      ShardID
-	LoanID  uint64
-	Epoch   uint64
-	Server  string
-	Address string
-	BootID  uint64
-	Slots   uint32
-	Models  []string      // models that the server serves besides its pool
-	TTL     time.Duration // unused slots lapse at the lender after this time
+	From      ShardID
+	To        ShardID
+	LoanID    uint64
+	Epoch     uint64
+	Server    string
+	Address   string
+	BootID    uint64
+	Slots     uint32
+	Models    []string          // models that the server serves besides its pool
+	Abilities backend.Abilities // those that api/v1 carries
+	TTL       time.Duration     // unused slots lapse at the lender after this time
 }
 
 // LoanReturn gives back slots of a loan, unused or after use.
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -106,7 +106,7 @@
 		Body:            q.body,
 		Class:           q.class,
 		Kind:            q.kind,
-		Abilities:       r.servers.abilities(g.Server, g.BootID),
+		Abilities:       g.Abilities,
 		PromptTokens:    uint64(q.chat.PromptUnits),
 		HoldServerError: hold,
 	}, sink)
--- a/pkg/router/servers.go
+++ b/pkg/router/servers.go
@@ -103,18 +103,6 @@
 	return ok && info.kind != backend.Engine && now.Sub(info.seen) < poolMemory
 }
 
-// abilities returns what the server with this boot id announced. Servers of
-// other data centres are not known here and get none.
-func (t *serverTable) abilities(name string, bootID uint64) backend.Abilities {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	s := t.servers[name]
-	if s == nil || s.announcement.BootID != bootID {
-		return backend.Abilities{}
-	}
-	return s.announcement.Abilities
-}
-
 // poolNames returns the names of all known pools.
 func (t *serverTable) poolNames() []string {
 	t.mu.RLock()
