Return the owner's estimate with a held grant

Cause: a router did not know which estimate the owner had charged for its grant. After that owner was lost, the next one took the estimate as 0 and charged the whole cost of a running request on top of it.

Change: Grant carries the estimate of the owner, the router keeps it and returns it in HeldGrant. The next owner settles only the difference.

Measurement: a request that costs 5000 units counted 6000 after the owner was lost and counts 5000 now (TestRunningRequestIsChargedOnceAfterAnOwnerIsLost).

Conclusion: the loss of an owner does not move workspaces with running requests backwards in the queue.

--- a/pkg/peer/convert.go
+++ b/pkg/peer/convert.go
@@ -74,27 +74,29 @@
 // FromGrant converts a grant.
 func FromGrant(shard pool.ShardID, g pool.Grant) *apiv1.Grant {
 	return &apiv1.Grant{
-		Shard:     FromShard(shard),
-		RequestId: g.RequestID,
-		GrantId:   g.GrantID,
-		Epoch:     g.Epoch,
-		Server:    g.Server,
-		Address:   g.Address,
-		BootId:    g.BootID,
-		Abilities: fromAbilities(g.Abilities),
+		Shard:         FromShard(shard),
+		RequestId:     g.RequestID,
+		GrantId:       g.GrantID,
+		Epoch:         g.Epoch,
+		Server:        g.Server,
+		Address:       g.Address,
+		BootId:        g.BootID,
+		Abilities:     fromAbilities(g.Abilities),
+		EstimateUnits: g.EstimateUnits,
 	}
 }
 
 // ToGrant converts a grant. Its router is the one that receives it.
 func ToGrant(m *apiv1.Grant) pool.Grant {
 	return pool.Grant{
-		RequestID: m.RequestId,
-		GrantID:   m.GrantId,
-		Epoch:     m.Epoch,
-		Server:    m.Server,
-		Address:   m.Address,
-		BootID:    m.BootId,
-		Abilities: toAbilities(m.Abilities),
+		RequestID:     m.RequestId,
+		GrantID:       m.GrantId,
+		Epoch:         m.Epoch,
+		Server:        m.Server,
+		Address:       m.Address,
+		BootID:        m.BootId,
+		Abilities:     toAbilities(m.Abilities),
+		EstimateUnits: m.EstimateUnits,
 	}
 }
 
--- a/pkg/peer/convert_test.go
+++ b/pkg/peer/convert_test.go
@@ -36,11 +36,12 @@
 	assert.DeepEqual(t, ToLoan(wire(t, FromLoan(l), &apiv1.Loan{})), l)
 }
 
-// Guards against a stream that is not continued or cancelled because the
+// Guards against a request that is charged twice after its owner was lost, and
+// against a stream that is not continued or cancelled because the
 // router of the request does not know what its server can do.
-func TestGrantKeepsTheAbilitiesOfItsServer(t *testing.T) {
+func TestGrantKeepsEstimateAndAbilities(t *testing.T) {
 	for _, a := range []backend.Abilities{{}, {Resume: true}, {Cancel: true}, {RepeatsID: true}, able} {
-		g := pool.Grant{RequestID: 1, GrantID: 2, Epoch: 3, Server: "s1", Address: "127.0.0.1:1", BootID: 4, Abilities: a}
+		g := pool.Grant{RequestID: 1, GrantID: 2, Epoch: 3, Server: "s1", Address: "127.0.0.1:1", BootID: 4, Abilities: a, EstimateUnits: 700}
 		assert.DeepEqual(t, ToGrant(wire(t, FromGrant(north, g), &apiv1.Grant{})), g)
 		l := pool.Loan{From: north, To: south, Abilities: a}
 		assert.DeepEqual(t, ToLoan(wire(t, FromLoan(l), &apiv1.Loan{})), l)
--- /dev/null
+++ b/pkg/pool/estimate_test.go
@@ -0,0 +1,31 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+)
+
+// Guards against a request that is charged twice: with its estimate by an
+// owner that was lost, and with its whole cost by the next one.
+func TestRunningRequestIsChargedOnceAfterAnOwnerIsLost(t *testing.T) {
+	const cost = 5000
+	old, now := open("s1")
+	old.Ask(now, ask(1, "w", draft, now))
+	g := old.Take().Grants[0]
+	ledger := fairshare.NewLedger(fairshare.Origin{Name: "next"})
+	totals, _ := old.ledger.Totals() // exchanged before the owner is lost
+	ledger.Merge(old.ledger.Origin(), totals, true)
+	next := NewOwner(shardA, 2, DefaultConfig(), ledger, now)
+	next.Announce(now, announce("s1", 0))
+	next.Held(now, router, []HeldGrant{{
+		Router: router, GrantID: g.GrantID, Epoch: g.Epoch, RequestID: 1, Server: "s1", Workspace: "w", Class: draft.Name,
+		EstimateUnits: g.EstimateUnits,
+	}})
+	assert.Assert(t, ledger.Value("w") > 0)
+	next.Settle(now.Add(time.Second), Settle{GrantID: g.GrantID, Epoch: g.Epoch, Outcome: OutcomeOK, CostUnits: cost})
+	assert.Equal(t, ledger.Value("w"), int64(cost))
+}
--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -132,7 +132,8 @@
 	g.flow = o.queue.Flow(h.Workspace)
 	g.class = class.Class{Name: h.Class}
 	g.estimate, g.granted = h.EstimateUnits, o.now
-	g.sent = Grant{Router: router, RequestID: h.RequestID, GrantID: h.GrantID, Epoch: h.Epoch, Server: h.Server}
+	g.sent = Grant{Router: router, RequestID: h.RequestID, GrantID: h.GrantID, Epoch: h.Epoch, Server: h.Server,
+		EstimateUnits: h.EstimateUnits}
 	if s := o.servers[h.Server]; s != nil {
 		g.sent.Address, g.sent.BootID = s.ann.Address, s.ann.BootID
 		g.sent.Abilities = s.ann.Abilities
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -377,7 +377,7 @@
 	g.flow, g.class, g.granted = o.queue.Flow(w.ask.Workspace), w.ask.Class, o.now
 	g.hint, g.prompt = w.ask.HintUnits, w.ask.PromptUnits
 	g.estimate = o.costs.Estimate(w.ask.Workspace, w.ask.Class.Name, g.hint, g.prompt)
-	g.sent = Grant{Router: w.ask.Router, RequestID: w.ask.RequestID, GrantID: g.key.id, Epoch: g.key.epoch}
+	g.sent = Grant{Router: w.ask.Router, RequestID: w.ask.RequestID, GrantID: g.key.id, Epoch: g.key.epoch, EstimateUnits: g.estimate}
 	if b != nil {
 		g.loan = b
 		g.sent.Server, g.sent.Address, g.sent.BootID = b.loan.Server, b.loan.Address, b.loan.BootID
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -46,14 +46,15 @@
 
 // Grant allows one request to be sent to one BackendServer.
 type Grant struct {
-	Router    RouterID
-	RequestID uint64
-	GrantID   uint64
-	Epoch     uint64
-	Server    string
-	Address   string // IP and port
-	BootID    uint64
-	Abilities backend.Abilities // those that api/v1 carries
+	Router        RouterID
+	RequestID     uint64
+	GrantID       uint64
+	Epoch         uint64
+	Server        string
+	Address       string // IP and port
+	BootID        uint64
+	Abilities     backend.Abilities // those that api/v1 carries
+	EstimateUnits uint64            // service units that the owner charged
 }
 
 // Refusal ends an ask without a grant. The request has not run.
--- a/pkg/router/asks.go
+++ b/pkg/router/asks.go
@@ -86,13 +86,14 @@
 	}
 	delete(t.waiting, g.RequestID)
 	t.held[grantKey{shard, g.Epoch, g.GrantID}] = held{shard: shard, grant: pool.HeldGrant{
-		Router:    w.ask.Router,
-		GrantID:   g.GrantID,
-		Epoch:     g.Epoch,
-		RequestID: g.RequestID,
-		Server:    g.Server,
-		Workspace: w.ask.Workspace,
-		Class:     w.ask.Class.Name,
+		Router:        w.ask.Router,
+		GrantID:       g.GrantID,
+		Epoch:         g.Epoch,
+		RequestID:     g.RequestID,
+		Server:        g.Server,
+		Workspace:     w.ask.Workspace,
+		Class:         w.ask.Class.Name,
+		EstimateUnits: g.EstimateUnits,
 	}}
 	w.answer <- answer{grant: g}
 	return true
