Give the mark of a data centre its own message

Cause: a router sent an operator's mark of a data centre as JSON inside an Announcement, and every announcement was first decoded as a mark.

Change: Envelope gets DataCentreMark with the same fields. An Announcement is an announcement only. Routers of the earlier version do not understand the new message, so a mark is complete only when all routers of the data centre run this one.

Conclusion: marks are typed like every other message between routers.

--- a/pkg/router/marks.go
+++ b/pkg/router/marks.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 )
 
 // mark is an operator's local statement about a data centre that control could
@@ -79,3 +81,17 @@
 	}
 	return cat.DataCentreOut(name)
 }
+
+func (r *Router) sendMark(to string, m mark) {
+	r.send(to, &apiv1.Envelope{Item: &apiv1.Envelope_DataCentreMark{DataCentreMark: &apiv1.DataCentreMark{
+		Name: m.Name, Out: m.Out, Revision: m.Revision, Operator: m.Operator, MadeMs: m.MadeMS,
+	}}})
+}
+
+// receiveMark stores a mark that an operator gave to another router.
+func (r *Router) receiveMark(in *apiv1.DataCentreMark) {
+	m := mark{Name: in.Name, Out: in.Out, Revision: in.Revision, Operator: in.Operator, MadeMS: in.MadeMs}
+	if r.marks.set(m) {
+		r.log.Infof("operator %s marked data centre %s out=%v", m.Operator, m.Name, m.Out)
+	}
+}
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -1,12 +1,10 @@
 package router
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
 
-	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/peer"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
@@ -217,30 +215,3 @@
 		}
 	}
 }
-
-// sendMark carries a mark in an Announcement message, because the exchange has
-// no message of its own for it.
-func (r *Router) sendMark(to string, m mark) {
-	text, err := json.Marshal(markMessage{Mark: &m})
-	if err != nil {
-		return // a mark always encodes
-	}
-	r.send(to, &apiv1.Envelope{Item: &apiv1.Envelope_Announcement{Announcement: &apiv1.Announcement{Json: text}}})
-}
-
-type markMessage struct {
-	Mark *mark `json:"data_centre_mark"`
-}
-
-// receiveMark stores a mark and passes a new one on. It reports whether the
-// message was a mark.
-func (r *Router) receiveMark(text []byte) bool {
-	var m markMessage
-	if json.Unmarshal(text, &m) != nil || m.Mark == nil {
-		return false
-	}
-	if r.marks.set(*m.Mark) {
-		r.log.Infof("operator %s marked data centre %s out=%v", m.Mark.Operator, m.Mark.Name, m.Mark.Out)
-	}
-	return true
-}
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -173,6 +173,8 @@
 		r.receiveHeld(peer.ToShard(item.HeldGrants.Shard), from, peer.ToHeld(from, item.HeldGrants.Grants))
 	case *apiv1.Envelope_Announcement:
 		r.receiveAnnouncement(item.Announcement.Json)
+	case *apiv1.Envelope_DataCentreMark:
+		r.receiveMark(item.DataCentreMark)
 	case *apiv1.Envelope_Handover:
 		r.receiveHandover(peer.ToHandover(item.Handover))
 	case *apiv1.Envelope_PoolReport:
@@ -229,9 +231,6 @@
 // receiveAnnouncement stores an announcement that another router received, and
 // gives it to the owner if that is this router.
 func (r *Router) receiveAnnouncement(text []byte) {
-	if r.receiveMark(text) {
-		return
-	}
 	a, err := backend.Decode(bytes.NewReader(text))
 	now := time.Now()
 	if err != nil || r.checkHolder(now, a) != nil {
