--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -377,14 +377,16 @@
 	g.flow, g.class, g.granted = o.queue.Flow(w.ask.Workspace), w.ask.Class, o.now
 	g.hint, g.prompt = w.ask.HintUnits, w.ask.PromptUnits
 	g.estimate = o.costs.Estimate(w.ask.Workspace, w.ask.Class.Name, g.hint, g.prompt)
-	g.sent = Grant{Router: w.ask.Router, RequestID: w.ask.RequestID, GrantID: g.key.id, Epoch: g.key.epoch}
+	g.sent = Grant{Router: w.ask.Router, RequestID: w.ask.RequestID, GrantID: g.key.id, Epoch: g.key.epoch, EstimateUnits: g.estimate}
 	if b != nil {
 		g.loan = b
 		g.sent.Server, g.sent.Address, g.sent.BootID = b.loan.Server, b.loan.Address, b.loan.BootID
+		g.sent.Abilities = b.loan.Abilities
 	} else {
 		o.occupy(g, s)
 		o.prefixes.add(w.ask.PrefixHash, s.number)
 		g.sent.Server, g.sent.Address, g.sent.BootID = s.ann.Name, s.ann.Address, s.ann.BootID
+		g.sent.Abilities = s.ann.Abilities
 	}
 	o.drop(w)
 	o.ledger.Charge(g.flow.Account(), g.estimate)
