Let TestRandomFaults run a range of seeds

Cause: the four runs of KNOWN-RED.txt were found with a changed copy of the test; the test itself could run only its fixed list. Change: the flag -fault-seeds N replaces the list by the seeds 1 to N. The list, the checks and the bounds of a run without the flag stay as they are.

--- a/internal/measure/faults_test.go
+++ b/internal/measure/faults_test.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -9,6 +10,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// faultSeeds replaces the seeds of TestRandomFaults by 1 to its value.
+var faultSeeds = flag.Int64("fault-seeds", 0, "run TestRandomFaults with the seeds from 1 to this number")
+
 // knownRed are the runs of KNOWN-RED.txt.
 var knownRed = []string{"samtryck/137", "samtryck/205", "samtryck/267", "cooperative/125"}
 
@@ -16,8 +20,15 @@
 // is out, an answer that is cut, and a slot or a request that is never ended,
 // under a random fault each 10 s for 300 s.
 func TestRandomFaults(t *testing.T) {
+	seeds := []int64{1, 2, 3, 17, 55, 125, 137, 205, 267}
+	if *faultSeeds > 0 {
+		seeds = nil
+		for seed := int64(1); seed <= *faultSeeds; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
 	for _, d := range []deployment{samtryck(), cooperative()} {
-		for _, seed := range []int64{1, 2, 3, 17, 55, 125, 137, 205, 267} {
+		for _, seed := range seeds {
 			name := fmt.Sprintf("%s/%d", d.name, seed)
 			t.Run(name, func(t *testing.T) {
 				if slices.Contains(knownRed, name) {
