Give returning cold servers no work before a new load report

Cause: when a data centre comes back, its owner makes its servers cold, with an unseen count from before. Change: a server that is cold since its data centre came back gets no work before a load report taken after the return, as with a new owner. Conclusion: fixed in the decision code.

--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -24,6 +24,7 @@
 	limit    *limiter.Limiter
 	heard    time.Time // last announcement
 	started  time.Time // first announcement of this boot id here
+	returned time.Time // when its data centre came back
 	failed   bool      // no announcement since the last dropped connection
 	proven   bool      // the first load report has been used
 	orphans  int       // slots of work whose end nobody will report
@@ -38,9 +39,11 @@
 }
 
 // usable reports whether the server may receive new work. A new owner gives a
-// cold server none before a load report shows what it already runs.
+// cold server none before a load report shows what it already runs. The same
+// holds after the data centre came back: while a server was warm, slots whose
+// end was not known were released early, and their requests may still run.
 func (o *Owner) usable(s *server) bool {
-	if s.taken.Before(o.started) && s.limit.Cold() {
+	if s.limit.Cold() && (s.taken.Before(o.started) || s.taken.Before(s.returned)) {
 		return false
 	}
 	return s.ann.State == backend.Ready &&
@@ -271,6 +274,7 @@
 	for _, s := range o.servers {
 		if !out {
 			s.limit.Chill(now)
+			s.returned = now
 		}
 		o.fix(s)
 	}
