Hand over cold limits while the data centre is out

Change: an owner whose data centre is out hands over cold limits. The new test fails without the change (limit 6 instead of 2). Conclusion: fixed in the decision code.

--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -13,11 +13,16 @@
 )
 
 // Handover stops this owner and returns its limits and open grants. Waiting
-// asks are not part of it: their routers ask the next owner.
+// asks are not part of it: their routers ask the next owner. An owner whose
+// data centre is out hands over cold limits: the next owner may already know
+// that the data centre is back, and would not make its servers cold again.
 func (o *Owner) Handover() Handover {
 	o.closed = true
 	h := Handover{Shard: o.id, Epoch: o.epoch}
 	for _, s := range o.sorted() {
+		if o.out {
+			s.limit.Chill(o.now)
+		}
 		text, err := json.Marshal(s.ann)
 		if err != nil {
 			continue // a decoded announcement always encodes
--- a/pkg/pool/stale_test.go
+++ b/pkg/pool/stale_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 )
 
 // Guards against cold servers that get a full cold limit when their data centre
@@ -24,3 +26,14 @@
 	o.Announce(now.Add(time.Second), a)
 	assert.Equal(t, len(o.Take().Grants), 1)
 }
+
+// Guards against a limit from the time before a data centre was out that the
+// next owner uses after the return.
+func TestHandoverWhileOutIsCold(t *testing.T) {
+	o, now := open("s1")
+	o.servers["s1"].limit.Restore(now, 6, true)
+	o.SetDataCentreOut(now, true)
+	next := newOwner(shardA, 2)
+	next.Accept(now, o.Handover())
+	assert.Equal(t, next.Snapshot().Servers[0].Full, limiter.ColdLimit)
+}
