Take no limit from a hand-over that can be old

Meanwhile engine-a3 restarted cold under the same boot id. Router a0 came back, owned the shard and had granted 2 requests by the cold limit when a1 saw it at 410.2 s and handed over its limit 10 of the earlier run. a0 took it and lent up to 10 slots; the fourth request overloaded the engine at 412.0 s. Ruled out: the hand-over is a message of the real fleet, and a router that is cut off sends it late there too. Change: servers that were silent for the limit of 3 s are left out of a hand-over, and the next owner keeps its own limit for a server whose count of requests is below that of the hand-over. Both new tests fail without the change.

--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -16,10 +16,14 @@
 // asks are not part of it: their routers ask the next owner. An owner whose
 // data centre is out hands over cold limits: the next owner may already know
 // that the data centre is back, and would not make its servers cold again.
+// Servers that were silent are left out.
 func (o *Owner) Handover() Handover {
 	o.closed = true
 	h := Handover{Shard: o.id, Epoch: o.epoch}
 	for _, s := range o.sorted() {
+		if o.now.Sub(s.heard) >= backend.SilenceLimit {
+			continue // it may have restarted since
+		}
 		if o.out {
 			s.limit.Chill(o.now)
 		}
@@ -86,7 +90,9 @@
 		if s == nil {
 			s = o.addServer(a)
 		}
-		if s.ann.BootID == a.BootID {
+		// The hand-over of an owner that was cut off can be old. A count of
+		// requests that fell since then is a restart under the same boot id.
+		if s.ann.BootID == a.BootID && s.ann.Load.Total >= a.Load.Total {
 			s.limit.Restore(now, state.Limit, state.Cold)
 			s.proven = true
 			o.fix(s)
--- a/pkg/pool/stale_test.go
+++ b/pkg/pool/stale_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/limiter"
 )
 
@@ -37,3 +38,28 @@
 	next.Accept(now, o.Handover())
 	assert.Equal(t, next.Snapshot().Servers[0].Full, limiter.ColdLimit)
 }
+
+// Guards against the hand-over of an owner that was cut off while a server
+// restarted under the same boot id: its limit belongs to the earlier run.
+func TestOldHandoverKeepsRestartedServerCold(t *testing.T) {
+	o, now := open("s1")
+	o.Announce(now, announce("s1", 50))
+	o.servers["s1"].limit.Restore(now, 6, true)
+	next := newOwner(shardA, 2)
+	next.Announce(now, announce("s1", 2))
+	next.Accept(now, o.Handover())
+	assert.Equal(t, next.Snapshot().Servers[0].Full, limiter.ColdLimit)
+}
+
+// Guards against a hand-over that vouches for a server that its owner has not
+// heard of for as long as a restart can take.
+func TestHandoverLeavesOutSilentServers(t *testing.T) {
+	o, now := open("s1", "s2")
+	now = now.Add(backend.SilenceLimit)
+	o.Announce(now, announce("s2", 0))
+	h := o.Handover()
+	assert.Equal(t, len(h.Servers), 1)
+	next := newOwner(shardA, 2)
+	next.Accept(now, h)
+	assert.Equal(t, next.Snapshot().Servers[0].Name, "s2")
+}
