Name only the routers that did not confirm a data centre change

Cause: when the timeout of the command ended in the middle of a round, all routers of that round counted as not confirmed; a router that accepts connections and never answers, as in a cut-off data centre, made every round last until then.

--- a/pkg/cli/admin_test.go
+++ b/pkg/cli/admin_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -60,9 +61,13 @@
 	code, out, _ := f.run("", "datacentre", "out", "north", "--admin", current)
 	assert.Equal(t, code, ExitOK)
 	assert.Assert(t, strings.Contains(out, "in force at 1 of 1 routers"), out)
-	code, _, errs := f.run("", "datacentre", "in", "north", "--admin", current, "--admin", behind, "--timeout", "1s")
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and never answers
+	assert.NilError(t, err)
+	defer silent.Close()
+	code, _, errs := f.run("", "datacentre", "in", "north", "--admin", current, "--admin", behind, "--admin", silent.Addr().String(), "--timeout", "3s")
 	assert.Equal(t, code, ExitUnreachable)
-	assert.Assert(t, strings.Contains(errs, "not confirmed by "+behind), errs)
+	want := "not confirmed by " + behind + ", " + silent.Addr().String() + ":"
+	assert.Assert(t, strings.Contains(errs, want), errs)
 	assert.Assert(t, strings.Contains(errs, "--router ADMIN-ADDRESS"), errs)
 }
 
--- a/pkg/cli/fleet.go
+++ b/pkg/cli/fleet.go
@@ -15,6 +15,7 @@
 const (
 	statusPath     = "/v1/admin/status"
 	confirmPause   = 100 * time.Millisecond
+	confirmLimit   = time.Second
 	defaultRefresh = 2 * time.Second
 )
 
@@ -89,14 +90,20 @@
 // confirm waits until every router that was named holds the revision that this
 // command made. The error names those that do not before the timeout.
 func (c *CLI) confirm(ctx context.Context) error {
-	missing := c.behind(ctx)
-	for len(missing) > 0 {
+	missing := c.routers
+	for {
+		// A round that the timeout cut short says nothing about the routers.
+		if now := c.behind(ctx); ctx.Err() == nil {
+			missing = now
+		}
+		if len(missing) == 0 {
+			break
+		}
 		select {
 		case <-ctx.Done():
 			return result.New(result.ControlUnavailable, "revision %d is accepted but not confirmed by %s: the data centre can be cut off",
 				c.made, strings.Join(missing, ", "))
 		case <-time.After(confirmPause):
-			missing = c.behind(ctx)
 		}
 	}
 	if c.output == "table" {
@@ -105,9 +112,13 @@
 	return nil
 }
 
+// behind returns the routers that do not hold the revision or do not answer
+// within confirmLimit, as those of a data centre that is cut off.
 func (c *CLI) behind(ctx context.Context) []string {
+	limited, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
 	var out []string
-	for _, f := range fetchAll[router.Status](ctx, c.routers, statusPath) {
+	for _, f := range fetchAll[router.Status](limited, c.routers, statusPath) {
 		if f.err != nil || f.value.Revision < c.made {
 			out = append(out, f.address)
 		}
