Remove fences from the configuration

Cause: routers take fences with AcquireFence since they have a renewal; the change of the configuration that set them was refused in every command and never held a value.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -43,13 +43,6 @@
 	return subtle.ConstantTimeCompare(hash, workspace.HashKey(key)) == 1
 }
 
-// Fence is the fencing state of orders to one engine.
-type Fence struct {
-	Server string
-	Number uint64
-	Holder string
-}
-
 // Catalog is one revision of the configuration. All methods are safe for
 // concurrent use, because a Catalog never changes. Callers must not change
 // the slices inside returned values.
@@ -61,7 +54,6 @@
 	credentials map[string]Credential
 	departures  map[string]struct{}
 	operators   map[string]Operator
-	fences      map[string]Fence
 }
 
 // Empty returns the catalog of revision 0.
@@ -134,15 +126,6 @@
 // Operators returns all operators in the order of their names.
 func (c *Catalog) Operators() []Operator { return ordered(c.operators) }
 
-// Fence returns the fencing state of a server.
-func (c *Catalog) Fence(server string) (Fence, bool) {
-	v, ok := c.fences[server]
-	return v, ok
-}
-
-// Fences returns the fencing state of all servers in the order of their names.
-func (c *Catalog) Fences() []Fence { return ordered(c.fences) }
-
 // With returns the catalog of a revision after the changes, in their order. A
 // change of a kind that this version does not know is skipped, so that a
 // router keeps working while control is upgraded first.
@@ -176,8 +159,6 @@
 		c.departures = writable(c.departures)
 	case KindOperator:
 		c.operators = writable(c.operators)
-	case KindFence:
-		c.fences = writable(c.fences)
 	}
 }
 
@@ -195,8 +176,6 @@
 		put(c.departures, item.Departure.GetServer(), struct{}{}, ch.GetDelete())
 	case *apiv1.Change_Operator:
 		put(c.operators, item.Operator.GetName(), OperatorFrom(item.Operator), ch.GetDelete())
-	case *apiv1.Change_Fence:
-		put(c.fences, item.Fence.GetServer(), FenceFrom(item.Fence), ch.GetDelete())
 	}
 }
 
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -90,7 +90,6 @@
 		"rate":      {Item: &apiv1.Change_Workspace{Workspace: &apiv1.Workspace{Name: "w", RequestsPerSecond: math.NaN()}}},
 		"star":      OperatorChange(Operator{Name: "*", KeyHash: workspace.HashKey("k")}),
 		"hash":      CredentialChange(Credential{Name: "a*", KeyHash: []byte("short")}),
-		"holder":    FenceChange(Fence{Server: "s"}),
 	} {
 		code, _ := result.CodeOf(Validate(ch))
 		assert.Equal(t, code, result.InvalidCommand, name)
--- a/pkg/catalog/convert.go
+++ b/pkg/catalog/convert.go
@@ -21,12 +21,11 @@
 	KindCredential
 	KindDeparture
 	KindOperator
-	KindFence
 )
 
 // String returns the kind as messages name it.
 func (k Kind) String() string {
-	names := [...]string{"unknown item", "class", "workspace", "data centre", "backend credential", "departure", "operator", "fence"}
+	names := [...]string{"unknown item", "class", "workspace", "data centre", "backend credential", "departure", "operator"}
 	if k < 0 || int(k) >= len(names) {
 		return names[KindUnknown]
 	}
@@ -48,8 +47,6 @@
 		return KindDeparture, item.Departure.GetServer()
 	case *apiv1.Change_Operator:
 		return KindOperator, item.Operator.GetName()
-	case *apiv1.Change_Fence:
-		return KindFence, item.Fence.GetServer()
 	}
 	return KindUnknown, ""
 }
@@ -128,16 +125,6 @@
 	return &apiv1.Operator{Name: o.Name, KeyHash: o.KeyHash}
 }
 
-// FenceFrom converts a message.
-func FenceFrom(m *apiv1.Fence) Fence {
-	return Fence{Server: m.GetServer(), Number: m.GetNumber(), Holder: m.GetHolder()}
-}
-
-// FenceTo converts a fence.
-func FenceTo(f Fence) *apiv1.Fence {
-	return &apiv1.Fence{Server: f.Server, Number: f.Number, Holder: f.Holder}
-}
-
 // ClassChange returns the change that sets a class.
 func ClassChange(c class.Class) *apiv1.Change {
 	return &apiv1.Change{Item: &apiv1.Change_Class{Class: ClassTo(c)}}
@@ -168,11 +155,6 @@
 	return &apiv1.Change{Item: &apiv1.Change_Operator{Operator: OperatorTo(o)}}
 }
 
-// FenceChange returns the change that sets a fence.
-func FenceChange(f Fence) *apiv1.Change {
-	return &apiv1.Change{Item: &apiv1.Change_Fence{Fence: FenceTo(f)}}
-}
-
 // Items returns the whole catalog as changes, ordered by kind and name.
 func (c *Catalog) Items() []*apiv1.Change {
 	var out []*apiv1.Change
@@ -181,8 +163,7 @@
 	out = appendAll(out, c.DataCentres(), DataCentreChange)
 	out = appendAll(out, c.Credentials(), CredentialChange)
 	out = appendAll(out, c.Departures(), DepartureChange)
-	out = appendAll(out, c.Operators(), OperatorChange)
-	return appendAll(out, c.Fences(), FenceChange)
+	return appendAll(out, c.Operators(), OperatorChange)
 }
 
 func appendAll[V any](out []*apiv1.Change, values []V, change func(V) *apiv1.Change) []*apiv1.Change {
@@ -223,8 +204,6 @@
 		return find(c.departures, name, func(struct{}) *apiv1.Change { return DepartureChange(name) })
 	case KindOperator:
 		return find(c.operators, name, OperatorChange)
-	case KindFence:
-		return find(c.fences, name, FenceChange)
 	}
 	return nil, false
 }
--- a/pkg/catalog/validate.go
+++ b/pkg/catalog/validate.go
@@ -44,8 +44,6 @@
 		return validateHash(KindCredential, item.BackendCredential.GetName(), item.BackendCredential.GetKeyHash())
 	case *apiv1.Change_Operator:
 		return validateHash(KindOperator, item.Operator.GetName(), item.Operator.GetKeyHash())
-	case *apiv1.Change_Fence:
-		return validateFence(item.Fence)
 	}
 	return nil
 }
@@ -82,10 +80,3 @@
 	}
 	return nil
 }
-
-func validateFence(m *apiv1.Fence) error {
-	if !class.ValidName(m.GetHolder()) {
-		return result.New(result.InvalidCommand, "fence %s: holder %q is not a valid name", m.GetServer(), m.GetHolder())
-	}
-	return nil
-}
--- a/pkg/cli/output.go
+++ b/pkg/cli/output.go
@@ -109,8 +109,6 @@
 		return fmt.Sprintf("%s %s: %d keys, %g requests/s", kind, name, len(item.Workspace.GetKeyHashes()), item.Workspace.GetRequestsPerSecond())
 	case *apiv1.Change_DataCentre:
 		return fmt.Sprintf("%s %s: out %v", kind, name, item.DataCentre.GetOut())
-	case *apiv1.Change_Fence:
-		return fmt.Sprintf("%s %s: number %d, holder %s", kind, name, item.Fence.GetNumber(), item.Fence.GetHolder())
 	}
 	return fmt.Sprintf("%s %s exists", kind, name)
 }
--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -121,9 +121,8 @@
 	name := rapid.SampledFrom([]string{"north", "south"}).Draw(t, "name")
 	ch := setDataCentre(name, rapid.Bool().Draw(t, "out"))
 	ch.Delete = rapid.IntRange(0, 3).Draw(t, "delete") == 0
-	if rapid.IntRange(0, 2).Draw(t, "fence") == 0 {
-		holder := rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "holder")
-		ch = catalog.FenceChange(catalog.Fence{Server: name, Holder: holder, Number: rapid.Uint64Range(0, 2).Draw(t, "number")})
+	if rapid.IntRange(0, 2).Draw(t, "departure") == 0 {
+		ch = catalog.DepartureChange(name)
 	}
 	in.Changes = []*apiv1.Change{ch}
 	c.sent = append(c.sent, in)
@@ -312,16 +311,13 @@
 	}
 }
 
-// Guards against a wrong operator key, a command without changes, the removal
-// of the last operator and a fence that is set or deleted beside the lease of a router.
+// Guards against a wrong operator key, a command without changes and
+// the removal of the last operator.
 func TestSubmitRefusals(t *testing.T) {
 	m := NewMachine()
 	m.Apply(1, encode(t, 0, kindBootstrap, catalog.OperatorTo(firstOperator())))
 	remove := catalog.OperatorChange(firstOperator())
 	remove.Delete = true
-	fence := catalog.FenceChange(catalog.Fence{Server: "s", Holder: "r"})
-	unfence := proto.CloneOf(fence)
-	unfence.Delete = true
 	wrong := submitOf("a", 0, setDataCentre("north", true))
 	wrong.OperatorKey = "wrong"
 	for name, c := range map[string]struct {
@@ -331,9 +327,6 @@
 		"key":           {wrong, result.NotAuthorized},
 		"no change":     {submitOf("b", 0), result.InvalidCommand},
 		"last operator": {submitOf("c", 0, remove), result.InvalidCommand},
-		"delete fence":  {submitOf("d", 0, unfence), result.InvalidCommand},
-		"fence":         {submitOf("h", 0, fence), result.InvalidCommand},
-		"fence and":     {submitOf("e", 0, fence, setDataCentre("north", true)), result.InvalidCommand},
 		"twice":         {submitOf("f", 0, setDataCentre("north", true), setDataCentre("north", false)), result.InvalidCommand},
 		"no id":         {submitOf("", 0, setDataCentre("north", true)), result.InvalidCommand},
 	} {
--- a/pkg/control/oracle_test.go
+++ b/pkg/control/oracle_test.go
@@ -236,9 +236,6 @@
 		return result.RevisionConflict
 	}
 	ch := in.GetChanges()[0]
-	if ch.GetFence() != nil {
-		return result.InvalidCommand
-	}
 	_, has := o.items[itemID(ch)]
 	if ch.GetDelete() && !has {
 		return result.NotFound
--- a/pkg/control/submit.go
+++ b/pkg/control/submit.go
@@ -110,11 +110,6 @@
 			return result.New(result.InvalidCommand, "%s %s is changed twice", kind, name)
 		}
 		seen[id] = true
-		if kind == catalog.KindFence {
-			// A holder set by hand could give orders beside the router whose
-			// lease still runs.
-			return result.New(result.InvalidCommand, "fence %s: only routers take fences, with AcquireFence", name)
-		}
 		if ch.GetDelete() && !m.catalog.Has(ch) {
 			return result.New(result.NotFound, "%s %s does not exist", kind, name)
 		}
