Require the offset in a continued answer

Cause: the proxy accepted a continued answer without an offset. A server that does not know the header starts again at the first byte, and the caller would receive those bytes twice. The stand-in did not send the offset, and its refusal while starting did not carry the request id.

Change: a continuation without Jackdawtrack-Resume-Offset, or with another offset, is a broken stream. The stand-in repeats the offset, and its 503 while starting carries the request id. TestBrokenStreamIsResumedAtItsOffset checked that a continuation without the header is accepted; the whole answer is now checked with the header, and no header, offset 0 and offset 999 are refused without a wrong byte.

Conclusion: a caller never receives a wrong splice. Servers that announce resume have to repeat the offset.

--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -64,9 +64,10 @@
 	if err := f.checkIdentity(); err != nil {
 		return err
 	}
-	// A server may repeat the offset; another one would lose or double bytes.
+	// A server without the offset may have started at the first byte, and one
+	// with another offset would lose or double bytes.
 	from := f.resp.Header.Get(HeaderResumeOffset)
-	if f.resp.StatusCode/100 != 2 || !isEventStream(f.resp.Header) || from != "" && from != offset {
+	if f.resp.StatusCode/100 != 2 || !isEventStream(f.resp.Header) || from != offset {
 		return result.New(result.StreamBroken, "the server does not continue the stream: status %d, offset %q", f.resp.StatusCode, from)
 	}
 	return nil
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -256,11 +256,11 @@
 }
 
 // Guards against lost or doubled bytes when a stream is continued, and against
-// a continuation at another offset.
+// a continuation that starts elsewhere or does not say where.
 func TestBrokenStreamIsResumedAtItsOffset(t *testing.T) {
 	whole := "data: one\n\ndata: two\n\ndata: three\n\n" + done
 	for cut := 1; cut < len(whole); cut += 7 {
-		for _, other := range []bool{false, true} {
+		for _, from := range []string{"same", "999", "0", ""} {
 			var bodies atomic.Int64
 			f := newFake(t, func(c net.Conn, r *http.Request, n int64) {
 				if r.ContentLength == int64(len(`{"model":"m"}`)) {
@@ -274,8 +274,13 @@
 				var offset int
 				_, _ = fmt.Sscan(r.Header.Get(HeaderResumeOffset), &offset)
 				head := streamHead
-				if other {
-					head = strings.Replace(head, "\r\n", "\r\nJackdawtrack-Resume-Offset: 999\r\n", 1)
+				switch from {
+				case "same":
+					head = strings.Replace(head, "\r\n", fmt.Sprintf("\r\n%s: %d\r\n", HeaderResumeOffset, offset), 1)
+				case "":
+					offset = 0 // a server that does not know the header
+				default:
+					head = strings.Replace(head, "\r\n", fmt.Sprintf("\r\n%s: %s\r\n", HeaderResumeOffset, from), 1)
 				}
 				write(c, head+chunk(whole[offset:])+"0\r\n\r\n")
 			})
@@ -283,8 +288,9 @@
 			r.Abilities.Resume = true
 			report, sink := forward(t, r)
 			assert.Equal(t, bodies.Load(), int64(1), "a continuation must not carry the request")
-			if other {
-				assert.Equal(t, codeOf(report), result.StreamBroken, "cut %d", cut)
+			if from != "same" {
+				assert.Equal(t, codeOf(report), result.StreamBroken, "cut %d, offset %q", cut, from)
+				assert.Assert(t, strings.HasPrefix(whole, sink.String()), "wrong splice: %q", sink.String())
 				continue
 			}
 			assert.Equal(t, codeOf(report), result.OK, "cut %d: %v", cut, report.Err)
--- a/pkg/standin/serve.go
+++ b/pkg/standin/serve.go
@@ -52,6 +52,7 @@
 
 func (s *Server) begin(w http.ResponseWriter, one *run) bool {
 	if !s.admit(one) {
+		w.Header().Set(RequestIDHeader, one.execution.RequestID)
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "the server is starting", http.StatusServiceUnavailable)
 		return false
@@ -73,6 +74,7 @@
 		http.Error(w, "no such request", http.StatusNotFound)
 		return
 	}
+	w.Header().Set(ResumeOffsetHeader, strconv.Itoa(offset))
 	s.respondFrom(w, r, one, offset)
 }
 
--- a/pkg/standin/standin_test.go
+++ b/pkg/standin/standin_test.go
@@ -84,8 +84,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Header.Get(RequestIDHeader), "a")
 	assert.Assert(t, strings.HasSuffix(whole, "data: [DONE]\n\n"))
-	_, rest, err := post(t, s, "/v1/chat/completions", "a", "100", chat(20))
+	resumed, rest, err := post(t, s, "/v1/chat/completions", "a", "100", chat(20))
 	assert.NilError(t, err)
+	assert.Equal(t, resumed.Header.Get(ResumeOffsetHeader), "100")
+	assert.Equal(t, resumed.Header.Get(RequestIDHeader), "a")
 	assert.Equal(t, rest, whole[100:])
 	lines := waitForLines(t, executions, 1)
 	assert.Equal(t, len(lines), 1)
@@ -138,6 +140,18 @@
 	assert.Assert(t, a.Serves("x"))
 }
 
+// Guards against a refusal that a router takes for the answer to another
+// request, because it does not repeat the id.
+func TestRefusalWhileStartingCarriesTheRequestID(t *testing.T) {
+	s, _ := start(t, ServerSettings{Kind: backend.Engine, StartWarm: true, Loadable: []string{"other"}, LoadTime: settings.Duration(time.Minute)})
+	_, _, err := post(t, s, "/v1/orders", "", "", `{"action":"load","model":"other","fence":1}`)
+	assert.NilError(t, err)
+	answer, _, err := post(t, s, "/v1/chat/completions", "early", "", chat(1))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, answer.Header.Get(RequestIDHeader), "early")
+}
+
 // Guards against a load that the order waits for, one that begins again while
 // the server loads, and a server that serves the other pool before its time or
 // as a warm one.
