Call control hosts and relays over TLS

Cause: a router opened plain connections to control hosts and to the relays of its data centre. Control hosts with TLS, and relays with TLS for peers, could not be used.

Change: the setting tls.control makes the router call control hosts with the files of tls.peers. Relays are called with them whenever peers use TLS.

Conclusion: every TCP connection between own processes can use TLS with certificates checked on both sides.

--- a/pkg/controlclient/client.go
+++ b/pkg/controlclient/client.go
@@ -35,6 +35,8 @@
 	// DialOptions are added to the defaults, for example transport
 	// credentials. Without any, connections are not encrypted.
 	DialOptions []grpc.DialOption
+	// RelayDialOptions are used for Upstreams in place of DialOptions, if set.
+	RelayDialOptions []grpc.DialOption
 	// AttemptTimeout bounds one attempt at one host, DefaultAttemptTimeout if 0.
 	AttemptTimeout time.Duration
 	Logger         *logrus.Entry // part "control" if nil
--- a/pkg/controlclient/watch.go
+++ b/pkg/controlclient/watch.go
@@ -93,7 +93,11 @@
 // follow applies one stream. It uses a connection of its own, because the
 // old one may be silent for good.
 func (c *Client) follow(ctx context.Context, address string, relay bool, store *catalog.Store) error {
-	conn, err := Dial(address, c.config.DialOptions...)
+	options := c.config.DialOptions
+	if relay && c.config.RelayDialOptions != nil {
+		options = c.config.RelayDialOptions
+	}
+	conn, err := Dial(address, options...)
 	if err != nil {
 		return err
 	}
--- a/pkg/router/config.go
+++ b/pkg/router/config.go
@@ -68,6 +68,9 @@
 	Announce TLSFiles `yaml:"announce"`
 	Peers    TLSFiles `yaml:"peers"`
 	Admin    TLSFiles `yaml:"admin"`
+	// Control says that the control hosts use TLS. The router then calls them
+	// with the files of Peers.
+	Control bool `yaml:"control"`
 }
 
 // TLSFiles names PEM files. ClientCA, if set, requires a client certificate.
@@ -190,6 +193,9 @@
 			return refuse("tls.%s: certificate and key go together", name)
 		}
 	}
+	if c.TLS.Control && (c.TLS.Peers.Certificate == "" || c.TLS.Peers.ClientCA == "") {
+		return refuse("tls.control: control hosts are called with certificate, key and client_ca of tls.peers")
+	}
 	return nil
 }
 
--- a/pkg/router/relay_test.go
+++ b/pkg/router/relay_test.go
@@ -54,21 +54,7 @@
 func TestRestartedRouterAdoptsGreatestRevision(t *testing.T) {
 	t.Parallel()
 	start := func(name string, revision uint64, seeds ...settings.Address) *Service {
-		cfg := NewConfig()
-		cfg.Name, cfg.DataCentre, cfg.Seeds = name, "north", seeds
-		const any = "127.0.0.1:0"
-		cfg.Listen = Listen{Callers: any, Announce: any, Peers: any, Membership: any, Admin: any}
-		cfg.Drain.Notice = 0
-		s, err := NewService(cfg)
-		assert.NilError(t, err)
-		if revision > 0 {
-			s.store.ApplySnapshot(revision, configuration())
-		}
-		ctx, stop := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = s.Run(ctx, context.Background()) }()
-		t.Cleanup(func() { stop(); <-done })
-		return s
+		return runService(t, name, revision, func(cfg *Config) { cfg.Seeds = seeds })
 	}
 	old := start("rt-1", 3)
 	seed := settings.Address(old.members.node.Self().GossipAddress)
@@ -79,3 +65,25 @@
 	(&fleet{}).await(t, "a router with a configuration has relays", func() bool { return len(restarted.upstreams()) > 0 })
 	(&fleet{}).await(t, "the routers are connected", func() bool { return restarted.exchange.Connected("rt-1") })
 }
+
+// runService runs a router on kernel ports, with the test configuration unless
+// the revision is 0.
+func runService(t *testing.T, name string, revision uint64, change func(*Config)) *Service {
+	t.Helper()
+	cfg := NewConfig()
+	cfg.Name, cfg.DataCentre = name, "north"
+	const any = "127.0.0.1:0"
+	cfg.Listen = Listen{Callers: any, Announce: any, Peers: any, Membership: any, Admin: any}
+	cfg.Drain.Notice = 0
+	change(cfg)
+	s, err := NewService(cfg)
+	assert.NilError(t, err)
+	if revision > 0 {
+		s.store.ApplySnapshot(revision, configuration())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Run(ctx, context.Background()) }()
+	t.Cleanup(func() { stop(); <-done })
+	return s
+}
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -56,15 +56,15 @@
 		parts.Pool.RecoveryWait = ownership.SettleTime
 		parts.Ownership = members
 	}
-	if err := s.connectControl(self, &parts); err != nil {
-		return nil, err
-	}
-	s.router = New(cfg, self, parts)
 	dial, err := cfg.TLS.Peers.peerDial()
 	if err != nil {
 		return nil, err
 	}
 	s.dial = dial
+	if err := s.connectControl(self, &parts); err != nil {
+		return nil, err
+	}
+	s.router = New(cfg, self, parts)
 	s.exchange = peer.New(self, s.router, dial...)
 	s.exchange.SetPeers(staticPeers(cfg))
 	s.router.SetPeers(s.exchange)
@@ -101,17 +101,7 @@
 	if len(s.cfg.Control) == 0 {
 		return nil
 	}
-	addresses := make([]string, 0, len(s.cfg.Control))
-	for _, a := range s.cfg.Control {
-		addresses = append(addresses, string(a))
-	}
-	client, err := controlclient.New(controlclient.Config{
-		Addresses:   addresses,
-		Router:      self.Name,
-		DataCentre:  self.DataCentre,
-		Incarnation: self.Incarnation,
-		Upstreams:   s.upstreams,
-	})
+	client, err := controlclient.New(s.controlConfig(self))
 	if err != nil {
 		return err
 	}
@@ -120,6 +110,25 @@
 	return nil
 }
 
+// controlConfig returns how this router calls control hosts and relays. Relays
+// are routers, so they use TLS whenever peers do.
+func (s *Service) controlConfig(self pool.RouterID) controlclient.Config {
+	config := controlclient.Config{
+		Router:           self.Name,
+		DataCentre:       self.DataCentre,
+		Incarnation:      self.Incarnation,
+		Upstreams:        s.upstreams,
+		RelayDialOptions: s.dial,
+	}
+	for _, a := range s.cfg.Control {
+		config.Addresses = append(config.Addresses, string(a))
+	}
+	if s.cfg.TLS.Control {
+		config.DialOptions = s.dial
+	}
+	return config
+}
+
 // open opens all listeners, or none.
 func (s *Service) open() (err error) {
 	var opened []io.Closer
