--- a/pkg/router/placement_test.go
+++ b/pkg/router/placement_test.go
@@ -125,8 +125,7 @@
 		callers.Go(func() { stream(t, p.callers[i%2], "a", 20, &stop, &cut) })
 	}
 	callers.Go(func() { stream(t, p.callers[0], "b", 60, &stop, &cut) })
-	p.callers[0].await(t, "two engines have moved to the short pool and work", func() bool {
-		usable := 0
+	working := func() (usable int) {
 		p.routers[0].atShard(p.routers[0].shardOf("a"), func(_ time.Time, o *pool.Owner) {
 			for _, v := range o.Snapshot().Servers {
 				if v.Usable && v.InFlight > 0 {
@@ -134,8 +133,10 @@
 				}
 			}
 		})
-		return usable == 3
-	})
+		return usable
+	}
+	p.callers[0].await(t, "an engine has moved to the short pool and works", func() bool { return working() >= 2 })
+	p.callers[0].await(t, "two engines have moved to the short pool and work", func() bool { return working() == 3 })
 	stop.Store(true)
 	callers.Wait()
 	assert.Equal(t, cut.Load(), int64(0))
@@ -253,3 +254,20 @@
 		assert.Equal(t, next(), "", "a move while a router is not live")
 	}
 }
+
+// Guards against a hand-over while an order is on its way: the next owner would
+// give work to the engine, and the order would cut it.
+func TestHandoverWaitsForOrderOnItsWay(t *testing.T) {
+	cfg := NewConfig()
+	ids := []pool.RouterID{{Name: "rt-1", DataCentre: "north"}, {Name: "rt-2", DataCentre: "north"}}
+	own := &movable{all: ids}
+	r := New(cfg, ids[0], Parts{Catalog: catalog.NewStore(), Ownership: own, Pool: pool.DefaultConfig()})
+	s := r.local(pool.ShardID{DataCentre: "north", Pool: "b"})
+	s.ordering = 1
+	own.move(1)
+	r.releaseLost()
+	assert.Assert(t, !s.closed && len(r.ownedShards()) == 1)
+	s.ordering = 0
+	r.releaseLost()
+	assert.Assert(t, s.closed && len(r.ownedShards()) == 0)
+}
