Never repeat a grant without an address

Cause: after a hand-over the new owner does not know servers that were borrowed from another data centre. When the grant of such a server was lost and the ask was repeated, the answer was a grant with an empty address.

Measured: TestRepeatedAskForLostGrantOnBorrowedServer gets the unknown server before and an own server now.

--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -168,8 +168,13 @@
 	o.incarnation(a.Router)
 	key := requestKey{a.Router, a.RequestID}
 	if g := o.granted[key]; g != nil {
-		o.outbox.Grants = append(o.outbox.Grants, g.sent)
-		return
+		if g.sent.Address != "" {
+			o.outbox.Grants = append(o.outbox.Grants, g.sent)
+			return
+		}
+		// An earlier owner granted a server of another data centre that this
+		// one does not know, and its grant was lost on the way.
+		o.finish(g, Settle{GrantID: g.key.id, Epoch: g.key.epoch, Outcome: OutcomeUnused})
 	}
 	if w := o.waiting[key]; w != nil {
 		w.ask.Avoid = a.Avoid
--- a/pkg/pool/owner_test.go
+++ b/pkg/pool/owner_test.go
@@ -207,3 +207,20 @@
 	o.Announce(now, a)
 	assert.Equal(t, len(o.Take().Grants), 1)
 }
+
+// Guards against a grant without an address: after a hand-over the new owner
+// does not know servers that were borrowed from another data centre.
+func TestRepeatedAskForLostGrantOnBorrowedServer(t *testing.T) {
+	o, now := open("s1")
+	o.epoch = 2
+	o.Accept(now, Handover{Shard: shardA, Epoch: 1, Grants: []HeldGrant{
+		{Router: router, GrantID: 7, Epoch: 1, RequestID: 1, Server: "borrowed", Workspace: "w", Class: "draft"},
+	}})
+	o.Take()
+	o.Ask(now, ask(1, "w", draft, now))
+	out := o.Take()
+	assert.Equal(t, len(out.Grants), 1)
+	assert.Equal(t, out.Grants[0].Server, "s1")
+	assert.Assert(t, out.Grants[0].Address != "")
+	assert.Equal(t, o.Snapshot().Grants, 1)
+}
