--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"time"
@@ -168,6 +169,20 @@
 	})
 }
 
+// heal ends a split. As in pkg/router, a new stream between two routers makes
+// each report what it holds and what waits at shards that the other owns.
+func (f *fleet) heal(pair route) {
+	delete(f.split, pair)
+	f.membership(0, gossip)
+	for _, r := range []*router{pair.from, pair.to} {
+		for _, p := range slices.Sorted(maps.Keys(r.current)) {
+			if r.up && (r.current[p] == pair.from || r.current[p] == pair.to) {
+				r.reportTo(p)
+			}
+		}
+	}
+}
+
 // forward brings an announcement to a random router of the data centre, which
 // passes it on to the owner.
 func (f *fleet) forward(s *backendServer, a backend.Announcement) {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -260,8 +260,7 @@
 			f.after(mid+30*time.Second, func() { f.servers["engine-a0"].crash() })
 			f.after(mid+60*time.Second, func() {
 				f.cutOff(0, false)
-				delete(f.split, route{f.routers[0], f.routers[1]})
-				f.membership(0, gossip)
+				f.heal(route{f.routers[0], f.routers[1]})
 			})
 		}, func(f *fleet, r *lines) { r.common(f) }},
 		{"cold_return", func(f *fleet) {
