--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Code is a numbered result. Hundreds group the codes: 1xx not run, 2xx may
@@ -140,11 +142,17 @@
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
-// Wrap returns an Error with a cause.
+// Wrap returns an Error with a cause. The cause keeps the stack of this call,
+// which Trace prints.
 func Wrap(code Code, cause error, format string, args ...any) *Error {
-	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Cause: cause}
+	message := fmt.Sprintf(format, args...)
+	return &Error{Code: code, Message: message, Cause: eris.Wrap(cause, message)}
 }
 
+// Trace returns the message of an error with the stack of its cause, for debug
+// logs.
+func Trace(err error) string { return eris.ToString(err, true) }
+
 // WithRetryAfter sets the time after which the caller should come back.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	e.RetryAfter = d
@@ -154,7 +162,7 @@
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Cause != nil {
-		return fmt.Sprintf("%s: %s: %v", e.Code, e.Message, e.Cause)
+		return fmt.Sprintf("%s: %v", e.Code, e.Cause) // the cause begins with the message
 	}
 	return fmt.Sprintf("%s: %s", e.Code, e.Message)
 }
--- a/pkg/result/result_test.go
+++ b/pkg/result/result_test.go
@@ -22,3 +22,12 @@
 	assert.Equal(t, ConnectFailed.Executed(), ExecutedNo)
 	assert.Equal(t, ServerError.Executed(), ExecutedYes)
 }
+
+// Guards against a wrapped error that loses its cause, its text or its stack.
+func TestWrapKeepsTheCause(t *testing.T) {
+	err := Wrap(DiskFull, os.ErrPermission, "folder %s", "data")
+	assert.ErrorIs(t, err, os.ErrPermission)
+	assert.Equal(t, err.Error(), "502 disk_full: folder data: permission denied")
+	assert.Assert(t, strings.Contains(Trace(err.Cause), "TestWrapKeepsTheCause"))
+	assert.Equal(t, Wrap(DiskFull, nil, "folder").Error(), "502 disk_full: folder")
+}
