--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -17,6 +17,9 @@
 	Promote
 	// Remove takes a member out.
 	Remove
+	// Demote takes the vote of a member away. It stays as a learner, so a
+	// host that was only cut off catches up and can be promoted again.
+	Demote
 )
 
 // ProposeMembership changes the membership by one member and returns the
@@ -68,6 +71,14 @@
 			return nil, ErrNotMember
 		}
 		members = slices.Delete(members, i, i+1)
+	case Demote:
+		if i < 0 {
+			return nil, ErrNotMember
+		}
+		if members[i].Learner || n.isSelf(members[i]) {
+			return nil, ErrInvalid
+		}
+		members[i].Learner = true
 	default:
 		return nil, ErrInvalid
 	}
--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -1,6 +1,6 @@
 package raft
 
-// Status describes a node. Match is known on the leader only.
+// Status describes a node. Match and Answers are known on the leader only.
 type Status struct {
 	Role      Role
 	State     HardState
@@ -11,6 +11,7 @@
 	Snapshot  uint64
 	Members   []Member
 	Match     map[uint64]uint64
+	Answers   map[uint64]bool // answered in the last two election times
 }
 
 // Status returns the present state.
@@ -19,10 +20,12 @@
 		Role: n.role, State: n.state, Leader: n.leader,
 		Commit: n.log.commit, Applied: n.log.applied, LastIndex: n.log.last(),
 		Snapshot: n.snapshot.Index, Members: n.log.members(),
-		Match: map[uint64]uint64{n.cfg.ID: n.log.stable},
+		Match:   map[uint64]uint64{n.cfg.ID: n.log.stable},
+		Answers: map[uint64]bool{n.cfg.ID: true},
 	}
 	for id, p := range n.progress {
 		s.Match[id] = p.match
+		s.Answers[id] = p.active || p.recent
 	}
 	return s
 }
--- /dev/null
+++ b/pkg/registry/registry.go
@@ -0,0 +1,216 @@
+// Package registry merges what backend servers announce of themselves, heard
+// directly or from other hosts, in any order and any number of times. It is
+// pure: the time is an argument.
+package registry
+
+import (
+	"time"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+)
+
+// State of a backend server as it was announced.
+type State uint32
+
+// Values of State.
+const (
+	Ready    State = 1
+	Draining State = 2 // leaves soon, takes no new work
+	Gone     State = 3 // withdrawn; this start never returns
+)
+
+// String returns the state in lower case.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
+const (
+	// keepSilent is how long an entry stays without an announcement. Servers
+	// announce themselves each second or so; a server that is cut off from
+	// the core hosts may still be reached by edge hosts.
+	keepSilent = time.Minute
+	// restartSilence is the silence after which a lower sequence of a server
+	// that does not tell its start counts as a new start.
+	restartSilence = 5 * time.Second
+)
+
+// Entry is the newest known announcement of one backend server.
+type Entry struct {
+	ID         string
+	Service    string
+	Address    string // IP and port
+	DataCentre string
+	Slots      int
+	State      State
+	Sequence   uint64
+	BornMS     int64     // start of the server by its own clock, Unix milliseconds
+	ColdUntil  time.Time // by the local clock
+	Heard      time.Time // by the local clock
+	Direct     bool      // heard by this host itself
+
+	change uint64
+}
+
+// Change says what an offered announcement did.
+type Change uint8
+
+// Values of Change.
+const (
+	Stale    Change = iota // older than what is known
+	Renewed                // only time, sequence or cold time are new
+	Modified               // state, place or start changed
+)
+
+// Registry holds one entry for each server id. It is not safe for concurrent
+// use.
+type Registry struct {
+	entries map[string]*Entry
+	changes uint64
+}
+
+// New returns an empty Registry.
+func New() *Registry { return &Registry{entries: map[string]*Entry{}} }
+
+// Get returns a copy of the entry.
+func (r *Registry) Get(id string) (Entry, bool) {
+	e, ok := r.entries[id]
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Offer merges an announcement. The entry keeps nothing of the argument.
+func (r *Registry) Offer(e Entry) Change {
+	present := r.entries[e.ID]
+	if present == nil {
+		r.put(e)
+		return Modified
+	}
+	if present.supersedes(&e) {
+		return Stale
+	}
+	if e.BornMS == present.BornMS && e.State == Gone {
+		// A withdrawal may name the id alone.
+		gone := *present
+		gone.State, gone.Heard, gone.Direct = Gone, e.Heard, e.Direct || gone.Direct
+		r.put(gone)
+		return Modified
+	}
+	change := Renewed
+	if e.State != present.State || e.BornMS != present.BornMS || e.Address != present.Address || e.Service != present.Service {
+		change = Modified
+	}
+	r.put(e)
+	return change
+}
+
+// Withdraw marks a server as gone. It reports false if the id is not known.
+func (r *Registry) Withdraw(id string, bornMS int64, now time.Time) bool {
+	e, ok := r.entries[id]
+	if !ok {
+		return false
+	}
+	if bornMS == 0 {
+		bornMS = e.BornMS
+	}
+	r.Offer(Entry{ID: id, BornMS: bornMS, State: Gone, Heard: now, Direct: true})
+	return true
+}
+
+// supersedes reports whether the present entry is at least as new.
+func (e *Entry) supersedes(other *Entry) bool {
+	if e.BornMS != other.BornMS {
+		return e.BornMS > other.BornMS
+	}
+	if e.State == Gone {
+		return true
+	}
+	if other.State == Gone || other.Sequence > e.Sequence {
+		return false
+	}
+	restarted := e.BornMS == 0 && other.Sequence < e.Sequence && other.Heard.Sub(e.Heard) > restartSilence
+	return !restarted
+}
+
+func (r *Registry) put(e Entry) {
+	r.changes++
+	e.change = r.changes
+	r.entries[e.ID] = &e
+}
+
+// Expire drops entries that were not heard for a minute.
+func (r *Registry) Expire(now time.Time) {
+	for id, e := range r.entries {
+		if now.Sub(e.Heard) > keepSilent {
+			delete(r.entries, id)
+		}
+	}
+}
+
+// Since returns copies of the entries that changed after the cursor, and the
+// new cursor.
+func (r *Registry) Since(cursor uint64) ([]Entry, uint64) {
+	var out []Entry
+	for _, e := range r.entries {
+		if e.change > cursor {
+			out = append(out, *e)
+		}
+	}
+	return out, r.changes
+}
+
+// Usable returns the entries that hold an address: of several at one address
+// the one that started last, because addresses are used again.
+func (r *Registry) Usable() []Entry {
+	newest := make(map[string]*Entry, len(r.entries))
+	for _, e := range r.entries {
+		other := newest[e.Address]
+		if other == nil || later(e, other) {
+			newest[e.Address] = e
+		}
+	}
+	out := make([]Entry, 0, len(newest))
+	for _, e := range newest {
+		out = append(out, *e)
+	}
+	return out
+}
+
+func later(a, b *Entry) bool {
+	if a.BornMS != b.BornMS {
+		return a.BornMS > b.BornMS
+	}
+	if !a.Heard.Equal(b.Heard) {
+		return a.Heard.After(b.Heard)
+	}
+	return a.ID > b.ID
+}
+
+// Message returns the entry for another host. Ages replace times.
+func (e *Entry) Message(now time.Time) *apiv1.ServerAnnouncement {
+	return &apiv1.ServerAnnouncement{
+		Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
+		Slots: uint32(max(e.Slots, 0)), State: uint32(e.State), Sequence: e.Sequence, BornMs: e.BornMS,
+		ColdMs: max(e.ColdUntil.Sub(now).Milliseconds(), 0),
+		AgeMs:  max(now.Sub(e.Heard).Milliseconds(), 0),
+	}
+}
+
+// FromMessage returns the entry of a message by the local clock.
+func FromMessage(m *apiv1.ServerAnnouncement, now time.Time) Entry {
+	return Entry{
+		ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
+		Slots: int(m.GetSlots()), State: State(m.GetState()), Sequence: m.GetSequence(), BornMS: m.GetBornMs(),
+		ColdUntil: now.Add(time.Duration(m.GetColdMs()) * time.Millisecond),
+		Heard:     now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+	}
+}
--- /dev/null
+++ b/pkg/registry/registry_test.go
@@ -0,0 +1,89 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func entry(id, address string, born int64, sequence uint64, state State) Entry {
+	return Entry{ID: id, Service: "s", Address: address, BornMS: born, Sequence: sequence, State: state, Heard: start}
+}
+
+// Guards against a late announcement that brings a draining or withdrawn
+// server back, and against one that hides a new start.
+func TestOffer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		offers []Entry
+		state  State
+		born   int64
+	}{
+		{"late ready after draining", []Entry{entry("a", "x", 1, 5, Draining), entry("a", "x", 1, 4, Ready)}, Draining, 1},
+		{"repeated", []Entry{entry("a", "x", 1, 5, Ready), entry("a", "x", 1, 5, Draining)}, Ready, 1},
+		{"ready after withdrawal", []Entry{entry("a", "x", 1, 5, Ready), entry("a", "", 1, 0, Gone), entry("a", "x", 1, 9, Ready)}, Gone, 1},
+		{"new start under the same id", []Entry{entry("a", "x", 1, 500, Draining), entry("a", "x", 2, 1, Ready)}, Ready, 2},
+		{"old start after a new one", []Entry{entry("a", "x", 2, 1, Ready), entry("a", "x", 1, 900, Draining)}, Ready, 2},
+		{"withdrawal of an old start", []Entry{entry("a", "x", 2, 1, Ready), entry("a", "", 1, 0, Gone)}, Ready, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			for _, e := range c.offers {
+				r.Offer(e)
+			}
+			got, ok := r.Get("a")
+			assert.Assert(t, ok)
+			assert.Equal(t, got.State, c.state)
+			assert.Equal(t, got.BornMS, c.born)
+			assert.Equal(t, got.Address, "x")
+		})
+	}
+}
+
+// Guards against work for a server whose address another one has taken over:
+// an announcement that a partition delayed may arrive after its sender died.
+func TestUsableTakesTheNewestStartAtAnAddress(t *testing.T) {
+	r := New()
+	r.Offer(entry("new", "x", 20, 1, Ready))
+	r.Offer(entry("old", "x", 10, 9, Ready))
+	usable := r.Usable()
+	assert.Equal(t, len(usable), 1)
+	assert.Equal(t, usable[0].ID, "new")
+}
+
+// Guards against hosts that disagree after the same announcements came in
+// another order.
+func TestOfferDoesNotDependOnTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "announcements")
+		var all []Entry
+		seen := map[[2]uint64]State{}
+		for range n {
+			born, seq := rapid.Uint64Range(1, 3).Draw(t, "born"), rapid.Uint64Range(1, 6).Draw(t, "sequence")
+			state := rapid.SampledFrom([]State{Ready, Draining, Gone}).Draw(t, "state")
+			if state != Gone {
+				// A server says one thing under one sequence.
+				if s, ok := seen[[2]uint64{born, seq}]; ok {
+					state = s
+				}
+				seen[[2]uint64{born, seq}] = state
+			}
+			all = append(all, entry("a", "x", int64(born), seq, state))
+		}
+		other := rapid.Permutation(all).Draw(t, "order")
+		a, b := New(), New()
+		for i := range all {
+			a.Offer(all[i])
+			b.Offer(other[i])
+		}
+		x, _ := a.Get("a")
+		y, _ := b.Get("a")
+		if x.State != y.State || x.BornMS != y.BornMS {
+			t.Fatalf("%v from %v, %v from %v", x, all, y, other)
+		}
+	})
+}
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -113,12 +113,15 @@
 	Promote Action = 2
 	// Remove takes a member out of the group.
 	Remove Action = 3
+	// Demote takes the vote of a member away; it stays as a learner.
+	Demote Action = 4
 )
 
 // MemberStatus is one member as this host sees it.
 type MemberStatus struct {
 	Member
-	Match uint64 // durable log index, known on the leader only
+	Match   uint64 // durable log index, known on the leader only
+	Answers bool   // in the last two election times, known on the leader only
 }
 
 // Status describes this host and its view of the group.
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -14,8 +14,8 @@
 const foundingRetry = 500 * time.Millisecond
 
 // ChangeMember changes the membership by one member. For AddLearner, ID and
-// Address are used; the host at Address must have a new folder. For Promote
-// and Remove, only ID is used. A change that is in force already succeeds.
+// Address are used; the host at Address must have a new folder. For Promote,
+// Demote and Remove, only ID is used. A change that is in force already succeeds.
 // Errors carry NotLeader, NoQuorum, MemberPending, NotCaughtUp, NotFound,
 // InvalidCommand or DiskFull.
 func (r *Replica) ChangeMember(ctx context.Context, a Action, m Member) error {
@@ -64,7 +64,7 @@
 		p.done <- outcome{}
 		return
 	}
-	kinds := map[Action]raft.ChangeKind{AddLearner: raft.AddLearner, Promote: raft.Promote, Remove: raft.Remove}
+	kinds := map[Action]raft.ChangeKind{AddLearner: raft.AddLearner, Promote: raft.Promote, Remove: raft.Remove, Demote: raft.Demote}
 	index, term, err := w.node.ProposeMembership(kinds[a], m)
 	if err != nil {
 		p.done <- outcome{err: w.memberError(err, m)}
@@ -87,6 +87,8 @@
 		return present.Identity == m.Identity
 	case Promote:
 		return !present.Learner
+	case Demote:
+		return present.Learner
 	}
 	return false
 }
--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -288,7 +288,7 @@
 		DiskFull: w.diskFull,
 	}
 	for _, m := range s.Members {
-		out.Members = append(out.Members, MemberStatus{Member: m, Match: s.Match[m.ID]})
+		out.Members = append(out.Members, MemberStatus{Member: m, Match: s.Match[m.ID], Answers: s.Answers[m.ID]})
 	}
 	w.metrics.term.Update(int64(out.Term))
 	w.metrics.applied.Update(int64(out.Applied))
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"net"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table is a compiled Config. It is immutable and safe for concurrent use.
+type Table struct {
+	Version uint64
+	Limits  Limits
+
+	routes       map[string]map[string]*Route // by host and prefix
+	services     map[string]*Service
+	workspaces   map[string]*Workspace // by key
+	keysRequired bool
+}
+
+// NewTable compiles a valid Config. The Config must not change afterwards.
+func NewTable(c *Config) *Table {
+	t := &Table{
+		Version: c.Version, Limits: c.Limits, keysRequired: c.KeysRequired,
+		routes:     make(map[string]map[string]*Route),
+		services:   make(map[string]*Service, len(c.Services)),
+		workspaces: make(map[string]*Workspace),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := hostKey(r.Host)
+		if t.routes[host] == nil {
+			t.routes[host] = make(map[string]*Route)
+		}
+		t.routes[host][r.PathPrefix] = r
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			t.workspaces[key] = &c.Workspaces[i]
+		}
+	}
+	return t
+}
+
+// hostKey drops the port and the letter case of a host name.
+func hostKey(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Match returns the route with the longest prefix of the path, nil if there is
+// none. The cost depends on the length of the path, not on the number of
+// routes.
+func (t *Table) Match(host, path string) *Route {
+	prefixes := t.routes[hostKey(host)]
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if r := prefixes[path[:slash+1]]; r != nil {
+			return r
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Service returns the service of that name, nil if there is none.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns all services by name. Callers must not change the map.
+func (t *Table) Services() map[string]*Service { return t.services }
+
+// Workspace returns the workspace that holds the key, nil if none does.
+func (t *Table) Workspace(key string) *Workspace { return t.workspaces[key] }
+
+// NeedsKey reports whether a request on the route needs a key.
+func (t *Table) NeedsKey(r *Route) bool { return t.keysRequired && !r.Public }
+
+// Choose returns the service for a request of the route. The choice depends on
+// the request id alone, so that every host agrees on it.
+func (r *Route) Choose(requestID string) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	sum := 0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	at := int(xxhash.Sum64String(requestID) % uint64(sum))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
