Add the edge host and the platform adapter

Cause: the platform's callers and servers speak calls that the product does not know, and the owner path costs a round trip for each request.

--- /dev/null
+++ b/pkg/dispatch/digest.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"time"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+)
+
+const (
+	// placementRepeats is in how many digests a placement is sent, so that a
+	// lost datagram costs nothing.
+	placementRepeats = 3
+	// maxPlacements bounds the placements of one digest: 24 bytes each, a
+	// datagram stays below one packet together with the loads.
+	maxPlacements = 24
+	// usesEvery is in which digests the use of workspaces is sent.
+	usesEvery = 4
+)
+
+// placement is a prompt part that this host has sent to a server.
+type placement struct {
+	server uint64
+	part   Part
+	sent   int
+}
+
+// peer is what is known of another edge host.
+type peer struct {
+	incarnation uint64
+	number      uint64
+	asked       map[string]float64
+	served      map[string]float64
+}
+
+// place notes a part for the next digests.
+func (d *Dispatcher) place(s *server, p Part) {
+	for i := range d.placed {
+		if d.placed[i].server == s.hash && d.placed[i].part.ID == p.ID {
+			d.placed[i].sent = 0
+			return
+		}
+	}
+	d.placed = append(d.placed, placement{server: s.hash, part: p})
+}
+
+// Digest returns what the other edge hosts have to know of this one.
+func (d *Dispatcher) Digest(incarnation uint64) *apiv1.LoadDigest {
+	d.number++
+	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number}
+	for _, s := range d.servers {
+		if s.running == 0 && s.tokens == 0 {
+			continue
+		}
+		out.Servers = append(out.Servers, &apiv1.ServerLoad{
+			Server: s.hash, PromptTokens: s.tokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kv, 0)),
+		})
+	}
+	d.addPlacements(out)
+	if d.number%usesEvery == 0 {
+		for name, u := range d.shares.uses {
+			if u.totalAsked > 0 {
+				out.Uses = append(out.Uses, &apiv1.WorkspaceUse{Workspace: name, Asked: uint64(u.totalAsked), Served: uint64(max(u.totalServed, 0))})
+			}
+		}
+	}
+	return out
+}
+
+func (d *Dispatcher) addPlacements(out *apiv1.LoadDigest) {
+	kept := d.placed[:0]
+	for i := range d.placed {
+		p := d.placed[i]
+		if len(out.Placements) < maxPlacements {
+			out.Placements = append(out.Placements, &apiv1.Placement{Server: p.server, Part: p.part.ID, Tokens: uint32(p.part.Tokens)})
+			p.sent++
+		}
+		if p.sent < placementRepeats {
+			kept = append(kept, p)
+		}
+	}
+	d.placed = kept
+}
+
+// Take merges the digest of another edge host. Old and repeated digests are
+// ignored.
+func (d *Dispatcher) Take(now time.Time, m *apiv1.LoadDigest) {
+	if m.GetRouter() == d.self {
+		return
+	}
+	p := d.peers[m.GetRouter()]
+	first := p == nil
+	if first || m.GetIncarnation() > p.incarnation {
+		p = &peer{incarnation: m.GetIncarnation(), asked: map[string]float64{}, served: map[string]float64{}}
+		d.peers[m.GetRouter()] = p
+		for _, s := range d.servers {
+			delete(s.peers, m.GetRouter())
+		}
+	}
+	if m.GetIncarnation() < p.incarnation || m.GetNumber() <= p.number {
+		return
+	}
+	p.number = m.GetNumber()
+	byHash := make(map[uint64]*server, len(d.servers))
+	for _, s := range d.servers {
+		byHash[s.hash] = s
+	}
+	for _, l := range m.GetServers() {
+		if s := byHash[l.GetServer()]; s != nil {
+			s.takeLoad(now, m.GetRouter(), l, first)
+		}
+	}
+	for _, pl := range m.GetPlacements() {
+		if s := byHash[pl.GetServer()]; s != nil {
+			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, s.keptCapacity(now))
+		}
+	}
+	for _, u := range m.GetUses() {
+		d.takeUse(now, p, u, first)
+	}
+}
+
+// takeLoad adds what the other host has sent since its last digest. The first
+// digest that is heard of a host only sets where counting starts; one that has
+// restarted counts from 0.
+func (s *server) takeLoad(now time.Time, from string, l *apiv1.ServerLoad, first bool) {
+	p := s.peers[from]
+	if p == nil {
+		p = &peerLoad{}
+		if first {
+			p.tokens = l.GetPromptTokens()
+		}
+		s.peers[from] = p
+	}
+	if delta := l.GetPromptTokens() - p.tokens; delta != 0 {
+		s.add(now, float64(delta))
+	}
+	p.tokens, p.running, p.kv, p.at = l.GetPromptTokens(), int(l.GetRunning()), int(l.GetKvTokens()), now
+}
+
+func (d *Dispatcher) takeUse(now time.Time, p *peer, m *apiv1.WorkspaceUse, first bool) {
+	name := m.GetWorkspace()
+	asked, served := float64(m.GetAsked()), float64(m.GetServed())
+	if !first {
+		u, bucket := d.shares.of(name), d.shares.bucket(now)
+		u.asked.add(bucket, max(asked-p.asked[name], 0))
+		u.served.add(bucket, served-p.served[name])
+	}
+	p.asked[name], p.served[name] = asked, served
+}
--- /dev/null
+++ b/pkg/edge/attempt.go
@@ -0,0 +1,293 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/routing"
+)
+
+const (
+	// maxAnswerBytes bounds a plain answer, which is held until it is whole.
+	maxAnswerBytes = 32 << 20
+	copyBytes      = 16 << 10
+)
+
+// hopHeaders end at each hop (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// RemoveHop removes the headers that concern one connection only.
+func RemoveHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// held is a whole answer that has not been passed on.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (x *exchangeState) attempt(v dispatch.Verdict) attemptEnd {
+	ctx, cancel := context.WithCancelCause(x.caller)
+	defer cancel(nil)
+	limit := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
+	defer limit.Stop()
+	silence := time.AfterFunc(x.silence(), func() { cancel(errSilent) })
+	defer silence.Stop()
+
+	resp, sent, err := x.s.transport.Open(ctx, x.outgoing(v), false, x.in.Body)
+	if err != nil {
+		return x.end(v, x.failed(ctx, err, sent))
+	}
+	defer resp.Body.Close()
+	reply := x.s.config.Dialect.Read(resp)
+	if a, bad := x.checkHead(resp, reply); bad {
+		return x.end(v, a)
+	}
+	if x.route.Stream && resp.StatusCode == http.StatusOK {
+		return x.end(v, x.stream(ctx, resp, silence))
+	}
+	return x.end(v, x.plain(ctx, resp))
+}
+
+// silence returns how long a server may say nothing before another one gets
+// the request. A request that must not run again waits until its end.
+func (x *exchangeState) silence() time.Duration {
+	last := x.sends+1 >= max(x.route.MaxAttempts, 1)
+	if last || x.route.Repeat == routing.AtMostOnce {
+		return time.Until(x.deadline) + time.Second
+	}
+	return max(time.Duration(silentFactor*float64(x.work.Objective)), silentLeast)
+}
+
+func (x *exchangeState) outgoing(v dispatch.Verdict) *http.Request {
+	h := x.in.Header.Clone()
+	lastEvent := x.in.LastEvent
+	if x.events.last != "" {
+		lastEvent = x.events.last
+	}
+	x.s.config.Dialect.Write(h, Call{
+		RequestID: x.in.ID, Server: v.Server, Workspace: x.work.Workspace,
+		Left: max(time.Until(x.deadline), time.Millisecond), LastEvent: lastEvent,
+	})
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	return &http.Request{
+		Method: x.in.Method, Host: x.in.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{Scheme: "http", Host: v.Address, Opaque: x.in.Target},
+	}
+}
+
+// end tells the decisions how the attempt ended.
+func (x *exchangeState) end(v dispatch.Verdict, a attemptEnd) attemptEnd {
+	if a.outcome == dispatch.Silent {
+		x.s.transport.DropIdle(v.Address)
+	}
+	x.s.ended(x.work, a.outcome)
+	return a
+}
+
+// failed explains an exchange without an answer.
+func (x *exchangeState) failed(ctx context.Context, err error, sent func() bool) attemptEnd {
+	a := attemptEnd{err: err, sent: sent()}
+	cause := context.Cause(ctx)
+	switch {
+	case x.caller.Err() != nil:
+		a.outcome = dispatch.CallerLeft
+	case !a.sent && (isTimeout(err) || cause != nil):
+		a.outcome = dispatch.ConnectTimeout
+	case !a.sent:
+		a.outcome = dispatch.ConnectFailed
+	case errors.Is(cause, errDeadline) || errors.Is(cause, errSilent):
+		a.outcome, a.err = dispatch.Silent, cause
+	default:
+		a.outcome = dispatch.Broken
+	}
+	return a
+}
+
+// checkHead refuses what is no answer to this request, and what says that the
+// request has not run.
+func (x *exchangeState) checkHead(resp *http.Response, reply Reply) (attemptEnd, bool) {
+	a := attemptEnd{sent: true, status: resp.StatusCode}
+	switch {
+	case reply.RequestID != x.in.ID:
+		a.outcome = dispatch.Garbled
+	case reply.Misdirected:
+		a.outcome = dispatch.Misdirected
+	case reply.NotExecuted:
+		a.outcome = dispatch.NotExecuted
+	case resp.StatusCode/100 == 2 && !reply.Sealed:
+		a.outcome = dispatch.Garbled
+	case resp.Header.Get("Content-Encoding") != "":
+		a.outcome = dispatch.Garbled
+	default:
+		return a, false
+	}
+	return a, true
+}
+
+// plain holds the answer until it is whole.
+func (x *exchangeState) plain(ctx context.Context, resp *http.Response) attemptEnd {
+	a := attemptEnd{sent: true, status: resp.StatusCode}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return x.broken(ctx, a, err)
+	}
+	x.first = time.Since(x.in.Arrived)
+	header := resp.Header.Clone()
+	RemoveHop(header)
+	h := &held{status: resp.StatusCode, header: header, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.outcome, a.resp = dispatch.ServerError, h
+		return a
+	}
+	a.outcome, a.done = dispatch.Whole, true
+	x.passHeld(h)
+	return a
+}
+
+func (x *exchangeState) broken(ctx context.Context, a attemptEnd, err error) attemptEnd {
+	a.err = err
+	cause := context.Cause(ctx)
+	switch {
+	case x.caller.Err() != nil:
+		a.outcome = dispatch.CallerLeft
+	case errors.Is(cause, errDeadline) || errors.Is(cause, errSilent):
+		a.outcome, a.err = dispatch.Silent, cause
+	default:
+		a.outcome = dispatch.Broken
+	}
+	return a
+}
+
+// passHeld gives a whole answer to the caller.
+func (x *exchangeState) passHeld(h *held) {
+	out := x.w.Header()
+	for name, values := range h.header {
+		out[name] = values
+	}
+	out.Set("Content-Length", strconv.Itoa(len(h.body)))
+	keepContentType(out)
+	x.status, x.started = h.status, true
+	x.w.WriteHeader(h.status)
+	_, _ = x.w.Write(h.body) // a caller that has left needs no answer
+}
+
+// keepContentType keeps net/http from guessing a type that the server did not
+// state.
+func keepContentType(h http.Header) {
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+}
+
+// stream passes events on as they arrive, whole ones only, so that another
+// server can go on.
+func (x *exchangeState) stream(ctx context.Context, resp *http.Response, silence *time.Timer) attemptEnd {
+	a := attemptEnd{sent: true, status: resp.StatusCode}
+	x.events.buffer = x.events.buffer[:0]
+	resumed := x.started
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			silence.Reset(x.stall())
+			if whole := x.events.pending(buf[:n]); len(whole) > 0 {
+				if resumed && !follows(x.events.last, firstID(whole)) {
+					a.outcome = dispatch.Garbled
+					return a
+				}
+				resumed = false
+				if !x.pass(resp, whole) {
+					a.outcome, a.done = dispatch.CallerLeft, true
+					return a
+				}
+			}
+		}
+		if err == io.EOF {
+			return x.streamEnd(a, resp)
+		}
+		if err != nil {
+			return x.broken(ctx, a, err)
+		}
+	}
+}
+
+// pass gives whole events to the caller. It reports false if the caller has
+// left.
+func (x *exchangeState) pass(resp *http.Response, whole []byte) bool {
+	if x.events.count == 0 {
+		x.first = time.Since(x.in.Arrived)
+	}
+	x.s.started(x.work)
+	x.startStream(resp)
+	_, err := x.w.Write(whole)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	x.events.passed(whole)
+	return err == nil
+}
+
+func (x *exchangeState) startStream(resp *http.Response) {
+	if x.started {
+		return
+	}
+	x.started, x.status = true, resp.StatusCode
+	header := resp.Header.Clone()
+	RemoveHop(header)
+	header.Del("Content-Length")
+	out := x.w.Header()
+	for name, values := range header {
+		out[name] = values
+	}
+	keepContentType(out)
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// streamEnd is called after a clean end of the server's stream.
+func (x *exchangeState) streamEnd(a attemptEnd, resp *http.Response) attemptEnd {
+	if len(x.events.buffer) > 0 {
+		a.outcome = dispatch.Broken // in the middle of an event
+		return a
+	}
+	x.startStream(resp)
+	a.outcome, a.done = dispatch.Whole, true
+	return a
+}
+
+// stall returns the longest pause before a stream that can be resumed is given
+// up at its server.
+func (x *exchangeState) stall() time.Duration {
+	last := x.sends+1 >= max(x.route.MaxAttempts, 1)
+	if last || x.route.Repeat != routing.Resumable {
+		return time.Until(x.deadline) + time.Second
+	}
+	pause := x.route.EventPause
+	if pause == 0 {
+		pause = defaultPause
+	}
+	return stallFactor * pause
+}
--- /dev/null
+++ b/pkg/edge/server.go
@@ -0,0 +1,378 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/exchange"
+	"jackdawtrack.example/jackdawtrack/pkg/feed"
+	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/routing"
+)
+
+const (
+	// pollInterval is how often requests that wait are considered anew.
+	pollInterval = 5 * time.Millisecond
+	// probeInterval is how often due health checks are looked for.
+	probeInterval = 50 * time.Millisecond
+	// probeTimeout bounds a health check. It waits for a slot like a request.
+	probeTimeout = 400 * time.Millisecond
+	// connectTimeout bounds a connection to a server: servers are at most a
+	// few milliseconds away, and nothing was sent, so another one is tried.
+	connectTimeout = 180 * time.Millisecond
+	// idleTimeout is short because servers close idle connections and open
+	// ones can go silent.
+	idleTimeout = 2 * time.Second
+	// watchInterval is how often the clocks are compared, and suspendedFor the
+	// difference that counts as a suspension of the host.
+	watchInterval = 100 * time.Millisecond
+	suspendedFor  = 700 * time.Millisecond
+	expireTime    = 5 * time.Second
+)
+
+// Config of a Server.
+type Config struct {
+	Name       string
+	DataCentre string
+	Address    string // IP and port of the exchange with other edge hosts
+	Seeds      []string
+	Decode     Decode
+	Dialect    Dialect
+	// Budget bounds sends beyond the first of each request, over the fleet.
+	Budget   Budget
+	Registry metrics.Registry
+}
+
+// Server is one edge host. mu guards view, dispatcher, verdicts and the last
+// digest; no network call is made under it.
+type Server struct {
+	config    Config
+	log       *logrus.Entry
+	metrics   *edgeMetrics
+	transport *proxy.Transport
+	feed      *feed.Client
+	exchange  *exchange.Exchange
+	table     atomic.Pointer[routing.Table]
+	draining  atomic.Bool
+	ctx       context.Context
+	stop      context.CancelFunc
+
+	mu         sync.Mutex
+	view       *view
+	dispatcher *dispatch.Dispatcher
+	verdicts   map[*dispatch.Request]chan dispatch.Verdict
+	polling    bool
+	incarnate  uint64
+	lastDigest digestMark
+	budget     budget
+}
+
+// digestMark tells whether a digest differs from the last one.
+type digestMark struct {
+	running int
+	tokens  int64
+}
+
+// Open starts an edge host. It serves after a configuration has come.
+func Open(c Config) (*Server, error) {
+	if c.Registry == nil {
+		c.Registry = metrics.NewRegistry()
+	}
+	now := time.Now()
+	s := &Server{
+		config: c, log: logging.For("edge"), metrics: newMetrics(c.Registry),
+		transport:  proxy.NewTransportWith(proxy.Options{Connect: connectTimeout, Idle: idleTimeout}),
+		dispatcher: dispatch.New(c.Name, c.DataCentre, now), verdicts: map[*dispatch.Request]chan dispatch.Verdict{},
+		incarnate: uint64(now.UnixNano()), budget: newBudget(c.Budget),
+	}
+	s.view = newView(c.Decode, s.log)
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	var err error
+	if s.exchange, err = exchange.Open(c.Address, s); err != nil {
+		return nil, err
+	}
+	self := &apiv1.FleetWatcher{Name: c.Name, DataCentre: c.DataCentre, Address: c.Address, Incarnation: s.incarnate}
+	s.feed = feed.New(s.ctx, self, "", s)
+	s.feed.SetSeeds(c.Seeds)
+	go s.probe()
+	go s.watchClocks()
+	go s.expire()
+	return s, nil
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (s *Server) SetSeeds(addresses []string) { s.feed.SetSeeds(addresses) }
+
+// Table returns the configuration in force, nil before the first.
+func (s *Server) Table() *routing.Table { return s.table.Load() }
+
+// Ready reports whether the host should get new connections.
+func (s *Server) Ready() bool { return s.table.Load() != nil && !s.draining.Load() }
+
+// Drain makes the host not ready. Requests that still come are served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Draining reports whether the host is shutting down.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Close ends all streams and connections.
+func (s *Server) Close() error {
+	s.stop()
+	s.transport.Close()
+	return s.exchange.Close()
+}
+
+// Event implements feed.Handler.
+func (s *Server) Event(_ string, e *apiv1.FleetEvent) {
+	now := time.Now()
+	s.mu.Lock()
+	servers, edges, table := s.view.merge(now, e)
+	var addresses []string
+	if edges {
+		addresses = s.applyEdges()
+	}
+	if servers {
+		s.dispatcher.SetServers(now, s.view.infos(now))
+	}
+	if table != nil {
+		s.dispatcher.SetRate(table.Limits.TokensPerSecond)
+		s.table.Store(table)
+	}
+	s.mu.Unlock()
+	if edges {
+		s.exchange.SetPeers(addresses)
+	}
+	if cores := e.GetCores(); len(cores) > 0 {
+		names := make([]string, 0, len(cores))
+		for _, m := range cores {
+			names = append(names, m.GetAddress())
+		}
+		s.feed.Named(names)
+	}
+}
+
+// applyEdges needs the lock.
+func (s *Server) applyEdges() []string {
+	neighbours, addresses := s.view.peers(s.config.Name, s.config.DataCentre)
+	s.dispatcher.SetEdges(neighbours, len(addresses)+1)
+	s.budget.setHosts(len(addresses) + 1)
+	return addresses
+}
+
+// Lost implements feed.Handler. What the core host told stays in force.
+func (s *Server) Lost(string, error) {}
+
+// Digest implements exchange.Source.
+func (s *Server) Digest() (*apiv1.LoadDigest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.dispatcher.Digest(s.incarnate)
+	var mark digestMark
+	for _, l := range m.GetServers() {
+		mark.running += int(l.GetRunning())
+		mark.tokens += l.GetPromptTokens()
+	}
+	changed := mark != s.lastDigest || len(m.GetPlacements()) > 0
+	s.lastDigest = mark
+	return m, changed
+}
+
+// Take implements exchange.Source.
+func (s *Server) Take(m *apiv1.LoadDigest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Take(time.Now(), m)
+}
+
+// offer gets the first verdict. The channel is nil unless the request waits.
+func (s *Server) offer(r *dispatch.Request) (dispatch.Verdict, chan dispatch.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.dispatcher.Offer(time.Now(), r)
+	if v.Kind != dispatch.Wait {
+		return v, nil
+	}
+	c := make(chan dispatch.Verdict, 1)
+	s.verdicts[r] = c
+	if !s.polling {
+		s.polling = true
+		go s.poll()
+	}
+	return v, c
+}
+
+// withdraw takes a request out of the queue. It returns a verdict that came
+// meanwhile.
+func (s *Server) withdraw(r *dispatch.Request) (dispatch.Verdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.verdicts[r]
+	delete(s.verdicts, r)
+	s.dispatcher.Cancel(r)
+	select {
+	case v := <-c:
+		return v, true
+	default:
+		return dispatch.Verdict{}, false
+	}
+}
+
+// poll runs while requests wait.
+func (s *Server) poll() {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for range ticker.C {
+		s.mu.Lock()
+		s.pollLocked()
+		if s.dispatcher.Waiting() == 0 {
+			s.polling = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) pollLocked() {
+	for _, d := range s.dispatcher.Poll(time.Now()) {
+		if c := s.verdicts[d.Request]; c != nil {
+			c <- d.Verdict
+			delete(s.verdicts, d.Request)
+		}
+	}
+}
+
+func (s *Server) started(r *dispatch.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Started(time.Now(), r)
+	s.pollLocked()
+}
+
+func (s *Server) ended(r *dispatch.Request, o dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Ended(time.Now(), r, o)
+	s.pollLocked()
+}
+
+// again gets a second server for a request, within the budget.
+func (s *Server) again(r *dispatch.Request, failed string, counted bool) dispatch.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if counted && !s.budget.take(now, r.Service) {
+		return dispatch.Verdict{Kind: dispatch.Refuse, Reason: reasonBudget, RetryAfter: budgetRetryAfter}
+	}
+	return s.dispatcher.Again(now, r, failed)
+}
+
+// probe checks servers that are down.
+func (s *Server) probe() {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		due := s.dispatcher.Probes(time.Now())
+		s.mu.Unlock()
+		for _, p := range due {
+			go s.probeOne(p)
+		}
+	}
+}
+
+func (s *Server) probeOne(p dispatch.Probe) {
+	table := s.table.Load()
+	if table == nil || table.Service(p.Service) == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.Address+table.Service(p.Service).HealthPath, nil)
+	if err != nil {
+		s.log.WithError(err).WithField("server", p.Server).Warn("the health check cannot be made")
+		return
+	}
+	healthy, cold := false, time.Duration(0)
+	resp, _, err := s.transport.Open(ctx, req, false, nil)
+	if err == nil {
+		reply := s.config.Dialect.Read(resp)
+		healthy, cold = resp.StatusCode == http.StatusOK && reply.Server == p.Server, reply.ColdFor
+		_ = resp.Body.Close()
+	}
+	s.log.WithFields(logrus.Fields{"server": p.Server, "healthy": healthy, "cold_ms": cold.Milliseconds(), "error": err}).Info("a server that was down was checked")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Probed(time.Now(), p.Server, healthy, cold)
+}
+
+// watchClocks notices that the host was suspended: the steady clock stands
+// still meanwhile, boot time does not.
+func (s *Server) watchClocks() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	last := bootTime()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := bootTime()
+		if gap := now - last; gap > suspendedFor+watchInterval {
+			s.log.WithField("gap_ms", gap.Milliseconds()).Warn("this host did not run for a while")
+			s.mu.Lock()
+			s.dispatcher.Suspended(time.Now())
+			s.mu.Unlock()
+		}
+		last = now
+	}
+}
+
+// bootTime returns the time since the start of the host, suspensions included.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0 // Linux has this clock since 2.6.39
+	}
+	return time.Duration(t.Nano())
+}
+
+func (s *Server) expire() {
+	ticker := time.NewTicker(expireTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		now := time.Now()
+		var addresses []string
+		edges := s.view.expire(now)
+		if edges {
+			addresses = s.applyEdges()
+		}
+		s.dispatcher.SetServers(now, s.view.infos(now))
+		s.mu.Unlock()
+		if edges {
+			s.exchange.SetPeers(addresses)
+		}
+	}
+}
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -42,17 +42,32 @@
 	fresh  *http.Transport // one connection per request
 }
 
-// NewTransport returns a Transport.
-func NewTransport() *Transport {
+// Options are the timeouts of a Transport. Zero values stand for the defaults.
+type Options struct {
+	Connect time.Duration // of a TCP handshake
+	Idle    time.Duration // after which an unused connection is closed
+}
+
+// NewTransport returns a Transport with the default timeouts.
+func NewTransport() *Transport { return NewTransportWith(Options{}) }
+
+// NewTransportWith returns a Transport.
+func NewTransportWith(o Options) *Transport {
+	if o.Connect == 0 {
+		o.Connect = connectTimeout
+	}
+	if o.Idle == 0 {
+		o.Idle = idleTimeout
+	}
 	t := &Transport{conns: newConnTable()}
-	t.pooled = t.newHTTP(false)
-	t.fresh = t.newHTTP(true)
+	t.pooled = t.newHTTP(o, false)
+	t.fresh = t.newHTTP(o, true)
 	return t
 }
 
-func (t *Transport) newHTTP(fresh bool) *http.Transport {
+func (t *Transport) newHTTP(o Options, fresh bool) *http.Transport {
 	dialer := &net.Dialer{
-		Timeout: connectTimeout,
+		Timeout: o.Connect,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAlivePeriod,
@@ -72,7 +87,7 @@
 		DisableCompression:     true,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    maxIdlePerServer,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        o.Idle,
 		MaxResponseHeaderBytes: maxAnswerHeader,
 		WriteBufferSize:        writeBuffer,
 		ReadBufferSize:         readBuffer,
@@ -111,6 +126,27 @@
 
 // send starts one exchange. The caller closes the body of the response.
 func (t *Transport) send(ctx context.Context, r *Request, fresh bool, extra http.Header, body []byte) (*http.Response, *trip, error) {
+	req, err := http.NewRequest(r.Method, "http://"+r.Address+r.Path, nil)
+	if err != nil {
+		return nil, &trip{}, err
+	}
+	req.Header = outgoingHeader(r, extra)
+	return t.exchange(ctx, req, fresh, body)
+}
+
+// Open sends a request with a body that is repeated on no account, and returns
+// the head of the answer. The caller closes the body of the response. sent
+// reports whether a byte of the request can have reached the server; it seals
+// the connection, so call it only when the request is given up.
+func (t *Transport) Open(ctx context.Context, req *http.Request, fresh bool, body []byte) (resp *http.Response, sent func() bool, err error) {
+	resp, tr, err := t.exchange(ctx, req, fresh, body)
+	return resp, tr.sent, err
+}
+
+// DropIdle closes the idle connections to an address.
+func (t *Transport) DropIdle(address string) { t.conns.dropIdle(address) }
+
+func (t *Transport) exchange(ctx context.Context, req *http.Request, fresh bool, body []byte) (*http.Response, *trip, error) {
 	tr := &trip{}
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -125,13 +161,9 @@
 			}
 		},
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+r.Path, nil)
-	if err != nil {
-		return nil, tr, err
-	}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	req.Body = requestBody{bytes.NewReader(body)}
 	req.ContentLength = int64(len(body))
-	req.Header = outgoingHeader(r, extra)
 	via := t.pooled
 	if fresh {
 		via = t.fresh
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -40,6 +40,9 @@
 	CallerLeftWaiting   Code = 119
 	AnnouncementRefused Code = 120
 	OwnerUnavailable    Code = 121
+	UnknownRoute        Code = 122
+	HeadersTooLarge     Code = 123
+	DeadlinePassed      Code = 124
 
 	OutcomeUnknown   Code = 201
 	StillRunning     Code = 202
