Steer the capacity that is shared by the mean backlog of the engines

Change: the level is taken from a capacity that is steered so that the mean backlog stays at 80 ms; beyond it nothing is admitted unless engines idle.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -45,7 +45,11 @@
 }
 
 // SetRate sets the service tokens per second of all engines, 0 if not stated.
-func (d *Dispatcher) SetRate(tokensPerSecond float64) { d.shares.rate = tokensPerSecond }
+func (d *Dispatcher) SetRate(tokensPerSecond float64) {
+	if tokensPerSecond != d.shares.rate {
+		d.shares.rate, d.shares.capacity = tokensPerSecond, tokensPerSecond
+	}
+}
 
 // SetEdges sets the edge hosts of this data centre, this one included, and the
 // number of those of the fleet. Both count hosts that are out of reach.
@@ -290,8 +294,28 @@
 	return d.refuse(now, r, Verdict{}, ReasonNoServer)
 }
 
+// measure takes the mean backlog of the engines that may get work.
+func (d *Dispatcher) measure(now time.Time) {
+	if now.Sub(d.shares.levelAt) < levelInterval {
+		return
+	}
+	sum, count := time.Duration(0), 0
+	for _, s := range d.servers {
+		if s.model() && s.info.Ready && s.downSince.IsZero() {
+			s.advance(now)
+			sum += s.wait(0)
+			count++
+		}
+	}
+	d.shares.pressure = 0
+	if count > 0 {
+		d.shares.pressure = sum / time.Duration(count)
+	}
+}
+
 // decide returns Send, Wait, or Refuse for a request that no server may take.
 func (d *Dispatcher) decide(now time.Time, r *Request) Verdict {
+	d.measure(now)
 	v := Verdict{Kind: Wait, Queue: len(d.queue), Level: d.shares.refresh(now), Served: d.shares.of(r.Workspace).served.sum}
 	g := d.services[r.Service]
 	if g == nil || len(g.servers) == 0 {
@@ -328,7 +352,7 @@
 }
 
 func (d *Dispatcher) classify(now time.Time, r *Request, v Verdict) Class {
-	if !d.shares.within(now, r.Workspace, cost(r)) {
+	if !d.shares.within(now, r.Workspace, cost(r)) && d.shares.pressure > lowPressure {
 		return Over
 	}
 	own := time.Duration(float64(v.Uncached) / firstRate * float64(time.Second))
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -11,6 +11,19 @@
 	bucketTime = window / buckets
 	// levelInterval is how often the level is computed anew.
 	levelInterval = 50 * time.Millisecond
+	// targetPressure is the mean backlog of the engines that the capacity is
+	// steered to: short requests with objectives of 300 ms stay on time.
+	targetPressure = 80 * time.Millisecond
+	// lowPressure is the mean backlog up to which nobody is limited.
+	lowPressure = 30 * time.Millisecond
+	// Steps of the capacity in one levelInterval: it halves within a second
+	// of high pressure and grows by half in a second without any.
+	stepUp   = 0.02
+	stepDown = 0.035
+	// leastCapacity and mostCapacity bound the capacity against what is
+	// stated, and against what was served in the window.
+	leastCapacity = 0.2
+	mostCapacity  = 1.25
 	// outputWeight is the weight of a generated token against one that is read.
 	outputWeight = 2
 )
@@ -58,8 +71,13 @@
 	uses    map[string]*use
 	rate    float64 // service tokens per second of all engines, 0 if not stated
 	working float64 // part of the engines that work
-	level   float64 // tokens in the window that a workspace may get, 0 if nobody is limited
-	levelAt time.Time
+	// capacity is the service tokens per second that the engines turn out to
+	// bear: the stated rate leaves out kept prompt parts, failures and slow
+	// engines.
+	capacity float64
+	pressure time.Duration // mean backlog of the engines
+	level    float64       // tokens in the window that a workspace may get, 0 if nobody is limited
+	levelAt  time.Time
 }
 
 func newShares(now time.Time) shares {
@@ -111,6 +129,7 @@
 	s.levelAt = now
 	bucket := s.bucket(now)
 	asked := make([]float64, 0, len(s.uses))
+	served := 0.0
 	for name, u := range s.uses {
 		u.asked.move(bucket)
 		u.served.move(bucket)
@@ -119,11 +138,27 @@
 			continue
 		}
 		asked = append(asked, u.asked.sum)
+		served += u.served.sum
 	}
-	s.level = waterLevel(asked, s.rate*s.working*window.Seconds())
+	s.steer(served / window.Seconds())
+	s.level = waterLevel(asked, s.capacity*window.Seconds())
 	return s.level
 }
 
+// steer moves the capacity so that the mean backlog of the engines stays at
+// its target.
+func (s *shares) steer(served float64) {
+	if s.rate <= 0 {
+		s.capacity = 0 // no rate is stated: nobody is limited
+		return
+	}
+	wrong := float64(targetPressure-s.pressure) / float64(targetPressure)
+	s.capacity *= 1 + min(max(wrong*stepUp, -stepDown), stepUp)
+	stated := s.rate * s.working
+	s.capacity = max(s.capacity, leastCapacity*stated)
+	s.capacity = min(s.capacity, mostCapacity*max(stated, served))
+}
+
 // waterLevel returns the level at which the demands, each cut at it, add up to
 // the capacity, 0 if all of them fit.
 func waterLevel(demands []float64, capacity float64) float64 {
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -148,7 +148,7 @@
 	// behind it inside their objective of 300 to 400 ms.
 	onTimeBacklog = 220 * time.Millisecond
 	lateBacklog   = 90 * time.Millisecond
-	overBacklog   = 50 * time.Millisecond
+	overBacklog   = 40 * time.Millisecond
 	// lateHold and lateHoldShare bound the wait of late work by time and by
 	// part of what is left until its deadline. What would wait longer is told
 	// when to come back instead.
--- a/pkg/logging/bounded.go
+++ b/pkg/logging/bounded.go
@@ -66,6 +66,9 @@
 		}
 		select {
 		case line := <-b.lines:
+			if out.Available() < len(line) {
+				_ = out.Flush() // whole lines only in one write
+			}
 			_, _ = out.Write(line)
 		case <-ticker.C:
 			if n := b.dropped.Swap(0); n > 0 {
