Share out one capacity over the fleet, take the median backlog

Cause: each edge host steered its own capacity (86,000 to 225,000 tokens/s at one moment), and one stuck engine raised the mean. The time that a caller waits was taken for the age of a returned request, but fresh ones differ as much.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -28,6 +28,8 @@
 type peer struct {
 	incarnation uint64
 	number      uint64
+	capacity    float64 // service tokens per second that it shares out
+	at          time.Time
 	asked       map[string]float64
 	served      map[string]float64
 }
@@ -46,7 +48,7 @@
 // Digest returns what the other edge hosts have to know of this one.
 func (d *Dispatcher) Digest(incarnation uint64) *apiv1.LoadDigest {
 	d.number++
-	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number}
+	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity}
 	for _, s := range d.servers {
 		if s.running == 0 && s.tokens == 0 {
 			continue
@@ -99,7 +101,7 @@
 	if m.GetIncarnation() < p.incarnation || m.GetNumber() <= p.number {
 		return
 	}
-	p.number = m.GetNumber()
+	p.number, p.capacity, p.at = m.GetNumber(), m.GetCapacity(), now
 	byHash := make(map[uint64]*server, len(d.servers))
 	for _, s := range d.servers {
 		byHash[s.hash] = s
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -169,7 +169,7 @@
 	waited := now.Sub(r.Arrived)
 	switch c {
 	case OnTime:
-		return min(r.Objective-r.Waited-waited, left)
+		return min(r.Objective-waited, left)
 	case Late:
 		return min(lateHold-waited, time.Duration(lateHoldShare*float64(left)))
 	default:
@@ -261,7 +261,7 @@
 	level := d.shares.refresh(now)
 	keys := make(map[*Request]float64, len(d.queue))
 	for _, r := range d.queue {
-		left := r.Arrived.Add(r.Objective - r.Waited).Sub(now).Seconds()
+		left := r.Arrived.Add(r.Objective).Sub(now).Seconds()
 		if level > 0 {
 			left += r.Objective.Seconds() / 2 * d.shares.of(r.Workspace).served.sum / level
 		}
@@ -294,22 +294,35 @@
 	return d.refuse(now, r, Verdict{}, ReasonNoServer)
 }
 
-// measure takes the mean backlog of the engines that may get work.
+// measure takes the median backlog of the engines that may get work, and the
+// mean capacity of the other edge hosts. The median leaves out single engines
+// that are stuck.
 func (d *Dispatcher) measure(now time.Time) {
 	if now.Sub(d.shares.levelAt) < levelInterval {
 		return
 	}
-	sum, count := time.Duration(0), 0
+	var backlogs []time.Duration
 	for _, s := range d.servers {
 		if s.model() && s.info.Ready && s.downSince.IsZero() {
 			s.advance(now)
-			sum += s.wait(0)
-			count++
+			backlogs = append(backlogs, s.wait(0))
 		}
 	}
 	d.shares.pressure = 0
+	if n := len(backlogs); n > 0 {
+		slices.Sort(backlogs)
+		d.shares.pressure = backlogs[n/2]
+	}
+	sum, count := 0.0, 0
+	for _, p := range d.peers {
+		if p.capacity > 0 && now.Sub(p.at) < peerSilence {
+			sum += p.capacity
+			count++
+		}
+	}
+	d.shares.others = 0
 	if count > 0 {
-		d.shares.pressure = sum / time.Duration(count)
+		d.shares.others = sum / float64(count)
 	}
 }
 
@@ -356,7 +369,7 @@
 		return Over
 	}
 	own := time.Duration(float64(v.Uncached) / firstRate * float64(time.Second))
-	due := max(r.Objective, own+own/2) - r.Waited - now.Sub(r.Arrived)
+	due := max(r.Objective, own+own/2) - now.Sub(r.Arrived)
 	if v.Predicted > due {
 		return Late
 	}
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -11,10 +11,13 @@
 	bucketTime = window / buckets
 	// levelInterval is how often the level is computed anew.
 	levelInterval = 50 * time.Millisecond
-	// targetPressure is the mean backlog of the engines that the capacity is
+	// agreeGain is the part of the difference to the other edge hosts that the
+	// capacity moves in one levelInterval, so that all cut at the same level.
+	agreeGain = 0.15
+	// targetPressure is the median backlog of the engines that the capacity is
 	// steered to: short requests with objectives of 300 ms stay on time.
 	targetPressure = 80 * time.Millisecond
-	// lowPressure is the mean backlog up to which nobody is limited.
+	// lowPressure is the median backlog up to which nobody is limited.
 	lowPressure = 30 * time.Millisecond
 	// Steps of the capacity in one levelInterval: it halves within a second
 	// of high pressure and grows by half in a second without any.
@@ -75,7 +78,8 @@
 	// bear: the stated rate leaves out kept prompt parts, failures and slow
 	// engines.
 	capacity float64
-	pressure time.Duration // mean backlog of the engines
+	others   float64       // mean capacity of the other edge hosts, 0 if unknown
+	pressure time.Duration // median backlog of the engines
 	level    float64       // tokens in the window that a workspace may get, 0 if nobody is limited
 	levelAt  time.Time
 }
@@ -145,7 +149,7 @@
 	return s.level
 }
 
-// steer moves the capacity so that the mean backlog of the engines stays at
+// steer moves the capacity so that the median backlog of the engines stays at
 // its target.
 func (s *shares) steer(served float64) {
 	if s.rate <= 0 {
@@ -154,6 +158,9 @@
 	}
 	wrong := float64(targetPressure-s.pressure) / float64(targetPressure)
 	s.capacity *= 1 + min(max(wrong*stepUp, -stepDown), stepUp)
+	if s.others > 0 {
+		s.capacity += agreeGain * (s.others - s.capacity)
+	}
 	stated := s.rate * s.working
 	s.capacity = max(s.capacity, leastCapacity*stated)
 	s.capacity = min(s.capacity, mostCapacity*max(stated, served))
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -29,7 +29,6 @@
 	OutputTokens int    // estimate
 
 	Arrived   time.Time
-	Waited    time.Duration // at the caller before it arrived here, after an earlier refusal
 	Objective time.Duration // to the first event or the answer
 	Deadline  time.Time
 	Avoid     []string // ids of servers that must not get it
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -95,17 +95,12 @@
 
 func (s *Server) newExchange(ctx context.Context, w http.ResponseWriter, in *Request, route *routing.Route) *exchangeState {
 	limit := route.Timeout
-	waited := time.Duration(0)
 	if in.Patience > 0 {
-		// A caller that comes back after a refusal has less time left.
-		if route.Stream && in.Patience < limit {
-			waited = limit - in.Patience
-		}
 		limit = min(limit, in.Patience)
 	}
 	x := &exchangeState{s: s, w: w, in: in, route: route, caller: ctx, deadline: in.Arrived.Add(limit - answerMargin)}
 	x.work = &dispatch.Request{
-		ID: in.ID, Service: route.Choose(in.ID), Arrived: in.Arrived, Waited: waited,
+		ID: in.ID, Service: route.Choose(in.ID), Arrived: in.Arrived,
 		Objective: route.Objective, Deadline: x.deadline,
 	}
 	if x.work.Objective == 0 {
@@ -310,9 +305,9 @@
 		"id": x.in.ID, "route": x.route.Name, "service": x.work.Service, "workspace": x.work.Workspace,
 		"config": version, "kind": uint8(v.Kind), "reason": v.Reason, "class": v.Class.String(), "server": v.Server,
 		"info_age_ms": v.InfoAge.Milliseconds(), "backlog_ms": v.Backlog.Milliseconds(), "predicted_ms": v.Predicted.Milliseconds(),
-		"uncached": v.Uncached, "prompt": x.work.PromptTokens, "queue": v.Queue, "level": int64(v.Level), "served": int64(v.Served),
+		"uncached": v.Uncached, "prompt": x.work.PromptTokens, "queue": v.Queue, "share": int64(v.Level), "served": int64(v.Served),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.wait.Milliseconds(), "first_ms": x.first.Milliseconds(),
-		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "waited_ms": x.work.Waited.Milliseconds(), "events": x.events.count,
+		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes,
 	}).Info("request")
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -38,6 +38,8 @@
 	watchInterval = 100 * time.Millisecond
 	suspendedFor  = 700 * time.Millisecond
 	expireTime    = 5 * time.Second
+	// reportInterval is how often the beliefs about servers are logged.
+	reportInterval = 2 * time.Second
 )
 
 // Config of a Server.
@@ -107,6 +109,7 @@
 	go s.probe()
 	go s.watchClocks()
 	go s.expire()
+	go s.report()
 	return s, nil
 }
 
@@ -376,3 +379,24 @@
 		}
 	}
 }
+
+// report logs what the decisions believe, so that a later reader can tell why
+// a server was chosen or left out.
+func (s *Server) report() {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		r := s.dispatcher.Report(time.Now())
+		s.mu.Unlock()
+		s.log.WithFields(logrus.Fields{
+			"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.Level),
+			"waiting": r.Waiting, "edges": r.Edges, "servers": r.Servers,
+		}).Info("beliefs")
+	}
+}
