Let engines fetch kept prompt parts from one another

Change: when an engine that is less loaded lacks parts that another one keeps, the request names that engine, and the parts are fetched. The choice counts the time of the fetch, so load decides and not where the parts are.

Ruled out: more weight on the engine that keeps the parts; it makes requests wait there.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -346,9 +346,9 @@
 		return d.refuse(now, r, v, ReasonNoServer)
 	}
 	best.advance(now)
-	uncached := r.PromptTokens - best.kept.cached(r.Parts)
+	uncached, fetch := d.toRead(r, g, best)
 	v.Backlog, v.Uncached = best.wait(0), uncached
-	v.Predicted = best.wait(uncached) + best.delay
+	v.Predicted = best.wait(uncached) + best.delay + fetchTime(best, fetch)
 	v.Class = d.classify(now, r, v)
 	if limit := backlogLimit(v.Class); v.Backlog > limit {
 		// Another server may have room even if it is not the cheapest.
@@ -386,6 +386,7 @@
 func (d *Dispatcher) cheapest(now time.Time, r *Request, g *service, backlog time.Duration) *server {
 	var best *server
 	bestCost := math.Inf(1)
+	d.findHolders(r, g)
 	for _, s := range g.servers {
 		if !d.mayTake(now, r, s) {
 			continue
@@ -407,8 +408,12 @@
 	if !s.model() {
 		return d.plainPrice(now, s)
 	}
-	uncached := float64(r.PromptTokens - s.kept.cached(r.Parts))
+	left, fetch := d.toRead(r, nil, s)
+	uncached := float64(left)
 	t := s.wait(0).Seconds() + (1+externality)*uncached/s.rate + s.delay.Seconds()
+	if fetch.tokens > 0 {
+		t += fetchWeight * fetchTime(s, fetch).Seconds()
+	}
 	t += s.penalty(now).Seconds()
 	if s.info.DataCentre != d.dataCentre {
 		t += remote.Seconds()
@@ -479,7 +484,7 @@
 
 // send charges the request to the server and its workspace.
 func (d *Dispatcher) send(now time.Time, r *Request, s *server, v Verdict) Verdict {
-	r.server, r.sent, r.started = s, now, false
+	r.server, r.sent, r.started, r.fetchFrom = s, now, false, ""
 	s.running++
 	if s.model() {
 		d.load(now, r, s)
@@ -494,14 +499,15 @@
 		d.shares.serve(now, r.Workspace, cost(r))
 	}
 	v.Kind, v.Reason = Send, ReasonSent
-	v.Server, v.Address = s.info.ID, s.info.Address
+	v.Server, v.Address, v.FetchFrom = s.info.ID, s.info.Address, r.fetchFrom
 	v.Uncached, v.InfoAge = r.uncached, now.Sub(s.info.Heard)
 	return v
 }
 
 // load adds the prompt of the request to an engine.
 func (d *Dispatcher) load(now time.Time, r *Request, s *server) {
-	r.uncached = r.PromptTokens - s.kept.cached(r.Parts)
+	left, fetch := d.toRead(r, d.services[r.Service], s)
+	r.uncached, r.fetchFrom = left, fetch.from
 	r.kv = r.PromptTokens + r.OutputTokens
 	s.kv += r.kv
 	tokens := r.uncached + requestTokens
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -34,16 +34,18 @@
 	Avoid     []string // ids of servers that must not get it
 
 	// Fields of the dispatcher.
-	waiting  bool
-	charged  bool
-	server   *server
-	uncached int       // tokens that the server has to read
-	kv       int       // tokens that it holds while it runs
-	ahead    int       // backlog of the server with this request
-	sent     time.Time // when it was sent
-	read     time.Time // predicted end of reading the prompt
-	started  bool
-	verdict  Verdict
+	waiting   bool
+	charged   bool
+	server    *server
+	holders   []holder // engines that keep parts of the prompt, most tokens first
+	fetchFrom string
+	uncached  int       // tokens that the server has to read
+	kv        int       // tokens that it holds while it runs
+	ahead     int       // backlog of the server with this request
+	sent      time.Time // when it was sent
+	read      time.Time // predicted end of reading the prompt
+	started   bool
+	verdict   Verdict
 }
 
 // Kind is what a verdict says.
@@ -74,6 +76,7 @@
 	Reason     Reason
 	Server     string // id
 	Address    string
+	FetchFrom  string        // address of the engine whose kept prompt parts it fetches, "" if none
 	RetryAfter time.Duration // of a refusal
 
 	Class     Class
@@ -135,6 +138,7 @@
 	Heard      time.Time
 	ColdRate   float64       // requests a second that it bears while cold, 0 if not limited
 	ColdStart  time.Duration // how long a server is cold after its start
+	FetchRate  float64       // prompt tokens a second that it fetches from another engine, 0 if it cannot
 }
 
 // Limits of the decisions.
@@ -178,6 +182,10 @@
 	// remote is added to the predicted time of a server in another data
 	// centre: a round trip, and the price of bytes between data centres.
 	remote = 4 * time.Millisecond
+	// leastFetch is the least number of tokens that are worth a fetch, and
+	// fetchSetup its fixed time.
+	leastFetch = 256
+	fetchSetup = 4 * time.Millisecond
 	// externality is the weight of the time that the uncached tokens of a
 	// request take from those behind it.
 	externality = 0.7
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -305,7 +305,7 @@
 		"id": x.in.ID, "route": x.route.Name, "service": x.work.Service, "workspace": x.work.Workspace,
 		"config": version, "kind": uint8(v.Kind), "reason": v.Reason, "class": v.Class.String(), "server": v.Server,
 		"info_age_ms": v.InfoAge.Milliseconds(), "backlog_ms": v.Backlog.Milliseconds(), "predicted_ms": v.Predicted.Milliseconds(),
-		"uncached": v.Uncached, "prompt": x.work.PromptTokens, "queue": v.Queue, "share": int64(v.Level), "served": int64(v.Served),
+		"uncached": v.Uncached, "fetch_from": v.FetchFrom, "prompt": x.work.PromptTokens, "queue": v.Queue, "share": int64(v.Level), "served": int64(v.Served),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.wait.Milliseconds(), "first_ms": x.first.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes,
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -42,6 +42,7 @@
 	Workspace string        // "" if none is known
 	Left      time.Duration // until nobody waits for the answer
 	LastEvent string        // continue the stream after this event
+	FetchFrom string        // address of an engine that keeps more of the prompt, "" if none
 }
 
 // Reply is what the head of an answer says.
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -50,6 +50,9 @@
 type Engine struct {
 	Slots    int // requests in one batch
 	KVTokens int // tokens that running requests and kept prompt parts share
+	// FetchRate is the prompt tokens a second that an engine fetches from
+	// another one, 0 if engines cannot.
+	FetchRate float64
 }
 
 // Service is a set of interchangeable backend servers.
