Admit work beyond the share only while the engines together have little to do

Cause: work beyond the share was admitted at any engine with less than 40 ms of backlog. That kept the engines busy whatever the level was, so the capacity was steered down to its least value, everybody was beyond the share, and first come was first served.

An answer after a run that failed no longer says that the request has not run.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -350,6 +350,9 @@
 	v.Backlog, v.Uncached = best.wait(0), uncached
 	v.Predicted = best.wait(uncached) + best.delay + fetchTime(best, fetch)
 	v.Class = d.classify(now, r, v)
+	if v.Class == Over {
+		return v // until the engines have little to do, or the window has room
+	}
 	if limit := backlogLimit(v.Class); v.Backlog > limit {
 		// Another server may have room even if it is not the cheapest.
 		if best = d.cheapest(now, r, g, limit); best == nil {
@@ -361,7 +364,7 @@
 }
 
 func backlogLimit(c Class) time.Duration {
-	return [...]time.Duration{onTimeBacklog, lateBacklog, overBacklog}[c]
+	return [...]time.Duration{onTimeBacklog, lateBacklog, 0}[c]
 }
 
 func (d *Dispatcher) classify(now time.Time, r *Request, v Verdict) Class {
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -57,7 +57,9 @@
 	caller   context.Context
 
 	verdict  dispatch.Verdict
-	sends    int // that may have reached a server
+	sends    int  // that may have reached a server
+	mayRan   bool // a server may have run it, so no answer may say that it has not
+	ran      *held
 	unsent   int
 	wait     time.Duration // to the first send
 	first    time.Duration // to the first event or the answer
@@ -139,12 +141,13 @@
 		if a.done {
 			return
 		}
+		x.note(a)
 		if !x.mayRepeat(a) {
 			x.fail(a)
 			return
 		}
 		v = x.s.again(x.work, v.Server, a.sent)
-		if v.Kind == dispatch.Refuse && (x.started || a.sent && a.outcome != dispatch.NotExecuted && a.outcome != dispatch.Misdirected) {
+		if v.Kind == dispatch.Refuse && x.mayRan {
 			x.fail(a)
 			return
 		}
@@ -199,6 +202,16 @@
 	err     error
 }
 
+// note remembers what a failed attempt means for the truth of later answers.
+func (x *exchangeState) note(a attemptEnd) {
+	if a.sent && a.outcome != dispatch.NotExecuted && a.outcome != dispatch.Misdirected {
+		x.mayRan = true
+	}
+	if a.resp != nil {
+		x.ran = a.resp
+	}
+}
+
 // mayRepeat reports whether another server may get the request.
 func (x *exchangeState) mayRepeat(a attemptEnd) bool {
 	if time.Until(x.deadline) <= 0 || x.caller.Err() != nil {
@@ -250,9 +263,9 @@
 		panicAbort()
 	case x.started:
 		panicAbort() // an answer that ends early must not look complete
-	case a.resp != nil:
-		x.passHeld(a.resp)
-	case !a.sent || a.outcome == dispatch.NotExecuted || a.outcome == dispatch.Misdirected:
+	case x.ran != nil:
+		x.passHeld(x.ran)
+	case !x.mayRan:
 		x.write(result.New(result.NoServer, "no server took the request: %s", a.outcome).WithRetryAfter(dispatchRetry))
 	case errors.Is(a.err, errDeadline):
 		x.write(result.New(result.ServerSilent, "the server did not answer in time"))
@@ -307,7 +320,7 @@
 		"info_age_ms": v.InfoAge.Milliseconds(), "backlog_ms": v.Backlog.Milliseconds(), "predicted_ms": v.Predicted.Milliseconds(),
 		"uncached": v.Uncached, "fetch_from": v.FetchFrom, "prompt": x.work.PromptTokens, "queue": v.Queue, "share": int64(v.Level), "served": int64(v.Served),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.wait.Milliseconds(), "first_ms": x.first.Milliseconds(),
-		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
+		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.work.Objective.Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes,
 	}).Info("request")
 }
