--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -368,7 +368,7 @@
 }
 
 func (d *Dispatcher) classify(now time.Time, r *Request, v Verdict) Class {
-	if !d.shares.within(now, r.Workspace, cost(r)) && d.shares.pressure > lowPressure {
+	if !d.shares.within(now, r.Workspace, cost(r)) {
 		return Over
 	}
 	own := time.Duration(float64(v.Uncached) / firstRate * float64(time.Second))
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -17,16 +17,19 @@
 	// targetPressure is the median backlog of the engines that the capacity is
 	// steered to: short requests with objectives of 300 ms stay on time.
 	targetPressure = 80 * time.Millisecond
-	// lowPressure is the median backlog up to which nobody is limited.
+	// lowPressure is the median backlog up to which a workspace may go beyond
+	// the level by lowBoost, until the capacity has grown. Without a bound the
+	// largest workspace would take all that such moments offer.
 	lowPressure = 30 * time.Millisecond
+	lowBoost    = 1.5
 	// Steps of the capacity in one levelInterval: it halves within a second
-	// of high pressure and grows by half in a second without any.
-	stepUp   = 0.02
+	// of high pressure and doubles in a second without any.
+	stepUp   = 0.035
 	stepDown = 0.035
 	// leastCapacity and mostCapacity bound the capacity against what is
 	// stated, and against what was served in the window.
 	leastCapacity = 0.2
-	mostCapacity  = 1.25
+	mostCapacity  = 2
 	// outputWeight is the weight of a generated token against one that is read.
 	outputWeight = 2
 )
@@ -122,6 +125,9 @@
 	u.served.move(s.bucket(now))
 	// Half of the request may stick out, so that one with large requests gets
 	// its share on average.
+	if s.pressure <= lowPressure {
+		level *= lowBoost
+	}
 	return u.served.sum+tokens/2 <= level
 }
 
