--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -17,8 +17,10 @@
 	// only set where counting starts again: what it sent meanwhile has been
 	// read by the engines.
 	resyncGap = time.Second
-	// usesEvery is in which digests the use of workspaces is sent.
-	usesEvery = 4
+	// loadRepeats is in how many digests the load of a server is sent after a
+	// change, and fullInterval how often the loads of all servers are sent.
+	loadRepeats  = 2
+	fullInterval = 200 * time.Millisecond
 )
 
 // placement is a prompt part that this host has sent to a server.
@@ -49,27 +51,50 @@
 	d.placed = append(d.placed, placement{server: s.hash, part: p})
 }
 
-// Digest returns what the other edge hosts have to know of this one.
-func (d *Dispatcher) Digest(incarnation uint64) *apiv1.LoadDigest {
+// loadMark is the load of a server as it was sent last.
+type loadMark struct {
+	tokens  int64
+	running int
+	left    int // digests that still repeat it
+}
+
+// Digest returns what the other edge hosts have to know of this one, and
+// whether anything in it is new to them.
+func (d *Dispatcher) Digest(now time.Time, incarnation uint64) (*apiv1.LoadDigest, bool) {
 	d.number++
 	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity}
+	full := now.Sub(d.fullAt) >= fullInterval
+	if full {
+		d.fullAt = now
+	}
 	for _, s := range d.servers {
-		if s.running == 0 && s.tokens == 0 {
-			continue
+		if s.due(full) {
+			out.Servers = append(out.Servers, &apiv1.ServerLoad{
+				Server: s.hash, PromptTokens: s.tokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kv, 0)),
+			})
 		}
-		out.Servers = append(out.Servers, &apiv1.ServerLoad{
-			Server: s.hash, PromptTokens: s.tokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kv, 0)),
-		})
 	}
 	d.addPlacements(out)
-	if d.number%usesEvery == 0 {
+	if full {
 		for name, u := range d.shares.uses {
 			if u.totalAsked > 0 {
 				out.Uses = append(out.Uses, &apiv1.WorkspaceUse{Workspace: name, Asked: uint64(u.totalAsked), Served: uint64(max(u.totalServed, 0))})
 			}
 		}
 	}
-	return out
+	return out, full || len(out.Servers) > 0 || len(out.Placements) > 0
+}
+
+// due reports whether the next digest carries the load of the server.
+func (s *server) due(full bool) bool {
+	if s.tokens != s.told.tokens || s.running != s.told.running {
+		s.told = loadMark{s.tokens, s.running, loadRepeats}
+	}
+	if s.told.left > 0 {
+		s.told.left--
+		return true
+	}
+	return full && (s.running != 0 || s.tokens != 0)
 }
 
 func (d *Dispatcher) addPlacements(out *apiv1.LoadDigest) {
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -39,6 +41,11 @@
 	return out
 }
 
+func digest(d *Dispatcher, now time.Time) *apiv1.LoadDigest {
+	m, _ := d.Digest(now, 1)
+	return m
+}
+
 var serial int
 
 func request(now time.Time, workspace string, prompt int, objective time.Duration, parts ...Part) *Request {
@@ -56,7 +63,7 @@
 	fleet := newFleet(2, 1)
 	a, b := fleet[0], fleet[1]
 	now := start
-	b.Take(now, a.Digest(1))
+	b.Take(now, digest(a, now))
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
 		r := request(now, "w", 4000, time.Second)
@@ -64,7 +71,7 @@
 		a.Started(now.Add(80*time.Millisecond), r)
 		a.Ended(now.Add(90*time.Millisecond), r, Whole)
 	}
-	b.Take(now, a.Digest(1))
+	b.Take(now, digest(a, now))
 	v := b.Offer(now, request(now, "w", 500, 300*time.Millisecond))
 	assert.Equal(t, v.Kind, Send)
 	assert.Assert(t, v.Backlog < 100*time.Millisecond, "%v", v.Backlog)
@@ -75,10 +82,10 @@
 func TestLoadOfOtherEdgeHostsCounts(t *testing.T) {
 	fleet := newFleet(2, 2)
 	a, b := fleet[0], fleet[1]
-	b.Take(start, a.Digest(1))
+	b.Take(start, digest(a, start))
 	now := start.Add(10 * time.Millisecond)
 	first := a.Offer(now, request(now, "w", 9000, time.Second))
-	b.Take(now, a.Digest(1))
+	b.Take(now, digest(a, now))
 	second := b.Offer(now, request(now, "w", 9000, time.Second))
 	assert.Assert(t, first.Server != second.Server)
 }
@@ -87,9 +94,9 @@
 func TestRepeatedDigestCountsOnce(t *testing.T) {
 	fleet := newFleet(2, 1)
 	a, b := fleet[0], fleet[1]
-	b.Take(start, a.Digest(1))
+	b.Take(start, digest(a, start))
 	a.Offer(start, request(start, "w", 9000, time.Second))
-	m := a.Digest(1)
+	m := digest(a, start.Add(time.Millisecond))
 	b.Take(start, m)
 	before := b.servers["engine-0"].backlog
 	b.Take(start, m)
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -22,6 +22,7 @@
 	queue    []*Request
 	peers    map[string]*peer
 	number   uint64 // of the last digest
+	fullAt   time.Time
 	placed   []placement
 
 	neighbours []string // edge hosts of this data centre, in order
--- a/pkg/dispatch/replay_test.go
+++ b/pkg/dispatch/replay_test.go
@@ -143,7 +143,7 @@
 
 func (p *replay) exchange() {
 	for i, from := range p.fleet {
-		m := from.Digest(1)
+		m := digest(from, p.now)
 		for j, to := range p.fleet {
 			if i != j {
 				to.Take(p.now, m)
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -54,6 +54,7 @@
 	running int // requests of this edge host
 	kv      int
 	tokens  int64 // sent, cumulative, less cancelled ones
+	told    loadMark
 	peers   map[string]*peerLoad
 
 	fail      float64
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -30,9 +30,9 @@
 	// connectTimeout bounds a connection to a server: servers are at most a
 	// few milliseconds away, and nothing was sent, so another one is tried.
 	connectTimeout = 180 * time.Millisecond
-	// idleTimeout is short because servers close idle connections and open
-	// ones can go silent.
-	idleTimeout = 2 * time.Second
+	// idleTimeout is half of the keep-alive time that servers state, so that a
+	// request rarely meets a connection that its server is closing.
+	idleTimeout = 5 * time.Second
 	// watchInterval is how often the clocks are compared, and suspendedFor the
 	// difference that counts as a suspension of the host.
 	watchInterval = 100 * time.Millisecond
@@ -55,8 +55,8 @@
 	Registry metrics.Registry
 }
 
-// Server is one edge host. mu guards view, dispatcher, verdicts and the last
-// digest; no network call is made under it.
+// Server is one edge host. mu guards view, dispatcher, verdicts and
+// budget; no network call is made under it.
 type Server struct {
 	config    Config
 	log       *logrus.Entry
@@ -75,16 +75,9 @@
 	verdicts   map[*dispatch.Request]chan dispatch.Verdict
 	polling    bool
 	incarnate  uint64
-	lastDigest digestMark
 	budget     budget
 }
 
-// digestMark tells whether a digest differs from the last one.
-type digestMark struct {
-	running int
-	tokens  int64
-}
-
 // Open starts an edge host. It serves after a configuration has come.
 func Open(c Config) (*Server, error) {
 	if c.Registry == nil {
@@ -179,15 +172,7 @@
 func (s *Server) Digest() (*apiv1.LoadDigest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := s.dispatcher.Digest(s.incarnate)
-	var mark digestMark
-	for _, l := range m.GetServers() {
-		mark.running += int(l.GetRunning())
-		mark.tokens += l.GetPromptTokens()
-	}
-	changed := mark != s.lastDigest || len(m.GetPlacements()) > 0
-	s.lastDigest = mark
-	return m, changed
+	return s.dispatcher.Digest(time.Now(), s.incarnate)
 }
 
 // Take implements exchange.Source.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -24,7 +24,7 @@
 	// baseHosts is the number of edge hosts up to which baseInterval holds.
 	// Beyond it the interval grows in proportion, so that a host handles at
 	// most baseHosts/baseInterval datagrams a second each way.
-	baseHosts = 5
+	baseHosts = 16
 	// idleInterval is the longest pause; peers drop a load after 2 s.
 	idleInterval = 500 * time.Millisecond
 	// maxDatagram bounds what is read.
