--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -341,7 +341,7 @@
 	best := d.cheapest(now, r, g, time.Hour)
 	if best == nil {
 		v.Class = Late
-		if d.anyLater(now, g) {
+		if anyLater(g) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
@@ -387,7 +387,7 @@
 }
 
 // anyLater reports whether a server of the service may take work soon.
-func (d *Dispatcher) anyLater(now time.Time, g *service) bool {
+func anyLater(g *service) bool {
 	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.info.Ready && s.downSince.IsZero() })
 }
 
@@ -631,6 +631,9 @@
 	}
 	if best == nil {
 		v.Class = Late
+		if !anyLater(g) {
+			return d.refuse(now, r, v, ReasonNoServer)
+		}
 		if now.Sub(r.Arrived) > time.Duration(plainHoldShare*float64(r.Objective)) {
 			return d.refuse(now, r, v, ReasonLate)
 		}
--- a/pkg/edge/budget.go
+++ b/pkg/edge/budget.go
@@ -19,9 +19,8 @@
 // Budget is what the operators of the platform allow for sends beyond the
 // first of each request, in a sliding window over the whole fleet.
 type Budget struct {
-	Ratio  float64 // of the requests for the service
-	Extra  float64 // beside the ratio
-	Window time.Duration
+	Ratio float64 // of the requests for the service
+	Extra float64 // beside the ratio
 }
 
 // budget is the part of one edge host: a bucket for each service that each
@@ -56,7 +55,7 @@
 }
 
 // take spends one second send.
-func (b *budget) take(_ time.Time, service string) bool {
+func (b *budget) take(service string) bool {
 	v := b.of(service)
 	if *v < 1 {
 		return false
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -258,11 +258,10 @@
 func (s *Server) again(r *dispatch.Request, failed string, counted bool) dispatch.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	if counted && !s.budget.take(now, r.Service) {
+	if counted && !s.budget.take(r.Service) {
 		return dispatch.Verdict{Kind: dispatch.Refuse, Reason: reasonBudget, RetryAfter: budgetRetryAfter}
 	}
-	return s.dispatcher.Again(now, r, failed)
+	return s.dispatcher.Again(time.Now(), r, failed)
 }
 
 // probe checks servers that are down.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -58,6 +58,7 @@
 	peers  []netip.AddrPort
 	logged time.Time
 	stop   chan struct{}
+	once   sync.Once // closes stop
 }
 
 // Open listens at the address and starts the exchange.
@@ -95,8 +96,12 @@
 
 // Close ends the exchange.
 func (x *Exchange) Close() error {
-	close(x.stop)
-	return x.conn.Close()
+	var err error
+	x.once.Do(func() {
+		close(x.stop)
+		err = x.conn.Close()
+	})
+	return err
 }
 
 func (x *Exchange) send() {
