--- /dev/null
+++ b/pkg/core/members_test.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/replica"
+)
+
+const long = 10 * time.Second
+
+func voter(id uint64, place string) member { return member{id: id, place: place, caught: true} }
+func learner(id uint64, place string) member {
+	return member{id: id, place: place, caught: true, learner: true}
+}
+
+func silent(m member) member {
+	m.silent, m.caught = long, false
+	return m
+}
+
+func itself(m member) member {
+	m.self = true
+	return m
+}
+
+func behind(m member) member {
+	m.caught = false
+	return m
+}
+
+func TestPlanMembership(t *testing.T) {
+	lost := learner(9, "d")
+	lost.silent, lost.caught = learnerSilence+time.Second, false
+	for _, c := range []struct {
+		name    string
+		members []member
+		voters  int
+		want    replica.Action // 0: nothing
+		id      uint64
+	}{
+		{"complete", []member{itself(voter(1, "a")), voter(2, "b"), voter(3, "c"), learner(4, "d")}, 3, 0, 0},
+		{"one too few", []member{itself(voter(1, "a")), voter(2, "b"), learner(3, "c")}, 3, replica.Promote, 3},
+		{"learner that has not caught up", []member{itself(voter(1, "a")), voter(2, "b"), behind(learner(3, "c"))}, 3, 0, 0},
+		{"learner that is silent", []member{itself(voter(1, "a")), voter(2, "b"), silent(learner(3, "c"))}, 3, 0, 0},
+		{"spread over data centres", []member{itself(voter(1, "a")), voter(2, "b"), voter(3, "b"), learner(4, "b"), learner(5, "c")}, 5, replica.Promote, 5},
+		{"silent voter is replaced before it is demoted", []member{itself(voter(1, "a")), voter(2, "b"), silent(voter(3, "c")), learner(4, "d")}, 3, replica.Promote, 4},
+		{"silent voter without a replacement keeps its vote", []member{itself(voter(1, "a")), voter(2, "b"), silent(voter(3, "c"))}, 3, 0, 0},
+		{"replaced voter is demoted", []member{itself(voter(1, "a")), voter(2, "b"), silent(voter(3, "c")), voter(4, "d")}, 3, replica.Demote, 3},
+		{"voter that came back in between", []member{itself(voter(1, "a")), voter(2, "b"), voter(3, "c"), voter(4, "c")}, 3, replica.Demote, 3},
+		{"learner that is gone for good", []member{itself(voter(1, "a")), voter(2, "b"), voter(3, "c"), lost}, 3, replica.Remove, 9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, ok := planMembership(c.members, c.voters)
+			assert.Equal(t, ok, c.want != 0)
+			assert.Equal(t, s.action, c.want)
+			assert.Equal(t, s.id, c.id)
+		})
+	}
+}
+
+// Guards against two hosts with one id.
+func TestID(t *testing.T) {
+	a, err := ID("10.1.0.3:7400")
+	assert.NilError(t, err)
+	b, err := ID("10.1.0.4:7400")
+	assert.NilError(t, err)
+	c, err := ID("10.1.0.3:7401")
+	assert.NilError(t, err)
+	assert.Assert(t, a != b && a != c && b != c)
+	_, err = ID("here:1")
+	assert.Assert(t, err != nil)
+}
--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/registry"
+	"jackdawtrack.example/jackdawtrack/pkg/routing"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against an event that is lost, doubled or passed on in parts, however
+// the bytes arrive.
+func TestEventsPassWholeInAnyPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "events")
+		var text strings.Builder
+		for id := range n {
+			fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", id, rapid.StringMatching(`[a-z]{0,9}`).Draw(t, "data"))
+		}
+		rest := text.String()
+		var e events
+		var got strings.Builder
+		for rest != "" {
+			k := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			whole := e.pending([]byte(rest[:k]))
+			got.Write(whole)
+			if len(whole) > 0 && !strings.HasSuffix(string(whole), "\n\n") {
+				t.Fatalf("part of an event: %q", whole)
+			}
+			e.passed(whole)
+			rest = rest[k:]
+		}
+		if got.String() != text.String() || e.last != fmt.Sprint(n-1) || e.count != n {
+			t.Fatalf("got %q, last %q, %d events", got.String(), e.last, e.count)
+		}
+	})
+}
+
+func TestFollows(t *testing.T) {
+	assert.Assert(t, follows("4", "5"))
+	assert.Assert(t, !follows("4", "4"))
+	assert.Assert(t, !follows("4", "6"))
+	assert.Assert(t, !follows("", "1"))
+	assert.Assert(t, !follows("4", ""))
+}
+
+// Guards against second sends beyond the budget of the fleet in any window,
+// with all hosts together.
+func TestBudgetHoldsOverTheFleet(t *testing.T) {
+	const hosts, requests = 5, 200
+	limit := Budget{Ratio: 0.2, Extra: 58}
+	spent := 0
+	for range hosts {
+		b := newBudget(limit)
+		b.setHosts(hosts)
+		for range requests {
+			b.request("s")
+			for b.take("s") {
+				spent++
+			}
+		}
+	}
+	assert.Assert(t, spent > 0)
+	assert.Assert(t, float64(spent) <= limit.Ratio*hosts*requests+limit.Extra, "%d", spent)
+}
+
+func testDecode(data []byte) (*routing.Config, error) {
+	if string(data) == "bad" {
+		return nil, errors.New("bad")
+	}
+	return &routing.Config{Version: 1, Services: []routing.Service{{Name: "s", ColdStart: 3 * time.Second, ColdRate: 12}}}, nil
+}
+
+func newTestView() *view { return newView(testDecode, logging.For("test")) }
+
+func state(revision, version uint64, marks ...*apiv1.FleetMark) *apiv1.FleetState {
+	s := &apiv1.FleetState{Revision: revision, Marks: marks}
+	if version > 0 {
+		s.Document = &apiv1.FleetDocument{Version: version, Data: []byte("good")}
+	}
+	return s
+}
+
+// Guards against a restarted host that takes an old state of a core host that
+// is cut off, while others know a newer one.
+func TestFirstStateHasToBeConfirmed(t *testing.T) {
+	v := newTestView()
+	_, _, table := v.merge(start, &apiv1.FleetEvent{State: state(1, 3)})
+	assert.Assert(t, table == nil)
+	_, _, table = v.merge(start.Add(time.Second), &apiv1.FleetEvent{State: state(5, 7), Confirmed: true})
+	assert.Assert(t, table != nil)
+	assert.Equal(t, v.version, uint64(7))
+}
+
+// Guards against a data centre that is cut off and serves nothing.
+func TestUnconfirmedStateIsTakenAfterAWhile(t *testing.T) {
+	v := newTestView()
+	v.merge(start, &apiv1.FleetEvent{State: state(1, 3)})
+	_, _, table := v.merge(start.Add(unconfirmedWait), &apiv1.FleetEvent{})
+	assert.Assert(t, table != nil)
+}
+
+// Guards against a version that goes back, and against one that cannot be read
+// and ends the one before.
+func TestVersionRisesOnly(t *testing.T) {
+	v := newTestView()
+	v.merge(start, &apiv1.FleetEvent{State: state(1, 7), Confirmed: true})
+	_, _, table := v.merge(start, &apiv1.FleetEvent{State: state(9, 3), Confirmed: true})
+	assert.Assert(t, table == nil)
+	bad := &apiv1.FleetState{Revision: 10, Document: &apiv1.FleetDocument{Version: 8, Data: []byte("bad")}}
+	_, _, table = v.merge(start, &apiv1.FleetEvent{State: bad, Confirmed: true})
+	assert.Assert(t, table == nil)
+	assert.Equal(t, v.version, uint64(7))
+}
+
+func announcement(age time.Duration, cold time.Duration) *apiv1.ServerAnnouncement {
+	return &apiv1.ServerAnnouncement{
+		Id: "i", Service: "s", Address: "10.0.0.1:80", DataCentre: "z", Slots: 6, State: uint32(registry.Ready),
+		Sequence: uint64(1000 - age.Milliseconds()/10), BornMs: 1, AgeMs: age.Milliseconds(), ColdMs: cold.Milliseconds(),
+	}
+}
+
+// Guards against full load for servers of a data centre that came back: they
+// count as cold until they say what they are.
+func TestServersAreColdWhenTheirDataCentreComesBack(t *testing.T) {
+	v := newTestView()
+	mark := func(revision uint64, out bool) *apiv1.FleetMark {
+		return &apiv1.FleetMark{DataCentre: "z", Out: out, Revision: revision}
+	}
+	v.merge(start, &apiv1.FleetEvent{State: state(1, 7, mark(1, true)), Confirmed: true, Servers: []*apiv1.ServerAnnouncement{announcement(time.Second, 0)}})
+	assert.Assert(t, !v.infos(start)[0].Ready)
+	v.merge(start, &apiv1.FleetEvent{State: state(2, 0, mark(2, false))})
+	info := v.infos(start)[0]
+	assert.Assert(t, info.Ready)
+	assert.Equal(t, info.ColdUntil, start.Add(3*time.Second))
+	v.merge(start.Add(time.Second), &apiv1.FleetEvent{Servers: []*apiv1.ServerAnnouncement{announcement(0, 0)}})
+	assert.Assert(t, !v.infos(start.Add(time.Second))[0].ColdUntil.After(start.Add(time.Second)))
+}
+
+// Guards against an old mark that a slow core host brings back.
+func TestOldMarkIsIgnored(t *testing.T) {
+	v := newTestView()
+	v.merge(start, &apiv1.FleetEvent{State: state(5, 7, &apiv1.FleetMark{DataCentre: "z", Out: true, Revision: 5}), Confirmed: true})
+	v.merge(start, &apiv1.FleetEvent{State: state(4, 0, &apiv1.FleetMark{DataCentre: "z", Out: false, Revision: 4})})
+	assert.Assert(t, v.state["z"].GetOut())
+}
+
+// Guards against an edge host that stops counting while it may still send.
+func TestEdgeHostCountsAfterItWentSilent(t *testing.T) {
+	v := newTestView()
+	v.merge(start, &apiv1.FleetEvent{Edges: []*apiv1.EdgeHost{{Name: "other", DataCentre: "z", Address: "10.0.0.2:7400"}}})
+	v.lastContact = start.Add(edgeMemory / 2)
+	v.expire(start.Add(edgeMemory / 2))
+	neighbours, _ := v.peers("self", "z")
+	assert.Equal(t, len(neighbours), 2)
+	v.lastContact = start.Add(2 * edgeMemory)
+	v.expire(start.Add(2 * edgeMemory))
+	neighbours, _ = v.peers("self", "z")
+	assert.Equal(t, len(neighbours), 1)
+}
--- /dev/null
+++ b/pkg/fleet/state_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+)
+
+func apply(t interface{ Fatal(...any) }, s *State, index uint64, c *apiv1.FleetCommand) {
+	data, err := Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if failed, ok := s.Apply(index, data).(error); ok {
+		t.Fatal(failed)
+	}
+}
+
+// Guards against a version that goes back, content that changes under one
+// version, a mark that is lost, and a snapshot that is not the state.
+func TestStateAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState()
+		version, content := uint64(0), ""
+		out := map[string]bool{}
+		for index := uint64(1); index <= 30; index++ {
+			if rapid.Bool().Draw(t, "document") {
+				v := rapid.Uint64Range(1, 20).Draw(t, "version")
+				data := rapid.StringN(0, 3, 8).Draw(t, "data")
+				apply(t, s, index, &apiv1.FleetCommand{Document: &apiv1.FleetDocument{Version: v, Data: []byte(data)}})
+				if v > version {
+					version, content = v, data
+				}
+			} else {
+				zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "data centre")
+				isOut := rapid.Bool().Draw(t, "out")
+				apply(t, s, index, &apiv1.FleetCommand{Mark: &apiv1.FleetMark{DataCentre: zone, Out: isOut}})
+				out[zone] = isOut
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				data, err := s.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s = NewState()
+				if err := s.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			view, _ := s.View(0)
+			if view.GetDocument().GetVersion() != version || string(view.GetDocument().GetData()) != content {
+				t.Fatalf("document %v, want version %d %q", view.GetDocument(), version, content)
+			}
+			for _, m := range view.GetMarks() {
+				if m.GetOut() != out[m.GetDataCentre()] {
+					t.Fatalf("mark %v, want %v", m, out)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a command that stops a host.
+func TestCommandThatCannotBeDecoded(t *testing.T) {
+	_, ok := NewState().Apply(1, []byte{0xff}).(error)
+	assert.Assert(t, ok)
+}
