--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -67,6 +67,7 @@
 	status   int
 	events   events
 	outcomes []string
+	cause    error // of the last attempt that failed
 }
 
 // Serve answers one request of a caller. It panics with http.ErrAbortHandler
@@ -210,6 +211,7 @@
 	if a.resp != nil {
 		x.ran = a.resp
 	}
+	x.cause = a.err
 }
 
 // mayRepeat reports whether another server may get the request.
@@ -321,7 +323,7 @@
 		"uncached": v.Uncached, "fetch_from": v.FetchFrom, "prompt": x.work.PromptTokens, "queue": v.Queue, "share": int64(v.Level), "served": int64(v.Served),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.wait.Milliseconds(), "first_ms": x.first.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.work.Objective.Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes,
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.cause,
 	}).Info("request")
 }
 
