Make decisions cheap when much work waits at a large deployment

Cause: at 28 edge hosts and 60 engines an edge host with a flood used half of its processor for decisions: each decision summed the loads of 27 hosts at 60 engines, work beyond the share was priced at every engine in each poll, and a poll followed every first event. Callers left unanswered (GONE, 5,990 deadlines in 14 s), requests were sent on after they had left.

Log lines on refusals are bounded.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -36,6 +36,7 @@
 	number      uint64
 	capacity    float64 // service tokens per second that it shares out
 	at          time.Time
+	dropped     bool // its load does not count any more
 	asked       map[string]float64
 	served      map[string]float64
 }
@@ -127,7 +128,7 @@
 	if m.GetIncarnation() < p.incarnation || m.GetNumber() <= p.number {
 		return
 	}
-	p.number, p.capacity, p.at = m.GetNumber(), m.GetCapacity(), now
+	p.number, p.capacity, p.at, p.dropped = m.GetNumber(), m.GetCapacity(), now, false
 	byHash := make(map[uint64]*server, len(d.servers))
 	for _, s := range d.servers {
 		byHash[s.hash] = s
@@ -139,7 +140,7 @@
 	}
 	for _, pl := range m.GetPlacements() {
 		if s := byHash[pl.GetServer()]; s != nil {
-			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, s.keptCapacity(now))
+			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, s.keptCapacity())
 		}
 	}
 	for _, u := range m.GetUses() {
@@ -162,7 +163,8 @@
 	if delta := l.GetPromptTokens() - p.tokens; delta != 0 {
 		s.add(now, float64(delta))
 	}
-	p.tokens, p.running, p.kv, p.at = l.GetPromptTokens(), int(l.GetRunning()), int(l.GetKvTokens()), now
+	p.tokens = l.GetPromptTokens()
+	s.setPeer(p, int(l.GetRunning()), int(l.GetKvTokens()))
 }
 
 func (d *Dispatcher) takeUse(now time.Time, p *peer, m *apiv1.WorkspaceUse, first bool) {
@@ -175,3 +177,18 @@
 	}
 	p.asked[name], p.served[name] = asked, served
 }
+
+// dropSilentPeers takes the load of edge hosts out that have not been heard.
+func (d *Dispatcher) dropSilentPeers(now time.Time) {
+	for name, p := range d.peers {
+		if p.dropped || now.Sub(p.at) < peerSilence {
+			continue
+		}
+		p.dropped = true
+		for _, s := range d.servers {
+			if l := s.peers[name]; l != nil {
+				s.setPeer(l, 0, 0)
+			}
+		}
+	}
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -260,27 +261,21 @@
 // got less of their share first.
 func (d *Dispatcher) ordered(now time.Time) []*Request {
 	level := d.shares.refresh(now)
-	keys := make(map[*Request]float64, len(d.queue))
 	for _, r := range d.queue {
 		left := r.Arrived.Add(r.Objective).Sub(now).Seconds()
 		if level > 0 {
 			left += r.Objective.Seconds() / 2 * d.shares.of(r.Workspace).served.sum / level
 		}
-		keys[r] = float64(r.verdict.Class)*1e6 + left
+		r.order = float64(r.verdict.Class)*classStep + left
 	}
 	order := slices.Clone(d.queue)
-	slices.SortStableFunc(order, func(a, b *Request) int {
-		switch {
-		case keys[a] < keys[b]:
-			return -1
-		case keys[a] > keys[b]:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(order, func(a, b *Request) int { return cmp.Compare(a.order, b.order) })
 	return order
 }
 
+// classStep keeps the classes apart in the order of the queue, in seconds.
+const classStep = 1e6
+
 // Again decides on a second server for a request whose first one failed. It
 // does not wait: the verdict is Send or Refuse.
 func (d *Dispatcher) Again(now time.Time, r *Request, failed string) Verdict {
@@ -302,6 +297,7 @@
 	if now.Sub(d.shares.levelAt) < levelInterval {
 		return
 	}
+	d.dropSilentPeers(now)
 	var backlogs []time.Duration
 	for _, s := range d.servers {
 		if s.model() && s.info.Ready && s.downSince.IsZero() {
@@ -338,6 +334,10 @@
 	if !g.servers[0].model() {
 		return d.decidePlain(now, r, g, v)
 	}
+	if !d.shares.within(now, r.Workspace, cost(r)) {
+		v.Class = Over
+		return v // until the engines have little to do, or the window has room
+	}
 	best := d.cheapest(now, r, g, time.Hour)
 	if best == nil {
 		v.Class = Late
@@ -350,10 +350,7 @@
 	uncached, fetch := d.toRead(r, g, best)
 	v.Backlog, v.Uncached = best.wait(0), uncached
 	v.Predicted = best.wait(uncached) + best.delay + fetchTime(best, fetch)
-	v.Class = d.classify(now, r, v)
-	if v.Class == Over {
-		return v // until the engines have little to do, or the window has room
-	}
+	v.Class = classify(now, r, v)
 	if limit := backlogLimit(v.Class); !best.hasRoom(uncached, limit) {
 		// Another server may have room even if it is not the cheapest.
 		if best = d.cheapest(now, r, g, limit); best == nil {
@@ -374,10 +371,9 @@
 	return [...]time.Duration{onTimeBacklog, lateBacklog, 0}[c]
 }
 
-func (d *Dispatcher) classify(now time.Time, r *Request, v Verdict) Class {
-	if !d.shares.within(now, r.Workspace, cost(r)) {
-		return Over
-	}
+// classify tells whether a request within the share of its workspace can meet
+// its objective.
+func classify(now time.Time, r *Request, v Verdict) Class {
 	own := time.Duration(float64(v.Uncached) / firstRate * float64(time.Second))
 	due := max(r.Objective, own+own/2) - now.Sub(r.Arrived)
 	if v.Predicted > due {
@@ -428,7 +424,7 @@
 	if s.info.DataCentre != d.dataCentre {
 		t += remote.Seconds()
 	}
-	running, _ := s.load(now)
+	running, _ := s.load()
 	t += 0.02 * float64(running) / float64(max(s.info.Slots, 1))
 	// Equal servers are told apart by the part that is shared last, so that
 	// all edge hosts choose the same one for it.
@@ -462,7 +458,7 @@
 	if !s.model() {
 		return true
 	}
-	running, kv := s.load(now)
+	running, kv := s.load()
 	need := r.PromptTokens + r.OutputTokens
 	return running < s.info.Slots && (kv == 0 || float64(kv+need) <= kvUse*float64(s.info.KVTokens))
 }
@@ -499,7 +495,7 @@
 	if s.model() {
 		d.load(now, r, s)
 	} else {
-		r.ahead, _ = s.load(now)
+		r.ahead, _ = s.load()
 	}
 	if d.isCold(now, s) {
 		s.coldSent = append(s.coldSent, now)
@@ -525,7 +521,7 @@
 	s.tokens += int64(tokens)
 	r.ahead = int(s.backlog)
 	r.read = now.Add(s.wait(0))
-	s.kept.use(r.Parts, s.keptCapacity(now))
+	s.kept.use(r.Parts, s.keptCapacity())
 	for _, p := range r.Parts {
 		d.place(s, p)
 	}
@@ -621,7 +617,7 @@
 		if !d.mayTake(now, r, s) {
 			continue
 		}
-		running, _ := s.load(now)
+		running, _ := s.load()
 		if float64(running) >= plainQueue*float64(max(s.info.Slots, 1)) {
 			continue
 		}
@@ -649,7 +645,7 @@
 	if g := d.services[s.info.Service]; g != nil {
 		mean = g.latency
 	}
-	running, _ := s.load(now)
+	running, _ := s.load()
 	slots := max(s.info.Slots, 1)
 	t := s.expected(now, mean).Seconds()
 	t *= 1 + 0.3*float64(running)/float64(slots) + float64(max(running+1-slots, 0))/float64(slots)
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -37,7 +37,7 @@
 	for _, s := range d.servers {
 		s.advance(now)
 		s.decayFail(now)
-		running, kv := s.load(now)
+		running, kv := s.load()
 		out.Servers = append(out.Servers, ServerReport{
 			Server: s.info.ID, Ready: s.info.Ready, Down: !s.downSince.IsZero(), Cold: d.isCold(now, s),
 			Backlog: s.wait(0).Milliseconds(), Rate: int64(s.rate / 1000), Delay: s.delay.Milliseconds(),
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -41,7 +41,6 @@
 	tokens  int64 // cumulative
 	running int
 	kv      int
-	at      time.Time
 }
 
 // server is one backend server as this edge host sees it.
@@ -56,6 +55,9 @@
 	tokens  int64 // sent, cumulative, less cancelled ones
 	told    loadMark
 	peers   map[string]*peerLoad
+	// peerRunning and peerKV are the sums over peers that are heard.
+	peerRunning int
+	peerKV      int
 
 	fail      float64
 	failAt    time.Time
@@ -121,15 +123,15 @@
 
 // load returns the requests and the memory of running requests over all edge
 // hosts.
-func (s *server) load(now time.Time) (running, kv int) {
-	running, kv = s.running, s.kv
-	for _, p := range s.peers {
-		if now.Sub(p.at) < peerSilence {
-			running += p.running
-			kv += p.kv
-		}
-	}
-	return running, kv
+func (s *server) load() (running, kv int) {
+	return s.running + s.peerRunning, s.kv + s.peerKV
+}
+
+// setPeer replaces the load of another edge host in the sums.
+func (s *server) setPeer(p *peerLoad, running, kv int) {
+	s.peerRunning += running - p.running
+	s.peerKV += kv - p.kv
+	p.running, p.kv = running, kv
 }
 
 func (s *server) failure(now time.Time, weight float64) {
@@ -179,8 +181,8 @@
 }
 
 // keptCapacity is the memory in which prompt parts are assumed to stay.
-func (s *server) keptCapacity(now time.Time) int {
-	_, kv := s.load(now)
+func (s *server) keptCapacity() int {
+	_, kv := s.load()
 	return int(keptUse * float64(max(s.info.KVTokens-kv, 0)))
 }
 
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -46,6 +46,7 @@
 	read      time.Time // predicted end of reading the prompt
 	started   bool
 	verdict   Verdict
+	order     float64 // in the queue, lowest first
 }
 
 // Kind is what a verdict says.
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -133,6 +133,11 @@
 			x.refuse(v)
 			return
 		}
+		if x.caller.Err() != nil {
+			x.s.ended(x.work, dispatch.CallerLeft)
+			err = context.Canceled
+			break
+		}
 		if x.sends == 0 {
 			x.wait = time.Since(x.in.Arrived)
 		}
@@ -286,6 +291,11 @@
 // Refuse answers a request that was not given to a server.
 func (s *Server) Refuse(w http.ResponseWriter, id string, e *result.Error) {
 	s.metrics.ended("refused", 0)
+	if !s.refusals.Allow() {
+		s.unlogged.Add(1)
+		writeError(w, e)
+		return
+	}
 	s.log.WithFields(logrus.Fields{"id": id, "status": e.Code.Status(), "reason": e.Message, "code": uint32(e.Code)}).Info("a request was refused")
 	writeError(w, e)
 }
@@ -316,6 +326,10 @@
 		outcome = x.outcomes[len(x.outcomes)-1]
 	}
 	x.s.metrics.ended(outcome, x.first)
+	if outcome == "refused" && !x.s.refusals.Allow() {
+		x.s.unlogged.Add(1)
+		return
+	}
 	x.s.log.WithFields(logrus.Fields{
 		"id": x.in.ID, "route": x.route.Name, "service": x.work.Service, "workspace": x.work.Workspace,
 		"config": version, "kind": uint8(v.Kind), "reason": v.Reason, "class": v.Class.String(), "server": v.Server,
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
@@ -40,6 +41,10 @@
 	expireTime    = 5 * time.Second
 	// reportInterval is how often the beliefs about servers are logged.
 	reportInterval = 2 * time.Second
+	// refusalLines and refusalBurst bound the log lines on refused requests;
+	// the number of those without a line is in the line on beliefs.
+	refusalLines = 100 // a second
+	refusalBurst = 400
 )
 
 // Config of a Server.
@@ -76,6 +81,9 @@
 	polling    bool
 	incarnate  uint64
 	budget     budget
+
+	refusals *rate.Limiter // of log lines
+	unlogged atomic.Int64  // refusals without a line
 }
 
 // Open starts an edge host. It serves after a configuration has come.
@@ -90,6 +98,7 @@
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), verdicts: map[*dispatch.Request]chan dispatch.Verdict{},
 		incarnate: uint64(now.UnixNano()), budget: newBudget(c.Budget),
 	}
+	s.refusals = rate.NewLimiter(refusalLines, refusalBurst)
 	s.view = newView(c.Decode, s.log)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	var err error
@@ -244,14 +253,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatcher.Started(time.Now(), r)
-	s.pollLocked()
 }
 
 func (s *Server) ended(r *dispatch.Request, o dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatcher.Ended(time.Now(), r, o)
-	s.pollLocked()
 }
 
 // again gets a second server for a request, within the budget.
@@ -380,7 +387,7 @@
 		s.mu.Unlock()
 		s.log.WithFields(logrus.Fields{
 			"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.Level),
-			"waiting": r.Waiting, "edges": r.Edges, "servers": r.Servers,
+			"waiting": r.Waiting, "edges": r.Edges, "unlogged_refusals": s.unlogged.Swap(0), "servers": r.Servers,
 		}).Info("beliefs")
 	}
 }
