--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -236,10 +236,11 @@
 		return nil
 	}
 	order := d.ordered(now)
+	most := max(pollPrices/max(len(d.servers), 1), leastScan)
 	var out []Decided
 	for i, r := range order {
 		v := r.verdict
-		if i < scanQueue {
+		if i < most || v.Class == Over {
 			v = d.decide(now, r)
 		}
 		if v.Kind == Wait && d.hold(now, r, v.Class) <= 0 {
@@ -283,8 +284,8 @@
 	r.started = false
 	g := d.services[r.Service]
 	if g != nil {
-		if s := d.cheapest(now, r, g, time.Hour); s != nil {
-			return d.send(now, r, s, Verdict{Kind: Send, Class: OnTime})
+		if f := d.scan(now, r, g); f.any != nil {
+			return d.send(now, r, f.any, Verdict{Kind: Send, Class: OnTime})
 		}
 	}
 	return d.refuse(now, r, Verdict{}, ReasonNoServer)
@@ -338,26 +339,26 @@
 		v.Class = Over
 		return v // until the engines have little to do, or the window has room
 	}
-	best := d.cheapest(now, r, g, time.Hour)
-	if best == nil {
+	found := d.scan(now, r, g)
+	if found.any == nil {
 		v.Class = Late
 		if anyLater(g) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
 	}
-	best.advance(now)
-	uncached, fetch := d.toRead(r, g, best)
-	v.Backlog, v.Uncached = best.wait(0), uncached
-	v.Predicted = best.wait(uncached) + best.delay + fetchTime(best, fetch)
+	uncached, fetch := r.toRead(found.any)
+	v.Backlog, v.Uncached = found.any.wait(0), uncached
+	v.Predicted = found.any.wait(uncached) + found.any.delay + fetchTime(found.any, fetch)
 	v.Class = classify(now, r, v)
-	if limit := backlogLimit(v.Class); !best.hasRoom(uncached, limit) {
-		// Another server may have room even if it is not the cheapest.
-		if best = d.cheapest(now, r, g, limit); best == nil {
-			return v
-		}
-		v.Backlog = best.wait(0)
+	best := found.onTime
+	if v.Class == Late {
+		best = found.late
+	}
+	if best == nil {
+		return v
 	}
+	v.Backlog = best.wait(0)
 	return d.send(now, r, best, v)
 }
 
@@ -367,10 +368,6 @@
 	return s.wait(0) <= freeBacklog || s.wait(tokens) <= limit
 }
 
-func backlogLimit(c Class) time.Duration {
-	return [...]time.Duration{onTimeBacklog, lateBacklog, 0}[c]
-}
-
 // classify tells whether a request within the share of its workspace can meet
 // its objective.
 func classify(now time.Time, r *Request, v Verdict) Class {
@@ -387,25 +384,35 @@
 	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.info.Ready && s.downSince.IsZero() })
 }
 
-// cheapest returns the engine with the least predicted time for the request
-// among those with at most the backlog, nil if there is none.
-func (d *Dispatcher) cheapest(now time.Time, r *Request, g *service, backlog time.Duration) *server {
-	var best *server
-	bestCost := math.Inf(1)
+// found holds the cheapest engines for a request: of all, and of those with
+// room for work that is on time or late.
+type found struct {
+	any, onTime, late                *server
+	anyPrice, onTimePrice, latePrice float64
+}
+
+// scan prices the request at every engine that may take it, once.
+func (d *Dispatcher) scan(now time.Time, r *Request, g *service) found {
+	f := found{anyPrice: math.Inf(1), onTimePrice: math.Inf(1), latePrice: math.Inf(1)}
 	d.findHolders(r, g)
 	for _, s := range g.servers {
 		if !d.mayTake(now, r, s) {
 			continue
 		}
 		s.advance(now)
-		if left, _ := d.toRead(r, nil, s); !s.hasRoom(left, backlog) {
-			continue
+		price := d.price(now, r, s)
+		if price < f.anyPrice {
+			f.any, f.anyPrice = s, price
 		}
-		if c := d.price(now, r, s); c < bestCost {
-			best, bestCost = s, c
+		left, _ := r.toRead(s)
+		if price < f.onTimePrice && s.hasRoom(left, onTimeBacklog) {
+			f.onTime, f.onTimePrice = s, price
+		}
+		if price < f.latePrice && s.hasRoom(left, lateBacklog) {
+			f.late, f.latePrice = s, price
 		}
 	}
-	return best
+	return f
 }
 
 // price is the predicted time to the first event in seconds, with what the
@@ -414,7 +421,7 @@
 	if !s.model() {
 		return d.plainPrice(now, s)
 	}
-	left, fetch := d.toRead(r, nil, s)
+	left, fetch := r.toRead(s)
 	uncached := float64(left)
 	t := s.wait(0).Seconds() + (1+externality)*uncached/s.rate + s.delay.Seconds()
 	if fetch.tokens > 0 {
@@ -512,7 +519,7 @@
 
 // load adds the prompt of the request to an engine.
 func (d *Dispatcher) load(now time.Time, r *Request, s *server) {
-	left, fetch := d.toRead(r, d.services[r.Service], s)
+	left, fetch := r.toRead(s)
 	r.uncached, r.fetchFrom = left, fetch.from
 	r.kv = r.PromptTokens + r.OutputTokens
 	s.kv += r.kv
--- a/pkg/dispatch/fetch.go
+++ b/pkg/dispatch/fetch.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // fetchWeight is the weight of the time of a fetch in the choice of a server:
 // moved memory is work for two engines and their links.
@@ -21,47 +18,53 @@
 	tokens int
 }
 
-// findHolders notes which engines keep parts of the prompt.
+// findHolders notes the engine of each data centre that keeps most of the
+// prompt, and what each engine keeps itself. It is called once for a decision:
+// the cost of a decision must not grow with the square of the engines.
 func (d *Dispatcher) findHolders(r *Request, g *service) {
 	r.holders = r.holders[:0]
 	for _, s := range g.servers {
-		if !s.info.Ready || s.wrong || !s.downSince.IsZero() {
-			continue
+		s.keeps = s.kept.cached(r.Parts)
+		if s.keeps > 0 && s.info.Ready && !s.wrong && s.downSince.IsZero() {
+			r.addHolder(holder{s, s.keeps})
 		}
-		if n := s.kept.cached(r.Parts); n > 0 {
-			r.holders = append(r.holders, holder{s, n})
+	}
+}
+
+func (r *Request) addHolder(h holder) {
+	for i := range r.holders {
+		if r.holders[i].server.info.DataCentre == h.server.info.DataCentre {
+			if h.tokens > r.holders[i].tokens {
+				r.holders[i] = h
+			}
+			return
 		}
 	}
-	slices.SortFunc(r.holders, func(a, b holder) int { return b.tokens - a.tokens })
+	r.holders = append(r.holders, h)
 }
 
 // toRead returns the prompt tokens that the engine has to read itself, and what
-// it fetches. With a service the holders are looked up anew.
-func (d *Dispatcher) toRead(r *Request, g *service, s *server) (int, fetch) {
-	if g != nil {
-		d.findHolders(r, g)
-	}
-	own := s.kept.cached(r.Parts)
+// it fetches. findHolders must have been called for the request.
+func (r *Request) toRead(s *server) (int, fetch) {
 	if s.info.FetchRate <= 0 {
-		return r.PromptTokens - own, fetch{}
+		return r.PromptTokens - s.keeps, fetch{}
 	}
-	f := bestFetch(r.holders, s, own)
-	return r.PromptTokens - own - f.tokens, f
+	f := r.bestFetch(s)
+	return r.PromptTokens - s.keeps - f.tokens, f
 }
 
 // bestFetch takes the engine that keeps most, one of the same data centre
 // first: between data centres a move takes twice as long.
-func bestFetch(holders []holder, s *server, own int) fetch {
+func (r *Request) bestFetch(s *server) fetch {
 	best := fetch{}
-	near := false
-	for _, h := range holders {
-		gain := h.tokens - own
-		if gain < leastFetch || gain < best.tokens {
-			break
+	for _, h := range r.holders {
+		gain := h.tokens - s.keeps
+		if h.server == s || gain < leastFetch {
+			continue
 		}
-		isNear := h.server.info.DataCentre == s.info.DataCentre
-		if h.server != s && (best.tokens == 0 || isNear && !near) {
-			best, near = fetch{h.server.info.Address, gain}, isNear
+		near := h.server.info.DataCentre == s.info.DataCentre
+		if gain > best.tokens || near && gain == best.tokens {
+			best = fetch{h.server.info.Address, gain}
 		}
 	}
 	return best
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -48,7 +48,8 @@
 	info ServerInfo
 	hash uint64
 	engine
-	kept kept
+	kept  kept
+	keeps int // tokens of the prompt that is being decided on
 
 	running int // requests of this edge host
 	kv      int
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -37,7 +37,7 @@
 	waiting   bool
 	charged   bool
 	server    *server
-	holders   []holder // engines that keep parts of the prompt, most tokens first
+	holders   []holder // the engine of each data centre that keeps most of the prompt
 	fetchFrom string
 	uncached  int       // tokens that the server has to read
 	kv        int       // tokens that it holds while it runs
@@ -170,8 +170,11 @@
 	plainHoldShare = 0.33
 	// maxQueue bounds the memory of waiting requests.
 	maxQueue = 4096
-	// scanQueue bounds the requests that one poll looks at.
-	scanQueue = 128
+	// pollPrices bounds the prices that one poll computes, about 100 us of
+	// work, and leastScan is the least number of requests it looks at. Those
+	// behind them are less urgent and get their turn as the first ones leave.
+	pollPrices = 1500
+	leastScan  = 8
 	// Bounds of Retry-After.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -168,3 +168,22 @@
 	neighbours, _ = v.peers("self", "z")
 	assert.Equal(t, len(neighbours), 1)
 }
+
+// Guards against a host that takes more connections while its processor is
+// behind, and against one that gives up after a single freeze.
+func TestLagWatch(t *testing.T) {
+	var l lagWatch
+	assert.Assert(t, !l.tick(5*time.Second)) // a freeze
+	for range lagTicks {
+		assert.Assert(t, !l.tick(0))
+	}
+	overloaded := false
+	for range lagTicks {
+		overloaded = l.tick(overloadedLag / lagTicks * 2)
+	}
+	assert.Assert(t, overloaded)
+	for range lagTicks {
+		overloaded = l.tick(0)
+	}
+	assert.Assert(t, !overloaded)
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -38,6 +38,14 @@
 	// difference that counts as a suspension of the host.
 	watchInterval = 100 * time.Millisecond
 	suspendedFor  = 700 * time.Millisecond
+	// While overloadedLag of the last lagTicks ticks was lost, the processor is
+	// behind, and the host asks the balancer for no more connections until the
+	// loss is below relievedLag. One tick counts mostLag at most, so a freeze
+	// is no overload.
+	lagTicks      = 20
+	mostLag       = 300 * time.Millisecond
+	overloadedLag = 700 * time.Millisecond
+	relievedLag   = 150 * time.Millisecond
 	expireTime    = 5 * time.Second
 	// reportInterval is how often the beliefs about servers are logged.
 	reportInterval = 2 * time.Second
@@ -71,6 +79,7 @@
 	exchange  *exchange.Exchange
 	table     atomic.Pointer[routing.Table]
 	draining  atomic.Bool
+	overload  atomic.Bool // the processor is behind
 	ctx       context.Context
 	stop      context.CancelFunc
 
@@ -122,7 +131,9 @@
 func (s *Server) Table() *routing.Table { return s.table.Load() }
 
 // Ready reports whether the host should get new connections.
-func (s *Server) Ready() bool { return s.table.Load() != nil && !s.draining.Load() }
+func (s *Server) Ready() bool {
+	return s.table.Load() != nil && !s.draining.Load() && !s.overload.Load()
+}
 
 // Drain makes the host not ready. Requests that still come are served.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -321,6 +332,7 @@
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	last := bootTime()
+	var load lagWatch
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -334,10 +346,36 @@
 			s.dispatcher.Suspended(time.Now())
 			s.mu.Unlock()
 		}
+		if overloaded := load.tick(now - last - watchInterval); overloaded != s.overload.Load() {
+			s.overload.Store(overloaded)
+			s.log.WithFields(logrus.Fields{"overloaded": overloaded, "lag_ms": (now - last - watchInterval).Milliseconds()}).Warn("the processor of this host is behind or has caught up")
+		}
 		last = now
 	}
 }
 
+// lagWatch tells from the lag of ticks whether the processor is behind.
+type lagWatch struct {
+	lags       [lagTicks]time.Duration
+	next       int
+	sum        time.Duration
+	overloaded bool
+}
+
+func (l *lagWatch) tick(lag time.Duration) bool {
+	lag = min(max(lag, 0), mostLag)
+	l.sum += lag - l.lags[l.next]
+	l.lags[l.next] = lag
+	l.next = (l.next + 1) % lagTicks
+	switch {
+	case l.sum >= overloadedLag:
+		l.overloaded = true
+	case l.sum < relievedLag:
+		l.overloaded = false
+	}
+	return l.overloaded
+}
+
 // bootTime returns the time since the start of the host, suspensions included.
 func bootTime() time.Duration {
 	var t unix.Timespec
