--- /dev/null
+++ b/pkg/dispatch/choose.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// found holds the cheapest engines for a request: of all, and of those with
+// room for work that is on time or late.
+type found struct {
+	any, onTime, late                *server
+	anyPrice, onTimePrice, latePrice float64
+}
+
+// scan prices the request at every engine that may take it, once.
+func (d *Dispatcher) scan(now time.Time, r *Request, g *service) found {
+	f := found{anyPrice: math.Inf(1), onTimePrice: math.Inf(1), latePrice: math.Inf(1)}
+	d.findHolders(r, g)
+	for _, s := range g.servers {
+		if !d.mayTake(now, r, s) {
+			continue
+		}
+		s.advance(now)
+		left, fetch := r.toRead(s)
+		price := d.price(now, r, s, left, fetch)
+		if price < f.anyPrice {
+			f.any, f.anyPrice = s, price
+		}
+		if price < f.onTimePrice && s.hasRoom(left, onTimeBacklog) {
+			f.onTime, f.onTimePrice = s, price
+		}
+		if price < f.latePrice && s.hasRoom(left, lateBacklog) {
+			f.late, f.latePrice = s, price
+		}
+	}
+	return f
+}
+
+// price is the predicted time to the first event in seconds, with what the
+// request costs others.
+func (d *Dispatcher) price(now time.Time, r *Request, s *server, left int, fetch fetch) float64 {
+	if !s.model() {
+		return d.plainPrice(now, s)
+	}
+	uncached := float64(left)
+	t := s.wait(0).Seconds() + (1+externality)*uncached/s.rate + s.delay.Seconds()
+	if fetch.tokens > 0 {
+		t += fetchWeight * fetchTime(s, fetch).Seconds()
+	}
+	t += s.penalty(now).Seconds()
+	if s.info.DataCentre != d.dataCentre {
+		t += remote.Seconds()
+	}
+	running, _ := s.load()
+	t += 0.02 * float64(running) / float64(max(s.info.Slots, 1))
+	// Equal servers are told apart by the part that is shared last, so that
+	// all edge hosts choose the same one for it.
+	if n := len(r.Parts); n > 0 {
+		t += tieBreak * float64(mix(r.Parts[n-1].ID, s.hash)%1024) / 1024
+	}
+	return t
+}
+
+// tieBreak is the largest difference in seconds that the hash of a part makes.
+const tieBreak = 0.015
+
+func mix(a, b uint64) uint64 {
+	x := a ^ b*0x9E3779B97F4A7C15
+	x ^= x >> 31
+	x *= 0xBF58476D1CE4E5B9
+	return x ^ x>>29
+}
+
+// mayTake reports whether the server may get the request at all.
+func (d *Dispatcher) mayTake(now time.Time, r *Request, s *server) bool {
+	switch {
+	case !s.info.Ready || s.wrong || slices.Contains(r.Avoid, s.info.ID):
+		return false
+	case !s.downSince.IsZero() || now.Before(s.fullUntil):
+		return false
+	}
+	if !d.coldAllows(now, s) {
+		return false
+	}
+	if !s.model() {
+		return true
+	}
+	running, kv := s.load()
+	need := r.PromptTokens + r.OutputTokens
+	return running < s.info.Slots && (kv == 0 || float64(kv+need) <= kvUse*float64(s.info.KVTokens))
+}
+
+// coldAllows bounds what all edge hosts together send to a cold server: only
+// those of its data centre send, each the same part. The bound holds without
+// any exchange, so a host that is cut off keeps it as well.
+func (d *Dispatcher) coldAllows(now time.Time, s *server) bool {
+	if s.info.ColdRate <= 0 || !d.isCold(now, s) {
+		return true
+	}
+	if s.info.DataCentre != d.dataCentre {
+		return false
+	}
+	hosts := len(d.neighbours)
+	quota := int(s.info.ColdRate) / hosts
+	if quota == 0 {
+		// More hosts than requests: those with the lowest names send one each.
+		if slices.Index(d.neighbours, d.self) < int(s.info.ColdRate) {
+			quota = 1
+		}
+	}
+	return s.coldRoom(now, quota)
+}
+
+func (d *Dispatcher) isCold(now time.Time, s *server) bool {
+	return now.Before(s.info.ColdUntil) || now.Before(d.doubtUntil) && s.info.Heard.Before(d.doubtUntil.Add(-doubtTime))
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -282,23 +282,30 @@
 	return s.dispatcher.Again(time.Now(), r, failed)
 }
 
-// probe checks servers that are down.
-func (s *Server) probe() {
-	ticker := time.NewTicker(probeInterval)
+// every calls f after each interval until the server is closed.
+func (s *Server) every(interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
+			f()
 		}
+	}
+}
+
+// probe checks servers that are down.
+func (s *Server) probe() {
+	s.every(probeInterval, func() {
 		s.mu.Lock()
 		due := s.dispatcher.Probes(time.Now())
 		s.mu.Unlock()
 		for _, p := range due {
 			go s.probeOne(p)
 		}
-	}
+	})
 }
 
 func (s *Server) probeOne(p dispatch.Probe) {
@@ -386,14 +393,7 @@
 }
 
 func (s *Server) expire() {
-	ticker := time.NewTicker(expireTime)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	s.every(expireTime, func() {
 		s.mu.Lock()
 		now := time.Now()
 		var addresses []string
@@ -406,20 +406,13 @@
 		if edges {
 			s.exchange.SetPeers(addresses)
 		}
-	}
+	})
 }
 
 // report logs what the decisions believe, so that a later reader can tell why
 // a server was chosen or left out.
 func (s *Server) report() {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	s.every(reportInterval, func() {
 		s.mu.Lock()
 		r := s.dispatcher.Report(time.Now())
 		s.mu.Unlock()
@@ -427,5 +420,5 @@
 			"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.Level),
 			"waiting": r.Waiting, "edges": r.Edges, "unlogged_refusals": s.unlogged.Swap(0), "servers": r.Servers,
 		}).Info("beliefs")
-	}
+	})
 }
