--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 soak:
 	JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) go test -timeout 60m ./pkg/wal ./pkg/raft ./pkg/replica
 
-# Runs the fault soak of the platform's programs, about 12 s a seed.
+# Runs the fault soak of the platform's programs, about 12 s a seed; for
+# example make platform-soak FIRST=1 SEEDS=50.
 .PHONY: platform-soak
 FIRST ?= 1
 platform-soak:
