Take the ports of the demo below those of outgoing connections

Cause: make demo in a fresh clone failed once beside the fault soak: port 39044 was in use by an outgoing connection, which the script's look for a listener does not see.

Change: ports from 20000 to 32000; the kernel gives outgoing connections 32768 and above.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,7 +35,8 @@
 }
 
 # A port is free when nothing accepts a connection on it.
-next_port=$((20000 + $$ % 20000))
+# The range lies below the ports that the kernel gives to outgoing connections.
+next_port=$((20000 + $$ % 12000))
 free_port() { # variable
 	while (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; do
 		next_port=$((next_port + 1))
