Give no port of the end-to-end tests twice

Cause: TestFleetUnderProcessFaults failed once beside six busy processes: router-3 got the port 35607 that control host 2 had been given and opened later ('address already in use' in its log). Each batch of ports was closed before the next one was drawn.

Change: a fleet remembers what it gave.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -104,6 +104,7 @@
 	t          *testing.T
 	folder     string
 	ip         string
+	given      map[string]bool // addresses that ports returned
 	control    []*process
 	routers    []*process
 	standin    *process
@@ -116,26 +117,31 @@
 // fleets numbers the fleets of this test process.
 var fleets atomic.Uint32
 
-// ports returns free loopback addresses. All are open at a time, so that none
-// is given twice. Each fleet has an IP address of its own in 127.0.0.0/8: on
+// ports returns free loopback addresses, none of them twice: a process that was
+// given one before may not have opened it yet. Each fleet has an IP address of its own in 127.0.0.0/8: on
 // 127.0.0.1 an outgoing connection can take a port before its process opens
 // it.
 func (f *fleet) ports(count int) []string {
 	t := f.t
 	t.Helper()
 	var all []string
-	for range count {
+	for len(all) < count {
 		l, err := net.Listen("tcp", f.ip+":0")
 		assert.NilError(t, err)
 		defer l.Close()
-		all = append(all, l.Addr().String())
+		address := l.Addr().String()
+		if f.given[address] {
+			continue
+		}
+		f.given[address] = true
+		all = append(all, address)
 	}
 	return all
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, folder: t.TempDir()}
+	f := &fleet{t: t, folder: t.TempDir(), given: map[string]bool{}}
 	pid := os.Getpid()
 	f.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, fleets.Add(1))
 	f.executions = filepath.Join(f.folder, "executions")
