Name edge hosts again without a change, refund what was never sent

Cause: found by reading the change once more. A core host named the edge hosts only when their list changed, and an edge host forgets one that was not named for a minute: after that the load exchange had no peers, and the bound for cold servers counted one host. Also, a request whose caller left before it was sent stayed charged to its workspace.

Change: the list is sent each 10 s; an outcome for decided but unsent requests. One copy of the removal of hop headers; weights and turns of the decisions have names.

Ruled out: a longer memory of edge hosts; it only moves the moment.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -37,7 +37,7 @@
 	forgetEdge = time.Minute
 )
 
-// Config of a Host. All fields but Bootstrap, Seeds and Options must be set.
+// Config of a Host. Name, DataCentre, Address, Folder and Voters must be set.
 type Config struct {
 	Name       string
 	DataCentre string
--- a/pkg/core/watch.go
+++ b/pkg/core/watch.go
@@ -19,6 +19,9 @@
 	// a new watcher.
 	confirmInterval = 100 * time.Millisecond
 	confirmTimeout  = 500 * time.Millisecond
+	// edgeRefresh is how often edge hosts are named without a change, well
+	// within the minute after which they are forgotten.
+	edgeRefresh = 10 * time.Second
 )
 
 // watcher is the state of one stream.
@@ -34,6 +37,7 @@
 	revision  uint64
 	cursor    uint64
 	edgeRev   uint64
+	edgesAt   time.Time // when edge hosts were named last
 	coreTerm  uint64
 	coreCount int
 	sent      time.Time
@@ -172,8 +176,8 @@
 			e.Servers = append(e.Servers, entries[i].Message(now))
 		}
 	}
-	if w.first || w.edgeRev != h.edgeRev {
-		w.edgeRev = h.edgeRev
+	if w.first || w.edgeRev != h.edgeRev || now.Sub(w.edgesAt) >= edgeRefresh {
+		w.edgeRev, w.edgesAt = h.edgeRev, now
 		for _, edge := range h.edges {
 			e.Edges = append(e.Edges, edge.list(now))
 		}
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -53,7 +53,7 @@
 		t += remote.Seconds()
 	}
 	running, _ := s.load()
-	t += 0.02 * float64(running) / float64(max(s.info.Slots, 1))
+	t += fullBatch.Seconds() * float64(running) / float64(max(s.info.Slots, 1))
 	// Equal servers are told apart by the part that is shared last, so that
 	// all edge hosts choose the same one for it.
 	if n := len(r.Parts); n > 0 {
@@ -62,8 +62,14 @@
 	return t
 }
 
-// tieBreak is the largest difference in seconds that the hash of a part makes.
-const tieBreak = 0.015
+const (
+	// fullBatch is the predicted time that a full batch adds: each running
+	// request makes the steps of all others a little longer.
+	fullBatch = 20 * time.Millisecond
+	// tieBreak is the largest difference in seconds that the hash of a part
+	// makes: less than the reading of 1,000 tokens.
+	tieBreak = 0.015
+)
 
 func mix(a, b uint64) uint64 {
 	x := a ^ b*0x9E3779B97F4A7C15
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -238,6 +238,18 @@
 	assert.Assert(t, held <= 6 && refused >= 30, "%d held, %d refused", held, refused)
 }
 
+// Guards against a workspace that pays for requests that were never sent,
+// because their callers left first.
+func TestRequestThatIsNotSentCostsNoShare(t *testing.T) {
+	d := newFleet(1, 1)[0]
+	r := request(start, "w", 5000, time.Second)
+	assert.Equal(t, d.Offer(start, r).Kind, Send)
+	assert.Assert(t, d.shares.of("w").served.sum > 0)
+	d.Ended(start, r, Unused)
+	assert.Equal(t, d.shares.of("w").served.sum, 0.0)
+	assert.Equal(t, d.servers["engine-0"].running, 0)
+}
+
 func TestWaterLevel(t *testing.T) {
 	for _, c := range []struct {
 		demands  []float64
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -297,7 +297,8 @@
 			d.unload(now, r, s)
 		}
 	}
-	if o == NotExecuted || o == ConnectFailed || o == ConnectTimeout || o == Misdirected {
+	switch o {
+	case NotExecuted, ConnectFailed, ConnectTimeout, Misdirected, Unused:
 		d.shares.serve(now, r.Workspace, -cost(r))
 		r.charged = false
 	}
--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// busyWeight is the part of its answer time that a plain server loses when all
+// its slots are taken: some slow down when they are nearly full.
+const busyWeight = 0.3
+
 // decidePlain chooses among plain servers.
 func (d *Dispatcher) decidePlain(now time.Time, r *Request, g *service, v Verdict) Verdict {
 	var best *server
@@ -44,7 +48,7 @@
 	running, _ := s.load()
 	slots := max(s.info.Slots, 1)
 	t := s.expected(now, mean).Seconds()
-	t *= 1 + 0.3*float64(running)/float64(slots) + float64(max(running+1-slots, 0))/float64(slots)
+	t *= 1 + busyWeight*float64(running)/float64(slots) + float64(max(running+1-slots, 0))/float64(slots)
 	t += s.penalty(now).Seconds()
 	if s.info.DataCentre != d.dataCentre {
 		t += remote.Seconds()
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -118,11 +118,12 @@
 	Silent                        // nothing came for too long
 	Garbled                       // bytes that are no answer to this request
 	CallerLeft
+	Unused // decided, but never sent
 )
 
 // String returns the outcome in lower case.
 func (o Outcome) String() string {
-	return [...]string{"whole", "server error", "not executed", "misdirected", "connect failed", "connect timeout", "broken", "silent", "garbled", "caller left"}[o]
+	return [...]string{"whole", "server error", "not executed", "misdirected", "connect failed", "connect timeout", "broken", "silent", "garbled", "caller left", "unused"}[o]
 }
 
 // ServerInfo is what is announced of one backend server.
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -71,11 +71,21 @@
 	return v
 }
 
+const (
+	// turnsSpan is the pause between refusals after which turns begin anew.
+	turnsSpan = window / 4
+	// mostTurns callers get turns after one another; the next one shares the
+	// first turn, because Retry-After has an upper bound.
+	mostTurns = 16
+	// longestTurn bounds the time between two turns.
+	longestTurn = window / 8
+)
+
 // returnTime predicts when there is room for the request, and spreads the
 // callers of one workspace over the time after that.
 func (d *Dispatcher) returnTime(now time.Time, r *Request, v Verdict) time.Duration {
 	u := d.shares.of(r.Workspace)
-	if now.Sub(u.turnsAt) > window/4 {
+	if now.Sub(u.turnsAt) > turnsSpan {
 		u.turns, u.turnsAt = 0, now
 	}
 	u.turns++
@@ -85,7 +95,7 @@
 		base += time.Duration((v.Served - v.Level) / v.Served * float64(window))
 	}
 	turn := time.Duration(float64(window) * cost(r) / max(v.Level, cost(r)))
-	spread := time.Duration(u.turns%16) * min(turn, window/8)
+	spread := time.Duration(u.turns%mostTurns) * min(turn, longestTurn)
 	return min(max(base+spread, minRetryAfter), maxRetryAfter)
 }
 
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -5,13 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
@@ -21,24 +20,6 @@
 	copyBytes      = 16 << 10
 )
 
-// hopHeaders end at each hop (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
-// RemoveHop removes the headers that concern one connection only.
-func RemoveHop(h http.Header) {
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // held is a whole answer that has not been passed on.
 type held struct {
 	status int
@@ -157,7 +138,7 @@
 	}
 	x.first = time.Since(x.in.Arrived)
 	header := resp.Header.Clone()
-	RemoveHop(header)
+	proxy.RemoveHop(header)
 	h := &held{status: resp.StatusCode, header: header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.outcome, a.resp = dispatch.ServerError, h
@@ -257,7 +238,7 @@
 	}
 	x.started, x.status = true, resp.StatusCode
 	header := resp.Header.Clone()
-	RemoveHop(header)
+	proxy.RemoveHop(header)
 	header.Del("Content-Length")
 	out := x.w.Header()
 	for name, values := range header {
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -135,7 +135,7 @@
 			return
 		}
 		if x.callerLeft() {
-			x.s.ended(x.work, dispatch.CallerLeft)
+			x.s.ended(x.work, dispatch.Unused)
 			err = context.Canceled
 			break
 		}
@@ -191,7 +191,7 @@
 	}
 	if v, ok := x.s.withdraw(x.work); ok {
 		if v.Kind == dispatch.Send {
-			x.s.ended(x.work, dispatch.CallerLeft)
+			x.s.ended(x.work, dispatch.Unused)
 		}
 	}
 	return v, err
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -38,7 +38,7 @@
 // ForwardHeader returns the headers of a caller that a BackendServer gets.
 func ForwardHeader(in http.Header) http.Header {
 	out := in.Clone()
-	removeHop(out)
+	RemoveHop(out)
 	key := out.Get(HeaderIdempotencyKey)
 	for _, name := range privateHeaders {
 		out.Del(name)
@@ -49,7 +49,8 @@
 	return out
 }
 
-func removeHop(h http.Header) {
+// RemoveHop removes the headers that concern one connection only.
+func RemoveHop(h http.Header) {
 	for _, line := range h["Connection"] {
 		for _, name := range strings.Split(line, ",") {
 			h.Del(textproto.TrimString(name))
@@ -78,7 +79,7 @@
 // answerHeader returns the headers of a BackendServer that the caller gets.
 func answerHeader(in http.Header) http.Header {
 	out := in.Clone()
-	removeHop(out)
+	RemoveHop(out)
 	out.Del("Content-Length")
 	return out
 }
