Log the load of an edge process every 2 s

Cause: the logs did not tell why a flooded edge host stands still: processor, collector, memory or the number of requests. Change: one line every 2 s with the processor time, the collector's part of it, memory, goroutines and open requests.

--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -74,6 +74,8 @@
 // Serve answers one request of a caller. It panics with http.ErrAbortHandler
 // to break off an answer that cannot be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, in *Request) {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
 	table := s.table.Load()
 	if table == nil {
 		s.Refuse(w, in.ID, result.New(result.NoConfiguration, "this host has no configuration yet").WithRetryAfter(noConfigurationRetry))
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -93,6 +93,7 @@
 
 	refusals *rate.Limiter // of log lines
 	unlogged atomic.Int64  // refusals without a line
+	serving  atomic.Int64  // requests of callers that have no answer yet
 }
 
 // Open starts an edge host. It serves after a configuration has come.
@@ -412,7 +413,9 @@
 // report logs what the decisions believe, so that a later reader can tell why
 // a server was chosen or left out.
 func (s *Server) report() {
+	var load processLoad
 	s.every(reportInterval, func() {
+		s.log.WithFields(load.read()).WithField("callers", s.serving.Load()).Info("load of this process")
 		s.mu.Lock()
 		r := s.dispatcher.Report(time.Now())
 		s.mu.Unlock()
