--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -52,6 +52,7 @@
 	// f disks.
 	Voters   int
 	Registry metrics.Registry
+	Dial     feed.Dial             // to other core hosts, TCP if nil
 	Replica  func(*replica.Config) // changes the configuration in tests
 }
 
@@ -109,7 +110,7 @@
 	}
 	h := &Host{
 		config: c, log: logging.For("core"), state: fleet.NewState(), servers: registry.New(),
-		edges: map[string]*edge{}, places: map[string]string{}, urgent: make(chan struct{}),
+		callers: callers{dial: c.Dial}, edges: map[string]*edge{}, places: map[string]string{}, urgent: make(chan struct{}),
 	}
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	if h.listen, err = net.Listen("tcp", c.Address); err != nil {
@@ -123,7 +124,7 @@
 	h.replica.Register(h.server)
 	apiv1.RegisterFleetServer(h.server, h)
 	self := &apiv1.FleetWatcher{Name: c.Name, DataCentre: c.DataCentre, Address: c.Address, Incarnation: uint64(time.Now().UnixNano()), Core: true}
-	h.feed = feed.New(h.ctx, self, c.Address, h)
+	h.feed = feed.New(h.ctx, self, c.Address, c.Dial, h)
 	h.feed.SetSeeds(c.Seeds)
 	go h.serve()
 	go h.manage(h.ctx)
@@ -135,7 +136,7 @@
 	c := h.config
 	config := replica.Config{
 		ID: id, Folder: c.Folder, Address: c.Address, Registry: c.Registry,
-		Tick: tick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
+		Tick: tick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks, Dial: c.Dial,
 	}
 	if c.Bootstrap {
 		config.Bootstrap = founders(c.Seeds, c.Address)
--- a/pkg/core/submit.go
+++ b/pkg/core/submit.go
@@ -202,6 +202,7 @@
 
 // callers holds connections to other core hosts by address.
 type callers struct {
+	dial  feed.Dial
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
@@ -212,7 +213,7 @@
 	if conn := c.conns[address]; conn != nil {
 		return apiv1.NewFleetClient(conn), nil
 	}
-	conn, err := feed.Connect(address)
+	conn, err := feed.Connect(address, c.dial)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -116,7 +116,7 @@
 		return nil, err
 	}
 	self := &apiv1.FleetWatcher{Name: c.Name, DataCentre: c.DataCentre, Address: c.Address, Incarnation: s.incarnate}
-	s.feed = feed.New(s.ctx, self, "", s)
+	s.feed = feed.New(s.ctx, self, "", nil, s)
 	s.feed.SetSeeds(c.Seeds)
 	go s.probe()
 	go s.watchClocks()
--- a/pkg/feed/client.go
+++ b/pkg/feed/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -52,9 +53,17 @@
 	}
 }
 
-// Connect returns a connection to a core host that dials on first use.
-func Connect(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address, DialOptions()...)
+// Dial opens a connection to a host of the fleet.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Connect returns a connection to a core host that dials on first use, with
+// TCP if dial is nil.
+func Connect(address string, dial Dial) (*grpc.ClientConn, error) {
+	options := DialOptions()
+	if dial != nil {
+		options = append(options, grpc.WithContextDialer(dial))
+	}
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 // Handler takes the events of one core host. Calls for one host come one at a
@@ -70,6 +79,7 @@
 type Client struct {
 	self    *apiv1.FleetWatcher
 	own     string // address of this core host, never called
+	dial    Dial
 	handler Handler
 	log     *logrus.Entry
 	ctx     context.Context
@@ -85,10 +95,10 @@
 }
 
 // New returns a Client that keeps streams until ctx ends. own is the address
-// of this process if it is a core host.
-func New(ctx context.Context, self *apiv1.FleetWatcher, own string, handler Handler) *Client {
+// of this process if it is a core host. dial may be nil.
+func New(ctx context.Context, self *apiv1.FleetWatcher, own string, dial Dial, handler Handler) *Client {
 	return &Client{
-		self: self, own: own, handler: handler, log: logging.For("feed"), ctx: ctx,
+		self: self, own: own, dial: dial, handler: handler, log: logging.For("feed"), ctx: ctx,
 		seeds: map[string]bool{}, links: map[string]*link{},
 	}
 }
@@ -171,7 +181,7 @@
 func (c *Client) stream(ctx context.Context, address string) (received bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := Connect(address)
+	conn, err := Connect(address, c.dial)
 	if err != nil {
 		return false, err
 	}
--- a/pkg/replica/history_test.go
+++ b/pkg/replica/history_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/wal/waltest"
 )
 
 const (
@@ -115,7 +117,7 @@
 	t.Logf("seed %d, %d operations of each of %d clients", historySeed, ops, historyClients)
 	g := newGroup(t, 3)
 	for id := range uint64(3) {
-		g.fs[id+1] = &faultyFS{}
+		g.fs[id+1] = &waltest.Disk{}
 	}
 	g.startAll()
 	g.propose("first")
@@ -187,13 +189,13 @@
 			g.net.setCut(old.config.Address, false)
 			continue
 		}
-		disk := g.fs[old.config.ID].(*faultyFS)
-		disk.stall.Lock()
+		disk := g.fs[old.config.ID].(*waltest.Disk)
+		disk.Stall.Lock()
 		// A write makes sure that the stall is noticed.
 		var write sync.WaitGroup
 		write.Go(func() { h.step(g.context(), old, -2, fmt.Sprint("stalled/", round)) })
 		g.leader(others...)
-		disk.stall.Unlock()
+		disk.Stall.Unlock()
 		write.Wait()
 	}
 }
