Count only the work of other edge hosts that is new, fetch only what was read

Cause: found by reading and shown by tests. A digest names what changed, so the first digest that a host hears of another one need not name each engine and workspace. The next one that did then counted all that the other host had done since its start, 1.24 million tokens in the test, as work of the last moment: a restarted host refused nearly all workspaces for the 4 s of the window, and a host that was cut off did the same with what passed meanwhile. Besides, parts of a prompt were fetched from engines that had not read them yet; the fetching engine then reads the whole prompt, which the predictions left out. Change: digests say when they are complete; before a complete one, a counter that is new only sets where counting starts. Kept parts carry the predicted time of their reading. Tests: TestEarlierWorkOfAnotherHostDoesNotCount and TestPartsThatAreNotReadYetAreNotFetched, both fail on the code before.

--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -15,7 +15,7 @@
 			d.SetRate(0)
 			part := Part{ID: 7, Tokens: 500}
 			for _, s := range d.servers {
-				s.kept.use([]Part{part}, engineKV)
+				s.kept.use([]Part{part}, start, engineKV)
 			}
 			now := start
 			b.ReportAllocs()
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -16,7 +16,7 @@
 // scan prices the request at every engine that may take it, once.
 func (d *Dispatcher) scan(now time.Time, r *Request, g *service) found {
 	f := found{anyPrice: math.Inf(1), onTimePrice: math.Inf(1), latePrice: math.Inf(1)}
-	d.findHolders(r, g)
+	d.findHolders(now, r, g)
 	for _, s := range g.servers {
 		if !d.mayTake(now, r, s) {
 			continue
--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -37,8 +37,12 @@
 	capacity    float64 // service tokens per second that it shares out
 	at          time.Time
 	dropped     bool // its load does not count any more
-	asked       map[string]float64
-	served      map[string]float64
+	// complete is set after a complete digest: a server or workspace that was
+	// not named before is new to the other host. Before, its counter only sets
+	// where counting starts.
+	complete bool
+	asked    map[string]float64
+	served   map[string]float64
 }
 
 // place notes a part for the next digests.
@@ -69,7 +73,7 @@
 // whether anything in it is new to them.
 func (d *Dispatcher) Digest(now time.Time, incarnation uint64) (*apiv1.LoadDigest, bool) {
 	d.number++
-	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity}
+	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity, Complete: now.Sub(d.fullAt) >= fullInterval}
 	full := now.Sub(d.fullAt) >= fullInterval
 	if full {
 		d.fullAt = now
@@ -127,13 +131,13 @@
 		return
 	}
 	p := d.peers[m.GetRouter()]
-	first := p == nil || m.GetIncarnation() > p.incarnation || now.Sub(p.at) > resyncGap
-	if p == nil || m.GetIncarnation() > p.incarnation {
+	if p != nil && (m.GetIncarnation() < p.incarnation || m.GetIncarnation() == p.incarnation && m.GetNumber() <= p.number) {
+		return
+	}
+	if p == nil || m.GetIncarnation() > p.incarnation || now.Sub(p.at) > resyncGap {
 		p = &peer{incarnation: m.GetIncarnation(), asked: map[string]float64{}, served: map[string]float64{}}
 		d.peers[m.GetRouter()] = p
-	}
-	if m.GetIncarnation() < p.incarnation || m.GetNumber() <= p.number {
-		return
+		d.forgetPeer(m.GetRouter())
 	}
 	p.number, p.capacity, p.at, p.dropped = m.GetNumber(), m.GetCapacity(), now, false
 	byHash := make(map[uint64]*server, len(d.servers))
@@ -142,30 +146,41 @@
 	}
 	for _, l := range m.GetServers() {
 		if s := byHash[l.GetServer()]; s != nil {
-			s.takeLoad(now, m.GetRouter(), l, first)
+			s.takeLoad(now, m.GetRouter(), l, p.complete)
 		}
 	}
 	for _, pl := range m.GetPlacements() {
 		if s := byHash[pl.GetServer()]; s != nil {
-			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, s.keptCapacity())
+			s.advance(now)
+			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, now.Add(s.wait(0)), s.keptCapacity())
 		}
 	}
 	for _, u := range m.GetUses() {
-		d.takeUse(now, p, u, first)
+		d.takeUse(now, p, u)
 	}
+	p.complete = p.complete || m.GetComplete()
 }
 
-// takeLoad adds what the other host has sent since its last digest. The first
-// digest of a host, or the first after a silence, only sets where counting
-// starts.
-func (s *server) takeLoad(now time.Time, from string, l *apiv1.ServerLoad, first bool) {
+// forgetPeer drops the loads of another edge host. What it sent before has
+// been read by the engines.
+func (d *Dispatcher) forgetPeer(name string) {
+	for _, s := range d.servers {
+		if l := s.peers[name]; l != nil {
+			s.setPeer(l, 0, 0)
+			delete(s.peers, name)
+		}
+	}
+}
+
+// takeLoad adds what the other host has sent since its last digest.
+func (s *server) takeLoad(now time.Time, from string, l *apiv1.ServerLoad, complete bool) {
 	p := s.peers[from]
 	if p == nil {
 		p = &peerLoad{}
 		s.peers[from] = p
-	}
-	if first {
-		p.tokens = l.GetPromptTokens()
+		if !complete {
+			p.tokens = l.GetPromptTokens()
+		}
 	}
 	if delta := l.GetPromptTokens() - p.tokens; delta != 0 {
 		s.add(now, float64(delta))
@@ -177,10 +192,10 @@
 	s.setPeer(p, int(l.GetRunning()), int(l.GetKvTokens()))
 }
 
-func (d *Dispatcher) takeUse(now time.Time, p *peer, m *apiv1.WorkspaceUse, first bool) {
+func (d *Dispatcher) takeUse(now time.Time, p *peer, m *apiv1.WorkspaceUse) {
 	name := m.GetWorkspace()
 	asked, served := float64(m.GetAsked()), float64(m.GetServed())
-	if !first {
+	if _, known := p.asked[name]; known || p.complete {
 		u, bucket := d.shares.of(name), d.shares.bucket(now)
 		u.asked.add(bucket, max(asked-p.asked[name], 0))
 		u.served.add(bucket, served-p.served[name])
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -146,6 +146,80 @@
 	assert.Equal(t, v.Uncached, 1000)
 }
 
+// Guards against a fetch of parts that their engine has not read yet: the
+// fetching engine then reads all of the prompt, which nobody has counted.
+func TestPartsThatAreNotReadYetAreNotFetched(t *testing.T) {
+	fleet := newFleet(2, 2)
+	a, b := fleet[0], fleet[1]
+	b.Take(start, digest(a, start))
+	part := Part{ID: 7, Tokens: 5000}
+	sent := request(start, "w", 6000, time.Second, part) // 120 ms of reading
+	first := a.Offer(start, sent)
+	soon := start.Add(10 * time.Millisecond)
+	b.Take(soon, digest(a, soon))
+	late := start.Add(time.Second)
+	for _, c := range []struct {
+		at       time.Time
+		from     string
+		uncached int
+	}{{soon, "", 6000}, {late, first.Address, 1000}} {
+		for _, d := range fleet {
+			r := request(c.at, "w", 6000, time.Second, part)
+			r.Avoid = []string{first.Server}
+			v := d.Offer(c.at, r)
+			assert.Equal(t, v.Server, other(first.Server))
+			assert.Equal(t, v.FetchFrom, c.from)
+			assert.Equal(t, v.Uncached, c.uncached)
+			d.Ended(c.at, r, Whole)
+			d.servers[v.Server].restart(c.at) // forgets the parts again
+		}
+	}
+	a.Started(soon, sent) // earlier than predicted
+	r := request(soon, "w", 6000, time.Second, part)
+	r.Avoid = []string{first.Server}
+	assert.Equal(t, a.Offer(soon, r).FetchFrom, first.Address)
+}
+
+// Guards against a host that has just started, or was cut off, and takes all
+// that another one did before for work of now: its first digest need not name
+// every engine and workspace.
+func TestEarlierWorkOfAnotherHostDoesNotCount(t *testing.T) {
+	a := newFleet(1, 2)[0]
+	now := start
+	work := func() {
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			for _, avoid := range []string{"engine-0", "engine-1"} {
+				r := request(now, "w", 6000, time.Second)
+				r.Avoid = []string{avoid}
+				a.Offer(now, r)
+				a.Started(now, r)
+				a.Ended(now, r, Whole)
+			}
+			digest(a, now)
+		}
+	}
+	work()
+	b := newFleet(1, 2)[0]
+	b.self = "edge-b"
+	for _, why := range []string{"a host that starts late", "a host that was cut off"} {
+		t.Run(why, func(t *testing.T) {
+			for range 20 {
+				now = now.Add(fullInterval / 10)
+				b.Take(now, digest(a, now))
+			}
+			for _, s := range b.servers {
+				s.advance(now)
+				assert.Assert(t, s.backlog < 6000, "%s: %v tokens", s.info.ID, s.backlog)
+			}
+			u := b.shares.of("w")
+			assert.Equal(t, u.asked.sum, 0.0)
+			assert.Equal(t, u.served.sum, 0.0)
+		})
+		work()
+	}
+}
+
 func other(engine string) string {
 	if engine == "engine-0" {
 		return "engine-1"
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -266,7 +266,7 @@
 	s.tokens += int64(tokens)
 	r.ahead = int(s.backlog)
 	r.read = now.Add(s.wait(0))
-	s.kept.use(r.Parts, s.keptCapacity())
+	s.kept.use(r.Parts, r.read, s.keptCapacity())
 	for _, p := range r.Parts {
 		d.place(s, p)
 	}
@@ -280,6 +280,7 @@
 	r.started = true
 	if r.server.model() {
 		r.server.first(now, r)
+		r.server.kept.wereRead(now, r.Parts)
 	}
 }
 
--- a/pkg/dispatch/fetch.go
+++ b/pkg/dispatch/fetch.go
@@ -6,7 +6,8 @@
 // moved memory is work for two engines and their links.
 const fetchWeight = 3
 
-// holder is an engine that is assumed to keep the first tokens of a prompt.
+// holder is an engine that is assumed to have read the first tokens of a prompt
+// and to keep them.
 type holder struct {
 	server *server
 	tokens int
@@ -21,12 +22,13 @@
 // findHolders notes the engine of each data centre that keeps most of the
 // prompt, and what each engine keeps itself. It is called once for a decision:
 // the cost of a decision must not grow with the square of the engines.
-func (d *Dispatcher) findHolders(r *Request, g *service) {
+func (d *Dispatcher) findHolders(now time.Time, r *Request, g *service) {
 	r.holders = r.holders[:0]
 	for _, s := range g.servers {
-		s.keeps = s.kept.cached(r.Parts)
-		if s.keeps > 0 && s.info.Ready && !s.wrong && s.downSince.IsZero() {
-			r.addHolder(holder{s, s.keeps})
+		var read int
+		s.keeps, read = s.kept.cached(now, r.Parts)
+		if read > 0 && s.info.Ready && !s.wrong && s.downSince.IsZero() {
+			r.addHolder(holder{s, read})
 		}
 	}
 }
--- a/pkg/dispatch/kept.go
+++ b/pkg/dispatch/kept.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // keptUse is the part of an engine's memory, less what runs, in which parts
 // are assumed to stay.
@@ -10,28 +13,41 @@
 // sent there last, as far as its memory reaches.
 type kept struct {
 	parts  map[uint64]*list.Element
-	recent *list.List // of Part, most recent first
+	recent *list.List // of keptPart, most recent first
 	tokens int
 }
 
+// keptPart is a part with the predicted time at which the engine has read it.
+// Until then the engine serves later requests from it, because it reads in
+// order of arrival, but other engines cannot fetch it.
+type keptPart struct {
+	Part
+	read time.Time
+}
+
 func newKept() kept { return kept{parts: map[uint64]*list.Element{}, recent: list.New()} }
 
-// use notes that the parts were read or used now. capacity is in tokens.
-func (k *kept) use(parts []Part, capacity int) {
+// use notes that the parts were sent now and will be read at the time.
+// capacity is in tokens.
+func (k *kept) use(parts []Part, read time.Time, capacity int) {
 	for i := len(parts) - 1; i >= 0; i-- {
-		k.touch(parts[i])
+		k.touch(keptPart{parts[i], read})
 	}
 	for k.tokens > capacity && k.recent.Len() > 0 {
 		last := k.recent.Back()
-		k.tokens -= last.Value.(Part).Tokens
-		delete(k.parts, last.Value.(Part).ID)
+		k.tokens -= last.Value.(keptPart).Tokens
+		delete(k.parts, last.Value.(keptPart).ID)
 		k.recent.Remove(last)
 	}
 }
 
-func (k *kept) touch(p Part) {
+func (k *kept) touch(p keptPart) {
 	if e := k.parts[p.ID]; e != nil {
-		k.tokens += p.Tokens - e.Value.(Part).Tokens
+		before := e.Value.(keptPart)
+		if before.read.Before(p.read) {
+			p.read = before.read
+		}
+		k.tokens += p.Tokens - before.Tokens
 		e.Value = p
 		k.recent.MoveToFront(e)
 		return
@@ -40,14 +56,32 @@
 	k.tokens += p.Tokens
 }
 
-// cached returns the tokens of the leading parts that are kept.
-func (k *kept) cached(parts []Part) int {
-	tokens := 0
+// wereRead notes that the parts that are kept have been read by now.
+func (k *kept) wereRead(now time.Time, parts []Part) {
 	for _, p := range parts {
-		if k.parts[p.ID] == nil {
+		if e := k.parts[p.ID]; e != nil {
+			if held := e.Value.(keptPart); held.read.After(now) {
+				held.read = now
+				e.Value = held
+			}
+		}
+	}
+}
+
+// cached returns the tokens of the leading parts that are kept, and of those
+// that have been read.
+func (k *kept) cached(now time.Time, parts []Part) (all, read int) {
+	unread := false
+	for _, p := range parts {
+		e := k.parts[p.ID]
+		if e == nil {
 			break
 		}
-		tokens += p.Tokens
+		all += p.Tokens
+		unread = unread || e.Value.(keptPart).read.After(now)
+		if !unread {
+			read += p.Tokens
+		}
 	}
-	return tokens
+	return all, read
 }
