Send in digests of load what has changed

Each edge host sent all workspaces and servers to 27 others five times a second. Change: workspaces go out when their totals changed, everything once a second. Receivers look servers up in an index in place of building one for each digest. Test: TestDigestNamesWhatChanged.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -18,9 +18,13 @@
 	// read by the engines.
 	resyncGap = time.Second
 	// loadRepeats is in how many digests the load of a server is sent after a
-	// change, and fullInterval how often the loads of all servers are sent.
-	loadRepeats  = 2
-	fullInterval = 200 * time.Millisecond
+	// change, and completeInterval how often those of all servers and
+	// workspaces are sent.
+	loadRepeats      = 2
+	completeInterval = time.Second
+	// usesInterval is how often the use of workspaces is sent if it changed:
+	// five times a second against a window of 4 s.
+	usesInterval = 200 * time.Millisecond
 )
 
 // placement is a prompt part that this host has sent to a server.
@@ -73,13 +77,12 @@
 // whether anything in it is new to them.
 func (d *Dispatcher) Digest(now time.Time, incarnation uint64) (*apiv1.LoadDigest, bool) {
 	d.number++
-	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity, Complete: now.Sub(d.fullAt) >= fullInterval}
-	full := now.Sub(d.fullAt) >= fullInterval
-	if full {
-		d.fullAt = now
+	out := &apiv1.LoadDigest{Router: d.self, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity}
+	if out.Complete = now.Sub(d.completeAt) >= completeInterval; out.Complete {
+		d.completeAt = now
 	}
 	for _, s := range d.servers {
-		if s.due(full) {
+		if s.due(out.Complete) {
 			out.Servers = append(out.Servers, &apiv1.ServerLoad{
 				Server: s.hash, PromptTokens: s.tokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kv, 0)),
 				BacklogMs: s.backlogMS(now),
@@ -87,18 +90,37 @@
 		}
 	}
 	d.addPlacements(out)
-	if full {
-		for name, u := range d.shares.uses {
-			if u.totalAsked > 0 {
-				out.Uses = append(out.Uses, &apiv1.WorkspaceUse{Workspace: name, Asked: uint64(u.totalAsked), Served: uint64(max(u.totalServed, 0))})
-			}
+	d.addUses(now, out)
+	return out, out.Complete || len(out.Servers) > 0 || len(out.Placements) > 0 || len(out.Uses) > 0
+}
+
+// addUses adds the workspaces that asked or were served since the last digest
+// with uses, or all of them.
+func (d *Dispatcher) addUses(now time.Time, out *apiv1.LoadDigest) {
+	if !out.Complete && now.Sub(d.usesAt) < usesInterval {
+		return
+	}
+	d.usesAt = now
+	for name, u := range d.shares.uses {
+		if u.totalAsked > 0 && (out.Complete || u.changed()) {
+			out.Uses = append(out.Uses, &apiv1.WorkspaceUse{Workspace: name, Asked: uint64(u.totalAsked), Served: uint64(max(u.totalServed, 0))})
 		}
 	}
-	return out, full || len(out.Servers) > 0 || len(out.Placements) > 0
+}
+
+// changed reports whether the totals have changed since the last call. The
+// next change or complete digest makes up for a lost one.
+func (u *use) changed() bool {
+	told := useMark{u.totalAsked, u.totalServed}
+	if told == u.told {
+		return false
+	}
+	u.told = told
+	return true
 }
 
 // due reports whether the next digest carries the load of the server.
-func (s *server) due(full bool) bool {
+func (s *server) due(complete bool) bool {
 	if s.tokens != s.told.tokens || s.running != s.told.running {
 		s.told = loadMark{s.tokens, s.running, loadRepeats}
 	}
@@ -106,7 +128,7 @@
 		s.told.left--
 		return true
 	}
-	return full && (s.running != 0 || s.tokens != 0)
+	return complete && (s.running != 0 || s.tokens != 0)
 }
 
 func (d *Dispatcher) addPlacements(out *apiv1.LoadDigest) {
@@ -140,17 +162,13 @@
 		d.forgetPeer(m.GetRouter())
 	}
 	p.number, p.capacity, p.at, p.dropped = m.GetNumber(), m.GetCapacity(), now, false
-	byHash := make(map[uint64]*server, len(d.servers))
-	for _, s := range d.servers {
-		byHash[s.hash] = s
-	}
 	for _, l := range m.GetServers() {
-		if s := byHash[l.GetServer()]; s != nil {
+		if s := d.byHash[l.GetServer()]; s != nil {
 			s.takeLoad(now, m.GetRouter(), l, p.complete)
 		}
 	}
 	for _, pl := range m.GetPlacements() {
-		if s := byHash[pl.GetServer()]; s != nil {
+		if s := d.byHash[pl.GetServer()]; s != nil {
 			s.advance(now)
 			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, now.Add(s.wait(0)), s.keptCapacity())
 		}
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -205,7 +205,7 @@
 	for _, why := range []string{"a host that starts late", "a host that was cut off"} {
 		t.Run(why, func(t *testing.T) {
 			for range 20 {
-				now = now.Add(fullInterval / 10)
+				now = now.Add(completeInterval / 10)
 				b.Take(now, digest(a, now))
 			}
 			for _, s := range b.servers {
@@ -220,6 +220,37 @@
 	}
 }
 
+// Guards against digests that repeat what has not changed: each goes to every
+// other edge host, and on a fleet of 28 they were most of the bytes between
+// data centres.
+func TestDigestNamesWhatChanged(t *testing.T) {
+	d := newFleet(1, 4)[0]
+	now := start
+	for i := range 30 {
+		d.Offer(now, request(now, fmt.Sprint("w", i), 500, time.Second))
+	}
+	assert.Assert(t, digest(d, now).GetComplete())
+	for range loadRepeats {
+		now = now.Add(20 * time.Millisecond)
+		digest(d, now)
+	}
+	now = now.Add(usesInterval)
+	digest(d, now)
+	d.Offer(now, request(now, "w3", 500, time.Second))
+	now = now.Add(usesInterval)
+	m := digest(d, now)
+	assert.Assert(t, !m.GetComplete())
+	assert.Equal(t, len(m.GetServers()), 1)
+	assert.Equal(t, len(m.GetUses()), 1)
+	assert.Equal(t, m.GetUses()[0].GetWorkspace(), "w3")
+	assert.Equal(t, m.GetUses()[0].GetAsked(), uint64(1400))
+	now = now.Add(completeInterval)
+	m = digest(d, now)
+	assert.Assert(t, m.GetComplete())
+	assert.Equal(t, len(m.GetServers()), 4)
+	assert.Equal(t, len(m.GetUses()), 30)
+}
+
 func other(engine string) string {
 	if engine == "engine-0" {
 		return "engine-1"
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -15,14 +15,16 @@
 	self       string // name of this edge host
 	dataCentre string
 
-	servers  map[string]*server
-	services map[string]*service
-	shares   shares
-	queue    []*Request
-	peers    map[string]*peer
-	number   uint64 // of the last digest
-	fullAt   time.Time
-	placed   []placement
+	servers    map[string]*server
+	services   map[string]*service
+	shares     shares
+	queue      []*Request
+	peers      map[string]*peer
+	number     uint64 // of the last digest
+	byHash     map[uint64]*server
+	completeAt time.Time // of the last complete digest
+	usesAt     time.Time // of the last digest with uses
+	placed     []placement
 
 	neighbours []string // edge hosts of this data centre, in order
 	edges      int      // edge hosts of the fleet
@@ -83,8 +85,10 @@
 
 func (d *Dispatcher) regroup() {
 	d.services = map[string]*service{}
+	d.byHash = make(map[uint64]*server, len(d.servers))
 	ready, all := 0, 0
 	for _, s := range d.servers {
+		d.byHash[s.hash] = s
 		g := d.services[s.info.Service]
 		if g == nil {
 			g = &service{latency: firstLatency}
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -67,10 +67,14 @@
 type use struct {
 	asked, served           sliding
 	totalAsked, totalServed float64 // at this edge host
+	told                    useMark // as it was sent last
 	turns                   int     // refusals told to come back, for spreading them
 	turnsAt                 time.Time
 }
 
+// useMark is the use of a workspace as other edge hosts know it.
+type useMark struct{ asked, served float64 }
+
 // shares holds the use of all workspaces and their max-min fair level.
 type shares struct {
 	start   time.Time
