Leave silent requests with servers that serve others when no budget is left

The budget for second sends was used up, so the callers got 502 for requests that were about to be answered. Change: without a budget a silent request is given up only if the server has sent nothing to this edge host since the request was sent. Test: TestSlowServerKeepsTheRequestWithoutABudget.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -276,9 +276,13 @@
 	}
 }
 
-// Started tells that the first event of a request has come.
+// Started tells that an event of a request has come. The first one counts.
 func (d *Dispatcher) Started(now time.Time, r *Request) {
-	if r.started || r.server == nil {
+	if r.server == nil {
+		return
+	}
+	r.server.heard = now
+	if r.started {
 		return
 	}
 	r.started = true
@@ -310,6 +314,13 @@
 	d.learn(now, r, s, o)
 }
 
+// HeardSince reports whether the server has sent anything to this edge host
+// since then.
+func (d *Dispatcher) HeardSince(id string, then time.Time) bool {
+	s := d.servers[id]
+	return s != nil && s.heard.After(then)
+}
+
 // unload takes the tokens back that a request without a first event leaves.
 func (d *Dispatcher) unload(now time.Time, r *Request, s *server) {
 	left := r.read.Sub(now).Seconds() * s.rate
@@ -321,6 +332,7 @@
 func (d *Dispatcher) learn(now time.Time, r *Request, s *server, o Outcome) {
 	switch o {
 	case Whole:
+		s.heard = now
 		s.success(now)
 		if !s.model() {
 			s.answered(now, now.Sub(r.sent), r.ahead)
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -68,6 +68,8 @@
 	latencyAt time.Time
 	fullUntil time.Time
 
+	heard time.Time // when it last sent an event or an answer to this edge host
+
 	timeouts  int       // connection attempts in a row without any answer
 	downSince time.Time // zero if not down
 	downUntil time.Time // after which it is tried again
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -18,6 +18,8 @@
 	// maxAnswerBytes bounds a plain answer, which is held until it is whole.
 	maxAnswerBytes = 32 << 20
 	copyBytes      = 16 << 10
+	// never is a time that does not pass while a request runs.
+	never = 24 * time.Hour
 )
 
 // held is a whole answer that has not been passed on.
@@ -33,7 +35,16 @@
 	defer cancel(nil)
 	limit := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
 	defer limit.Stop()
-	silence := time.AfterFunc(x.silence(), func() { cancel(errSilent) })
+	begun := time.Now()
+	var silence *time.Timer
+	silence = time.AfterFunc(never, func() {
+		if x.s.givesUp(x.work.Service, v.Server, begun) {
+			cancel(errSilent)
+			return
+		}
+		silence.Reset(silenceRecheck)
+	})
+	silence.Reset(x.silence())
 	defer silence.Stop()
 
 	resp, sent, err := x.s.transport.Open(ctx, x.outgoing(v), false, x.in.Body)
--- a/pkg/edge/budget.go
+++ b/pkg/edge/budget.go
@@ -54,12 +54,14 @@
 	*v = min(*v+budgetUse*b.Ratio, b.size())
 }
 
+// has reports whether a second send can be spent.
+func (b *budget) has(service string) bool { return *b.of(service) >= 1 }
+
 // take spends one second send.
 func (b *budget) take(service string) bool {
-	v := b.of(service)
-	if *v < 1 {
+	if !b.has(service) {
 		return false
 	}
-	*v--
+	*b.of(service)--
 	return true
 }
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
@@ -74,6 +75,23 @@
 	assert.Assert(t, float64(spent) <= limit.Ratio*hosts*requests+limit.Extra, "%d", spent)
 }
 
+// Guards against a request that is taken from a server that is only slow, and
+// that no other server may get because the budget is used up: on a grown
+// deployment callers got 502 for requests that were about to be answered.
+func TestSlowServerKeepsTheRequestWithoutABudget(t *testing.T) {
+	d := dispatch.New("edge", "z", start)
+	d.SetServers(start, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 6, Ready: true, Heard: start}})
+	s := &Server{dispatcher: d, budget: newBudget(Budget{Extra: 1 / budgetUse})}
+	other := &dispatch.Request{ID: "other", Service: "s", Arrived: start, Objective: time.Second, Deadline: start.Add(time.Minute)}
+	assert.Equal(t, d.Offer(start, other).Kind, dispatch.Send)
+	assert.Assert(t, s.givesUp("s", "i", start), "there is a budget")
+	assert.Assert(t, s.budget.take("s"))
+	assert.Assert(t, s.givesUp("s", "i", start), "the server serves nobody")
+	d.Ended(start.Add(time.Second), other, dispatch.Whole)
+	assert.Assert(t, !s.givesUp("s", "i", start), "the server serves others")
+	assert.Assert(t, s.givesUp("s", "i", start.Add(time.Second)), "it has stopped since")
+}
+
 func testDecode(data []byte) (*routing.Config, error) {
 	if string(data) == "bad" {
 		return nil, errors.New("bad")
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -283,6 +283,15 @@
 	return s.dispatcher.Again(time.Now(), r, failed)
 }
 
+// givesUp reports whether a request that a server has left without a byte
+// since then is taken from it. Without a budget for another send it stays with
+// a server that serves others; a caller is told at once of one that does not.
+func (s *Server) givesUp(service, server string, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.has(service) || !s.dispatcher.HeardSince(server, since)
+}
+
 // every calls f after each interval until the server is closed.
 func (s *Server) every(interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
