Repair the count of failures of a server, log panics of handlers

Cause: LOST on grown deployments. Change: the count is at least one while a server is down. The front logs panics of handlers with their stack and requests that are dropped before a decision.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -146,6 +146,25 @@
 	assert.Equal(t, v.Uncached, 1000)
 }
 
+// Guards against a count of failures that does not fit its server: a success
+// that came after a failed connection reset the count, and the next failure
+// ended the handling of a request with a panic (LOST on grown deployments).
+func TestServerThatFailsAroundASuccess(t *testing.T) {
+	d := newFleet(1, 1)[0]
+	var sent []*Request
+	for range 4 {
+		r := request(start, "w", 500, time.Second)
+		assert.Equal(t, d.Offer(start, r).Kind, Send)
+		sent = append(sent, r)
+	}
+	for i, o := range []Outcome{ConnectFailed, Whole, ConnectFailed, Misdirected} {
+		d.Ended(start.Add(time.Duration(i)*time.Millisecond), sent[i], o)
+	}
+	s := d.servers["engine-0"]
+	assert.Equal(t, s.downs, 1)
+	assert.Assert(t, s.downUntil.After(start))
+}
+
 // Guards against short parts that each engine reads for itself: on a grown
 // deployment these were half of the tokens that were read again.
 func TestShortPartsAreFetched(t *testing.T) {
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -122,6 +122,7 @@
 		s.downs++
 		s.probeAt = now.Add(firstDown)
 	}
+	s.downs = max(s.downs, 1) // a success may have come after the last failure
 	s.downSince = now
 	s.downUntil = now.Add(min(firstDown<<min(s.downs-1, 8), maxDown))
 }
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -316,6 +316,22 @@
 	writeError(w, e)
 }
 
+// Dropped notes a request that was not given to a server and gets no answer.
+func (s *Server) Dropped(id, reason string) {
+	s.metrics.ended("dropped", 0)
+	if !s.refusals.Allow() {
+		s.unlogged.Add(1)
+		return
+	}
+	s.log.WithFields(logrus.Fields{"id": id, "reason": reason}).Info("a request was dropped")
+}
+
+// Failed notes a request whose handling panicked.
+func (s *Server) Failed(id string, cause any, stack []byte) {
+	s.metrics.ended("panic", 0)
+	s.log.WithFields(logrus.Fields{"id": id, "cause": cause, "stack": string(stack)}).Error("the handling of a request failed")
+}
+
 func writeError(w http.ResponseWriter, e *result.Error) {
 	body := proxy.ErrorBody(e)
 	h := w.Header()
