--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -24,11 +24,11 @@
 	// stream. A write with its reads takes about 25 us of the processor, so
 	// streams then take a tenth of a core at most; a host of the platform has
 	// 0.4 and more. Pauses below gatherLeast save nothing, since engines send
-	// an event each 25 ms or later, and gatherMost is half of the 200 ms in
-	// which an event has to be passed on.
+	// an event each 25 ms or later, and gatherMost is the part that they
+	// may take of the time in which an event has to be passed on.
 	gatherShare = 250 * time.Microsecond
 	gatherLeast = 10 * time.Millisecond
-	gatherMost  = 100 * time.Millisecond
+	gatherMost  = 0.5
 	// never is a time that does not pass while a request runs.
 	never = 24 * time.Hour
 )
@@ -243,7 +243,7 @@
 
 // gather lets events of a stream come together on a host with many streams.
 func (x *exchangeState) gather(ctx context.Context) {
-	pause := gatherTime(x.s.streams.Load())
+	pause := gatherTime(x.s.streams.Load(), x.s.config.PassWithin)
 	if pause == 0 {
 		return
 	}
@@ -256,13 +256,13 @@
 }
 
 // gatherTime returns the pause after passed events on a host with that many
-// open streams.
-func gatherTime(streams int64) time.Duration {
+// open streams, where an event has to be passed on within a time.
+func gatherTime(streams int64, within time.Duration) time.Duration {
 	pause := time.Duration(streams) * gatherShare
 	if pause < gatherLeast {
 		return 0
 	}
-	return min(pause, gatherMost)
+	return min(pause, time.Duration(gatherMost*float64(within)))
 }
 
 // pass gives whole events to the caller. It reports false if the caller has
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -188,31 +188,49 @@
 }
 
 // Guards against a host that takes more connections while its processor is
-// behind, and against one that gives up after a single freeze.
-func TestLagWatch(t *testing.T) {
-	var l lagWatch
-	assert.Assert(t, !l.tick(5*time.Second)) // a freeze
-	for range lagTicks {
-		assert.Assert(t, !l.tick(0))
-	}
-	overloaded := false
-	for range lagTicks {
-		overloaded = l.tick(overloadedLag / lagTicks * 2)
+// used up, one that comes and goes at one load, and one that leaves after a
+// single freeze or without knowing what it has.
+func TestProcessorWatch(t *testing.T) {
+	p := processorWatch{cores: 0.4}
+	ticks := func(n int, share float64) bool {
+		out := false
+		for range n {
+			out = p.tick(time.Duration(share*p.cores*float64(watchInterval)), watchInterval)
+		}
+		return out
 	}
-	assert.Assert(t, overloaded)
-	for range lagTicks {
-		overloaded = l.tick(0)
+	assert.Assert(t, !ticks(overloadTicks-1, 1)) // a busy start
+	p = processorWatch{cores: p.cores}
+	assert.Assert(t, !ticks(2*overloadTicks, 0.7))
+	assert.Assert(t, ticks(overloadTicks, 1))
+	assert.Assert(t, ticks(3*overloadTicks, 0.6))
+	assert.Assert(t, !ticks(overloadTicks, 0.3))
+	assert.Assert(t, !p.tick(0, 5*time.Second)) // a freeze
+	assert.Assert(t, !ticks(overloadTicks-1, 1))
+	unknown := processorWatch{}
+	for range 2 * overloadTicks {
+		assert.Assert(t, !unknown.tick(watchInterval, watchInterval))
 	}
-	assert.Assert(t, !overloaded)
+}
+
+// Guards against callers that are sent away before the balancer would send
+// them elsewhere.
+func TestOverloadLasts(t *testing.T) {
+	var o overload
+	assert.Assert(t, o.set(true) && !o.set(true))
+	assert.Assert(t, o.now() && !o.lasts(noticedAfter))
+	o.since = o.since.Add(-noticedAfter)
+	assert.Assert(t, o.lasts(noticedAfter))
+	assert.Assert(t, o.set(false) && !o.now())
 }
 
 // Guards against events that are held back on a host that has few streams, or
 // for longer than callers accept on one that has many.
 func TestGatherTime(t *testing.T) {
-	assert.Equal(t, gatherTime(1), time.Duration(0))
-	assert.Equal(t, gatherTime(30), time.Duration(0))
-	assert.Equal(t, gatherTime(200), 50*time.Millisecond)
-	assert.Equal(t, gatherTime(100_000), gatherMost)
-	const passed = 200 * time.Millisecond // stated by the platform
-	assert.Assert(t, gatherMost <= passed/2)
+	const within = 120 * time.Millisecond
+	assert.Equal(t, gatherTime(1, within), time.Duration(0))
+	assert.Equal(t, gatherTime(30, within), time.Duration(0))
+	assert.Equal(t, gatherTime(200, within), 50*time.Millisecond)
+	assert.Equal(t, gatherTime(100_000, within), within/2)
+	assert.Equal(t, gatherTime(100_000, 0), time.Duration(0))
 }
--- /dev/null
+++ b/pkg/edge/overload.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// watchInterval is how often the clocks and the processor time are looked
+	// at, and suspendedFor the difference of the clocks that counts as a
+	// suspension of the host.
+	watchInterval = 100 * time.Millisecond
+	suspendedFor  = 700 * time.Millisecond
+	// A host that used overloadedShare of its processor in the last
+	// overloadTicks ticks asks the balancer for no more connections until it
+	// used less than relievedShare. Above that share, requests wait for the
+	// processor longer than for an engine; the gap keeps the host from coming
+	// back with the load that it has.
+	overloadTicks   = 10
+	overloadedShare = 0.85
+	relievedShare   = 0.5
+	// noticedAfter is when the balancer has noticed: it asks once a second and
+	// needs two refusals.
+	noticedAfter = 2500 * time.Millisecond
+)
+
+// processorWatch tells from the processor time of this process whether it uses
+// up what the host has.
+type processorWatch struct {
+	cores      float64 // of the host
+	used, time [overloadTicks]time.Duration
+	next       int
+	overloaded bool
+}
+
+// tick takes what was used since the last tick and how long that was.
+func (p *processorWatch) tick(used, elapsed time.Duration) bool {
+	p.used[p.next], p.time[p.next] = used, elapsed
+	p.next = (p.next + 1) % overloadTicks
+	switch share := p.share(); {
+	case share >= overloadedShare:
+		p.overloaded = true
+	case share < relievedShare:
+		p.overloaded = false
+	}
+	return p.overloaded
+}
+
+// share returns the part of the processor that was used in the last ticks.
+func (p *processorWatch) share() float64 {
+	var used, elapsed time.Duration
+	for i := range overloadTicks {
+		used += p.used[i]
+		elapsed += p.time[i]
+	}
+	available := p.cores * elapsed.Seconds()
+	if available == 0 || p.time[p.next] == 0 { // not known, or not all ticks yet
+		return 0
+	}
+	return used.Seconds() / available
+}
+
+// overload is since when the host is overloaded.
+type overload struct {
+	mu    sync.Mutex
+	since time.Time // zero if it is not
+}
+
+// set reports whether the state changed.
+func (o *overload) set(overloaded bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if overloaded != o.since.IsZero() {
+		return false
+	}
+	o.since = time.Time{}
+	if overloaded {
+		o.since = time.Now()
+	}
+	return true
+}
+
+func (o *overload) now() bool { return o.lasts(0) }
+
+// lasts reports whether the host is overloaded for that long.
+func (o *overload) lasts(least time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.since.IsZero() && time.Since(o.since) >= least
+}
+
+// watchHost notices that the host was suspended, and that its processor is
+// used up. The steady clock stands still during a suspension, boot time does
+// not.
+func (s *Server) watchHost() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	last, used := bootTime(), processorTime()
+	watch := processorWatch{cores: s.config.Cores}
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now, usedNow := bootTime(), processorTime()
+		if gap := now - last; gap > suspendedFor+watchInterval {
+			s.suspended(gap)
+		}
+		if overloaded := watch.tick(usedNow-used, now-last); s.overload.set(overloaded) {
+			s.log.WithFields(logrus.Fields{"overloaded": overloaded, "share": watch.share(), "cores": watch.cores}).Warn("the processor of this host is used up or is no more")
+		}
+		last, used = now, usedNow
+	}
+}
+
+func (s *Server) suspended(gap time.Duration) {
+	s.log.WithField("gap_ms", gap.Milliseconds()).Warn("this host did not run for a while")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Suspended(time.Now())
+}
+
+// bootTime returns the time since the start of the host, suspensions included.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0 // Linux has this clock since 2.6.39
+	}
+	return time.Duration(t.Nano())
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -9,7 +9,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
@@ -34,19 +33,7 @@
 	// idleTimeout is half of the keep-alive time that servers state, so that a
 	// request rarely meets a connection that its server is closing.
 	idleTimeout = 5 * time.Second
-	// watchInterval is how often the clocks are compared, and suspendedFor the
-	// difference that counts as a suspension of the host.
-	watchInterval = 100 * time.Millisecond
-	suspendedFor  = 700 * time.Millisecond
-	// While overloadedLag of the last lagTicks ticks was lost, the processor is
-	// behind, and the host asks the balancer for no more connections until the
-	// loss is below relievedLag. One tick counts mostLag at most, so a freeze
-	// is no overload.
-	lagTicks      = 20
-	mostLag       = 300 * time.Millisecond
-	overloadedLag = 700 * time.Millisecond
-	relievedLag   = 150 * time.Millisecond
-	expireTime    = 5 * time.Second
+	expireTime  = 5 * time.Second
 	// reportInterval is how often the beliefs about servers are logged.
 	reportInterval = 2 * time.Second
 	// refusalLines and refusalBurst bound the log lines on refused requests;
@@ -63,6 +50,11 @@
 	Seeds      []string
 	Decode     Decode
 	Dialect    Dialect
+	// Cores is the processor that the host has, in cores, 0 if not known.
+	Cores float64
+	// PassWithin is the time in which an event has to be passed on; without it
+	// no event waits for another one.
+	PassWithin time.Duration
 	// Budget bounds sends beyond the first of each request, over the fleet.
 	Budget   Budget
 	Registry metrics.Registry
@@ -79,7 +71,7 @@
 	exchange  *exchange.Exchange
 	table     atomic.Pointer[routing.Table]
 	draining  atomic.Bool
-	overload  atomic.Bool // the processor is behind
+	overload  overload
 	ctx       context.Context
 	stop      context.CancelFunc
 
@@ -120,7 +112,7 @@
 	s.feed = feed.New(s.ctx, self, "", nil, s)
 	s.feed.SetSeeds(c.Seeds)
 	go s.probe()
-	go s.watchClocks()
+	go s.watchHost()
 	go s.expire()
 	go s.report()
 	return s, nil
@@ -134,9 +126,13 @@
 
 // Ready reports whether the host should get new connections.
 func (s *Server) Ready() bool {
-	return s.table.Load() != nil && !s.draining.Load() && !s.overload.Load()
+	return s.table.Load() != nil && !s.draining.Load() && !s.overload.now()
 }
 
+// Sheds reports whether callers should open their next connection to another
+// host: this one is overloaded, and the balancer has noticed.
+func (s *Server) Sheds() bool { return s.overload.lasts(noticedAfter) }
+
 // Drain makes the host not ready. Requests that still come are served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -344,65 +340,6 @@
 	s.dispatcher.Probed(time.Now(), p.Server, healthy, cold)
 }
 
-// watchClocks notices that the host was suspended: the steady clock stands
-// still meanwhile, boot time does not.
-func (s *Server) watchClocks() {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	last := bootTime()
-	var load lagWatch
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := bootTime()
-		if gap := now - last; gap > suspendedFor+watchInterval {
-			s.log.WithField("gap_ms", gap.Milliseconds()).Warn("this host did not run for a while")
-			s.mu.Lock()
-			s.dispatcher.Suspended(time.Now())
-			s.mu.Unlock()
-		}
-		if overloaded := load.tick(now - last - watchInterval); overloaded != s.overload.Load() {
-			s.overload.Store(overloaded)
-			s.log.WithFields(logrus.Fields{"overloaded": overloaded, "lag_ms": (now - last - watchInterval).Milliseconds()}).Warn("the processor of this host is behind or has caught up")
-		}
-		last = now
-	}
-}
-
-// lagWatch tells from the lag of ticks whether the processor is behind.
-type lagWatch struct {
-	lags       [lagTicks]time.Duration
-	next       int
-	sum        time.Duration
-	overloaded bool
-}
-
-func (l *lagWatch) tick(lag time.Duration) bool {
-	lag = min(max(lag, 0), mostLag)
-	l.sum += lag - l.lags[l.next]
-	l.lags[l.next] = lag
-	l.next = (l.next + 1) % lagTicks
-	switch {
-	case l.sum >= overloadedLag:
-		l.overloaded = true
-	case l.sum < relievedLag:
-		l.overloaded = false
-	}
-	return l.overloaded
-}
-
-// bootTime returns the time since the start of the host, suspensions included.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0 // Linux has this clock since 2.6.39
-	}
-	return time.Duration(t.Nano())
-}
-
 func (s *Server) expire() {
 	s.every(expireTime, func() {
 		s.mu.Lock()
