Tell other edge hosts in time where a flood puts parts of prompts

A digest named 24 placements, each in three digests, 200 a second; a host with a flood makes 500 and more, and each use of a part counted as a new one. Change: a part at an engine is told again after 2 s at the earliest, by any host; a digest has room for 150. Test: TestPlacementsOfAFloodAreKnown fails on the code before.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -10,9 +10,10 @@
 	// placementRepeats is in how many digests a placement is sent, so that a
 	// lost datagram costs nothing.
 	placementRepeats = 3
-	// maxPlacements bounds the placements of one digest: 24 bytes each, a
-	// datagram stays below one packet together with the loads.
-	maxPlacements = 24
+	// maxPlacements bounds the placements of one digest, 20 bytes each. Three
+	// repeats then carry 1,000 new placements a second at 20 digests a second,
+	// twice what an edge host with a flood makes.
+	maxPlacements = 150
 	// resyncGap is the silence of another edge host after which its counters
 	// only set where counting starts again: what it sent meanwhile has been
 	// read by the engines.
@@ -49,17 +50,6 @@
 	served   map[string]float64
 }
 
-// place notes a part for the next digests.
-func (d *Dispatcher) place(s *server, p Part) {
-	for i := range d.placed {
-		if d.placed[i].server == s.hash && d.placed[i].part.ID == p.ID {
-			d.placed[i].sent = 0
-			return
-		}
-	}
-	d.placed = append(d.placed, placement{server: s.hash, part: p})
-}
-
 // backlogMS is the believed backlog for a digest.
 func (s *server) backlogMS(now time.Time) uint32 {
 	s.advance(now)
@@ -171,6 +161,7 @@
 		if s := d.byHash[pl.GetServer()]; s != nil {
 			s.advance(now)
 			s.kept.use([]Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, now.Add(s.wait(0)), s.keptCapacity())
+			s.kept.tell(now, pl.GetPart()) // the sender has told all
 		}
 	}
 	for _, u := range m.GetUses() {
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -165,6 +165,51 @@
 	assert.Assert(t, s.downUntil.After(start))
 }
 
+// Guards against placements that lag behind a flood: the other edge hosts then
+// do not know what engines keep, and have it read again when the flood moves
+// to them.
+func TestPlacementsOfAFloodAreKnown(t *testing.T) {
+	const engines, sessions, perSecond = 20, 300, 500
+	const digestEach = 40 * time.Millisecond
+	fleet := newFleet(2, engines)
+	a, b := fleet[0], fleet[1]
+	a.SetRate(0) // no limit by shares
+	now := start
+	b.Take(now, digest(a, now))
+	lastDigest := now
+	class := Part{ID: 1, Tokens: 500}
+	for i := range 4 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		r := request(now, "w", 700, time.Second, class, Part{ID: uint64(100 + i*7%sessions), Tokens: 100})
+		for e := range engines { // load spreads the sessions over the engines
+			if e != (i+i/sessions)%engines {
+				r.Avoid = append(r.Avoid, fmt.Sprint("engine-", e))
+			}
+		}
+		if a.Offer(now, r).Kind == Send {
+			a.Started(now, r)
+			a.Ended(now, r, Whole)
+		}
+		if now.Sub(lastDigest) >= digestEach {
+			lastDigest = now
+			b.Take(now, digest(a, now))
+		}
+	}
+	now = now.Add(digestEach)
+	b.Take(now, digest(a, now))
+	known, kept := 0, 0
+	for id, s := range a.servers {
+		for part := range s.kept.parts {
+			kept++
+			if b.servers[id].kept.parts[part] != nil {
+				known++
+			}
+		}
+	}
+	assert.Assert(t, kept > sessions)
+	assert.Equal(t, known, kept)
+}
+
 // Guards against short parts that each engine reads for itself: on a grown
 // deployment these were half of the tokens that were read again.
 func TestShortPartsAreFetched(t *testing.T) {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -272,7 +272,9 @@
 	r.read = now.Add(s.wait(0))
 	s.kept.use(r.Parts, r.read, s.keptCapacity())
 	for _, p := range r.Parts {
-		d.place(s, p)
+		if s.kept.tell(now, p.ID) {
+			d.placed = append(d.placed, placement{server: s.hash, part: p})
+		}
 	}
 }
 
--- a/pkg/dispatch/kept.go
+++ b/pkg/dispatch/kept.go
@@ -9,6 +9,11 @@
 // are assumed to stay.
 const keptUse = 0.85
 
+// tellAgain is how often other edge hosts are told that an engine still uses a
+// part. They forget the parts that were used least recently, which takes
+// seconds even on an engine whose memory is short.
+const tellAgain = 2 * time.Second
+
 // kept is what an engine is assumed to keep of prompts: the parts that were
 // sent there last, as far as its memory reaches.
 type kept struct {
@@ -23,6 +28,7 @@
 type keptPart struct {
 	Part
 	read time.Time
+	told time.Time // when an edge host last told the others
 }
 
 func newKept() kept { return kept{parts: map[uint64]*list.Element{}, recent: list.New()} }
@@ -31,7 +37,7 @@
 // capacity is in tokens.
 func (k *kept) use(parts []Part, read time.Time, capacity int) {
 	for i := len(parts) - 1; i >= 0; i-- {
-		k.touch(keptPart{parts[i], read})
+		k.touch(keptPart{Part: parts[i], read: read})
 	}
 	for k.tokens > capacity && k.recent.Len() > 0 {
 		last := k.recent.Back()
@@ -47,6 +53,9 @@
 		if before.read.Before(p.read) {
 			p.read = before.read
 		}
+		if before.told.After(p.told) {
+			p.told = before.told
+		}
 		k.tokens += p.Tokens - before.Tokens
 		e.Value = p
 		k.recent.MoveToFront(e)
@@ -56,6 +65,22 @@
 	k.tokens += p.Tokens
 }
 
+// tell reports whether the other edge hosts should be told of the part, and
+// notes that they are.
+func (k *kept) tell(now time.Time, id uint64) bool {
+	e := k.parts[id]
+	if e == nil {
+		return false
+	}
+	held := e.Value.(keptPart)
+	if now.Sub(held.told) < tellAgain {
+		return false
+	}
+	held.told = now
+	e.Value = held
+	return true
+}
+
 // wereRead notes that the parts that are kept have been read by now.
 func (k *kept) wereRead(now time.Time, parts []Part) {
 	for _, p := range parts {
