Give a stream up for silence only after its reader had its turn

A stream with 18 events passed was cut 1 s after its request came: on a busy host the timer of the silence had fired, its goroutine ran after the first events had been read, and cancelled the stream. Ruled out: the configuration that came at the same time; the server, whose run ended with the cut. Change: the time of the last bytes decides when the goroutine runs, and the reader gets the last 100 ms of the silence.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -29,8 +29,6 @@
 	gatherShare = 250 * time.Microsecond
 	gatherLeast = 10 * time.Millisecond
 	gatherMost  = 0.5
-	// never is a time that does not pass while a request runs.
-	never = 24 * time.Hour
 )
 
 // held is a whole answer that has not been passed on.
@@ -47,16 +45,10 @@
 	limit := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
 	defer limit.Stop()
 	begun := time.Now()
-	var silence *time.Timer
-	silence = time.AfterFunc(never, func() {
-		if x.s.givesUp(x.work.Service, v.Server, begun) {
-			cancel(errSilent)
-			return
-		}
-		silence.Reset(silenceRecheck)
-	})
-	silence.Reset(x.silence())
-	defer silence.Stop()
+	silence := newSilenceWatch(x.silence(),
+		func() bool { return x.s.givesUp(x.work.Service, v.Server, begun) },
+		func() { cancel(errSilent) })
+	defer silence.stop()
 
 	resp, sent, err := x.s.transport.Open(ctx, x.outgoing(v), false, x.in.Body)
 	if err != nil {
@@ -208,7 +200,7 @@
 
 // stream passes events on as they arrive, whole ones only, so that another
 // server can go on.
-func (x *exchangeState) stream(ctx context.Context, resp *http.Response, silence *time.Timer) attemptEnd {
+func (x *exchangeState) stream(ctx context.Context, resp *http.Response, silence *silenceWatch) attemptEnd {
 	a := attemptEnd{sent: true, status: resp.StatusCode}
 	x.events.buffer = x.events.buffer[:0]
 	resumed := x.started
@@ -218,7 +210,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			silence.Reset(x.stall())
+			silence.bytes(x.stall())
 			if whole := x.events.pending(buf[:n]); len(whole) > 0 {
 				if resumed && !follows(x.events.last, firstID(whole)) {
 					a.outcome = dispatch.Garbled
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -33,9 +33,6 @@
 	silentFactor = 2.5
 	// silentLeast bounds it from below.
 	silentLeast = 500 * time.Millisecond
-	// silenceRecheck is how often a request that could not be given up for lack
-	// of a budget is looked at again.
-	silenceRecheck = 100 * time.Millisecond
 	// stallFactor times the longest pause on time is the time after which a
 	// stream that can be resumed is given up at its server.
 	stallFactor = 4
