--- /dev/null
+++ b/pkg/callers/conns_test.go
@@ -0,0 +1,115 @@
+package callers
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// deadline bounds each wait; the machine may be busy.
+const deadline = 60 * time.Second
+
+// Guards against requests that are sent to servers after their callers left: a
+// busy host reads a request seconds after it came, and net/http notices the
+// end of the connection later still (GONE on a grown deployment).
+func TestEndOfACallersConnectionIsSeen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	ctx := NewConns(1, 0).Context(t.Context(), c)
+	assert.Assert(t, !Left(ctx))
+	assert.NilError(t, caller.Close())
+	limit := time.Now().Add(deadline)
+	for !Left(ctx) {
+		assert.Assert(t, time.Now().Before(limit))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a request that is lost because its connection counts as idle
+// until a busy host looks at it (LOST on a grown deployment).
+func TestConnectionWithAnUnreadRequestIsNotClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	s := NewConns(1, 0)
+	s.State(c, http.StateNew)
+	s.State(c, http.StateIdle)
+	p, err := peek(c)
+	assert.NilError(t, err)
+	assert.Equal(t, p, peeked{})
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	_, err = io.WriteString(caller, request)
+	assert.NilError(t, err)
+	limit := time.Now().Add(deadline)
+	for !p.unread && time.Now().Before(limit) {
+		time.Sleep(time.Millisecond)
+		p, err = peek(c)
+		assert.NilError(t, err)
+	}
+	s.closeIdle(0)
+	read := make([]byte, len(request))
+	_, err = io.ReadFull(c, read)
+	assert.NilError(t, err)
+	s.closeIdle(0)
+	_, err = c.Read(read)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// Guards against a request that is lost because the sweep of idle connections
+// comes while it is read (LOST on a grown deployment).
+func TestRequestThatMeetsTheSweepIsAnswered(t *testing.T) {
+	s := NewConns(0, 0)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	requests := 0
+	server.Config.ConnContext = s.Context
+	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			if requests++; requests == 2 {
+				s.closeIdle(0) // before the connection counts as active
+			}
+		}
+		s.State(c, state)
+	}
+	server.Start()
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for _, id := range []string{"first", "second", "third"} {
+		fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n", id)
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err, id)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+	}
+	limit := time.Now().Add(deadline)
+	for end := error(nil); end != io.EOF; {
+		assert.Assert(t, time.Now().Before(limit), "the idle connection stays open")
+		s.closeIdle(0)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Millisecond)))
+		_, end = in.ReadByte()
+	}
+}
