--- a/pkg/callers/conns_test.go
+++ b/pkg/callers/conns_test.go
@@ -18,18 +18,24 @@
 // deadline bounds each wait; the machine may be busy.
 const deadline = 60 * time.Second
 
-// Guards against requests that are sent to servers after their callers left: a
-// busy host reads a request seconds after it came, and net/http notices the
-// end of the connection later still (GONE on a grown deployment).
-func TestEndOfACallersConnectionIsSeen(t *testing.T) {
+// connect returns both ends of a connection.
+func connect(t *testing.T) (caller, host net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	caller, err := net.Dial("tcp", l.Addr().String())
+	caller, err = net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
-	c, err := l.Accept()
+	host, err = l.Accept()
 	assert.NilError(t, err)
-	defer c.Close()
+	t.Cleanup(func() { _ = caller.Close(); _ = host.Close() })
+	return caller, host
+}
+
+// Guards against requests that are sent to servers after their callers left: a
+// busy host reads a request seconds after it came, and net/http notices the
+// end of the connection later still (GONE on a grown deployment).
+func TestEndOfACallersConnectionIsSeen(t *testing.T) {
+	caller, c := connect(t)
 	ctx := NewConns(1, 0).Context(t.Context(), c)
 	assert.Assert(t, !Left(ctx))
 	assert.NilError(t, caller.Close())
@@ -43,15 +49,7 @@
 // Guards against a request that is lost because its connection counts as idle
 // until a busy host looks at it (LOST on a grown deployment).
 func TestConnectionWithAnUnreadRequestIsNotClosed(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	caller, err := net.Dial("tcp", l.Addr().String())
-	assert.NilError(t, err)
-	defer caller.Close()
-	c, err := l.Accept()
-	assert.NilError(t, err)
-	defer c.Close()
+	caller, c := connect(t)
 	s := NewConns(1, 0)
 	s.State(c, http.StateNew)
 	s.State(c, http.StateIdle)
--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -304,6 +304,18 @@
 	}
 }
 
+// newTestCoreWithFaultyDisks returns a running core of three.
+func newTestCoreWithFaultyDisks(t *testing.T) (*testCore, map[int]*waltest.Disk) {
+	c := newTestCore(t, 3)
+	disks := map[int]*waltest.Disk{}
+	for n := 1; n <= 3; n++ {
+		disks[n] = &waltest.Disk{}
+		c.disks[n] = disks[n]
+	}
+	c.startAll(3)
+	return c, disks
+}
+
 // leads returns the number of the host that leads.
 func (c *testCore) leads() int {
 	c.t.Helper()
@@ -324,13 +336,7 @@
 // others from going on: an operator waits 5 s for an acknowledgement.
 func TestLeaderWithStalledDisk(t *testing.T) {
 	const stall = 8 * time.Second
-	c := newTestCore(t, 3)
-	disks := map[int]*waltest.Disk{}
-	for n := 1; n <= 3; n++ {
-		disks[n] = &waltest.Disk{}
-		c.disks[n] = disks[n]
-	}
-	c.startAll(3)
+	c, disks := newTestCoreWithFaultyDisks(t)
 	agreed := c.agree(1)
 	leader := c.leads()
 	disks[leader].Stall.Lock()
@@ -347,13 +353,7 @@
 // Guards against a host with a full disk that loses what was agreed, or keeps
 // the others from going on.
 func TestHostsWithFullDisks(t *testing.T) {
-	c := newTestCore(t, 3)
-	disks := map[int]*waltest.Disk{}
-	for n := 1; n <= 3; n++ {
-		disks[n] = &waltest.Disk{}
-		c.disks[n] = disks[n]
-	}
-	c.startAll(3)
+	c, disks := newTestCoreWithFaultyDisks(t)
 	agreed := c.agree(1)
 	for n := 1; n <= 3; n++ {
 		disks[n].Full.Store(true)
