Bound the renewals of announcements that edge hosts get

Each announcement, one a server each 1.2 s, went to each edge host. Change: changes go out at once; renewals each 2.5 ms for each server, at least 250 ms and at most 15 s apart. Up to 100 servers nothing changes.

--- a/pkg/core/watch.go
+++ b/pkg/core/watch.go
@@ -8,6 +8,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/feed"
+	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/replica"
 )
 
@@ -15,6 +16,12 @@
 	// flushInterval bounds how long a renewed announcement waits to be
 	// streamed. State changes are streamed at once.
 	flushInterval = 250 * time.Millisecond
+	// renewalShare is the interval of renewals for each server, so that a host
+	// gets 400 a second at most from all core hosts, 24 KB. Up to 100 servers
+	// they go out with each flush. renewalMost keeps them well inside the
+	// minute after which a silent server is forgotten.
+	renewalShare = 2500 * time.Microsecond
+	renewalMost  = 15 * time.Second
 	// confirmInterval is the pause between attempts to confirm the state for
 	// a new watcher.
 	confirmInterval = 100 * time.Millisecond
@@ -35,7 +42,9 @@
 	told      bool // that the state is confirmed
 	version   uint64
 	revision  uint64
-	cursor    uint64
+	cursor    uint64    // of announcements
+	modified  uint64    // of those that changed more than times
+	renewedAt time.Time // when renewed announcements were sent last
 	edgeRev   uint64
 	edgesAt   time.Time // when edge hosts were named last
 	coreTerm  uint64
@@ -169,8 +178,7 @@
 	h := w.h
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	entries, cursor := h.servers.Since(w.cursor)
-	w.cursor = cursor
+	entries := w.entries(now)
 	for i := range entries {
 		if w.first || entries[i].Direct {
 			e.Servers = append(e.Servers, entries[i].Message(now))
@@ -185,6 +193,25 @@
 	return len(e.Servers) > 0 || len(e.Edges) > 0
 }
 
+// entries returns the announcements that the watcher needs now; it needs the
+// lock. Changes go out at once, renewals as often as renewalShare allows.
+func (w *watcher) entries(now time.Time) (out []registry.Entry) {
+	servers := w.h.servers
+	if now.Sub(w.renewedAt) < renewalInterval(servers.Len()) {
+		out, w.modified = servers.ModifiedSince(w.modified)
+		return out
+	}
+	out, w.cursor = servers.Since(w.cursor)
+	w.modified, w.renewedAt = w.cursor, now
+	return out
+}
+
+// renewalInterval returns how often announcements are sent that say nothing
+// new but that a server is still there.
+func renewalInterval(servers int) time.Duration {
+	return min(max(time.Duration(servers)*renewalShare, flushInterval), renewalMost)
+}
+
 func (e *edge) list(now time.Time) *apiv1.EdgeHost {
 	m := e.message
 	out := &apiv1.EdgeHost{Name: m.GetName(), DataCentre: m.GetDataCentre(), Address: m.GetAddress(), Incarnation: m.GetIncarnation()}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -56,7 +56,8 @@
 	Heard      time.Time // by the local clock
 	Direct     bool      // heard by this host itself
 
-	change uint64
+	change   uint64 // number of the last change
+	modified uint64 // number of the last change of more than times
 }
 
 // Change says what an offered announcement did.
@@ -92,7 +93,7 @@
 func (r *Registry) Offer(e Entry) Change {
 	present := r.entries[e.ID]
 	if present == nil {
-		r.put(e)
+		r.put(e, 0)
 		return Modified
 	}
 	if present.supersedes(&e) {
@@ -102,14 +103,14 @@
 		// A withdrawal may name the id alone.
 		gone := *present
 		gone.State, gone.Heard, gone.Direct = Gone, e.Heard, e.Direct || gone.Direct
-		r.put(gone)
+		r.put(gone, 0)
 		return Modified
 	}
-	change := Renewed
+	change, modified := Renewed, present.modified
 	if e.State != present.State || e.BornMS != present.BornMS || e.Address != present.Address || e.Service != present.Service {
-		change = Modified
+		change, modified = Modified, 0
 	}
-	r.put(e)
+	r.put(e, modified)
 	return change
 }
 
@@ -141,9 +142,13 @@
 	return !restarted
 }
 
-func (r *Registry) put(e Entry) {
+// put stores the entry; modified is 0 if more than its times changed.
+func (r *Registry) put(e Entry, modified uint64) {
 	r.changes++
-	e.change = r.changes
+	e.change, e.modified = r.changes, modified
+	if modified == 0 {
+		e.modified = r.changes
+	}
 	r.entries[e.ID] = &e
 }
 
@@ -159,13 +164,25 @@
 // Since returns copies of the entries that changed after the cursor, and the
 // new cursor.
 func (r *Registry) Since(cursor uint64) ([]Entry, uint64) {
+	return r.where(func(e *Entry) bool { return e.change > cursor }), r.changes
+}
+
+// ModifiedSince is Since without the entries of which only times changed.
+func (r *Registry) ModifiedSince(cursor uint64) ([]Entry, uint64) {
+	return r.where(func(e *Entry) bool { return e.modified > cursor }), r.changes
+}
+
+// Len returns the number of entries.
+func (r *Registry) Len() int { return len(r.entries) }
+
+func (r *Registry) where(ok func(*Entry) bool) []Entry {
 	var out []Entry
 	for _, e := range r.entries {
-		if e.change > cursor {
+		if ok(e) {
 			out = append(out, *e)
 		}
 	}
-	return out, r.changes
+	return out
 }
 
 // Usable returns the entries that hold an address: of several at one address
