Look for bytes again before a silent stream is given up

The goroutine of the silence had found no bytes and then waited for the lock of the decisions, which on a busy host takes long enough for the first event to come. Ruled out: the configuration that came at the same time. Change: bytes are looked for once more after the leave to give up. Test: TestBytesThatComeDuringTheLeave fails without it.

--- a/pkg/edge/silence.go
+++ b/pkg/edge/silence.go
@@ -51,6 +51,9 @@
 		w.again(silenceRecheck)
 		return
 	}
+	if w.waits() { // bytes came while this goroutine waited for the leave
+		return
+	}
 	w.giveUp()
 }
 
--- a/pkg/edge/silence_test.go
+++ b/pkg/edge/silence_test.go
@@ -46,6 +46,26 @@
 	})
 }
 
+// Guards against a stream that is cut because the leave to give it up takes
+// long on a busy host and its first event comes meanwhile.
+func TestBytesThatComeDuringTheLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var given atomic.Int32
+		var watch atomic.Pointer[silenceWatch]
+		asked := 0
+		w := newSilenceWatch(750*time.Millisecond, func() bool {
+			if asked++; asked == 1 {
+				watch.Load().bytes(time.Second)
+			}
+			return true
+		}, func() { given.Add(1) })
+		watch.Store(w)
+		defer w.stop()
+		time.Sleep(1700 * time.Millisecond)
+		assert.Equal(t, given.Load(), int32(0))
+	})
+}
+
 // Guards against a silence that lasts longer or shorter than stated, and a
 // request that is given up without leave.
 func TestSilenceEnds(t *testing.T) {
