Take no server for silent whose answer waits to be read

The engines had made their first events 640 ms before; the busy edge host had not read them. Change: before a silent request is given up, the connection is looked at for bytes that its reader has not got: in the buffers of net/http by a count of what was read, in the kernel by a look at the socket. The look moves to pkg/netpeek, which pkg/callers uses as well.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
 )
 
 const (
@@ -116,11 +117,11 @@
 	var cause error
 	candidates, limit := s.idleFor(limit)
 	for _, c := range candidates {
-		waiting, err := peek(c)
+		waiting, err := netpeek.Peek(c)
 		switch {
 		case err != nil:
 			failed, cause = failed+1, err
-		case waiting.unread:
+		case waiting.Unread:
 			unread++
 		case s.closeIfIdle(c):
 			closed++
@@ -161,3 +162,14 @@
 	_ = c.SetReadDeadline(past) // fails on a closed connection only
 	return true
 }
+
+// Left reports whether the caller has closed the connection of the request
+// with that context. A busy host may read a request after that.
+func Left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return false
+	}
+	p, err := netpeek.Peek(c)
+	return err != nil || p.Ended // an error means that the connection is closed
+}
--- a/pkg/callers/conns_test.go
+++ b/pkg/callers/conns_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
 )
 
 // deadline bounds each wait; the machine may be busy.
@@ -53,16 +55,16 @@
 	s := NewConns(1, 0)
 	s.State(c, http.StateNew)
 	s.State(c, http.StateIdle)
-	p, err := peek(c)
+	p, err := netpeek.Peek(c)
 	assert.NilError(t, err)
-	assert.Equal(t, p, peeked{})
+	assert.Equal(t, p, netpeek.State{})
 	const request = "GET / HTTP/1.1\r\n\r\n"
 	_, err = io.WriteString(caller, request)
 	assert.NilError(t, err)
 	limit := time.Now().Add(deadline)
-	for !p.unread && time.Now().Before(limit) {
+	for !p.Unread && time.Now().Before(limit) {
 		time.Sleep(time.Millisecond)
-		p, err = peek(c)
+		p, err = netpeek.Peek(c)
 		assert.NilError(t, err)
 	}
 	s.closeIdle(0)
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -45,12 +45,13 @@
 	limit := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
 	defer limit.Stop()
 	begun := time.Now()
+	var arrival proxy.Arrival
 	silence := newSilenceWatch(x.silence(),
-		func() bool { return x.s.givesUp(x.work.Service, v.Server, begun) },
+		func() bool { return !arrival.Came() && x.s.givesUp(x.work.Service, v.Server, begun) },
 		func() { cancel(errSilent) })
 	defer silence.stop()
 
-	resp, sent, err := x.s.transport.Open(ctx, x.outgoing(v), false, x.in.Body)
+	resp, sent, err := x.s.transport.Open(ctx, x.outgoing(v), &arrival, x.in.Body)
 	if err != nil {
 		return x.end(v, x.failed(ctx, err, sent))
 	}
@@ -60,7 +61,7 @@
 		return x.end(v, a)
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
-		return x.end(v, x.stream(ctx, resp, silence))
+		return x.end(v, x.stream(ctx, resp, silence, &arrival))
 	}
 	return x.end(v, x.plain(ctx, resp))
 }
@@ -200,7 +201,7 @@
 
 // stream passes events on as they arrive, whole ones only, so that another
 // server can go on.
-func (x *exchangeState) stream(ctx context.Context, resp *http.Response, silence *silenceWatch) attemptEnd {
+func (x *exchangeState) stream(ctx context.Context, resp *http.Response, silence *silenceWatch, arrival *proxy.Arrival) attemptEnd {
 	a := attemptEnd{sent: true, status: resp.StatusCode}
 	x.events.buffer = x.events.buffer[:0]
 	resumed := x.started
@@ -210,6 +211,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
+			arrival.Mark()
 			silence.bytes(x.stall())
 			if whole := x.events.pending(buf[:n]); len(whole) > 0 {
 				if resumed && !follows(x.events.last, firstID(whole)) {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -328,7 +328,7 @@
 		return
 	}
 	healthy, cold := false, time.Duration(0)
-	resp, _, err := s.transport.Open(ctx, req, false, nil)
+	resp, _, err := s.transport.Open(ctx, req, nil, nil)
 	if err == nil {
 		reply := s.config.Dialect.Read(resp)
 		healthy, cold = resp.StatusCode == http.StatusOK && reply.Server == p.Server, reply.ColdFor
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // errSealed is returned by writes to a connection after its request was given
@@ -16,6 +17,8 @@
 	owner *connTable
 	addr  string
 
+	got atomic.Int64 // bytes that were read
+
 	mu     sync.Mutex
 	writes uint64 // Write calls that may have passed bytes to the kernel
 	uses   uint64 // exchanges on this connection
@@ -24,6 +27,13 @@
 }
 
 // Write implements net.Conn. The count rises before the first byte can leave.
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.got.Add(int64(n))
+	return n, err
+}
+
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -131,28 +131,32 @@
 		return nil, &trip{}, err
 	}
 	req.Header = outgoingHeader(r, extra)
-	return t.exchange(ctx, req, fresh, body)
+	return t.exchange(ctx, req, fresh, nil, body)
 }
 
 // Open sends a request with a body that is repeated on no account, and returns
 // the head of the answer. The caller closes the body of the response. sent
 // reports whether a byte of the request can have reached the server; it seals
-// the connection, so call it only when the request is given up.
-func (t *Transport) Open(ctx context.Context, req *http.Request, fresh bool, body []byte) (resp *http.Response, sent func() bool, err error) {
-	resp, tr, err := t.exchange(ctx, req, fresh, body)
+// the connection, so call it only when the request is given up. arrival may be
+// nil.
+func (t *Transport) Open(ctx context.Context, req *http.Request, arrival *Arrival, body []byte) (resp *http.Response, sent func() bool, err error) {
+	resp, tr, err := t.exchange(ctx, req, false, arrival, body)
 	return resp, tr.sent, err
 }
 
 // DropIdle closes the idle connections to an address.
 func (t *Transport) DropIdle(address string) { t.conns.dropIdle(address) }
 
-func (t *Transport) exchange(ctx context.Context, req *http.Request, fresh bool, body []byte) (*http.Response, *trip, error) {
+func (t *Transport) exchange(ctx context.Context, req *http.Request, fresh bool, arrival *Arrival, body []byte) (*http.Response, *trip, error) {
 	tr := &trip{}
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*trackedConn); ok {
 				tr.conn = c
 				tr.use, tr.since = c.use()
+				if arrival != nil {
+					arrival.begin(c)
+				}
 			}
 		},
 		PutIdleConn: func(err error) {
