Look for unread bytes last before a silent stream is given up

Change: the leave looks for unread bytes last; the extra turn is gone. The slot of chance in the price of an engine is computed once for a decision. Test: TestReaderGetsItsTurnBeforeTheEnd now has bytes that wait to be read in place of a turn; the other three are as they were.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -17,13 +17,14 @@
 func (d *Dispatcher) scan(now time.Time, r *Request, g *service) found {
 	f := found{anyPrice: math.Inf(1), onTimePrice: math.Inf(1), latePrice: math.Inf(1)}
 	d.findHolders(now, r, g)
+	chance := d.hash ^ uint64(now.UnixMilli()/spreadTime.Milliseconds())
 	for _, s := range g.servers {
 		if !d.mayTake(now, r, s) {
 			continue
 		}
 		s.advance(now)
 		left, fetch := r.toRead(s)
-		price := d.price(now, r, s, left, fetch)
+		price := d.price(now, r, s, left, fetch, chance)
 		if price < f.anyPrice {
 			f.any, f.anyPrice = s, price
 		}
@@ -38,8 +39,8 @@
 }
 
 // price is the predicted time to the first event in seconds, with what the
-// request costs others.
-func (d *Dispatcher) price(now time.Time, r *Request, s *server, left int, fetch fetch) float64 {
+// request costs others. chance is drawn anew for each host and spreadTime.
+func (d *Dispatcher) price(now time.Time, r *Request, s *server, left int, fetch fetch, chance uint64) float64 {
 	if !s.model() {
 		return d.plainPrice(now, s)
 	}
@@ -54,7 +55,7 @@
 	}
 	running, _ := s.load()
 	t += fullBatch.Seconds() * float64(running) / float64(max(s.info.Slots, 1))
-	t += spread * float64(mix(d.hash^uint64(now.UnixMilli()/spreadTime.Milliseconds()), s.hash)%1024) / 1024
+	t += spread * float64(mix(chance, s.hash)%1024) / 1024
 	// Equal servers are told apart by the part that is shared last, so that
 	// all edge hosts choose the same one for it.
 	if n := len(r.Parts); n > 0 {
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -47,7 +47,7 @@
 	begun := time.Now()
 	var arrival proxy.Arrival
 	silence := newSilenceWatch(x.silence(),
-		func() bool { return !arrival.Came() && x.s.givesUp(x.work.Service, v.Server, begun) },
+		func() bool { return x.s.givesUp(x.work.Service, v.Server, begun) && !arrival.Came() },
 		func() { cancel(errSilent) })
 	defer silence.stop()
 
--- a/pkg/edge/silence.go
+++ b/pkg/edge/silence.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// silenceRecheck is the last part of the time that a server may say nothing.
-// On a busy host its bytes may have come and wait to be read; the reader gets
-// this time.
+// silenceRecheck is how often a request that was silent for too long, but may
+// not be given up yet, is looked at again.
 const silenceRecheck = 100 * time.Millisecond
 
 // silenceWatch gives a request up that its server has left without a byte for
 // too long.
 type silenceWatch struct {
-	allowed func() bool // whether the request may be given up
+	// allowed says whether the request may be given up. It takes time on a busy
+	// host and looks last for bytes that wait to be read.
+	allowed func() bool
 	giveUp  func()
 
-	mu      sync.Mutex
-	limit   time.Duration
-	heard   time.Time // when bytes came last, or the begin
-	checked bool      // the reader had its time since then
-	timer   *time.Timer
+	mu    sync.Mutex
+	limit time.Duration
+	heard time.Time // when bytes came last, or the begin
+	timer *time.Timer
 }
 
 // newSilenceWatch begins to wait for the first byte. The caller stops it.
@@ -28,7 +28,7 @@
 	w := &silenceWatch{allowed: allowed, giveUp: giveUp, limit: limit, heard: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(max(limit-silenceRecheck, 0), w.expire)
+	w.timer = time.AfterFunc(max(limit, 0), w.expire)
 	return w
 }
 
@@ -36,46 +36,36 @@
 func (w *silenceWatch) bytes(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.heard, w.limit, w.checked = time.Now(), limit, false
-	w.timer.Reset(max(limit-silenceRecheck, 0))
+	w.heard, w.limit = time.Now(), limit
+	w.timer.Reset(limit)
 }
 
 func (w *silenceWatch) stop() { w.timer.Stop() }
 
 // expire runs when the timer fires, which may be long after bytes came.
 func (w *silenceWatch) expire() {
-	if w.waits() {
+	if w.waits(0) {
 		return
 	}
-	if !w.allowed() {
-		w.again(silenceRecheck)
+	allowed := w.allowed()
+	if allowed && !w.waits(0) { // bytes may have come meanwhile
+		w.giveUp()
 		return
 	}
-	if w.waits() { // bytes came while this goroutine waited for the leave
-		return
+	if !allowed {
+		w.waits(silenceRecheck)
 	}
-	w.giveUp()
 }
 
-// waits reports whether the server still has time, and sets the timer.
-func (w *silenceWatch) waits() bool {
+// waits sets the timer if the server still has time, at least the given one,
+// and reports whether it has.
+func (w *silenceWatch) waits(least time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	left := w.limit - time.Since(w.heard)
-	switch {
-	case left > silenceRecheck:
-		w.timer.Reset(left - silenceRecheck)
-	case !w.checked:
-		w.checked = true
-		w.timer.Reset(silenceRecheck)
-	default:
+	left := max(w.limit-time.Since(w.heard), least)
+	if left <= 0 {
 		return false
 	}
+	w.timer.Reset(left)
 	return true
 }
-
-func (w *silenceWatch) again(after time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer.Reset(after)
-}
--- a/pkg/edge/silence_test.go
+++ b/pkg/edge/silence_test.go
@@ -30,16 +30,20 @@
 }
 
 // Guards against a host that was busy for longer than the silence may last,
-// and gives up before it has looked for bytes.
+// and gives up although bytes wait to be read.
 func TestReaderGetsItsTurnBeforeTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var given atomic.Int32
-		w := newSilenceWatch(750*time.Millisecond, yes, func() { given.Add(1) })
+		var unread atomic.Bool
+		w := newSilenceWatch(750*time.Millisecond, func() bool { return !unread.Load() }, func() { given.Add(1) })
 		defer w.stop()
-		w.timer.Stop() // nothing runs for 2 s
+		w.timer.Stop() // nothing runs for 2 s, and bytes come
+		unread.Store(true)
 		time.Sleep(2 * time.Second)
 		w.expire()
+		time.Sleep(silenceRecheck / 2)
 		assert.Equal(t, given.Load(), int32(0))
+		unread.Store(false) // the reader gets them
 		w.bytes(time.Second)
 		time.Sleep(950 * time.Millisecond)
 		assert.Equal(t, given.Load(), int32(0))
