--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"jackdawtrack.example/jackdawtrack/internal/testport"
 	"jackdawtrack.example/jackdawtrack/pkg/replica"
 	"jackdawtrack.example/jackdawtrack/pkg/wal"
 	"jackdawtrack.example/jackdawtrack/pkg/wal/waltest"
@@ -92,13 +93,12 @@
 }
 
 func newTestCore(t *testing.T, founders int) *testCore {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
+	ports, err := testport.Free(1)
 	assert.NilError(t, err)
 	c := &testCore{
-		t: t, port: l.Addr().(*net.TCPAddr).Port, hosts: map[int]*Host{}, folders: map[int]string{}, disks: map[int]wal.FS{},
+		t: t, port: ports[0], hosts: map[int]*Host{}, folders: map[int]string{}, disks: map[int]wal.FS{},
 		links: links{cut: map[[2]int]bool{}, conns: map[net.Conn][2]int{}},
 	}
-	assert.NilError(t, l.Close())
 	for n := 1; n <= founders; n++ {
 		c.seeds = append(c.seeds, c.address(n))
 	}
