Give no work to servers that leave or ask for a pause

Cause: a server that leaves says so in its answers (Server-Leaving), and one that turns a request away may ask for a pause (Retry-After); both were dropped. Ruled out: keeping the mark in the decisions alone, they forget a server that is missing from one announcement list. Change: the dialect decodes both. Found on the way: the turns of refused callers of plain services were 0/0, so all were told to come back after 0.3 s at once.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -92,7 +92,7 @@
 	switch {
 	case !s.info.Ready || s.wrong || slices.Contains(r.Avoid, s.info.ID):
 		return false
-	case !s.downSince.IsZero() || now.Before(s.fullUntil):
+	case !s.downSince.IsZero() || now.Before(s.fullUntil) || s.paused(now):
 		return false
 	}
 	if !d.coldAllows(now, s) {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -198,7 +198,7 @@
 	found := d.scan(now, r, g)
 	if found.any == nil {
 		v.Class = Late
-		if anyLater(g) {
+		if anyWithin(now, g, d.hold(now, r, Late)) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
@@ -235,9 +235,12 @@
 	return OnTime
 }
 
-// anyLater reports whether a server of the service may take work soon.
-func anyLater(g *service) bool {
-	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.info.Ready && s.downSince.IsZero() })
+// anyWithin reports whether a server of the service may take work within the
+// time.
+func anyWithin(now time.Time, g *service, wait time.Duration) bool {
+	return slices.ContainsFunc(g.servers, func(s *server) bool {
+		return s.info.Ready && s.downSince.IsZero() && s.pausedUntil.Sub(now) <= wait
+	})
 }
 
 // send charges the request to the server and its workspace.
@@ -257,7 +260,7 @@
 		d.shares.serve(now, r.Workspace, cost(r))
 	}
 	v.Kind, v.Reason = Send, ReasonSent
-	v.Server, v.Address, v.FetchFrom = s.info.ID, s.info.Address, r.fetchFrom
+	v.Server, v.BornMS, v.Address, v.FetchFrom = s.info.ID, s.info.BornMS, s.info.Address, r.fetchFrom
 	v.Uncached, v.InfoAge = r.uncached, now.Sub(s.info.Heard)
 	return v
 }
--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -27,10 +27,11 @@
 	}
 	if best == nil {
 		v.Class = Late
-		if !anyLater(g) {
+		left := time.Duration(plainHoldShare*float64(r.Objective)) - now.Sub(r.Arrived)
+		if !anyWithin(now, g, left) {
 			return d.refuse(now, r, v, ReasonNoServer)
 		}
-		if now.Sub(r.Arrived) > time.Duration(plainHoldShare*float64(r.Objective)) {
+		if left < 0 {
 			return d.refuse(now, r, v, ReasonLate)
 		}
 		return v
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -67,6 +67,9 @@
 	latency   time.Duration // of a plain server
 	latencyAt time.Time
 	fullUntil time.Time
+	// pausedUntil ends the time in which the server wants nothing from this
+	// edge host.
+	pausedUntil time.Time
 
 	heard time.Time // when it last sent an event or an answer to this edge host
 
@@ -107,6 +110,7 @@
 	s.rate = max(s.rate*restartRate, minRate)
 	s.fail, s.downs = 0, 0
 	s.downSince, s.wrong = time.Time{}, false
+	s.pausedUntil = time.Time{}
 }
 
 // comeBack makes a server that was down usable. The count of failures in a row
@@ -208,7 +212,7 @@
 func (d *Dispatcher) Probes(now time.Time) []Probe {
 	var out []Probe
 	for _, s := range d.servers {
-		if s.downSince.IsZero() || s.wrong || !s.info.Ready || now.Before(s.probeAt) {
+		if s.downSince.IsZero() || s.wrong || !s.info.Ready || now.Before(s.probeAt) || s.paused(now) {
 			continue
 		}
 		s.probeAt = now.Add(min(firstDown<<min(s.downs, 8), maxDown))
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -76,6 +76,7 @@
 	Kind       Kind
 	Reason     Reason
 	Server     string // id
+	BornMS     int64  // start of the server that is meant
 	Address    string
 	FetchFrom  string        // address of the engine whose kept prompt parts it fetches, "" if none
 	RetryAfter time.Duration // of a refusal
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -94,9 +94,17 @@
 		// The window frees what it holds evenly.
 		base += time.Duration((v.Served - v.Level) / v.Served * float64(window))
 	}
-	turn := time.Duration(float64(window) * cost(r) / max(v.Level, cost(r)))
-	spread := time.Duration(u.turns%mostTurns) * min(turn, longestTurn)
-	return min(max(base+spread, minRetryAfter), maxRetryAfter)
+	spread := time.Duration(u.turns%mostTurns) * turnTime(r, v)
+	return d.pauseLeft(now, r.Service) + min(max(base+spread, minRetryAfter), maxRetryAfter)
+}
+
+// turnTime returns the pause between two callers of one workspace: the time in
+// which the window frees one request, or a plain server serves one.
+func turnTime(r *Request, v Verdict) time.Duration {
+	if cost(r) == 0 {
+		return firstLatency
+	}
+	return min(time.Duration(float64(window)*cost(r)/max(v.Level, cost(r))), longestTurn)
 }
 
 // Cancel withdraws a request that waits.
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -57,6 +57,9 @@
 	}
 	defer resp.Body.Close()
 	reply := x.s.config.Dialect.Read(resp)
+	if reply.RequestID == x.in.ID && !reply.Misdirected {
+		x.s.heed(v, reply)
+	}
 	if a, bad := x.checkHead(resp, reply); bad {
 		return x.end(v, a)
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -60,8 +60,8 @@
 	Registry metrics.Registry
 }
 
-// Server is one edge host. mu guards view, dispatcher, verdicts and
-// budget; no network call is made under it.
+// Server is one edge host. mu guards view, dispatcher, verdicts, budget and
+// leaving; no network call is made under it.
 type Server struct {
 	config    Config
 	log       *logrus.Entry
@@ -82,6 +82,7 @@
 	polling    bool
 	incarnate  uint64
 	budget     budget
+	leaving    []leaving
 
 	refusals *rate.Limiter // of log lines
 	unlogged atomic.Int64  // refusals without a line
@@ -190,14 +191,21 @@
 func (s *Server) Digest() (*apiv1.LoadDigest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.Digest(time.Now(), s.incarnate)
+	now := time.Now()
+	m, changed := s.dispatcher.Digest(now, s.incarnate)
+	s.addLeaving(now, m)
+	return m, changed || len(m.GetLeaving()) > 0
 }
 
 // Take implements exchange.Source.
 func (s *Server) Take(m *apiv1.LoadDigest) {
+	now := time.Now()
+	for _, l := range m.GetLeaving() {
+		s.leaves(now, l.GetId(), l.GetBornMs())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.Take(time.Now(), m)
+	s.dispatcher.Take(now, m)
 }
 
 // offer gets the first verdict. The channel is nil unless the request waits.
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -54,8 +54,10 @@
 	Sealed      bool   // it carries the mark of a server
 	NotExecuted bool   // the server says that it did not run the request
 	Misdirected bool   // it is not the server that is meant, and did not run it
+	Leaving     bool   // the server leaves and wants no new work
 	ColdFor     time.Duration
-	Server      string // id, in answers to health checks
+	Pause       time.Duration // in which the server wants nothing from this host, 0 if it did not say
+	Server      string        // id, in answers to health checks
 }
 
 // Dialect translates between the product and backend servers.
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -192,7 +192,7 @@
 func (v *view) info(e *registry.Entry, s *routing.Service) dispatch.ServerInfo {
 	info := dispatch.ServerInfo{
 		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: max(e.Slots, 1),
-		Ready:  e.State == registry.Ready && !v.state[e.DataCentre].GetOut(),
+		Ready:  e.State == registry.Ready && !e.Leaving && !v.state[e.DataCentre].GetOut(),
 		BornMS: e.BornMS, ColdUntil: e.ColdUntil, Heard: e.Heard, ColdRate: s.ColdRate, ColdStart: s.ColdStart,
 	}
 	if s.Engine != nil {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -55,6 +55,7 @@
 	ColdUntil  time.Time // by the local clock
 	Heard      time.Time // by the local clock
 	Direct     bool      // heard by this host itself
+	Leaving    bool      // an answer of this start said that the server leaves
 
 	change   uint64 // number of the last change
 	modified uint64 // number of the last change of more than times
@@ -106,6 +107,7 @@
 		r.put(gone, 0)
 		return Modified
 	}
+	e.Leaving = present.Leaving && present.sameStart(&e)
 	change, modified := Renewed, present.modified
 	if e.State != present.State || e.BornMS != present.BornMS || e.Address != present.Address || e.Service != present.Service {
 		change, modified = Modified, 0
@@ -142,6 +144,26 @@
 	return !restarted
 }
 
+// sameStart reports whether a newer announcement comes from the start of the
+// server that the entry is about.
+func (e *Entry) sameStart(newer *Entry) bool {
+	return e.BornMS == newer.BornMS && (e.BornMS != 0 || newer.Sequence > e.Sequence)
+}
+
+// Leave notes that an answer of a start of the server said that it leaves. It
+// reports whether that is news. The mark holds until a new start, whatever the
+// announcements of this one say.
+func (r *Registry) Leave(id string, bornMS int64) bool {
+	e, ok := r.entries[id]
+	if !ok || e.Leaving || e.BornMS != bornMS || e.State != Ready {
+		return false
+	}
+	leaving := *e
+	leaving.Leaving = true
+	r.put(leaving, 0)
+	return true
+}
+
 // put stores the entry; modified is 0 if more than its times changed.
 func (r *Registry) put(e Entry, modified uint64) {
 	r.changes++
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -102,3 +102,33 @@
 		assert.Equal(t, got.ColdUntil, now.Add(cold))
 	}
 }
+
+// Guards against work for a server that leaves: its answers say so before or
+// after its announcements, which go on saying that it is ready.
+func TestLeavingHoldsForOneStart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		born    int64
+		later   []Entry
+		leaving bool
+	}{
+		{"announced ready again", 5, []Entry{entry("a", "x", 5, 2, Ready), entry("a", "x", 5, 3, Ready)}, true},
+		{"late announcement", 5, []Entry{entry("a", "x", 5, 1, Ready)}, true},
+		{"announced as draining", 5, []Entry{entry("a", "x", 5, 2, Draining)}, true},
+		{"new start", 5, []Entry{entry("a", "x", 6, 1, Ready)}, false},
+		{"answer of an earlier start", 4, nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Offer(entry("a", "x", 5, 1, Ready))
+			assert.Equal(t, r.Leave("a", c.born), c.born == 5)
+			assert.Assert(t, !r.Leave("a", c.born), "it is no news")
+			for _, e := range c.later {
+				r.Offer(e)
+			}
+			got, _ := r.Get("a")
+			assert.Equal(t, got.Leaving, c.leaving)
+		})
+	}
+	assert.Assert(t, !New().Leave("unknown", 1))
+}
