Count the memory of running prompts once when parts are forgotten

Ruled out: engines that are down, unread digests (8 thousand tokens), runs that failed (22 thousand). Change: parts are assumed to stay in 85 percent of the whole memory.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -289,3 +289,19 @@
 		assert.Assert(t, got > real/1.6 && got < real*1.6, "rate %v, the engine has %v", got, real)
 	}
 }
+
+// Guards against prompt parts that are taken for lost while their engine runs
+// many requests: memory of running prompts was counted twice, and parts were
+// read again in floods that other engines could have handed over.
+func TestPartsOfRunningPromptsAreKept(t *testing.T) {
+	d := newFleet(1, 1)[0]
+	first := Part{ID: 1, Tokens: 5000}
+	const running = 60
+	for i := range running {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		v := d.Offer(now, request(now, "w", 5000, time.Second, Part{ID: first.ID + uint64(i), Tokens: 5000}))
+		assert.Equal(t, v.Kind, Send)
+	}
+	all, _ := d.servers["engine-0"].kept.cached(start, []Part{first})
+	assert.Equal(t, all, first.Tokens)
+}
--- a/pkg/dispatch/kept.go
+++ b/pkg/dispatch/kept.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// keptUse is the part of an engine's memory, less what runs, in which parts
-// are assumed to stay.
+// keptUse is the part of an engine's memory in which parts are assumed to stay.
+// The rest holds what is generated.
 const keptUse = 0.85
 
 // tellAgain is how often other edge hosts are told that an engine still uses a
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -194,11 +194,9 @@
 	return len(s.coldSent) < quota
 }
 
-// keptCapacity is the memory in which prompt parts are assumed to stay.
-func (s *server) keptCapacity() int {
-	_, kv := s.load()
-	return int(keptUse * float64(max(s.info.KVTokens-kv, 0)))
-}
+// keptCapacity is the memory in which prompt parts are assumed to stay. The
+// prompts of running requests are part of it.
+func (s *server) keptCapacity() int { return int(keptUse * float64(s.info.KVTokens)) }
 
 // Probe is a health check that is due.
 type Probe struct {
