Serve first attempts before returned requests

Cause: the objective of a request counts from the first attempt of its caller, so a returned request is late whatever is done. Ruled out: that returned requests cannot be told from first ones, as docs/measurements-platform.md said. What a caller states as the rest of its patience, against the longest of its route, tells the age.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -305,3 +305,20 @@
 	all, _ := d.servers["engine-0"].kept.cached(start, []Part{first})
 	assert.Equal(t, all, first.Tokens)
 }
+
+// Guards against returned requests, which are late whatever is done, in the
+// place of first ones that can be on time.
+func TestReturnedRequestsLeaveRoomForFirstOnes(t *testing.T) {
+	d := newFleet(1, 1)[0]
+	assert.Equal(t, d.Offer(start, request(start, "w", 6000, time.Second)).Kind, Send)
+	returned := request(start, "w", 1000, 400*time.Millisecond)
+	returned.Age = time.Second
+	v := d.Offer(start, returned)
+	assert.Equal(t, v.Kind, Wait)
+	assert.Equal(t, v.Class, Late)
+	assert.Equal(t, d.Offer(start, request(start, "w", 1000, 400*time.Millisecond)).Kind, Send)
+	now := start.Add(200 * time.Millisecond) // the engine has read all
+	decided := d.Poll(now)
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Verdict.Kind, Send)
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -228,7 +228,7 @@
 // its objective.
 func classify(now time.Time, r *Request, v Verdict) Class {
 	own := time.Duration(float64(v.Uncached) / firstRate * float64(time.Second))
-	due := max(r.Objective, own+own/2) - now.Sub(r.Arrived)
+	due := max(r.Objective, own+own/2) - now.Sub(r.Arrived) - r.Age
 	if v.Predicted > due {
 		return Late
 	}
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -29,6 +29,7 @@
 	OutputTokens int    // estimate
 
 	Arrived   time.Time
+	Age       time.Duration // since the first attempt of the caller, when this one arrived
 	Objective time.Duration // to the first event or the answer
 	Deadline  time.Time
 	Avoid     []string // ids of servers that must not get it
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -111,6 +111,7 @@
 	if x.work.Objective == 0 {
 		x.work.Objective = limit
 	}
+	x.work.Age = s.ages.of(in.Arrived, route.Name, in.Patience, x.work.Objective)
 	if p := in.Prompt; p != nil {
 		x.work.Parts, x.work.PromptTokens = p.Parts, p.Tokens
 		x.work.OutputTokens = expectedOutput(p)
@@ -364,7 +365,7 @@
 		"info_age_ms": v.InfoAge.Milliseconds(), "backlog_ms": v.Backlog.Milliseconds(), "predicted_ms": v.Predicted.Milliseconds(),
 		"uncached": v.Uncached, "fetch_from": v.FetchFrom, "prompt": x.work.PromptTokens, "queue": v.Queue, "share": int64(v.Level), "served": int64(v.Served),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.wait.Milliseconds(), "first_ms": x.first.Milliseconds(),
-		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.work.Objective.Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
+		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.work.Objective.Milliseconds(), "age_ms": x.work.Age.Milliseconds(), "patience_ms": x.in.Patience.Milliseconds(), "events": x.events.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.cause,
 	}).Info("request")
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -83,6 +83,7 @@
 	incarnate  uint64
 	budget     budget
 	leaving    []leaving
+	ages       ages
 
 	refusals *rate.Limiter // of log lines
 	unlogged atomic.Int64  // refusals without a line
