Tell other edge hosts of requests that failed at a server

Ruled out: the engines' limits on connections; full queues. Change: digests and summaries carry how many requests failed and went well at a server since the start of the sender; news of them moves the failure rate with half of the weight of own experience.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -62,6 +62,7 @@
 type loadMark struct {
 	tokens  int64
 	running int
+	failed  uint32
 	left    int // digests that still repeat it
 }
 
@@ -78,7 +79,7 @@
 		if s.due(out.Complete) {
 			out.Servers = append(out.Servers, &apiv1.ServerLoad{
 				Server: s.hash, PromptTokens: s.tokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kv, 0)),
-				BacklogMs: s.backlogMS(now),
+				BacklogMs: s.backlogMS(now), Failed: s.ends.failed, Good: s.ends.good,
 			})
 		}
 	}
@@ -114,8 +115,8 @@
 
 // due reports whether the next digest carries the load of the server.
 func (s *server) due(complete bool) bool {
-	if s.tokens != s.told.tokens || s.running != s.told.running {
-		s.told = loadMark{s.tokens, s.running, loadRepeats}
+	if s.tokens != s.told.tokens || s.running != s.told.running || s.ends.failed != s.told.failed {
+		s.told = loadMark{s.tokens, s.running, s.ends.failed, loadRepeats}
 	}
 	if s.told.left > 0 {
 		s.told.left--
@@ -230,9 +231,10 @@
 		p = &peerLoad{local: from.local}
 		s.peers[from.name] = p
 		if !from.complete {
-			p.tokens = l.GetPromptTokens()
+			p.tokens, p.ends = l.GetPromptTokens(), ends{l.GetFailed(), l.GetGood()}
 		}
 	}
+	s.takeEnds(now, s.newEnds(p, l))
 	if delta := l.GetPromptTokens() - p.tokens; delta != 0 {
 		s.add(now, float64(delta))
 		if p.local {
@@ -243,6 +245,23 @@
 	s.setPeer(p, int(l.GetRunning()), int(l.GetKvTokens()))
 }
 
+// newEnds returns the outcomes since the last digest. A count that fell is one
+// of a sender that dropped the server meanwhile.
+func (s *server) newEnds(p *peerLoad, l *apiv1.ServerLoad) ends {
+	told := ends{l.GetFailed(), l.GetGood()}
+	before := p.ends
+	p.ends = told
+	if told.failed < before.failed || told.good < before.good {
+		return ends{}
+	}
+	more := ends{told.failed - before.failed, told.good - before.good}
+	if p.local {
+		s.near.ends.failed += more.failed
+		s.near.ends.good += more.good
+	}
+	return more
+}
+
 // takeBacklog moves the belief about an engine. Of engines elsewhere a data
 // centre knows less than theirs does.
 func (s *server) takeBacklog(now time.Time, m *apiv1.LoadDigest, l *apiv1.ServerLoad) {
--- a/pkg/dispatch/digest_test.go
+++ b/pkg/dispatch/digest_test.go
@@ -218,3 +218,46 @@
 	assert.Equal(t, len(m.GetServers()), 4)
 	assert.Equal(t, len(m.GetUses()), 30)
 }
+
+// Guards against a server that resets each request at once, while it says that
+// it is ready: to each of many edge hosts it seems to have nothing to do, and
+// each found out by itself (3,328 requests of a large day).
+func TestFailuresAtOtherEdgeHostsCount(t *testing.T) {
+	fleet := newFleet(20, 2)
+	now := start
+	exchange := func() {
+		for _, from := range fleet {
+			m := digest(from, now)
+			for _, to := range fleet {
+				to.Take(now, m)
+			}
+		}
+	}
+	exchange()
+	lost := 0
+	const rounds, first = 40, 2 // the first ones find out
+	for round := range rounds {
+		now = now.Add(200 * time.Millisecond)
+		for _, d := range fleet {
+			r := request(now, "w", 10, time.Second)
+			v := d.Offer(now, r)
+			assert.Equal(t, v.Kind, Send)
+			if v.Server == "engine-0" {
+				d.Ended(now, r, Broken)
+				if round >= first {
+					lost++
+				}
+				continue
+			}
+			d.Started(now, r)
+			d.Ended(now, r, Whole)
+		}
+		exchange()
+	}
+	// A look now and then is left: five in 100.
+	assert.Assert(t, lost <= (rounds-first)*len(fleet)/20, "%d requests", lost)
+	late := New("late", "a", now)
+	late.SetServers(now, []ServerInfo{engineInfo(0, "a")})
+	late.Take(now, digest(fleet[0], now))
+	assert.Equal(t, late.servers["engine-0"].fail, 0.0, "what was before a host heard does not count")
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -365,6 +365,7 @@
 }
 
 func (d *Dispatcher) learn(now time.Time, r *Request, s *server, o Outcome) {
+	s.count(o)
 	switch o {
 	case Whole:
 		s.heard = now
@@ -397,6 +398,16 @@
 	}
 }
 
+// count notes an outcome for the other edge hosts.
+func (s *server) count(o Outcome) {
+	switch o {
+	case Whole:
+		s.ends.good++
+	case ServerError, Broken, Silent, Garbled, ConnectFailed:
+		s.ends.failed++
+	}
+}
+
 func (d *Dispatcher) learnService(s *server) {
 	g := d.services[s.info.Service]
 	if g == nil {
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -43,6 +43,7 @@
 	tokens  int64 // cumulative
 	running int
 	kv      int
+	ends    ends
 	local   bool // a host of this data centre
 }
 
@@ -68,6 +69,7 @@
 
 	fail      float64
 	failAt    time.Time
+	ends      ends          // at this edge host
 	latency   time.Duration // of a plain server
 	latencyAt time.Time
 	fullUntil time.Time
@@ -156,6 +158,30 @@
 	p.running, p.kv = running, kv
 }
 
+// ends counts requests that have ended at a server.
+type ends struct{ failed, good uint32 }
+
+const (
+	// sharedWeight is the weight of an outcome at another edge host against one
+	// here: its path to the server may be what fails.
+	sharedWeight = 0.5
+	// mostShared bounds the outcomes of one digest that count.
+	mostShared = 6
+)
+
+// takeEnds learns from what other edge hosts met at the server. Each host of a
+// large fleet sends it few requests, and one that resets all of them at once
+// seems to have nothing to do.
+func (s *server) takeEnds(now time.Time, more ends) {
+	for range min(more.good, mostShared) {
+		s.decayFail(now)
+		s.fail -= failGain * sharedWeight * s.fail
+	}
+	for range min(more.failed, mostShared) {
+		s.failure(now, sharedWeight)
+	}
+}
+
 func (s *server) failure(now time.Time, weight float64) {
 	s.decayFail(now)
 	s.fail += failGain * weight * (1 - s.fail)
--- a/pkg/dispatch/summary.go
+++ b/pkg/dispatch/summary.go
@@ -108,14 +108,14 @@
 	}
 	for _, s := range d.servers {
 		own := s.info.DataCentre == d.dataCentre
-		all := loadMark{tokens: s.tokens + s.near.tokens, running: s.running + s.near.running}
+		all := loadMark{tokens: s.tokens + s.near.tokens, running: s.running + s.near.running, failed: s.ends.failed + s.near.ends.failed}
 		changed := all != s.nearTold
 		if s.nearTold = all; !changed && !(m.Complete && (all != loadMark{} || own)) {
 			continue
 		}
 		m.Servers = append(m.Servers, &apiv1.ServerLoad{
 			Server: s.hash, PromptTokens: all.tokens, Running: uint32(max(all.running, 0)), KvTokens: uint32(max(s.kv+s.near.kv, 0)),
-			BacklogMs: s.backlogMS(now),
+			BacklogMs: s.backlogMS(now), Failed: all.failed, Good: s.ends.good + s.near.ends.good,
 		})
 	}
 	for _, p := range placed {
