Bound answers without end, and take whole events for progress

Cause: a plain answer could hold 32 MiB, hundreds of them more than a host has; an event that never ends grew without a bound (its request lasted until the test gave up after 60 s); a byte now and then kept a stalled stream from the server that could go on, and a stream that no other server could go on with was cut as stalled. Ruled out, each by a test: heads, status lines and chunks without end (net/http bounds them), late and second copies of an answer with another id, without one, in the middle of the next head (the id is checked on each answer). Change: held answers share an eighth of the host's memory, one takes a quarter of that; an event has 64 KiB at most; progress is a whole event; a stream stays at its server if no other one is up. A datagram whose handling fails is logged and no longer ends the process.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -349,6 +349,14 @@
 	d.learn(now, r, s, o)
 }
 
+// HasOther reports whether the service has another server that is up.
+func (d *Dispatcher) HasOther(service, id string) bool {
+	g := d.services[service]
+	return g != nil && slices.ContainsFunc(g.servers, func(s *server) bool {
+		return s.info.ID != id && s.info.Ready && s.downSince.IsZero()
+	})
+}
+
 // HeardSince reports whether the server has sent anything to this edge host
 // since then.
 func (d *Dispatcher) HeardSince(id string, then time.Time) bool {
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maxAnswerBytes bounds a plain answer, which is held until it is whole.
-	maxAnswerBytes = 32 << 20
 	// copyBytes is the size of the buffer of one stream; an event has a few
 	// hundred bytes.
 	copyBytes = 4 << 10
@@ -47,7 +45,10 @@
 	begun := time.Now()
 	var arrival proxy.Arrival
 	silence := newSilenceWatch(x.silence(),
-		func() bool { return x.s.givesUp(x.work.Service, v.Server, begun) && !arrival.Came() },
+		func() bool {
+			return x.s.givesUp(x.work.Service, v.Server, begun) &&
+				(!x.started || x.s.hasOther(x.work.Service, v.Server)) && !arrival.Came()
+		},
 		func() { cancel(errSilent) })
 	defer silence.stop()
 
@@ -150,8 +151,9 @@
 // plain holds the answer until it is whole.
 func (x *exchangeState) plain(ctx context.Context, resp *http.Response) attemptEnd {
 	a := attemptEnd{sent: true, status: resp.StatusCode}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
+	body, done, err := x.s.answers.read(resp.Body)
+	x.release = append(x.release, done)
+	if err != nil {
 		return x.broken(ctx, a, err)
 	}
 	x.first = time.Since(x.in.Arrived)
@@ -175,6 +177,8 @@
 		a.outcome = dispatch.CallerLeft
 	case errors.Is(cause, errDeadline) || errors.Is(cause, errSilent):
 		a.outcome, a.err = dispatch.Silent, cause
+	case errors.Is(err, errAnswerTooLong) || errors.Is(err, errEventTooLong):
+		a.outcome = dispatch.Garbled
 	default:
 		a.outcome = dispatch.Broken
 	}
@@ -215,8 +219,12 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			arrival.Mark()
-			silence.bytes(x.stall())
-			if whole := x.events.pending(buf[:n]); len(whole) > 0 {
+			whole := x.events.pending(buf[:n])
+			if len(x.events.buffer)-len(whole) > maxEventBytes {
+				return x.broken(ctx, a, errEventTooLong)
+			}
+			if len(whole) > 0 {
+				silence.progress(x.stall())
 				if resumed && !follows(x.events.last, firstID(whole)) {
 					a.outcome = dispatch.Garbled
 					return a
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -67,6 +67,7 @@
 	started  bool          // the caller has the head of an answer
 	status   int
 	events   events
+	release  []func() // give the memory of held answers back
 	outcomes []string
 	cause    error // of the last attempt that failed
 }
@@ -96,6 +97,7 @@
 		x.work.Workspace = workspace.Name
 	}
 	defer x.log(table.Version)
+	defer x.releaseAnswers()
 	x.run()
 }
 
@@ -169,6 +171,12 @@
 	x.giveUp(err)
 }
 
+func (x *exchangeState) releaseAnswers() {
+	for _, give := range x.release {
+		give()
+	}
+}
+
 // callerLeft reports whether the caller has closed its connection. On a busy
 // host a request may have been unread for so long that its caller left before,
 // and net/http notices that late, in another goroutine.
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -57,6 +57,8 @@
 	// PassWithin is the time in which an event has to be passed on; without it
 	// no event waits for another one.
 	PassWithin time.Duration
+	// MemoryBytes is the memory that the host has, 0 if not known.
+	MemoryBytes int64
 	// Budget bounds sends beyond the first of each request, over the fleet.
 	Budget   Budget
 	Registry metrics.Registry
@@ -88,6 +90,7 @@
 	elsewhere  []string // data centres of other edge hosts
 	ages       ages
 	calls      callTime
+	answers    *answerMemory
 
 	refusals *rate.Limiter // of log lines
 	unlogged atomic.Int64  // refusals without a line
@@ -107,6 +110,7 @@
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), verdicts: map[*dispatch.Request]chan dispatch.Verdict{},
 		incarnate: uint64(now.UnixNano()), budget: newBudget(c.Budget),
 	}
+	s.answers = newAnswerMemory(c.MemoryBytes)
 	s.refusals = rate.NewLimiter(refusalLines, refusalBurst)
 	s.view = newView(c.Decode, s.log)
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -309,7 +313,7 @@
 }
 
 // givesUp reports whether a request that a server has left without a byte
-// since then is taken from it. Without a budget for another send it stays with
+// since then, or a stream without an event, is taken from it. Without a budget for another send it stays with
 // a server that serves others; a caller is told at once of one that does not.
 func (s *Server) givesUp(service, server string, since time.Time) bool {
 	s.mu.Lock()
@@ -317,6 +321,14 @@
 	return s.budget.has(service) || !s.dispatcher.HeardSince(server, since)
 }
 
+// hasOther reports whether another server can go on with a stream. Without one
+// the stream of a slow server is better than none.
+func (s *Server) hasOther(service, server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.HasOther(service, server)
+}
+
 // every calls f after each interval until the server is closed.
 func (s *Server) every(interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
--- a/pkg/edge/silence.go
+++ b/pkg/edge/silence.go
@@ -19,7 +19,7 @@
 
 	mu    sync.Mutex
 	limit time.Duration
-	heard time.Time // when bytes came last, or the begin
+	heard time.Time // when the last event came, or the begin
 	timer *time.Timer
 }
 
@@ -32,8 +32,9 @@
 	return w
 }
 
-// bytes notes that bytes came, and how long the next ones may take.
-func (w *silenceWatch) bytes(limit time.Duration) {
+// progress notes that a whole event came, and how long the next one may take. A
+// byte now and then is none.
+func (w *silenceWatch) progress(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.heard, w.limit = time.Now(), limit
--- a/pkg/edge/silence_test.go
+++ b/pkg/edge/silence_test.go
@@ -20,7 +20,7 @@
 		w := newSilenceWatch(750*time.Millisecond, yes, func() { given.Add(1) })
 		defer w.stop()
 		time.Sleep(700 * time.Millisecond)
-		w.bytes(time.Second)
+		w.progress(time.Second)
 		w.expire() // its goroutine gets its turn only now
 		time.Sleep(950 * time.Millisecond)
 		assert.Equal(t, given.Load(), int32(0))
@@ -44,7 +44,7 @@
 		time.Sleep(silenceRecheck / 2)
 		assert.Equal(t, given.Load(), int32(0))
 		unread.Store(false) // the reader gets them
-		w.bytes(time.Second)
+		w.progress(time.Second)
 		time.Sleep(950 * time.Millisecond)
 		assert.Equal(t, given.Load(), int32(0))
 	})
@@ -59,7 +59,7 @@
 		asked := 0
 		w := newSilenceWatch(750*time.Millisecond, func() bool {
 			if asked++; asked == 1 {
-				watch.Load().bytes(time.Second)
+				watch.Load().progress(time.Second)
 			}
 			return true
 		}, func() { given.Add(1) })
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -214,6 +215,11 @@
 
 // take passes a summary of another data centre on if it is news.
 func (x *Exchange) take(m *apiv1.LoadDigest) {
+	defer func() {
+		if cause := recover(); cause != nil { // one datagram must not end the process
+			x.log.WithFields(logrus.Fields{"cause": cause, "sender": m.GetRouter(), "stack": string(debug.Stack())}).Error("the handling of a digest failed")
+		}
+	}()
 	if !x.source.Take(m) || !m.GetRelay() {
 		return
 	}
