--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -14,7 +14,9 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/internal/testport"
+	"jackdawtrack.example/jackdawtrack/pkg/feed"
 	"jackdawtrack.example/jackdawtrack/pkg/replica"
 	"jackdawtrack.example/jackdawtrack/pkg/wal"
 	"jackdawtrack.example/jackdawtrack/pkg/wal/waltest"
@@ -362,3 +364,39 @@
 		c.reads(n, agreed)
 	}
 }
+
+// told collects what a core host streams to an edge host.
+type told struct{ events chan *apiv1.FleetEvent }
+
+func (w told) Event(_ string, e *apiv1.FleetEvent) { w.events <- e }
+func (told) Lost(string, error)                    {}
+
+// Guards against a core host that calls its state confirmed without asking the
+// leader: an edge host that restarts at a host that is cut off went back.
+func TestStateIsConfirmedByAMajority(t *testing.T) {
+	c := newTestCore(t, 3)
+	c.startAll(3)
+	agreed := c.agree(1)
+	c.reads(3, agreed)
+	c.links.split([]int{1, 2}, []int{3})
+	newer := c.agree(1, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := told{make(chan *apiv1.FleetEvent, 100)}
+	feed.New(ctx, &apiv1.FleetWatcher{Name: "edge", Address: "127.0.9.1:1", Incarnation: 1}, "", nil, w).SetSeeds([]string{c.address(3)})
+	for range 8 { // heartbeats, several times the pause between two attempts
+		assert.Assert(t, !(<-w.events).GetConfirmed(), "a host without a majority")
+	}
+	c.links.heal()
+	version := uint64(0)
+	for {
+		e := <-w.events
+		if v := e.GetState().GetDocument().GetVersion(); v > 0 {
+			version = v
+		}
+		if e.GetConfirmed() {
+			break
+		}
+	}
+	assert.Assert(t, version >= newer, "confirmed %d, agreed %d", version, newer)
+}
