Serve connections that come late during a planned stop

Cause: an edge host stopped listening 2.8 s after SIGTERM. A connection that a lagging balancer opened after that, or one in the accept queue, was reset. Ruled out: requests of which a half has come, and open answers, which the stop of net/http waits for.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -28,6 +28,8 @@
 	crowdedIdle = 2 * time.Second
 	// sweepInterval is how often idle connections are looked for.
 	sweepInterval = time.Second
+	// drainInterval is the same while the host stops.
+	drainInterval = 100 * time.Millisecond
 )
 
 // past is a deadline that ends a read at once.
@@ -95,6 +97,31 @@
 	return s.most > 0 && s.open > s.most
 }
 
+// Drain ends connections that carry no request, until none has been open for
+// the quiet time or ctx ends. Those that still come are served meanwhile.
+func (s *Conns) Drain(ctx context.Context, quiet time.Duration) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	empty := time.Now()
+	for time.Since(empty) < quiet {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.closeIdle(0)
+		if s.openNow() > 0 {
+			empty = time.Now()
+		}
+	}
+}
+
+func (s *Conns) openNow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
 // Sweep closes connections that are idle for too long until stop is closed.
 func (s *Conns) Sweep(stop <-chan struct{}, limit func() time.Duration) {
 	ticker := time.NewTicker(sweepInterval)
