--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -161,7 +161,7 @@
 	p.number, p.capacity, p.at, p.dropped = m.GetNumber(), m.GetCapacity(), now, false
 	for _, l := range m.GetServers() {
 		if s := d.byHash[l.GetServer()]; s != nil {
-			s.takeLoad(now, p, l)
+			s.takeLoad(now, p, l, d.Summarises())
 			s.takeBacklog(now, m, l)
 		}
 	}
@@ -224,8 +224,9 @@
 	}
 }
 
-// takeLoad adds what the other host has sent since its last digest.
-func (s *server) takeLoad(now time.Time, from *peer, l *apiv1.ServerLoad) {
+// takeLoad adds what the other host has sent since its last digest. learns says
+// whether its outcomes count here.
+func (s *server) takeLoad(now time.Time, from *peer, l *apiv1.ServerLoad, learns bool) {
 	p := s.peers[from.name]
 	if p == nil {
 		p = &peerLoad{local: from.local}
@@ -234,7 +235,9 @@
 			p.tokens, p.ends = l.GetPromptTokens(), ends{l.GetFailed(), l.GetGood()}
 		}
 	}
-	s.takeEnds(now, s.newEnds(p, l))
+	if more := s.newEnds(p, l); learns {
+		s.takeEnds(now, more)
+	}
 	if delta := l.GetPromptTokens() - p.tokens; delta != 0 {
 		s.add(now, float64(delta))
 		if p.local {
--- a/pkg/dispatch/digest_test.go
+++ b/pkg/dispatch/digest_test.go
@@ -224,6 +224,9 @@
 // each found out by itself (3,328 requests of a large day).
 func TestFailuresAtOtherEdgeHostsCount(t *testing.T) {
 	fleet := newFleet(20, 2)
+	for _, d := range fleet {
+		d.SetEdges([]string{d.self}, 2*meshHosts)
+	}
 	now := start
 	exchange := func() {
 		for _, from := range fleet {
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -171,7 +171,9 @@
 
 // takeEnds learns from what other edge hosts met at the server. Each host of a
 // large fleet sends it few requests, and one that resets all of them at once
-// seems to have nothing to do.
+// seems to have nothing to do. In a small fleet each host soon knows by itself;
+// there the outcomes of others keep work from servers that fail only now and
+// then, and their kept parts are read again elsewhere.
 func (s *server) takeEnds(now time.Time, more ends) {
 	for range min(more.good, mostShared) {
 		s.decayFail(now)
