Set two comments right

Cause: one spoke of requests that other engines could serve in a way that could be read the other way round, the other stood above the wrong method. Measured: go build.

--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -5,8 +5,8 @@
 const (
 	// reserveMargin is the number of free slots, by belief, up to which a slot is
 	// reserved before a request is sent. Other edge hosts take slots that are
-	// not known here yet; a request that finds none waits at the engine for most
-	// of a second, in front of nobody that another engine could serve.
+	// not known here yet, and a request that finds none waits at that engine
+	// while another one has room.
 	reserveMargin = 4
 	// noSlotPause is how long an engine is left alone after it had no slot. A
 	// full engine of 12 slots frees one each 100 to 200 ms.
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -26,7 +26,6 @@
 	idle   bool
 }
 
-// Write implements net.Conn. The count rises before the first byte can leave.
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -34,6 +33,7 @@
 	return n, err
 }
 
+// Write implements net.Conn. The count rises before the first byte can leave.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
