--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -98,7 +98,7 @@
 }
 
 // Drain ends connections that carry no request, until none has been open for
-// the quiet time or ctx ends. Those that still come are served meanwhile.
+// the quiet time or ctx ends. Those that still come are answered meanwhile.
 func (s *Conns) Drain(ctx context.Context, quiet time.Duration) {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
