Repair what the review of the reservations and summaries found

Cause: a caller that left during the call for a slot made that call look like a refused connection, and a sound server counted as down; the load of a request whose call failed was taken back in part only. An answer that this host had no memory for counted against its server. With 3,000 servers a complete digest has 100 KB, more than a datagram carries. Two log lines had no bound under load, and the longest patience of routes that are gone was kept. Change: such calls say nothing of the server, and what was not sent leaves nothing.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -41,6 +41,7 @@
 	local       bool // an edge host of this data centre
 	incarnation uint64
 	number      uint64
+	run         uint32  // digests that came without a gap in their numbers
 	capacity    float64 // service tokens per second that it shares out
 	at          time.Time
 	dropped     bool // its load does not count any more
@@ -70,8 +71,7 @@
 // whether anything in it is new to them.
 func (d *Dispatcher) Digest(now time.Time, incarnation uint64) (*apiv1.LoadDigest, bool) {
 	d.level(now) // a host without requests agrees on the capacity as well
-	d.number++
-	out := &apiv1.LoadDigest{Router: d.self, DataCentre: d.dataCentre, Incarnation: incarnation, Number: d.number, Capacity: d.shares.capacity}
+	out := &apiv1.LoadDigest{Router: d.self, DataCentre: d.dataCentre, Incarnation: incarnation, Capacity: d.shares.capacity}
 	if out.Complete = now.Sub(d.completeAt) >= completeInterval; out.Complete {
 		d.completeAt = now
 	}
@@ -85,6 +85,8 @@
 	}
 	d.addPlacements(out)
 	d.addUses(now, out)
+	d.number += uint64(parts(len(out.Servers), len(out.Placements)))
+	out.Number = d.number
 	return out, out.Complete || len(out.Servers) > 0 || len(out.Placements) > 0 || len(out.Uses) > 0
 }
 
@@ -158,7 +160,8 @@
 		d.peers[name] = p
 		d.forgetPeer(name)
 	}
-	p.number, p.capacity, p.at, p.dropped = m.GetNumber(), m.GetCapacity(), now, false
+	whole := p.follows(m)
+	p.capacity, p.at, p.dropped = m.GetCapacity(), now, false
 	for _, l := range m.GetServers() {
 		if s := d.byHash[l.GetServer()]; s != nil {
 			s.takeLoad(now, p, l, d.Summarises())
@@ -169,7 +172,7 @@
 	for _, u := range m.GetUses() {
 		d.takeUse(now, p, u)
 	}
-	p.complete = p.complete || m.GetComplete()
+	p.complete = p.complete || m.GetComplete() && whole
 	return true
 }
 
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -28,12 +28,13 @@
 		return
 	}
 	r.server = nil
+	defer func() { r.reserving = false }()
 	s.running--
 	s.noSlotUntil = time.Time{} // there is one now
 	if s.model() {
 		s.kv -= r.kv
 		switch {
-		case o == NoSlot:
+		case r.reserving: // nothing was sent
 			s.add(now, -float64(r.loaded))
 			s.tokens -= int64(r.loaded)
 		case !r.started && o != Whole:
--- a/pkg/dispatch/reserve_test.go
+++ b/pkg/dispatch/reserve_test.go
@@ -20,6 +20,12 @@
 // against an engine that keeps the load and the parts of a request that got no
 // slot: the parts were counted as kept, told to others and read again.
 func TestRequestWithoutASlotLeavesNothing(t *testing.T) {
+	for _, o := range []Outcome{NoSlot, Unused, ConnectTimeout} {
+		t.Run(o.String(), func(t *testing.T) { leavesNothing(t, o) })
+	}
+}
+
+func leavesNothing(t *testing.T, o Outcome) {
 	d := fewSlots()
 	s := d.servers["engine-0"]
 	part := Part{ID: 7, Tokens: 500}
@@ -31,13 +37,16 @@
 	v := d.Offer(start, r)
 	assert.Equal(t, v.Kind, Send)
 	assert.Assert(t, v.Reserve)
-	d.Ended(start, r, NoSlot)
+	d.Ended(start, r, o)
 	assert.Equal(t, s.running, running)
 	assert.Equal(t, s.tokens, tokens)
 	assert.Equal(t, d.shares.of("w").served.sum, served)
 	all, _ := s.kept.cached(start, r.Parts)
 	assert.Equal(t, all, 0)
 	assert.Equal(t, len(digest(d, start).GetPlacements()), 0)
+	if o != NoSlot {
+		return
+	}
 	asked := d.shares.of("w").asked.sum
 	assert.Equal(t, d.Offer(start, r).Kind, Wait, "the engine is left alone for a while")
 	assert.Equal(t, d.shares.of("w").asked.sum, asked)
--- a/pkg/dispatch/summary.go
+++ b/pkg/dispatch/summary.go
@@ -101,8 +101,7 @@
 
 // summary sums up what has changed at the edge hosts of this data centre.
 func (d *Dispatcher) summary(now time.Time, complete bool, placed []placement) *apiv1.LoadDigest {
-	d.relays.number++
-	m := &apiv1.LoadDigest{DataCentre: d.dataCentre, Number: d.relays.number, Capacity: d.shares.capacity}
+	m := &apiv1.LoadDigest{DataCentre: d.dataCentre, Capacity: d.shares.capacity}
 	if m.Complete = complete || now.Sub(d.relays.completeAt) >= completeInterval; m.Complete {
 		d.relays.completeAt = now
 	}
@@ -128,5 +127,7 @@
 			m.Uses = append(m.Uses, &apiv1.WorkspaceUse{Workspace: name, Asked: uint64(all.asked), Served: uint64(max(all.served, 0))})
 		}
 	}
+	d.relays.number += uint64(parts(len(m.Servers), len(m.Placements)))
+	m.Number = d.relays.number
 	return m
 }
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -126,12 +126,13 @@
 	Garbled                       // bytes that are no answer to this request
 	CallerLeft
 	Unused // decided, but never sent
+	Unheld // this host had no memory for the answer
 	NoSlot // the engine had no slot to reserve, the request was not sent
 )
 
 // String returns the outcome in lower case.
 func (o Outcome) String() string {
-	return [...]string{"whole", "server error", "not executed", "misdirected", "connect failed", "connect timeout", "broken", "silent", "garbled", "caller left", "unused", "no slot"}[o]
+	return [...]string{"whole", "server error", "not executed", "misdirected", "connect failed", "connect timeout", "broken", "silent", "garbled", "caller left", "unused", "unheld", "no slot"}[o]
 }
 
 // ServerInfo is what is announced of one backend server.
--- a/pkg/edge/age.go
+++ b/pkg/edge/age.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -40,14 +41,20 @@
 	l := a.routes[route]
 	if l == nil {
 		l = &longestPatience{since: now}
-		if a.routes == nil {
-			a.routes = map[string]*longestPatience{}
-		}
-		a.routes[route] = l
+		a.add(now, route, l)
 	}
 	return max(time.Duration(firstShare*float64(l.note(now, patience)))-patience, 0)
 }
 
+// add forgets routes without requests: configurations rename them.
+func (a *ages) add(now time.Time, route string, l *longestPatience) {
+	if a.routes == nil {
+		a.routes = map[string]*longestPatience{}
+	}
+	maps.DeleteFunc(a.routes, func(_ string, old *longestPatience) bool { return now.Sub(old.since) > patienceMemory })
+	a.routes[route] = l
+}
+
 // note takes the patience of a request and returns the longest.
 func (l *longestPatience) note(now time.Time, patience time.Duration) time.Duration {
 	if now.Sub(l.since) > patienceMemory/2 {
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -179,6 +179,8 @@
 		a.outcome, a.err = dispatch.Silent, cause
 	case errors.Is(err, errAnswerTooLong) || errors.Is(err, errEventTooLong):
 		a.outcome = dispatch.Garbled
+	case errors.Is(err, errAnswerMemory):
+		a.outcome = dispatch.Unheld
 	default:
 		a.outcome = dispatch.Broken
 	}
--- a/pkg/edge/leaving.go
+++ b/pkg/edge/leaving.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// leavingRepeats is in how many digests and summaries after the news a server that
-	// leaves is named; complete digests name it as well for leavingMemory.
+	// leavingRepeats is in how many digests and summaries after the news a server
+	// that leaves is named; complete ones name it as well for leavingMemory.
 	leavingRepeats = 5
 	// leavingMemory is how long a server that leaves is named. It has then
 	// announced it, or is gone.
@@ -34,7 +34,9 @@
 		s.leaves(time.Now(), v.Server, v.BornMS)
 	}
 	if reply.Pause > 0 {
-		s.log.WithFields(logrus.Fields{"server": v.Server, "pause_ms": reply.Pause.Milliseconds()}).Info("a server wants nothing from this host for a while")
+		if s.refusals.Allow() {
+			s.log.WithFields(logrus.Fields{"server": v.Server, "pause_ms": reply.Pause.Milliseconds()}).Info("a server wants nothing from this host for a while")
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.dispatcher.TurnedAway(time.Now(), v.Server, reply.Pause)
--- a/pkg/edge/reserve.go
+++ b/pkg/edge/reserve.go
@@ -78,8 +78,10 @@
 	req.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	resp, sent, err := x.s.transport.Open(ctx, req, nil, body)
 	if err != nil {
-		x.s.log.WithFields(logrus.Fields{"id": x.in.ID, "server": v.Server, "error": err}).Info("no answer to the call for a slot")
-		return x.withoutSlot(outcomeOfCall(err, sent()))
+		if x.s.refusals.Allow() {
+			x.s.log.WithFields(logrus.Fields{"id": x.in.ID, "server": v.Server, "error": err}).Info("no answer to the call for a slot")
+		}
+		return x.withoutSlot(outcomeOfCall(err, sent(), x.caller.Err() != nil))
 	}
 	defer resp.Body.Close()
 	if x.slot, err = x.s.config.Dialect.ReadSlot(resp); err != nil {
@@ -93,9 +95,12 @@
 }
 
 // outcomeOfCall explains a call without an answer. One that was sent may only
-// be late because this host is busy, which says nothing of the server.
-func outcomeOfCall(err error, sent bool) dispatch.Outcome {
+// be late because this host is busy, and one whose caller left was broken off
+// here: both say nothing of the server.
+func outcomeOfCall(err error, sent, callerLeft bool) dispatch.Outcome {
 	switch {
+	case callerLeft:
+		return dispatch.Unused
 	case sent:
 		return dispatch.NoSlot
 	case isTimeout(err):
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
@@ -229,6 +230,12 @@
 }
 
 func (x *Exchange) sendTo(peers []netip.AddrPort, m *apiv1.LoadDigest) {
+	for _, part := range dispatch.Split(m) {
+		x.sendPart(peers, part)
+	}
+}
+
+func (x *Exchange) sendPart(peers []netip.AddrPort, m *apiv1.LoadDigest) {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		x.failed(err)
