--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -11,6 +11,7 @@
 	registry metrics.Registry
 	first    metrics.Timer // arrival to first event or answer
 	wait     metrics.Timer // arrival to the first send
+	version  metrics.Gauge // configuration in force
 }
 
 func newMetrics(r metrics.Registry) *edgeMetrics {
@@ -18,6 +19,7 @@
 		registry: r,
 		first:    metrics.GetOrRegisterTimer("edge.first_answer", r),
 		wait:     metrics.GetOrRegisterTimer("edge.wait", r),
+		version:  metrics.GetOrRegisterGauge("edge.config_version", r),
 	}
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -171,6 +171,7 @@
 	if table != nil {
 		s.dispatcher.SetRate(table.Limits.TokensPerSecond)
 		s.table.Store(table)
+		s.metrics.version.Update(int64(s.view.version))
 	}
 	s.mu.Unlock()
 	if edges {
