Vouch for servers and edge hosts in place of renewing each

Cause: each renewal of a server went to each edge host as a message of 60 bytes, and each stream looked through all servers each 250 ms: hosts x servers, 97% of a core host's processor at 300 machines. All edge hosts were named to all each 10 s: hosts x hosts. Ruled out: rarer renewals; they were bounded to 400 a second already, and 93% of the processor were still used. Change: an announcement says whether the sender vouches for it, and each event says within which time all those were heard. A server that goes silent, comes back, changes or is heard by another core host is told at once; the registry keeps the order of changes, so a stream costs what changed. Edge hosts are told when they connect and disconnect. The age is that of the server that was silent longest, by the clock of the event, so a paused core host tells the true age.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -77,12 +77,17 @@
 	edges   map[string]*edge
 	places  map[string]string // data centre of core hosts by address
 	urgent  chan struct{}     // closed when something changed that must go out at once
-	edgeRev uint64
+	edgeRev uint64            // number of the last change of an edge host
+	vouched *feed.Vouched     // what other core hosts vouch for
+	// oldestHeard is when the server that was silent longest of those that this
+	// host vouches for was heard last, zero if it vouches for none.
+	oldestHeard time.Time
 }
 
 // edge is an edge host that has or had a stream to this or another core host.
 type edge struct {
 	message *apiv1.EdgeHost
+	changed uint64    // number of the last change that watchers need to know
 	streams int       // open ones to this host
 	seen    time.Time // last stream ended or was heard of
 }
@@ -111,6 +116,7 @@
 	h := &Host{
 		config: c, log: logging.For("core"), state: fleet.NewState(), servers: registry.New(),
 		callers: callers{dial: c.Dial}, edges: map[string]*edge{}, places: map[string]string{}, urgent: make(chan struct{}),
+		vouched: feed.NewVouched(),
 	}
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	if h.listen, err = net.Listen("tcp", c.Address); err != nil {
@@ -129,6 +135,7 @@
 	go h.serve()
 	go h.manage(h.ctx)
 	go h.expire()
+	go h.release()
 	return h, nil
 }
 
@@ -251,7 +258,6 @@
 			for name, e := range h.edges {
 				if e.streams == 0 && time.Since(e.seen) > forgetEdge {
 					delete(h.edges, name)
-					h.edgeRev++
 				}
 			}
 			h.mu.Unlock()
@@ -259,6 +265,29 @@
 	}
 }
 
+// release ends the vouching for silent servers. A host that was paused goes on
+// telling the true age until its next turn.
+func (h *Host) release() {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+			h.mu.Lock()
+			h.oldestHeard = h.servers.Release(time.Now())
+			h.mu.Unlock()
+		}
+	}
+}
+
+// edgeChanged needs the lock.
+func (h *Host) edgeChanged(e *edge) {
+	h.edgeRev++
+	e.changed = h.edgeRev
+}
+
 // Event implements feed.Handler: it merges what another core host knows.
 func (h *Host) Event(address string, e *apiv1.FleetEvent) {
 	now := time.Now()
@@ -269,6 +298,11 @@
 	for _, m := range e.GetEdges() {
 		h.seen(m, now)
 	}
+	h.vouched.Take(now, address, e, h.servers, func(name string) {
+		if known := h.edges[name]; known != nil {
+			known.seen = now
+		}
+	})
 	h.mu.Unlock()
 	if cores := e.GetCores(); len(cores) > 0 {
 		h.feed.Named(addresses(cores))
@@ -276,7 +310,11 @@
 }
 
 // Lost implements feed.Handler.
-func (h *Host) Lost(string, error) {}
+func (h *Host) Lost(address string, _ error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.vouched.Lost(address)
+}
 
 // seen needs the lock.
 func (h *Host) seen(m *apiv1.EdgeHost, now time.Time) {
@@ -285,11 +323,10 @@
 	if e == nil {
 		e = &edge{}
 		h.edges[m.GetName()] = e
-		h.edgeRev++
 	}
 	if e.message == nil || m.GetIncarnation() > e.message.GetIncarnation() {
 		e.message = m
-		h.edgeRev++
+		h.edgeChanged(e)
 	}
 	if at.After(e.seen) {
 		e.seen = at
--- a/pkg/core/watch.go
+++ b/pkg/core/watch.go
@@ -13,22 +13,13 @@
 )
 
 const (
-	// flushInterval bounds how long a renewed announcement waits to be
+	// flushInterval bounds how long a change that is not urgent waits to be
 	// streamed. State changes are streamed at once.
 	flushInterval = 250 * time.Millisecond
-	// renewalShare is the interval of renewals for each server, so that a host
-	// gets 400 a second at most from all core hosts, 24 KB. Up to 100 servers
-	// they go out with each flush. renewalMost keeps them well inside the
-	// minute after which a silent server is forgotten.
-	renewalShare = 2500 * time.Microsecond
-	renewalMost  = 15 * time.Second
 	// confirmInterval is the pause between attempts to confirm the state for
 	// a new watcher.
 	confirmInterval = 100 * time.Millisecond
 	confirmTimeout  = 500 * time.Millisecond
-	// edgeRefresh is how often edge hosts are named without a change, well
-	// within the minute after which they are forgotten.
-	edgeRefresh = 10 * time.Second
 )
 
 // watcher is the state of one stream.
@@ -42,11 +33,8 @@
 	told      bool // that the state is confirmed
 	version   uint64
 	revision  uint64
-	cursor    uint64    // of announcements
-	modified  uint64    // of those that changed more than times
-	renewedAt time.Time // when renewed announcements were sent last
-	edgeRev   uint64
-	edgesAt   time.Time // when edge hosts were named last
+	modified  uint64 // cursor of announcements
+	edgeRev   uint64 // cursor of edge hosts
 	coreTerm  uint64
 	coreCount int
 	sent      time.Time
@@ -171,50 +159,40 @@
 	return e, changed
 }
 
-// announcements adds the servers and edge hosts that changed. Later ones that
-// another core host heard are left out: the watcher has a stream to that host.
+// announcements adds the servers and edge hosts that changed, and how fresh
+// this host's knowledge of the others is. What another core host heard is left
+// out: the watcher has a stream to that host.
 func (w *watcher) announcements(e *apiv1.FleetEvent) bool {
 	now := time.Now()
 	h := w.h
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	entries := w.entries(now)
+	before := w.modified
+	var entries []registry.Entry
+	entries, w.modified = h.servers.ModifiedSince(before)
 	for i := range entries {
-		if w.first || entries[i].Direct {
+		if w.first || entries[i].Direct || entries[i].ReleasedSince(before) {
 			e.Servers = append(e.Servers, entries[i].Message(now))
 		}
 	}
-	if w.first || w.edgeRev != h.edgeRev || now.Sub(w.edgesAt) >= edgeRefresh {
-		w.edgeRev, w.edgesAt = h.edgeRev, now
-		for _, edge := range h.edges {
+	if !h.oldestHeard.IsZero() {
+		e.HeardWithinMs = max(now.Sub(h.oldestHeard).Milliseconds(), 1)
+	}
+	for _, edge := range h.edges {
+		if edge.changed > w.edgeRev {
 			e.Edges = append(e.Edges, edge.list(now))
 		}
 	}
+	w.edgeRev = h.edgeRev
 	return len(e.Servers) > 0 || len(e.Edges) > 0
 }
 
-// entries returns the announcements that the watcher needs now; it needs the
-// lock. Changes go out at once, renewals as often as renewalShare allows.
-func (w *watcher) entries(now time.Time) (out []registry.Entry) {
-	servers := w.h.servers
-	if now.Sub(w.renewedAt) < renewalInterval(servers.Len()) {
-		out, w.modified = servers.ModifiedSince(w.modified)
-		return out
-	}
-	out, w.cursor = servers.Since(w.cursor)
-	w.modified, w.renewedAt = w.cursor, now
-	return out
-}
-
-// renewalInterval returns how often announcements are sent that say nothing
-// new but that a server is still there.
-func renewalInterval(servers int) time.Duration {
-	return min(max(time.Duration(servers)*renewalShare, flushInterval), renewalMost)
-}
-
 func (e *edge) list(now time.Time) *apiv1.EdgeHost {
 	m := e.message
-	out := &apiv1.EdgeHost{Name: m.GetName(), DataCentre: m.GetDataCentre(), Address: m.GetAddress(), Incarnation: m.GetIncarnation()}
+	out := &apiv1.EdgeHost{
+		Name: m.GetName(), DataCentre: m.GetDataCentre(), Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
+		Connected: e.streams > 0,
+	}
 	if e.streams == 0 {
 		out.AgeMs = now.Sub(e.seen).Milliseconds()
 	}
@@ -255,7 +233,10 @@
 	h.seen(&apiv1.EdgeHost{
 		Name: hello.GetName(), DataCentre: hello.GetDataCentre(), Address: hello.GetAddress(), Incarnation: hello.GetIncarnation(),
 	}, now)
-	h.edges[hello.GetName()].streams++
+	e := h.edges[hello.GetName()]
+	if e.streams++; e.streams == 1 {
+		h.edgeChanged(e)
+	}
 	h.signal()
 	h.log.WithField("edge", hello.GetName()).Info("an edge host connected")
 }
@@ -267,7 +248,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	e := h.edges[hello.GetName()]
-	e.streams--
 	e.seen = time.Now()
+	if e.streams--; e.streams == 0 {
+		h.edgeChanged(e)
+	}
 	h.log.WithField("edge", hello.GetName()).Info("an edge host disconnected")
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -157,10 +157,11 @@
 }
 
 // Event implements feed.Handler.
-func (s *Server) Event(_ string, e *apiv1.FleetEvent) {
+func (s *Server) Event(address string, e *apiv1.FleetEvent) {
 	now := time.Now()
 	s.mu.Lock()
 	servers, edges, table := s.view.merge(now, e)
+	servers = s.view.vouch(now, address, e) || servers
 	var peers exchange.Peers
 	if edges {
 		peers = s.applyEdges()
@@ -196,8 +197,13 @@
 	return peers
 }
 
-// Lost implements feed.Handler. What the core host told stays in force.
-func (s *Server) Lost(string, error) {}
+// Lost implements feed.Handler. What the core host told stays in force, but it
+// vouches for nothing any more.
+func (s *Server) Lost(address string, _ error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.vouched.Lost(address)
+}
 
 // Digest implements exchange.Source.
 func (s *Server) Digest() (*apiv1.LoadDigest, bool) {
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -8,6 +8,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/exchange"
+	"jackdawtrack.example/jackdawtrack/pkg/feed"
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
@@ -34,6 +35,7 @@
 	servers *registry.Registry
 	state   map[string]*apiv1.FleetMark // by data centre
 	edges   map[string]*knownEdge
+	vouched *feed.Vouched
 
 	accepted    bool // a state may be used
 	firstState  time.Time
@@ -55,7 +57,7 @@
 func newView(decode Decode, log *logrus.Entry) *view {
 	return &view{
 		decode: decode, log: log, servers: registry.New(), state: map[string]*apiv1.FleetMark{},
-		edges: map[string]*knownEdge{}, services: map[string]*routing.Service{}, backIn: map[string]time.Time{},
+		edges: map[string]*knownEdge{}, vouched: feed.NewVouched(), services: map[string]*routing.Service{}, backIn: map[string]time.Time{},
 	}
 }
 
@@ -89,6 +91,17 @@
 	return servers, edges, table
 }
 
+// vouch renews what the core host at the address vouches for and reports
+// whether it has to be told to the decisions.
+func (v *view) vouch(now time.Time, address string, e *apiv1.FleetEvent) (servers bool) {
+	renewed := v.vouched.Take(now, address, e, v.servers, func(name string) {
+		if known := v.edges[name]; known != nil {
+			known.seen = now
+		}
+	})
+	return renewed && now.Sub(v.updated) > slowUpdate
+}
+
 func (v *view) mergeMarks(now time.Time, s *apiv1.FleetState) (changed bool) {
 	for _, m := range s.GetMarks() {
 		present := v.state[m.GetDataCentre()]
--- /dev/null
+++ b/pkg/feed/vouch_test.go
@@ -0,0 +1,66 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/registry"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func server(born int64, vouched bool) *apiv1.ServerAnnouncement {
+	return &apiv1.ServerAnnouncement{Id: "i", Address: "a", State: uint32(registry.Ready), Sequence: 1, BornMs: born, Vouched: vouched}
+}
+
+// Guards against servers that a host forgets although a core host hears them,
+// and against servers that it believes in after the core host has stopped to
+// vouch for them: silent, started anew, or told by a lost stream.
+func TestVouchedServersAreRenewed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		then  func(v *Vouched, r *registry.Registry)
+		renew bool
+	}{
+		{"vouched", func(*Vouched, *registry.Registry) {}, true},
+		{"silent", func(v *Vouched, r *registry.Registry) {
+			v.Take(start, "core", &apiv1.FleetEvent{Servers: []*apiv1.ServerAnnouncement{server(1, false)}}, r, nil)
+		}, false},
+		{"started anew", func(_ *Vouched, r *registry.Registry) { r.Offer(registry.FromMessage(server(2, false), start)) }, false},
+		{"stream lost", func(v *Vouched, _ *registry.Registry) { v.Lost("core") }, false},
+		{"stream of another host lost", func(v *Vouched, _ *registry.Registry) { v.Lost("other") }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v, r := NewVouched(), registry.New()
+			r.Offer(registry.FromMessage(server(1, true), start))
+			assert.Assert(t, !v.Take(start, "core", &apiv1.FleetEvent{Servers: []*apiv1.ServerAnnouncement{server(1, true)}}, r, nil))
+			c.then(v, r)
+			v.Take(start.Add(5*time.Second), "core", &apiv1.FleetEvent{HeardWithinMs: 1000}, r, nil)
+			got, _ := r.Get("i")
+			want := start
+			if c.renew {
+				want = start.Add(4 * time.Second)
+			}
+			assert.Equal(t, got.Heard, want)
+		})
+	}
+}
+
+// Guards against edge hosts that are forgotten while they are connected, and
+// kept when they are not.
+func TestConnectedEdgesAreSeen(t *testing.T) {
+	v, r := NewVouched(), registry.New()
+	seen := 0
+	take := func(edges ...*apiv1.EdgeHost) int {
+		seen = 0
+		v.Take(start, "core", &apiv1.FleetEvent{Edges: edges}, r, func(name string) { seen++; assert.Equal(t, name, "e") })
+		return seen
+	}
+	assert.Equal(t, take(&apiv1.EdgeHost{Name: "e", Connected: true}), 1)
+	assert.Equal(t, take(), 1)
+	assert.Equal(t, take(&apiv1.EdgeHost{Name: "e"}), 0)
+	assert.Equal(t, take(), 0)
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"container/list"
 	"time"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
@@ -40,6 +41,12 @@
 	// restartSilence is the silence after which a lower sequence of a server
 	// that does not tell its start counts as a new start.
 	restartSilence = 5 * time.Second
+	// vouchTime is how long a host vouches for a server that it hears itself.
+	// Servers announce themselves each 1.2 s, and some announcements are late.
+	vouchTime = 3 * time.Second
+	// coldStep is the change of the cold time that is news: announcements
+	// arrive some milliseconds early or late.
+	coldStep = 250 * time.Millisecond
 )
 
 // Entry is the newest known announcement of one backend server.
@@ -56,9 +63,11 @@
 	Heard      time.Time // by the local clock
 	Direct     bool      // heard by this host itself
 	Leaving    bool      // an answer of this start said that the server leaves
+	Vouched    bool      // heard by this host itself within vouchTime
 
-	change   uint64 // number of the last change
 	modified uint64 // number of the last change of more than times
+	released uint64 // number of the change that made another host hear it
+	element  *list.Element
 }
 
 // Change says what an offered announcement did.
@@ -67,7 +76,7 @@
 // Values of Change.
 const (
 	Stale    Change = iota // older than what is known
-	Renewed                // only time, sequence or cold time are new
+	Renewed                // only time or sequence are new, or who hears it
 	Modified               // state, place or start changed
 )
 
@@ -75,11 +84,12 @@
 // use.
 type Registry struct {
 	entries map[string]*Entry
+	order   *list.List // of *Entry, the last one was modified last
 	changes uint64
 }
 
 // New returns an empty Registry.
-func New() *Registry { return &Registry{entries: map[string]*Entry{}} }
+func New() *Registry { return &Registry{entries: map[string]*Entry{}, order: list.New()} }
 
 // Get returns a copy of the entry.
 func (r *Registry) Get(id string) (Entry, bool) {
@@ -93,8 +103,9 @@
 // Offer merges an announcement. The entry keeps nothing of the argument.
 func (r *Registry) Offer(e Entry) Change {
 	present := r.entries[e.ID]
+	e.Vouched = e.Direct && e.State != Gone
 	if present == nil {
-		r.put(e, 0)
+		r.put(e, true)
 		return Modified
 	}
 	if present.supersedes(&e) {
@@ -103,17 +114,57 @@
 	if e.BornMS == present.BornMS && e.State == Gone {
 		// A withdrawal may name the id alone.
 		gone := *present
-		gone.State, gone.Heard, gone.Direct = Gone, e.Heard, e.Direct || gone.Direct
-		r.put(gone, 0)
+		gone.State, gone.Heard, gone.Direct, gone.Vouched = Gone, e.Heard, e.Direct || gone.Direct, false
+		r.put(gone, true)
 		return Modified
 	}
 	e.Leaving = present.Leaving && present.sameStart(&e)
-	change, modified := Renewed, present.modified
-	if e.State != present.State || e.BornMS != present.BornMS || e.Address != present.Address || e.Service != present.Service {
-		change, modified = Modified, 0
+	e.released = present.released
+	if present.Direct && !e.Direct {
+		e.released = r.changes + 1
 	}
-	r.put(e, modified)
-	return change
+	modified := present.differs(&e)
+	r.put(e, modified || e.Vouched != present.Vouched || e.Direct != present.Direct)
+	if modified {
+		return Modified
+	}
+	return Renewed
+}
+
+// differs reports whether a newer announcement says more than that the server
+// is still there.
+func (e *Entry) differs(newer *Entry) bool {
+	if newer.State != e.State || newer.BornMS != e.BornMS || newer.Address != e.Address ||
+		newer.Service != e.Service || newer.DataCentre != e.DataCentre || newer.Slots != e.Slots {
+		return true
+	}
+	cold := max(newer.ColdUntil.Sub(newer.Heard), 0) - max(e.ColdUntil.Sub(newer.Heard), 0)
+	return cold.Abs() > coldStep
+}
+
+// Renew notes that the server was heard at the time, for this start of it.
+func (r *Registry) Renew(id string, bornMS int64, heard time.Time) {
+	if e := r.entries[id]; e != nil && e.BornMS == bornMS && e.State != Gone && heard.After(e.Heard) {
+		e.Heard = heard
+	}
+}
+
+// Release ends the vouching for servers that this host has not heard for
+// vouchTime. It returns when the one that was silent longest of the others was
+// heard last, zero if there are none.
+func (r *Registry) Release(now time.Time) (oldest time.Time) {
+	for _, e := range r.entries {
+		switch {
+		case !e.Vouched:
+		case now.Sub(e.Heard) > vouchTime:
+			silent := *e
+			silent.Vouched = false
+			r.put(silent, true)
+		case oldest.IsZero() || e.Heard.Before(oldest):
+			oldest = e.Heard
+		}
+	}
+	return oldest
 }
 
 // Withdraw marks a server as gone. It reports false if the id is not known.
@@ -160,53 +211,57 @@
 	}
 	leaving := *e
 	leaving.Leaving = true
-	r.put(leaving, 0)
+	r.put(leaving, true)
 	return true
 }
 
-// put stores the entry; modified is 0 if more than its times changed.
-func (r *Registry) put(e Entry, modified uint64) {
-	r.changes++
-	e.change, e.modified = r.changes, modified
-	if modified == 0 {
-		e.modified = r.changes
-	}
+// put stores the entry; modified says whether more than its times changed.
+func (r *Registry) put(e Entry, modified bool) {
+	present := r.entries[e.ID]
 	r.entries[e.ID] = &e
+	if present != nil && !modified {
+		e.modified, e.element = present.modified, present.element
+		e.element.Value = &e
+		return
+	}
+	if present != nil {
+		r.order.Remove(present.element)
+	}
+	r.changes++
+	e.modified = r.changes
+	e.element = r.order.PushBack(&e)
 }
 
 // Expire drops entries that were not heard for a minute.
 func (r *Registry) Expire(now time.Time) {
 	for id, e := range r.entries {
 		if now.Sub(e.Heard) > keepSilent {
+			r.order.Remove(e.element)
 			delete(r.entries, id)
 		}
 	}
 }
 
-// Since returns copies of the entries that changed after the cursor, and the
-// new cursor.
-func (r *Registry) Since(cursor uint64) ([]Entry, uint64) {
-	return r.where(func(e *Entry) bool { return e.change > cursor }), r.changes
-}
-
-// ModifiedSince is Since without the entries of which only times changed.
-func (r *Registry) ModifiedSince(cursor uint64) ([]Entry, uint64) {
-	return r.where(func(e *Entry) bool { return e.modified > cursor }), r.changes
-}
-
-// Len returns the number of entries.
-func (r *Registry) Len() int { return len(r.entries) }
+// All returns copies of all entries, and the cursor for ModifiedSince.
+func (r *Registry) All() ([]Entry, uint64) { return r.ModifiedSince(0) }
 
-func (r *Registry) where(ok func(*Entry) bool) []Entry {
-	var out []Entry
-	for _, e := range r.entries {
-		if ok(e) {
-			out = append(out, *e)
+// ModifiedSince returns copies of the entries of which more than times changed
+// after the cursor, and the new cursor. Its cost is in what it returns.
+func (r *Registry) ModifiedSince(cursor uint64) (out []Entry, next uint64) {
+	for at := r.order.Back(); at != nil; at = at.Prev() {
+		e := at.Value.(*Entry)
+		if e.modified <= cursor {
+			break
 		}
+		out = append(out, *e)
 	}
-	return out
+	return out, r.changes
 }
 
+// ReleasedSince reports whether another host has heard the server in place of
+// this one after the cursor.
+func (e *Entry) ReleasedSince(cursor uint64) bool { return e.released > cursor }
+
 // Usable returns the entries that hold an address: of several at one address
 // the one that started last, because addresses are used again.
 func (r *Registry) Usable() []Entry {
@@ -239,8 +294,9 @@
 	return &apiv1.ServerAnnouncement{
 		Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 		Slots: uint32(max(e.Slots, 0)), State: uint32(e.State), Sequence: e.Sequence, BornMs: e.BornMS,
-		ColdMs: max(e.ColdUntil.Sub(now).Milliseconds(), 0),
-		AgeMs:  max(now.Sub(e.Heard).Milliseconds(), 0),
+		ColdMs:  max(e.ColdUntil.Sub(now).Milliseconds(), 0),
+		AgeMs:   max(now.Sub(e.Heard).Milliseconds(), 0),
+		Vouched: e.Vouched,
 	}
 }
 
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -132,3 +132,34 @@
 	}
 	assert.Assert(t, !New().Leave("unknown", 1))
 }
+
+// Guards against a change that is taken for a mere renewal, which watchers are
+// not told of: cold time, slots and place.
+func TestNewsIsToldFromRenewals(t *testing.T) {
+	known := entry("a", "x", 1, 1, Ready)
+	known.Direct, known.ColdUntil, known.Slots, known.DataCentre = true, start, 6, "z"
+	for _, c := range []struct {
+		name   string
+		change func(e *Entry)
+		want   Change
+	}{
+		{"renewal", func(*Entry) {}, Renewed},
+		{"no longer cold by a late announcement", func(e *Entry) { e.ColdUntil = e.Heard.Add(-coldStep) }, Renewed},
+		{"cold by a little", func(e *Entry) { e.ColdUntil = e.Heard.Add(coldStep / 2) }, Renewed},
+		{"cold", func(e *Entry) { e.ColdUntil = e.Heard.Add(time.Second) }, Modified},
+		{"slots", func(e *Entry) { e.Slots = 7 }, Modified},
+		{"data centre", func(e *Entry) { e.DataCentre = "y" }, Modified},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Offer(known)
+			_, cursor := r.All()
+			e := known
+			e.Sequence, e.Heard, e.ColdUntil = 2, start.Add(time.Second), start.Add(time.Second)
+			c.change(&e)
+			assert.Equal(t, r.Offer(e), c.want)
+			modified, _ := r.ModifiedSince(cursor)
+			assert.Equal(t, len(modified) == 1, c.want == Modified)
+		})
+	}
+}
