--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -92,6 +92,39 @@
 	assert.Assert(t, s.givesUp("s", "i", start.Add(time.Second)), "it has stopped since")
 }
 
+// Guards against second sends beyond the budget: they would double the load of
+// servers in trouble.
+func TestSecondSendNeedsABudget(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		budget  bool
+		counted bool // a byte may have reached the first server
+		want    dispatch.Kind
+	}{
+		{"within the budget", true, true, dispatch.Send},
+		{"beyond it", false, true, dispatch.Refuse},
+		{"nothing was sent", false, false, dispatch.Send},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := dispatch.New("edge", "z", start)
+			d.SetServers(start, []dispatch.ServerInfo{
+				{ID: "i", Service: "s", Address: "10.0.0.1:80", DataCentre: "z", Slots: 6, Ready: true, Heard: start},
+				{ID: "j", Service: "s", Address: "10.0.0.2:80", DataCentre: "z", Slots: 6, Ready: true, Heard: start},
+			})
+			s := &Server{dispatcher: d, budget: newBudget(Budget{Extra: 1 / budgetUse})}
+			if !c.budget {
+				assert.Assert(t, s.budget.take("s"))
+			}
+			now := time.Now()
+			r := &dispatch.Request{ID: "r", Service: "s", Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute)}
+			first := d.Offer(now, r)
+			assert.Equal(t, first.Kind, dispatch.Send)
+			d.Ended(now, r, dispatch.NotExecuted)
+			assert.Equal(t, s.again(r, first.Server, c.counted).Kind, c.want)
+		})
+	}
+}
+
 func testDecode(data []byte) (*routing.Config, error) {
 	if string(data) == "bad" {
 		return nil, errors.New("bad")
@@ -120,6 +153,16 @@
 	assert.Equal(t, v.version, uint64(7))
 }
 
+// Guards against a newer version that is known but not yet accepted, and that
+// an older one replaces.
+func TestPendingVersionDoesNotGoBack(t *testing.T) {
+	v := newTestView()
+	v.merge(start, &apiv1.FleetEvent{State: state(5, 7)})
+	_, _, table := v.merge(start, &apiv1.FleetEvent{State: state(1, 3), Confirmed: true})
+	assert.Assert(t, table != nil)
+	assert.Equal(t, v.version, uint64(7))
+}
+
 // Guards against a data centre that is cut off and serves nothing.
 func TestUnconfirmedStateIsTakenAfterAWhile(t *testing.T) {
 	v := newTestView()
