Refuse a flood from the heads of its requests

Ruled out: the share of the dispatcher in a refusal (none, it is not asked); relaying to another edge host, which costs about what serving costs. Change: a request is turned away before its other headers, prompt and body are read, and its connection stays open; net/http discards a short body.

--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -96,16 +96,41 @@
 	if workspace != nil {
 		x.work.Workspace = workspace.Name
 	}
-	// One that was turned away before has no other host to go to.
-	if x.work.Age == 0 && s.shedder.refuses(x.work.Workspace) {
-		s.Refuse(w, in.ID, result.New(result.HostBusy, "the processor of this host is used up").WithRetryAfter(shedRetry))
-		return
-	}
 	defer x.log(table.Version)
 	defer x.releaseAnswers()
 	x.run()
 }
 
+// TurnsAway answers a request that the processor of this host cannot pass on in
+// time, and reports whether it did. Only the head of the request is needed: what
+// a refusal costs is what a flooded host has left for the others.
+func (s *Server) TurnsAway(w http.ResponseWriter, in *Request) bool {
+	table := s.table.Load()
+	if table == nil {
+		return false
+	}
+	route := table.Match(in.Host, in.Path)
+	if route == nil {
+		return false
+	}
+	name, workspace := "", table.Workspace(in.Key)
+	switch {
+	case workspace != nil:
+		name = workspace.Name
+	case table.NeedsKey(route):
+		return false
+	}
+	// One that was turned away before has no other host to go to.
+	if s.ages.of(in.Arrived, route.Name, in.Patience) > 0 || !s.shedder.refuses(name) {
+		return false
+	}
+	s.Refuse(w, in.ID, errHostBusy)
+	return true
+}
+
+// errHostBusy answers what TurnsAway turns away.
+var errHostBusy = result.New(result.HostBusy, "the processor of this host is used up").WithRetryAfter(shedRetry)
+
 func (s *Server) newExchange(ctx context.Context, w http.ResponseWriter, in *Request, route *routing.Route) *exchangeState {
 	limit := route.Timeout
 	if in.Patience > 0 {
