--- a/Makefile
+++ b/Makefile
@@ -38,11 +38,11 @@
 	JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) go test -timeout 60m ./pkg/wal ./pkg/raft ./pkg/replica
 
 # Runs the fault soak of the platform's programs, about 12 s a seed; for
-# example make platform-soak FIRST=1 SEEDS=50.
+# example make platform-soak FIRST=1 SEEDS=50, EDGES=57 for 60 processes.
 .PHONY: platform-soak
 FIRST ?= 1
 platform-soak:
-	JACKDAWTRACK_SOAK_FIRST=$(FIRST) JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 600m -v ./platform/soak
+	JACKDAWTRACK_SOAK_FIRST=$(FIRST) JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) JACKDAWTRACK_SOAK_EDGES=$(EDGES) go test -count=1 -timeout 600m -v ./platform/soak
 
 # Runs the experiment of one deployment with the real programs, about 75 s.
 .PHONY: experiment
