Keep one message between hosts from ending a process

Cause: grpc-go does not recover handlers. A panic in the handling of a call at a core host, or of an event of a core host at an edge host, ended the process and all its streams. Datagrams and requests of callers were guarded already. Ruled out: the consensus; its goroutine stops the process on purpose. Sections under a lock unlock by defer.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -126,7 +126,7 @@
 		_ = h.listen.Close()
 		return nil, err
 	}
-	h.server = grpc.NewServer(append(replica.ServerOptions(), grpc.MaxRecvMsgSize(maxCommandBytes))...)
+	h.server = grpc.NewServer(append(append(replica.ServerOptions(), h.guards()...), grpc.MaxRecvMsgSize(maxCommandBytes))...)
 	h.replica.Register(h.server)
 	apiv1.RegisterFleetServer(h.server, h)
 	self := &apiv1.FleetWatcher{Name: c.Name, DataCentre: c.DataCentre, Address: c.Address, Incarnation: uint64(time.Now().UnixNano()), Core: true}
@@ -290,8 +290,15 @@
 
 // Event implements feed.Handler: it merges what another core host knows.
 func (h *Host) Event(address string, e *apiv1.FleetEvent) {
-	now := time.Now()
+	h.merge(time.Now(), address, e)
+	if cores := e.GetCores(); len(cores) > 0 {
+		h.feed.Named(addresses(cores))
+	}
+}
+
+func (h *Host) merge(now time.Time, address string, e *apiv1.FleetEvent) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, m := range e.GetServers() {
 		h.servers.Offer(registry.FromMessage(m, now))
 	}
@@ -303,10 +310,6 @@
 			known.seen = now
 		}
 	})
-	h.mu.Unlock()
-	if cores := e.GetCores(); len(cores) > 0 {
-		h.feed.Named(addresses(cores))
-	}
 }
 
 // Lost implements feed.Handler.
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -161,11 +161,24 @@
 
 // Event implements feed.Handler.
 func (s *Server) Event(address string, e *apiv1.FleetEvent) {
-	now := time.Now()
+	if peers, changed := s.merge(time.Now(), address, e); changed {
+		s.exchange.SetPeers(peers)
+	}
+	if cores := e.GetCores(); len(cores) > 0 {
+		names := make([]string, 0, len(cores))
+		for _, m := range cores {
+			names = append(names, m.GetAddress())
+		}
+		s.feed.Named(names)
+	}
+}
+
+// merge returns the other edge hosts if they changed.
+func (s *Server) merge(now time.Time, address string, e *apiv1.FleetEvent) (peers exchange.Peers, edges bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	servers, edges, table := s.view.merge(now, e)
 	servers = s.view.vouch(now, address, e) || servers
-	var peers exchange.Peers
 	if edges {
 		peers = s.applyEdges()
 	}
@@ -177,17 +190,7 @@
 		s.table.Store(table)
 		s.metrics.version.Update(int64(s.view.version))
 	}
-	s.mu.Unlock()
-	if edges {
-		s.exchange.SetPeers(peers)
-	}
-	if cores := e.GetCores(); len(cores) > 0 {
-		names := make([]string, 0, len(cores))
-		for _, m := range cores {
-			names = append(names, m.GetAddress())
-		}
-		s.feed.Named(names)
-	}
+	return peers, edges
 }
 
 // applyEdges needs the lock.
--- a/pkg/feed/client.go
+++ b/pkg/feed/client.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -206,10 +208,28 @@
 			c.log.WithField("core", address).Info("a stream from a core host began")
 		}
 		received = true
-		c.handler.Event(address, e)
+		if err := c.deliver(address, e); err != nil {
+			return received, err
+		}
 	}
 }
 
+// errPanicked ends a stream of which an event could not be taken. The next one
+// begins with all that the core host knows.
+var errPanicked = errors.New("the handling of an event failed")
+
+// deliver passes an event on. A panic ends the stream and not the process.
+func (c *Client) deliver(address string, e *apiv1.FleetEvent) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.WithFields(logrus.Fields{"core": address, "cause": p, "stack": string(debug.Stack())}).Error("the handling of an event failed")
+			err = errPanicked
+		}
+	}()
+	c.handler.Event(address, e)
+	return nil
+}
+
 func (c *Client) heartbeat(ctx context.Context, stream grpc.BidiStreamingClient[apiv1.FleetWatcher, apiv1.FleetEvent]) {
 	ticker := time.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
