--- a/pkg/core/watch.go
+++ b/pkg/core/watch.go
@@ -178,13 +178,20 @@
 	if !h.oldestHeard.IsZero() {
 		e.HeardWithinMs = max(now.Sub(h.oldestHeard).Milliseconds(), 1)
 	}
-	for _, edge := range h.edges {
+	if w.edgeRev != h.edgeRev {
+		w.edgesSince(e, now)
+	}
+	return len(e.Servers) > 0 || len(e.Edges) > 0
+}
+
+// edgesSince adds the edge hosts that changed. It needs the lock.
+func (w *watcher) edgesSince(e *apiv1.FleetEvent, now time.Time) {
+	for _, edge := range w.h.edges {
 		if edge.changed > w.edgeRev {
 			e.Edges = append(e.Edges, edge.list(now))
 		}
 	}
-	w.edgeRev = h.edgeRev
-	return len(e.Servers) > 0 || len(e.Edges) > 0
+	w.edgeRev = w.h.edgeRev
 }
 
 func (e *edge) list(now time.Time) *apiv1.EdgeHost {
