--- /dev/null
+++ b/pkg/pool/arrival_test.go
@@ -0,0 +1,43 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
+)
+
+// Guards against a cold server that is overloaded because a request that was
+// still on its way stood for one that runs unseen: the load report was taken
+// 0.2 ms after the grant, showed the two requests of a lost router, and ended
+// the count of one of them.
+func TestRequestOnItsWayHidesNoOrphan(t *testing.T) {
+	t.Skip("see KNOWN-RED.txt")
+	o, now := open("s1")
+	o.servers["s1"].limit.Restore(now, 3, true)
+	lost := RouterID{Name: "r2", DataCentre: "a", Incarnation: 1}
+	for id := uint64(1); id <= 2; id++ {
+		a := ask(id, "w", draft, now)
+		a.Router = lost
+		o.Ask(now, a)
+	}
+	assert.Equal(t, len(o.Take().Grants), 2)
+	o.RouterGone(now, lost)
+	report := func(at time.Time, running int) {
+		a := announce("s1", 0)
+		a.Load = backend.Load{Running: running}
+		o.Announce(at, a)
+	}
+	now = now.Add(3 * time.Second)
+	report(now, 2)
+	o.Ask(now, ask(3, "w", draft, now))
+	assert.Equal(t, len(o.Take().Grants), 1)
+	report(now.Add(200*time.Microsecond), 2)
+	o.Ask(now.Add(time.Millisecond), ask(4, "w", draft, now))
+	assert.Equal(t, len(o.Take().Grants), 0, "three requests run on a server that bears three")
+	now = now.Add(time.Second)
+	report(now, 2) // one of the lost router has ended
+	assert.Equal(t, len(o.Take().Grants), 1)
+}
