--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,7 +127,7 @@
 		_ = h.listen.Close()
 		return nil, err
 	}
-	h.server = grpc.NewServer(append(append(replica.ServerOptions(), h.guards()...), grpc.MaxRecvMsgSize(maxCommandBytes))...)
+	h.server = grpc.NewServer(slices.Concat(replica.ServerOptions(), h.guards(), []grpc.ServerOption{grpc.MaxRecvMsgSize(maxCommandBytes)})...)
 	h.replica.Register(h.server)
 	apiv1.RegisterFleetServer(h.server, h)
 	self := &apiv1.FleetWatcher{Name: c.Name, DataCentre: c.DataCentre, Address: c.Address, Incarnation: uint64(time.Now().UnixNano()), Core: true}
@@ -134,8 +135,8 @@
 	h.feed.SetSeeds(c.Seeds)
 	go h.serve()
 	go h.manage(h.ctx)
-	go h.expire()
-	go h.release()
+	go h.every(expireInterval, h.expire)
+	go h.every(flushInterval, h.release)
 	return h, nil
 }
 
@@ -245,8 +246,9 @@
 	return h.places[address]
 }
 
-func (h *Host) expire() {
-	ticker := time.NewTicker(expireInterval)
+// every calls f with the lock after each interval until the host is closed.
+func (h *Host) every(interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -254,34 +256,26 @@
 			return
 		case <-ticker.C:
 			h.mu.Lock()
-			h.servers.Expire(time.Now())
-			for name, e := range h.edges {
-				if e.streams == 0 && time.Since(e.seen) > forgetEdge {
-					delete(h.edges, name)
-				}
-			}
+			f(time.Now())
 			h.mu.Unlock()
 		}
 	}
 }
 
-// release ends the vouching for silent servers. A host that was paused goes on
-// telling the true age until its next turn.
-func (h *Host) release() {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.ctx.Done():
-			return
-		case <-ticker.C:
-			h.mu.Lock()
-			h.oldestHeard = h.servers.Release(time.Now())
-			h.mu.Unlock()
+// expire forgets servers and edge hosts that were not heard of for long.
+func (h *Host) expire(now time.Time) {
+	h.servers.Expire(now)
+	for name, e := range h.edges {
+		if e.streams == 0 && now.Sub(e.seen) > forgetEdge {
+			delete(h.edges, name)
 		}
 	}
 }
 
+// release ends the vouching for silent servers. A host that was paused goes on
+// telling the true age until its next turn.
+func (h *Host) release(now time.Time) { h.oldestHeard = h.servers.Release(now) }
+
 // edgeChanged needs the lock.
 func (h *Host) edgeChanged(e *edge) {
 	h.edgeRev++
--- a/pkg/edge/turnaway_test.go
+++ b/pkg/edge/admit_test.go
@@ -43,23 +43,23 @@
 		key      string
 		path     string
 		patience time.Duration
-		away     bool
+		status   int // 200 if it is admitted
 	}{
-		{"flood", "k1", "/x/1", 10 * time.Second, true},
-		{"flood without a patience", "k1", "/x/1", 0, true},
-		{"other workspace", "k2", "/x/1", 10 * time.Second, false},
-		{"turned away before", "k1", "/x/1", 6 * time.Second, false},
-		{"no route", "k1", "/y/1", 10 * time.Second, false},
-		{"no key", "", "/x/1", 10 * time.Second, false},
+		{"flood", "k1", "/x/1", 10 * time.Second, http.StatusServiceUnavailable},
+		{"flood without a patience", "k1", "/x/1", 0, http.StatusServiceUnavailable},
+		{"other workspace", "k2", "/x/1", 10 * time.Second, http.StatusOK},
+		{"turned away before", "k1", "/x/1", 6 * time.Second, http.StatusOK},
+		{"no route", "k1", "/y/1", 10 * time.Second, http.StatusNotFound},
+		{"no key", "", "/x/1", 10 * time.Second, http.StatusUnauthorized},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newFloodedServer()
 			s.ages.of(start, "r", 10*time.Second) // the route's longest patience
 			w := httptest.NewRecorder()
 			in := &Request{ID: "id", Host: "a.example", Path: c.path, Key: c.key, Patience: c.patience, Arrived: start}
-			assert.Equal(t, s.TurnsAway(w, in), c.away)
-			if c.away {
-				assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, s.Admits(w, in), c.status == http.StatusOK)
+			assert.Equal(t, w.Code, c.status)
+			if c.status == http.StatusServiceUnavailable {
 				assert.Equal(t, w.Header().Get("Retry-After"), "0.02")
 			}
 		})
@@ -72,6 +72,6 @@
 	s.shedder = &shedder{Shedder: shed.New()}
 	for range 1000 {
 		in := &Request{ID: "id", Host: "a.example", Path: "/x/1", Key: "k1", Arrived: start}
-		assert.Assert(t, !s.TurnsAway(httptest.NewRecorder(), in))
+		assert.Assert(t, s.Admits(httptest.NewRecorder(), in))
 	}
 }
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -72,79 +72,79 @@
 	cause    error // of the last attempt that failed
 }
 
-// Serve answers one request of a caller. It panics with http.ErrAbortHandler
-// to break off an answer that cannot be completed.
-func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, in *Request) {
-	s.serving.Add(1)
-	defer s.serving.Add(-1)
-	table := s.table.Load()
-	if table == nil {
-		s.Refuse(w, in.ID, result.New(result.NoConfiguration, "this host has no configuration yet").WithRetryAfter(noConfigurationRetry))
-		return
-	}
-	route := table.Match(in.Host, in.Path)
-	if route == nil {
-		s.Refuse(w, in.ID, result.New(result.UnknownRoute, "no route for %s%s", in.Host, in.Path))
-		return
-	}
-	workspace := table.Workspace(in.Key)
-	if workspace == nil && table.NeedsKey(route) {
-		s.Refuse(w, in.ID, result.New(result.Unauthenticated, "the key is not known").WithRetryAfter(0))
-		return
-	}
-	x := s.newExchange(ctx, w, in, route)
-	if workspace != nil {
-		x.work.Workspace = workspace.Name
-	}
-	defer x.log(table.Version)
-	defer x.releaseAnswers()
-	x.run()
+// destination is what the configuration in force says of a request.
+type destination struct {
+	version   uint64 // of the configuration
+	route     *routing.Route
+	workspace string        // "" if the route needs none
+	age       time.Duration // of the first attempt of its caller
 }
 
-// TurnsAway answers a request that the processor of this host cannot pass on in
-// time, and reports whether it did. Only the head of the request is needed: what
-// a refusal costs is what a flooded host has left for the others.
-func (s *Server) TurnsAway(w http.ResponseWriter, in *Request) bool {
+// lookUp returns where a request goes, or why it goes nowhere.
+func (s *Server) lookUp(in *Request) (*destination, *result.Error) {
 	table := s.table.Load()
 	if table == nil {
-		return false
+		return nil, result.New(result.NoConfiguration, "this host has no configuration yet").WithRetryAfter(noConfigurationRetry)
 	}
 	route := table.Match(in.Host, in.Path)
 	if route == nil {
-		return false
+		return nil, result.New(result.UnknownRoute, "no route for %s%s", in.Host, in.Path)
 	}
-	name, workspace := "", table.Workspace(in.Key)
-	switch {
+	to := &destination{version: table.Version, route: route, age: s.ages.of(in.Arrived, route.Name, in.Patience)}
+	switch workspace := table.Workspace(in.Key); {
 	case workspace != nil:
-		name = workspace.Name
+		to.workspace = workspace.Name
 	case table.NeedsKey(route):
-		return false
+		return nil, result.New(result.Unauthenticated, "the key is not known")
 	}
+	return to, nil
+}
+
+// errHostBusy answers requests that the processor of this host cannot pass on
+// in time.
+var errHostBusy = result.New(result.HostBusy, "the processor of this host is used up").WithRetryAfter(shedRetry)
+
+// Admits decides on the head of a request alone and answers one that it
+// refuses. What a refusal costs is what a flooded host has left for the others.
+func (s *Server) Admits(w http.ResponseWriter, in *Request) bool {
+	to, err := s.lookUp(in)
 	// One that was turned away before has no other host to go to.
-	if s.ages.of(in.Arrived, route.Name, in.Patience) > 0 || !s.shedder.refuses(name) {
+	if err == nil && to.age == 0 && s.shedder.refuses(to.workspace) {
+		err = errHostBusy
+	}
+	if err != nil {
+		s.Refuse(w, in.ID, err)
 		return false
 	}
-	s.Refuse(w, in.ID, errHostBusy)
+	in.to = to
 	return true
 }
 
-// errHostBusy answers what TurnsAway turns away.
-var errHostBusy = result.New(result.HostBusy, "the processor of this host is used up").WithRetryAfter(shedRetry)
+// Serve answers one request that was admitted. It panics with
+// http.ErrAbortHandler to break off an answer that cannot be completed.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, in *Request) {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
+	x := s.newExchange(ctx, w, in)
+	defer x.log(in.to.version)
+	defer x.releaseAnswers()
+	x.run()
+}
 
-func (s *Server) newExchange(ctx context.Context, w http.ResponseWriter, in *Request, route *routing.Route) *exchangeState {
+func (s *Server) newExchange(ctx context.Context, w http.ResponseWriter, in *Request) *exchangeState {
+	route := in.to.route
 	limit := route.Timeout
 	if in.Patience > 0 {
 		limit = min(limit, in.Patience)
 	}
 	x := &exchangeState{s: s, w: w, in: in, route: route, caller: ctx, deadline: in.Arrived.Add(limit - answerMargin)}
 	x.work = &dispatch.Request{
-		ID: in.ID, Service: route.Choose(in.ID), Arrived: in.Arrived,
+		ID: in.ID, Workspace: in.to.workspace, Service: route.Choose(in.ID), Arrived: in.Arrived, Age: in.to.age,
 		Objective: route.Objective, Deadline: x.deadline,
 	}
 	if x.work.Objective == 0 {
 		x.work.Objective = limit
 	}
-	x.work.Age = s.ages.of(in.Arrived, route.Name, in.Patience)
 	if p := in.Prompt; p != nil {
 		x.work.Parts, x.work.PromptTokens = p.Parts, p.Tokens
 		x.work.OutputTokens = expectedOutput(p)
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -327,8 +327,8 @@
 
 // givesUp reports whether a request that a server has left without a byte
 // since then, or a stream without an event, is taken from it. Without a budget
-// for another send it stays with
-// a server that serves others; a caller is told at once of one that does not.
+// for another send it stays with a server that serves others; a caller is told
+// at once of one that does not.
 func (s *Server) givesUp(service, server string, since time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -28,6 +28,8 @@
 	Patience  time.Duration // how long the caller waits, 0 if it did not say
 	LastEvent string        // the stream is to go on after this event
 	Prompt    *Prompt       // nil for requests without one
+
+	to *destination // set by Admits
 }
 
 // Prompt is what a request says about its work at a model engine.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -242,9 +242,6 @@
 	}
 }
 
-// All returns copies of all entries, and the cursor for ModifiedSince.
-func (r *Registry) All() ([]Entry, uint64) { return r.ModifiedSince(0) }
-
 // ModifiedSince returns copies of the entries of which more than times changed
 // after the cursor, and the new cursor. Its cost is in what it returns.
 func (r *Registry) ModifiedSince(cursor uint64) (out []Entry, next uint64) {
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -153,7 +153,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := New()
 			r.Offer(known)
-			_, cursor := r.All()
+			_, cursor := r.ModifiedSince(0)
 			e := known
 			e.Sequence, e.Heard, e.ColdUntil = 2, start.Add(time.Second), start.Add(time.Second)
 			c.change(&e)
