--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -163,3 +163,22 @@
 		})
 	}
 }
+
+// Guards against a withdrawn server that is vouched for or renewed: it would
+// stay known for ever.
+func TestWithdrawnServerIsNotRenewed(t *testing.T) {
+	direct := entry("a", "x", 1, 1, Ready)
+	direct.Direct = true
+	r := New()
+	r.Offer(direct)
+	assert.Assert(t, r.Withdraw("a", 0, start))
+	r.Renew("a", 1, start.Add(time.Second))
+	got, _ := r.Get("a")
+	assert.Equal(t, got.Heard, start)
+	assert.Assert(t, !got.Vouched)
+	gone := entry("b", "y", 2, 1, Gone)
+	gone.Direct = true
+	r.Offer(gone)
+	got, _ = r.Get("b")
+	assert.Assert(t, !got.Vouched)
+}
