Log which requests a server process takes along when it ends

The logs of an incident with crashing engines could not tell a query of death from an overload cascade: no line said that a server process ended, and request lines had no prompt parts.

An edge host now collects the requests that lost their connection to a server process within 60 ms, checks whether its address refuses connections, and logs one line with the number of requests, how many answers had begun, and the shared prompt parts of the others (bounded). A process that restarted at once is recognised by its next announcement. Request lines name their shared parts.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -40,6 +40,7 @@
 // attempt sends the request to the server of the decision and forwards the
 // response.
 func (x *proxiedRequest) attempt(v dispatch.Decision) attemptResult {
+	x.eventsBefore = x.sseParser.count
 	ctx, cancel := context.WithCancelCause(x.callerCtx)
 	defer cancel(nil)
 	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadlinePassed) })
@@ -109,6 +110,9 @@
 	if a.outcome == dispatch.ResponseTimeout {
 		x.s.transport.CloseIdleTo(v.Address)
 	}
+	if a.outcome == dispatch.ConnectionLost {
+		x.recordLostConnection(v)
+	}
 	x.s.recordOutcome(x.dispatchReq, a.outcome)
 	return a
 }
@@ -288,6 +292,9 @@
 	if x.sseParser.count == 0 {
 		x.timeToFirst = time.Since(x.in.Arrived)
 	}
+	if x.sseParser.count == x.eventsBefore {
+		x.firstEventAt = time.Now()
+	}
 	x.s.recordFirstEvent(x.dispatchReq)
 	x.writeStreamHead(resp)
 	_, err := x.w.Write(events)
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -53,6 +53,7 @@
 	in          *Request
 	route       *routing.Route
 	dispatchReq *dispatch.Request
+	sharedParts []uint64 // parts of the prompt that other requests may have too
 	deadline    time.Time
 	callerCtx   context.Context
 
@@ -64,6 +65,8 @@
 	unsentAttempts    int               // attempts that failed before any byte was sent
 	queueWait         time.Duration     // from arrival to the first attempt
 	timeToFirst       time.Duration     // from arrival to the first event or the complete response
+	eventsBefore      int               // events forwarded by earlier attempts
+	firstEventAt      time.Time         // first event of the current attempt
 	headSent          bool              // status and headers were sent to the caller
 	status            int
 	sseParser         sseParser
@@ -150,6 +153,7 @@
 	}
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
+		x.sharedParts = sharedParts(p.Parts)
 		x.dispatchReq.OutputTokens = expectedOutputTokens(p)
 	}
 	return x
@@ -423,7 +427,7 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError,
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "parts": hexIDs(x.sharedParts),
 	}).Info("request")
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -95,6 +95,7 @@
 	attemptAges       attemptAges
 	reservations      reserveLatency
 	responses         *responseMemory
+	losses            lossCollector
 
 	loadShedder       *loadShedder
 	refusalLogLimiter *rate.Limiter // limits log lines on refused requests
@@ -192,6 +193,11 @@
 	if servers {
 		s.dispatcher.SetServers(now, s.fleetView.serverInfos(now))
 	}
+	for _, m := range e.GetServers() {
+		if l := s.losses.takeRestarted(now, m.GetAddress(), m.GetBornMs()); l != nil {
+			s.logLoss(l, true, "announcement of a new process")
+		}
+	}
 	if table != nil {
 		s.dispatcher.SetServiceRate(table.Limits.TokensPerSecond)
 		s.table.Store(table)
