Quarantine prompt parts on which servers crash

Callers of a class saw streams broken off and engines ended one after the other, because requests with one prompt part crash each engine that begins to answer them, and nothing kept the next such request away. This is a query of death: the system carried the request to the next server, as a new request at any host and as a retry of its own.

pkg/quarantine decides, without I/O: a part that several losses at different times suspect, and that no answer cleared since, is quarantined. How many losses it takes follows from the share of requests lost for other reasons. A quarantine explains its losses, so that they no longer count against other parts; parts of the same losses are refused only together until they can be told apart. It ends by a trial of one request in the fleet, with a growing term, by an operator or by itself. Edge hosts exchange losses, cleared parts and verdicts in their digests and summaries; the core hosts store verdicts in their log, so they outlive a restart of all hosts and reach hosts that were cut off. State, messages and lifetime are bounded. Callers get 126 part_quarantined, status 400, not run.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -82,6 +82,7 @@
 	coreDataCentres map[string]string // data centres of core hosts, by address
 	urgentChange    chan struct{}     // closed on a change that is sent at once
 	edgeRevision    uint64            // revision of the last change of an edge host
+	verdictSubmits  map[uint64]bool   // prompt parts whose verdict is being stored
 	vouched         *feed.Liveness    // servers and edge hosts that other core hosts vouch for
 	// oldestHeard is the earliest of the times at which the servers that this host
 	// vouches for were last heard, zero if it vouches for none.
@@ -121,7 +122,7 @@
 	h := &Host{
 		config: c, log: logging.ForComponent("core"), state: fleet.NewState(), servers: registry.New(),
 		clients: clients{dial: c.Dial}, edges: map[string]*edge{}, coreDataCentres: map[string]string{}, urgentChange: make(chan struct{}),
-		vouched: feed.NewLiveness(),
+		vouched: feed.NewLiveness(), verdictSubmits: map[uint64]bool{},
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	if h.listener, err = net.Listen("tcp", c.Address); err != nil {
--- a/pkg/core/watch.go
+++ b/pkg/core/watch.go
@@ -64,11 +64,13 @@
 	idleTimer := time.AfterFunc(feed.StreamIdleTimeout, cancel)
 	defer idleTimer.Stop()
 	for {
-		if _, err := stream.Recv(); err != nil {
+		m, err := stream.Recv()
+		if err != nil {
 			cancel()
 			return
 		}
 		idleTimer.Reset(feed.StreamIdleTimeout)
+		h.storeVerdicts(m.GetVerdicts())
 	}
 }
 
@@ -149,6 +151,7 @@
 	sendNow := w.first || time.Since(w.lastSent) >= feed.HeartbeatInterval
 	if w.first || state.GetRevision() != w.revision {
 		e.State, sendNow = state, true
+		state.Verdicts = withAges(time.Now(), state.GetVerdicts())
 		w.revision = state.GetRevision()
 		w.version = max(w.version, state.GetDocument().GetVersion())
 	}
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -176,6 +176,9 @@
 		return a
 	}
 	a.outcome, a.done = dispatch.Completed, true
+	if resp.StatusCode/100 == 2 {
+		x.reportAnswerBegan(time.Now())
+	}
 	x.writeBuffered(h)
 	return a
 }
@@ -249,6 +252,9 @@
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
 				}
+				if time.Since(x.firstEventAt) > beginTime {
+					x.reportAnswerBegan(x.firstEventAt)
+				}
 				x.coalesceEvents(ctx)
 			}
 		}
@@ -330,6 +336,9 @@
 		return a
 	}
 	x.writeStreamHead(resp)
+	if x.sseParser.count > x.eventsBefore {
+		x.reportAnswerBegan(x.firstEventAt)
+	}
 	a.outcome, a.done = dispatch.Completed, true
 	return a
 }
--- a/pkg/edge/leaving_test.go
+++ b/pkg/edge/leaving_test.go
@@ -9,10 +9,11 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 )
 
 func newTestServer(name string) *Server {
-	s := &Server{config: Config{Name: name}, log: logging.ForComponent("test"), dispatcher: dispatch.New(name, "z", start), fleetView: newTestView()}
+	s := &Server{config: Config{Name: name}, log: logging.ForComponent("test"), dispatcher: dispatch.New(name, "z", start), fleetView: newTestView(), quarantine: quarantine.New(hashName(name))}
 	s.fleetView.mergeEvent(start, &apiv1.FleetEvent{State: fleetState(1, 1), Confirmed: true, Servers: []*apiv1.ServerAnnouncement{testAnnouncement(0, 0)}})
 	s.dispatcher.SetServers(start, s.fleetView.serverInfos(start))
 	return s
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -195,7 +195,9 @@
 	s.log.WithField("gap_ms", gap.Milliseconds()).Warn("this host was suspended")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.MarkSuspended(time.Now())
+	now := time.Now()
+	s.dispatcher.MarkSuspended(now)
+	s.quarantine.MarkSuspended(now)
 }
 
 // bootTime returns the time since the host booted, including suspensions.
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -65,6 +65,8 @@
 	unsentAttempts    int               // attempts that failed before any byte was sent
 	queueWait         time.Duration     // from arrival to the first attempt
 	timeToFirst       time.Duration     // from arrival to the first event or the complete response
+	isTrial           bool              // tests whether a quarantined part still crashes servers
+	beganReported     bool              // the begin of the answer cleared the parts of the prompt
 	eventsBefore      int               // events forwarded by earlier attempts
 	firstEventAt      time.Time         // first event of the current attempt
 	headSent          bool              // status and headers were sent to the caller
@@ -171,6 +173,9 @@
 // run dispatches the request, and retries it as the route and the retry budget
 // allow, until the caller has a response or has left.
 func (x *proxiedRequest) run() {
+	if x.refuseQuarantined() {
+		return
+	}
 	x.s.creditRetryBudget(x.dispatchReq.Service)
 	v, err := x.awaitDecision()
 	for err == nil {
@@ -184,6 +189,9 @@
 			break
 		}
 		x.decision = v
+		if x.dropQuarantined() {
+			return
+		}
 		if x.slotReservation = ""; v.ReserveSlot && !x.reserve(v) {
 			v, err = x.awaitDecision()
 			continue
@@ -191,13 +199,16 @@
 		if x.sentAttempts == 0 {
 			x.queueWait = time.Since(x.in.Arrived)
 		}
+		if !x.mayBeSent() {
+			return
+		}
 		a := x.attempt(v)
 		x.outcomes = append(x.outcomes, a.outcome.String())
 		if a.done {
 			return
 		}
 		x.recordFailure(a)
-		if !x.canRetry(a) {
+		if !x.canRetry(a) || x.suspectedAgain(a) {
 			x.respondFailed(a)
 			return
 		}
@@ -427,7 +438,7 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "parts": hexIDs(x.sharedParts),
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
 	}).Info("request")
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -19,6 +19,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/feed"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 	"jackdawtrack.example/jackdawtrack/pkg/shed"
 )
@@ -68,7 +69,8 @@
 }
 
 // Server is an edge host. mu guards fleetView, dispatcher, pendingDecisions,
-// polling, retryBudget, leaving and remoteDataCentres. It is not held during
+// polling, retryBudget, leaving, remoteDataCentres, quarantine and
+// storedVerdicts. It is not held during
 // network calls.
 type Server struct {
 	config        Config
@@ -96,6 +98,8 @@
 	reservations      reserveLatency
 	responses         *responseMemory
 	losses            lossCollector
+	quarantine        *quarantine.Tracker
+	storedVerdicts    map[uint64]uint32 // by part: generation that the core hosts have stored
 
 	loadShedder       *loadShedder
 	refusalLogLimiter *rate.Limiter // limits log lines on refused requests
@@ -117,6 +121,7 @@
 		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout}),
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{},
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
+		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
@@ -193,9 +198,11 @@
 	if servers {
 		s.dispatcher.SetServers(now, s.fleetView.serverInfos(now))
 	}
+	s.mergeStoredVerdicts(now, e.GetState().GetVerdicts())
 	for _, m := range e.GetServers() {
 		if l := s.losses.takeRestarted(now, m.GetAddress(), m.GetBornMs()); l != nil {
 			s.logLoss(l, true, "announcement of a new process")
+			s.addLoss(now, l)
 		}
 	}
 	if table != nil {
@@ -212,6 +219,7 @@
 	neighbours, peers := s.fleetView.peers(s.config.Name, s.config.DataCentre)
 	s.dispatcher.SetEdgeHosts(neighbours, len(peers.All)+1)
 	s.retryBudget.setHosts(len(peers.All) + 1)
+	s.quarantine.SetHosts(hashNames(maps.Keys(s.fleetView.edges)))
 	s.remoteDataCentres = slices.Collect(maps.Keys(peers.Remote))
 	peers.SummariesEnabled = s.dispatcher.Summarises()
 	return peers
@@ -232,6 +240,7 @@
 	now := time.Now()
 	m, changed := s.dispatcher.Digest(now, s.incarnation)
 	s.appendLeaving(now, m)
+	changed = addEvidence(now, m, s.quarantine.Message(now, m.GetComplete())) || changed
 	return m, changed || len(m.GetLeaving()) > 0
 }
 
@@ -241,8 +250,14 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	var out []exchange.Summary
+	var evidence *quarantine.Message
 	for _, m := range s.dispatcher.Summaries(now, s.remoteDataCentres) {
 		s.appendLeaving(now, m.Digest)
+		if evidence == nil {
+			news := s.quarantine.Summary(m.Digest.GetComplete())
+			evidence = &news
+		}
+		addEvidence(now, m.Digest, *evidence)
 		out = append(out, exchange.Summary(m))
 	}
 	return out
@@ -256,6 +271,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if m.GetRouter() != s.config.Name || m.GetSummary() {
+		s.quarantine.Merge(now, evidenceOf(now, m), m.GetSummary())
+	}
 	return s.dispatcher.MergeDigest(now, m)
 }
 
@@ -380,12 +398,16 @@
 	}
 }
 
-// runHealthChecks sends health checks to servers that are down.
+// runHealthChecks sends health checks to servers that are down, and evaluates the
+// evidence on servers that ended.
 func (s *Server) runHealthChecks() {
 	s.runEvery(healthCheckInterval, func() {
 		s.mu.Lock()
-		due := s.dispatcher.DueProbes(time.Now())
+		now := time.Now()
+		due := s.dispatcher.DueProbes(now)
+		changes := s.quarantine.Poll(now)
 		s.mu.Unlock()
+		s.recordChanges(changes)
 		for _, p := range due {
 			go s.checkServer(p)
 		}
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -151,6 +151,11 @@
 	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	s.losses.finish(l, ended)
 	s.logLoss(l, ended, "connection check")
+	if ended {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.addLoss(time.Now(), l)
+	}
 }
 
 // logLoss logs how many requests were lost with a server, and whether its process
--- a/pkg/feed/client.go
+++ b/pkg/feed/client.go
@@ -79,6 +79,12 @@
 	HandleDisconnect(address string, cause error)
 }
 
+// Reporter is implemented by a Handler that reports state to the core hosts.
+type Reporter interface {
+	// Heartbeat returns the next heartbeat of a stream.
+	Heartbeat() *apiv1.FleetWatcher
+}
+
 // Client keeps the streams to all core hosts. It is safe for concurrent use.
 type Client struct {
 	self       *apiv1.FleetWatcher
@@ -239,7 +245,7 @@
 	return nil
 }
 
-// heartbeat sends an empty message at each HeartbeatInterval until the stream ends.
+// heartbeat sends a message, empty unless the handler is a Reporter, at each HeartbeatInterval until the stream ends.
 func (c *Client) heartbeat(ctx context.Context, stream grpc.BidiStreamingClient[apiv1.FleetWatcher, apiv1.FleetEvent]) {
 	ticker := time.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
@@ -249,7 +255,11 @@
 			return
 		case <-ticker.C:
 		}
-		if stream.Send(&apiv1.FleetWatcher{}) != nil {
+		m := &apiv1.FleetWatcher{}
+		if r, ok := c.handler.(Reporter); ok {
+			m = r.Heartbeat()
+		}
+		if stream.Send(m) != nil {
 			return // Recv returns the error
 		}
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -1,9 +1,11 @@
 // Package fleet implements the replicated state that core hosts provide to edge
-// hosts: the configuration as an opaque, versioned document, and which data centres
-// operators have taken out of service.
+// hosts: the configuration as an opaque, versioned document, which data centres
+// operators have taken out of service, and the verdicts on prompt parts that crash
+// servers.
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -20,13 +22,17 @@
 	mu       sync.Mutex // guards all fields
 	revision uint64     // log index of the last change
 	document *apiv1.FleetDocument
-	marks    map[string]*apiv1.FleetMark // by data centre
-	changed  chan struct{}               // closed at the next change
+	marks    map[string]*apiv1.FleetMark         // by data centre
+	verdicts map[uint64]*apiv1.QuarantineVerdict // by prompt part, at most MaxVerdicts
+	changed  chan struct{}                       // closed at the next change
 }
 
+// MaxVerdicts bounds the stored verdicts.
+const MaxVerdicts = 128
+
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{marks: map[string]*apiv1.FleetMark{}, changed: make(chan struct{})}
+	return &State{marks: map[string]*apiv1.FleetMark{}, verdicts: map[uint64]*apiv1.QuarantineVerdict{}, changed: make(chan struct{})}
 }
 
 // EncodeCommand encodes a command for the replicated log.
@@ -52,9 +58,43 @@
 		s.marks[m.GetDataCentre()] = m
 		s.recordChange(index)
 	}
+	if v := c.GetVerdict(); v != nil && isNewerVerdict(s.verdicts[v.GetPart()], v) {
+		s.verdicts[v.GetPart()] = v
+		s.removeExcessVerdict()
+		s.recordChange(index)
+	}
 	return &apiv1.FleetSubmitted{Version: s.document.GetVersion()}
 }
 
+// isNewerVerdict reports whether v replaces the stored verdict, by the order of
+// quarantine.Verdict.
+func isNewerVerdict(stored, v *apiv1.QuarantineVerdict) bool {
+	if v.GetGeneration() != stored.GetGeneration() {
+		return v.GetGeneration() > stored.GetGeneration()
+	}
+	return v.GetState() > stored.GetState()
+}
+
+// removeExcessVerdict removes the oldest verdict when there are too many, those on
+// quarantined parts last. The caller must hold s.mu.
+func (s *State) removeExcessVerdict() {
+	if len(s.verdicts) <= MaxVerdicts {
+		return
+	}
+	all := s.sortedVerdicts()
+	slices.SortStableFunc(all, func(a, b *apiv1.QuarantineVerdict) int {
+		return cmp.Or(cmp.Compare(a.GetState(), b.GetState()), cmp.Compare(a.GetStoredUnixMs(), b.GetStoredUnixMs()))
+	})
+	delete(s.verdicts, all[0].GetPart())
+}
+
+// IsNews reports whether the state would store the verdict.
+func (s *State) IsNews(v *apiv1.QuarantineVerdict) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return isNewerVerdict(s.verdicts[v.GetPart()], v)
+}
+
 // recordChange sets the revision and wakes the watchers of the state. The caller must
 // hold s.mu.
 func (s *State) recordChange(index uint64) {
@@ -69,7 +109,7 @@
 func (s *State) View(above uint64) (*apiv1.FleetState, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := &apiv1.FleetState{Revision: s.revision, Marks: s.sortedMarks()}
+	v := &apiv1.FleetState{Revision: s.revision, Marks: s.sortedMarks(), Verdicts: s.sortedVerdicts()}
 	if s.document.GetVersion() > above {
 		v.Document = s.document
 	}
@@ -93,6 +133,16 @@
 	return out
 }
 
+// sortedVerdicts returns the verdicts in order of part.
+func (s *State) sortedVerdicts() []*apiv1.QuarantineVerdict {
+	out := make([]*apiv1.QuarantineVerdict, 0, len(s.verdicts))
+	for _, v := range s.verdicts {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b *apiv1.QuarantineVerdict) int { return cmp.Compare(a.GetPart(), b.GetPart()) })
+	return out
+}
+
 // Snapshot implements replica.StateMachine: it encodes the complete state.
 func (s *State) Snapshot() ([]byte, error) {
 	v, _ := s.View(0)
@@ -112,6 +162,10 @@
 	for _, m := range v.GetMarks() {
 		s.marks[m.GetDataCentre()] = m
 	}
+	s.verdicts = map[uint64]*apiv1.QuarantineVerdict{}
+	for _, v := range v.GetVerdicts() {
+		s.verdicts[v.GetPart()] = v
+	}
 	s.recordChange(v.GetRevision())
 	return nil
 }
--- /dev/null
+++ b/pkg/quarantine/message.go
@@ -0,0 +1,236 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// news holds what is still to be sent, with the number of messages left for each.
+type news struct {
+	losses   map[lossKey]int
+	cleared  map[uint64]int
+	verdicts map[uint64]int
+}
+
+// lossKey identifies the report of one host on one loss.
+type lossKey struct {
+	server   Server
+	reporter uint64
+}
+
+func newNews() news {
+	return news{losses: map[lossKey]int{}, cleared: map[uint64]int{}, verdicts: map[uint64]int{}}
+}
+
+// queueCleared queues a cleared part, unless too many are queued. Then the part is
+// announced after the next loss that it is a suspect of.
+func (n *news) queueCleared(part uint64) {
+	if len(n.cleared) < maxPendingMessages {
+		n.cleared[part] = messageRepeats
+	}
+}
+
+// schedule says when a loss is sent: in messageRepeats messages, then each time
+// that its age has doubled.
+type schedule struct {
+	firstAt time.Time
+	next    time.Time
+	repeats int
+}
+
+func newSchedule(now time.Time) *schedule {
+	return &schedule{firstAt: now, next: now, repeats: messageRepeats}
+}
+
+// due reports whether to send now, and advances the schedule.
+func (s *schedule) due(now time.Time) bool {
+	if now.Before(s.next) {
+		return false
+	}
+	if s.repeats--; s.repeats <= 0 {
+		s.next = now.Add(max(now.Sub(s.firstAt), firstResend))
+	}
+	return true
+}
+
+// Message returns the news for other hosts. With complete it lists all verdicts,
+// for hosts that missed earlier messages.
+func (t *Tracker) Message(now time.Time, complete bool) Message {
+	m := Message{Cleared: t.takeCleared(&t.digestNews), Verdicts: t.takeVerdicts(&t.digestNews, complete)}
+	for _, l := range t.losses {
+		if l.own == nil || l.explained || len(m.Losses) >= MaxLossesPerMessage || !l.own.due(now) {
+			continue
+		}
+		if parts := t.uncleared(l); len(parts) > 0 {
+			m.Losses = append(m.Losses, l.reportOf(t.self, parts))
+			t.queueForSummary(lossKey{l.server, t.self})
+		}
+	}
+	return m
+}
+
+// reportOf returns the report of a host on a loss, with the given parts.
+func (l *loss) reportOf(reporter uint64, parts []uint64) Loss {
+	r := l.reports[reporter]
+	return Loss{Server: l.server, At: l.at, Reporter: reporter, Parts: parts, Requests: r.requests, Begun: r.begun}
+}
+
+// uncleared returns the parts of a loss of this host that were not cleared since.
+func (t *Tracker) uncleared(l *loss) []uint64 {
+	var out []uint64
+	for _, p := range l.ownParts {
+		if !t.cleared.at(p).After(l.at) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// queueForSummary queues a report for the other data centres.
+func (t *Tracker) queueForSummary(key lossKey) {
+	if len(t.summaryNews.losses) < maxPendingMessages {
+		t.summaryNews.losses[key] = messageRepeats
+	}
+}
+
+// Summary returns the news of this data centre for others. With complete it lists
+// all verdicts.
+func (t *Tracker) Summary(complete bool) Message {
+	m := Message{Cleared: t.takeCleared(&t.summaryNews), Verdicts: t.takeVerdicts(&t.summaryNews, complete)}
+	for key, left := range t.summaryNews.losses {
+		if len(m.Losses) >= MaxLossesPerMessage {
+			break
+		}
+		countDown(t.summaryNews.losses, key, left)
+		l := t.losses[key.server]
+		if l == nil || l.explained {
+			continue
+		}
+		parts := make([]uint64, 0, min(len(l.parts), MaxSuspectsPerMessage))
+		for p := range l.parts {
+			if len(parts) < MaxSuspectsPerMessage && !t.cleared.at(p).After(l.at) {
+				parts = append(parts, p)
+			}
+		}
+		slices.Sort(parts)
+		m.Losses = append(m.Losses, l.reportOf(key.reporter, parts))
+	}
+	return m
+}
+
+func countDown[K comparable](m map[K]int, key K, left int) {
+	if left <= 1 {
+		delete(m, key)
+		return
+	}
+	m[key] = left - 1
+}
+
+func (t *Tracker) takeCleared(n *news) []Cleared {
+	var out []Cleared
+	for part, left := range n.cleared {
+		if len(out) >= MaxClearedPerMessage {
+			break
+		}
+		out = append(out, Cleared{Part: part, At: t.cleared.at(part)})
+		countDown(n.cleared, part, left)
+	}
+	return out
+}
+
+func (t *Tracker) takeVerdicts(n *news, complete bool) []Verdict {
+	var out []Verdict
+	for part, left := range n.verdicts {
+		if len(out) >= MaxVerdictsPerMessage {
+			break
+		}
+		if v := t.verdicts[part]; v != nil {
+			out = append(out, v.Verdict)
+		}
+		countDown(n.verdicts, part, left)
+	}
+	if !complete {
+		return out
+	}
+	for part, v := range t.verdicts {
+		if len(out) >= MaxVerdictsPerMessage {
+			break
+		}
+		if _, listed := n.verdicts[part]; !listed {
+			out = append(out, v.Verdict)
+		}
+	}
+	return out
+}
+
+// Merge merges the message of another host. fromSummary is set for messages of
+// other data centres, which this host does not pass on.
+func (t *Tracker) Merge(now time.Time, m Message, fromSummary bool) {
+	for _, l := range m.Losses[:min(len(m.Losses), MaxLossesPerMessage)] {
+		l.Parts = l.Parts[:min(len(l.Parts), MaxSuspectsPerMessage)]
+		if l.At.After(now) || t.mergeLoss(now, l) == nil {
+			continue
+		}
+		t.announceCleared(l.Parts)
+		if !fromSummary {
+			t.queueForSummary(lossKey{l.Server, l.Reporter})
+		}
+	}
+	for _, c := range m.Cleared[:min(len(m.Cleared), MaxClearedPerMessage)] {
+		if c.At.After(now) {
+			continue
+		}
+		if t.clear(now, c.Part, c.At, false) && !fromSummary {
+			t.summaryNews.queueCleared(c.Part)
+		}
+	}
+	for _, v := range m.Verdicts[:min(len(m.Verdicts), MaxVerdictsPerMessage)] {
+		t.mergeVerdict(now, v, fromSummary)
+	}
+}
+
+// MergeVerdicts merges verdicts that were stored durably.
+func (t *Tracker) MergeVerdicts(now time.Time, verdicts []Verdict) {
+	for _, v := range verdicts[:min(len(verdicts), MaxVerdicts)] {
+		t.mergeVerdict(now, v, true)
+	}
+}
+
+// mergeVerdict merges a verdict of another host.
+func (t *Tracker) mergeVerdict(now time.Time, in Verdict, fromSummary bool) {
+	if in.Generation == 0 || in.State > Quarantined || in.Since.After(now) {
+		return
+	}
+	in.Term = min(max(in.Term, firstTerm), maxTerm)
+	in.Companions = in.Companions[:min(len(in.Companions), MaxCompanions)]
+	current := t.verdicts[in.Part]
+	switch {
+	case current == nil:
+		if in.State != Quarantined && now.Sub(in.Since) > verdictRetention || in.State == Quarantined && now.Sub(in.Since) > in.Term+lapseTime+verdictRetention {
+			return
+		}
+	case in.Generation < current.Generation || in.Generation == current.Generation && in.State < current.State:
+		return
+	case in.Generation == current.Generation && in.State == current.State:
+		t.joinVerdict(current, in)
+		return
+	}
+	t.setVerdict(now, in)
+	t.changes = append(t.changes, Change{Verdict: in, Reason: "learned from another host"})
+	if !fromSummary {
+		t.summaryNews.verdicts[in.Part] = messageRepeats
+	}
+}
+
+// joinVerdict merges two equal decisions of different hosts.
+func (t *Tracker) joinVerdict(v *verdict, in Verdict) {
+	if in.Since.Before(v.Since) {
+		v.Since = in.Since
+	}
+	// The same trial seems later by the time that its message took.
+	if in.TrialAt.Sub(v.TrialAt) > turnTime {
+		v.TrialAt = in.TrialAt
+	}
+	v.Companions = slices.DeleteFunc(slices.Clone(v.Companions), func(p uint64) bool { return !slices.Contains(in.Companions, p) })
+	v.Term, v.Losses, v.Hosts = max(v.Term, in.Term), max(v.Losses, in.Losses), max(v.Hosts, in.Hosts)
+}
--- /dev/null
+++ b/pkg/quarantine/tracker_test.go
@@ -0,0 +1,385 @@
+package quarantine
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// model decides from the whole history, without any of the Tracker's indexes.
+type model struct {
+	losses      []modelLoss
+	began       []modelAnswer
+	quarantined map[uint64]time.Time
+	released    map[uint64]time.Time
+}
+
+type modelLoss struct {
+	at              time.Time
+	parts           []uint64
+	requests, begun int
+	explainedBy     uint64
+}
+
+type modelAnswer struct {
+	at    time.Time
+	parts []uint64
+}
+
+func (m *model) innocentUntil(part uint64) time.Time {
+	at := m.released[part]
+	for _, a := range m.began {
+		if slices.Contains(a.parts, part) && a.at.After(at) {
+			at = a.at
+		}
+	}
+	return at
+}
+
+// evidence returns the losses against a part and those at different times.
+func (m *model) evidence(part uint64) (losses []int, episodes []time.Time) {
+	for i, l := range m.losses {
+		if l.explainedBy != 0 || !slices.Contains(l.parts, part) || !l.at.After(m.innocentUntil(part)) {
+			continue
+		}
+		losses = append(losses, i)
+		if n := len(episodes); n == 0 || l.at.Sub(episodes[n-1]) >= episodeGap {
+			episodes = append(episodes, l.at)
+		}
+	}
+	return losses, episodes
+}
+
+func (m *model) needed(part uint64, first, last time.Time) int {
+	from := first.Add(-hazardLead)
+	if earliest := last.Add(-hazardWindow); from.Before(earliest) {
+		from = earliest
+	}
+	lost, all := 1.0, 48.0
+	for _, l := range m.losses {
+		if l.at.Before(from) {
+			continue
+		}
+		all += float64(l.begun)
+		if !slices.Contains(l.parts, part) {
+			lost += float64(l.requests)
+			all += float64(l.requests)
+		}
+	}
+	for _, a := range m.began {
+		if len(m.losses) == 0 || a.at.After(m.losses[len(m.losses)-1].at) {
+			all++
+		}
+	}
+	n := int(math.Ceil(math.Log(maxFalseRate)/math.Log(lost/all) - 1e-6))
+	return min(max(n, 3), 18)
+}
+
+func (m *model) poll(now time.Time, parts []uint64) {
+	for {
+		best, most, mostLosses := []uint64(nil), 0, 0
+		for _, p := range parts {
+			if !m.quarantined[p].IsZero() {
+				continue
+			}
+			losses, episodes := m.evidence(p)
+			if len(episodes) < 3 {
+				continue
+			}
+			needed := m.needed(p, episodes[0], episodes[len(episodes)-1])
+			if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
+				continue
+			}
+			if len(episodes) > most || len(episodes) == most && len(losses) > mostLosses {
+				best, most, mostLosses = nil, len(episodes), len(losses)
+			}
+			if len(episodes) == most && len(losses) == mostLosses {
+				best = append(best, p)
+			}
+		}
+		if len(best) == 0 {
+			return
+		}
+		strongest, _ := m.evidence(best[0])
+		var same []uint64
+		for _, p := range best {
+			if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
+				same = append(same, p)
+			}
+		}
+		for _, p := range same {
+			m.quarantined[p] = now
+		}
+		m.explain()
+	}
+}
+
+// explain marks the losses that a quarantined part explains.
+func (m *model) explain() {
+	for i := range m.losses {
+		for _, p := range m.losses[i].parts {
+			if m.losses[i].explainedBy == 0 && !m.quarantined[p].IsZero() {
+				m.losses[i].explainedBy = p
+			}
+		}
+	}
+}
+
+func (m *model) release(now time.Time, part uint64) {
+	m.released[part] = now
+	delete(m.quarantined, part)
+	for i := range m.losses {
+		if m.losses[i].explainedBy == part {
+			m.losses[i].explainedBy = 0
+		}
+	}
+	m.explain()
+}
+
+// Guards against decisions that differ from the stated rule because of the order
+// or the timing of events.
+func TestTrackerMatchesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := []uint64{1, 2, 3, 4, 5, 6}
+		tracker, now := New(1), start
+		m := &model{quarantined: map[uint64]time.Time{}, released: map[uint64]time.Time{}}
+		begun := 0
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(settleTime + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
+			drawn := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, 4, rapid.ID).Draw(t, "parts")
+			slices.Sort(drawn)
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0, 1, 2, 3, 4, 5:
+				requests := rapid.IntRange(1, 12).Draw(t, "requests")
+				tracker.AddLoss(now, Server{uint64(step), 1}, now, drawn, requests)
+				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, requests: requests, begun: begun})
+				m.explain()
+				begun = 0
+			case 6, 7, 8:
+				tracker.AnswerBegan(now, now, drawn)
+				m.began = append(m.began, modelAnswer{now, drawn})
+				begun++
+				for _, p := range drawn {
+					if since := m.quarantined[p]; now.After(since) && !since.IsZero() {
+						m.release(now, p)
+					}
+				}
+			case 9:
+				p := drawn[0]
+				if tracker.Release(now, p) != !m.quarantined[p].IsZero() {
+					t.Fatalf("step %d: release of part %d differs", step, p)
+				}
+				if !m.quarantined[p].IsZero() {
+					m.release(now, p)
+				}
+			}
+			now = now.Add(settleTime)
+			tracker.Poll(now)
+			m.poll(now, parts)
+			for _, p := range parts {
+				v := tracker.verdicts[p]
+				if got := v != nil && v.State == Quarantined; got != !m.quarantined[p].IsZero() {
+					t.Fatalf("step %d, part %d: quarantined %v, in the model since %v", step, p, got, m.quarantined[p])
+				}
+			}
+		}
+	})
+}
+
+// Guards against hosts that keep different verdicts after all messages arrived, in
+// any order.
+func TestVerdictsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, now := New(1), New(2), start
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			host := rapid.SampledFrom([]*Tracker{a, b}).Draw(t, "host")
+			part := rapid.Uint64Range(1, 3).Draw(t, "part")
+			state := rapid.SampledFrom([]State{Lapsed, Released, Quarantined}).Draw(t, "state")
+			host.decide(now, part, state, "test")
+			if rapid.Bool().Draw(t, "exchange") {
+				a.Merge(now, b.Message(now, true), false)
+			}
+		}
+		now = now.Add(time.Second)
+		a.Merge(now, b.Message(now, true), false)
+		b.Merge(now, a.Message(now, true), false)
+		for part := range uint64(4) {
+			va, vb := a.verdicts[part], b.verdicts[part]
+			if (va == nil) != (vb == nil) || va != nil && (va.Generation != vb.Generation || va.State != vb.State || !va.Since.Equal(vb.Since)) {
+				t.Fatalf("part %d: %+v and %+v", part, va, vb)
+			}
+		}
+		if a.active != b.active {
+			t.Fatalf("%d and %d quarantined parts", a.active, b.active)
+		}
+	})
+}
+
+// Guards against state and messages that grow with what callers put into prompts.
+func TestEvidenceIsBounded(t *testing.T) {
+	a, b := New(1), New(2)
+	now, next := start, uint64(1)
+	for server := range uint64(3 * MaxLosses) {
+		now = now.Add(300 * time.Millisecond)
+		parts := make([]uint64, 2*MaxSuspects)
+		for i := range parts {
+			parts[i] = next
+			next++
+		}
+		a.AddLoss(now, Server{server, 1}, now, parts, 100)
+		for range 20 {
+			a.AnswerBegan(now, now, []uint64{next, next + 1})
+			next += 2
+		}
+		a.decide(now, next, Quarantined, "test")
+		m := a.Message(now, true)
+		assert.Assert(t, len(m.Losses) <= MaxLossesPerMessage && len(m.Cleared) <= MaxClearedPerMessage && len(m.Verdicts) <= MaxVerdictsPerMessage)
+		for _, l := range m.Losses {
+			assert.Assert(t, len(l.Parts) <= MaxSuspectsPerMessage)
+		}
+		b.Merge(now, m, false)
+		assert.Assert(t, len(b.Summary(true).Losses) <= MaxLossesPerMessage)
+		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Requests: -1, Begun: math.MaxInt}}}, true)
+	}
+	for _, tracker := range []*Tracker{a, b} {
+		assert.Assert(t, len(tracker.losses) <= MaxLosses)
+		assert.Assert(t, len(tracker.suspects) <= MaxLosses*MaxSuspects)
+		assert.Assert(t, len(tracker.verdicts) <= MaxVerdicts)
+		assert.Assert(t, len(tracker.summaryNews.losses) <= maxPendingMessages)
+		assert.Assert(t, len(tracker.cleared.newer) <= maxCleared && len(tracker.cleared.older) <= maxCleared)
+	}
+	now = now.Add(lossRetention + maxTerm + lapseTime + time.Second)
+	a.Poll(now)
+	now = now.Add(verdictRetention + time.Second)
+	a.Poll(now)
+	assert.Equal(t, len(a.verdicts), 0, "verdicts are forgotten")
+	assert.Equal(t, a.active, 0)
+}
+
+// Guards against two hosts trying the same part in one term, which would end two
+// servers.
+func TestOneTrialInEachTerm(t *testing.T) {
+	f := newSimulatedFleet(1, 20, 12, 1)
+	d := f.deadly[firstDeadly]
+	f.hosts[0].tracker.decide(f.now, firstDeadly, Quarantined, "test")
+	f.run(2*time.Second, func() {})
+	f.run(firstTerm+termFactor*firstTerm+20*time.Second, func() {
+		for range 5 {
+			f.send(popularPart, firstDeadly)
+		}
+	})
+	assert.Equal(t, len(d.arrived), 2, "%v", d.arrived)
+}
+
+// Guards against a host that wakes from a suspension clearing parts with answers
+// that began before it.
+func TestAnswersReadAfterSuspensionClearNothing(t *testing.T) {
+	tracker := New(1)
+	tracker.decide(start, 5, Quarantined, "test")
+	now := start.Add(3 * time.Second)
+	tracker.MarkSuspended(now)
+	tracker.AnswerBegan(now, now, []uint64{5})
+	assert.Equal(t, tracker.verdicts[5].State, Quarantined)
+}
+
+// Guards against a request of a lost server being sent to one server after the
+// other by the system itself.
+func TestSecondLossOfAPartEndsRetries(t *testing.T) {
+	tracker := New(1)
+	assert.Assert(t, !tracker.SuspectsAgain(start, []uint64{1, 2}))
+	tracker.AddLoss(start, Server{1, 1}, start, []uint64{1, 2}, 2)
+	assert.Assert(t, tracker.SuspectsAgain(start, []uint64{2}))
+	now := start.Add(time.Second)
+	tracker.AnswerBegan(now, now, []uint64{2})
+	assert.Assert(t, !tracker.SuspectsAgain(now, []uint64{2}), "the part was cleared")
+	assert.Assert(t, tracker.SuspectsAgain(now, []uint64{1, 2}))
+}
+
+// Guards against refusing the requests with one of several parts that the same
+// losses suspect, and against passing on those with the part that crashes servers.
+func TestPartsOfTheSameLossesAreToldApart(t *testing.T) {
+	const sound, deadly = 1, 2
+	both := []uint64{sound, deadly}
+	tied := func() (*Tracker, time.Time) {
+		tracker, now := New(1), start
+		for i := range uint64(lossesToQuarantine) {
+			now = now.Add(time.Second)
+			tracker.AddLoss(now, Server{i, 1}, now, both, 2)
+		}
+		now = now.Add(settleTime)
+		tracker.Poll(now)
+		return tracker, now.Add(time.Second)
+	}
+	check := func(tracker *Tracker, now time.Time, want Action, parts ...uint64) {
+		t.Helper()
+		action, _ := tracker.Check(now, parts)
+		assert.Equal(t, action, want)
+	}
+
+	tracker, now := tied()
+	check(tracker, now, Refuse, both...)
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Allow, deadly)
+
+	tracker.AnswerBegan(now, now, []uint64{sound})
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, deadly)
+
+	tracker, now = tied()
+	tracker.AddLoss(now, Server{9, 1}, now, []uint64{deadly}, 1)
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, deadly)
+	assert.Equal(t, tracker.verdicts[deadly].Term, firstTerm)
+
+	// A host that knows the sound part to be cleared refuses the deadly one alone.
+	tracker, now = tied()
+	tracker.Merge(now, Message{Verdicts: []Verdict{{Part: deadly, Generation: 1, State: Quarantined, Since: now.Add(-time.Second), Term: firstTerm}}}, false)
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, deadly)
+}
+
+// BenchmarkRequest measures what the package costs a request: a check at arrival,
+// one before the attempt and the report of the answer, without and with
+// quarantined parts.
+func BenchmarkRequest(b *testing.B) {
+	for _, quarantined := range []int{0, 1, MaxVerdicts} {
+		b.Run(fmt.Sprintf("%d quarantined", quarantined), func(b *testing.B) {
+			tracker := New(1)
+			for i := range quarantined {
+				tracker.decide(start, uint64(1_000_000+i), Quarantined, "test")
+			}
+			parts := []uint64{1, 2, 3, 4}
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				parts[3] = uint64(i % 5000)
+				tracker.Check(now, parts)
+				tracker.Begin(now, parts)
+				tracker.AnswerBegan(now, now, parts)
+			}
+		})
+	}
+}
+
+// BenchmarkEvaluation measures an evaluation of a full table of losses.
+func BenchmarkEvaluation(b *testing.B) {
+	tracker := New(1)
+	now := start
+	for i := range uint64(MaxLosses) {
+		now = now.Add(100 * time.Millisecond)
+		parts := make([]uint64, MaxSuspectsPerMessage)
+		for j := range parts {
+			parts[j] = i*uint64(len(parts)) + uint64(j)
+		}
+		tracker.AddLoss(now, Server{i, 1}, now, parts, 10)
+	}
+	for b.Loop() {
+		tracker.evaluate(now)
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/types.go
@@ -0,0 +1,173 @@
+// Package quarantine decides which prompt parts crash the backend servers that
+// begin to write an answer on them, and keeps requests with such a part away from
+// the servers. It has no clock, goroutines or I/O: callers pass in events and the
+// current time.
+//
+// The evidence is the loss of a server process: the parts of the requests whose
+// answer had not begun are suspects. An answer that begins and goes on clears all
+// parts of its prompt. A part is quarantined when several losses at different
+// times have it as a suspect and it has not been cleared since the first of them;
+// these losses are then explained and no longer count against other parts. Parts
+// that the same losses suspect are quarantined together: requests with only some of
+// them still pass, until an answer or a loss tells them apart. A quarantine ends by
+// a trial: after a term, one host at a time may let one request through.
+package quarantine
+
+import "time"
+
+// Limits of the evidence and of the messages that carry it.
+const (
+	// MaxLosses bounds the losses that are kept, MaxSuspects the suspect parts of
+	// each, MaxReporters the hosts that are counted for each.
+	MaxLosses    = 128
+	MaxSuspects  = 256
+	MaxReporters = 16
+	// MaxCompanions bounds the parts that a verdict names beside its own.
+	MaxCompanions = 4
+	// MaxVerdicts bounds the verdicts that are kept, quarantined or not.
+	MaxVerdicts = 128
+	// maxCleared bounds each of the two generations of the table of cleared parts.
+	maxCleared = 16384
+	// MaxLossesPerMessage, MaxSuspectsPerMessage, MaxClearedPerMessage and
+	// MaxVerdictsPerMessage bound the message of one host to about 10 KB.
+	MaxLossesPerMessage   = 8
+	MaxSuspectsPerMessage = 64
+	MaxClearedPerMessage  = 64
+	MaxVerdictsPerMessage = 64
+)
+
+const (
+	// lossesToQuarantine is the least number of losses, at different times, that
+	// quarantine a part. A sound part that few requests have can be a suspect of
+	// two losses in a row during a series of crashes. While many requests are lost
+	// for other reasons, so many losses are needed that a sound part reaches them
+	// with maxFalseRate at most, up to maxLossesNeeded.
+	lossesToQuarantine = 3
+	maxLossesNeeded    = 18
+	maxFalseRate       = 1e-5
+	// episodeGap separates losses at different times. Servers of a rack end
+	// together and say no more about a part than one of them.
+	episodeGap = 200 * time.Millisecond
+	// settleTime is the delay between the last loss and the decision. It covers
+	// the exchange between hosts, which tell that a part was cleared elsewhere.
+	settleTime = 400 * time.Millisecond
+	// lossRetention is how long a loss counts, for parts that come rarely.
+	lossRetention = 10 * time.Minute
+	// verdictRetention is how long a released part is remembered, so that its next
+	// quarantine lasts longer.
+	verdictRetention = 10 * time.Minute
+	// firstTerm is the time until the first trial of a quarantined part. A trial
+	// that fails ends a server, so each further term is termFactor times longer.
+	firstTerm  = 15 * time.Second
+	termFactor = 3
+	maxTerm    = 10 * time.Minute
+	// turnTime is how long one host may start the trial; then the next one may.
+	turnTime = 2 * time.Second
+	// trialTimeout is the time within which a loss counts as the result of a trial.
+	trialTimeout = 20 * time.Second
+	// lapseTime is the time without a trial after which a quarantine ends: no host
+	// got a request with the part in its turn. One loss then renews it.
+	lapseTime = time.Minute
+	// suspensionTime is the time after a suspension of this host in which answers
+	// clear nothing: they may have begun before it.
+	suspensionTime = 2 * time.Second
+	// messageRepeats is the number of messages in a row that carry news. A loss is
+	// sent again each time that its age has doubled, for hosts that were cut off.
+	messageRepeats     = 3
+	firstResend        = time.Second
+	maxPendingMessages = 256
+)
+
+const (
+	// hazardWindow is the longest time before the last loss of a part over which the
+	// share of lost requests is measured, hazardLead its part before the first loss.
+	hazardWindow = 10 * time.Second
+	hazardLead   = 5 * time.Second
+	// priorLost and priorRequests are the share of lost requests that is assumed
+	// before the fleet has seen many requests.
+	priorLost     = 1
+	priorRequests = 48
+	// maxCount bounds the counts in messages.
+	maxCount = 1 << 20
+)
+
+// Server identifies one start of a backend server.
+type Server struct {
+	Hash    uint64 // of its id
+	StartMS int64  // start by the server's own clock, Unix milliseconds
+}
+
+// Loss reports that a server process ended while requests of a host waited for
+// their answer to begin.
+type Loss struct {
+	Server   Server
+	At       time.Time
+	Reporter uint64   // hash of the name of the host
+	Parts    []uint64 // shared prompt parts of these requests
+	Requests int      // number of these requests
+	Begun    int      // answers that began at the host since its previous report
+}
+
+// Cleared reports that an answer to a prompt with the part began and went on.
+type Cleared struct {
+	Part uint64
+	At   time.Time // of the first event
+}
+
+// State is the state of a part in a verdict.
+type State uint8
+
+// Values of State. Of two verdicts with equal generations the larger state holds.
+const (
+	Lapsed      State = iota // ended without a trial
+	Released                 // ended by a trial or by an operator
+	Quarantined              // requests with the part are refused
+)
+
+// String returns the state in lower case.
+func (s State) String() string { return [...]string{"lapsed", "released", "quarantined"}[s] }
+
+// Verdict is what all hosts believe about a part. Verdicts merge to the same
+// result in any order: the higher generation holds.
+type Verdict struct {
+	Part       uint64
+	Generation uint32
+	State      State
+	Since      time.Time
+	Term       time.Duration // from Since to the first trial
+	Losses     int           // losses that led to the quarantine
+	Hosts      int           // hosts that reported them
+	TrialAt    time.Time     // last trial, zero if there was none
+	// Companions are parts that were suspects of the same losses. While they are
+	// quarantined too, only requests with all of them are refused.
+	Companions []uint64
+}
+
+// Change is a verdict that changed, with the reason.
+type Change struct {
+	Verdict
+	Reason string
+	Local  bool // decided by this host rather than learned from another one
+}
+
+// Message carries the news of one host to others.
+type Message struct {
+	Losses   []Loss
+	Cleared  []Cleared
+	Verdicts []Verdict
+}
+
+// Empty reports whether the message has no content.
+func (m *Message) Empty() bool {
+	return len(m.Losses) == 0 && len(m.Cleared) == 0 && len(m.Verdicts) == 0
+}
+
+// Action is the decision on a request.
+type Action uint8
+
+// Values of Action.
+const (
+	Allow  Action = iota
+	Refuse        // a part is quarantined
+	Trial         // a part is quarantined, and this request tests it
+)
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -45,6 +45,7 @@
 	HeadersTooLarge     Code = 123
 	DeadlinePassed      Code = 124
 	HostBusy            Code = 125
+	PartQuarantined     Code = 126
 
 	OutcomeUnknown   Code = 201
 	StillRunning     Code = 202
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -31,6 +31,7 @@
 	{HeadersTooLarge, "headers_too_large", http.StatusRequestHeaderFieldsTooLarge, "The headers are larger than the configuration allows."},
 	{DeadlinePassed, "deadline_passed", http.StatusServiceUnavailable, "The time of the request passed before it was sent to a server."},
 	{HostBusy, "host_busy", http.StatusServiceUnavailable, "The processor of this entry host is used up. Try another entry host."},
+	{PartQuarantined, "part_quarantined", http.StatusBadRequest, "Backend servers crashed on a part of this prompt, so the request was not run. Do not retry it; change the prompt, or ask the operators to release the part."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusConflict, "The request may have run. Check before sending it under a new key."},
 	{StillRunning, "still_running", http.StatusConflict, "The request with this key is running. Ask again after Retry-After."},
 	{StreamBroken, "stream_broken", http.StatusBadGateway, "The answer broke off; the request may have run."},
