Accept responses that end with their connection in pkg/proxy

HTTP defines that the answer ends when the server closes its connection; one that is reset was broken off.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -207,17 +207,14 @@
 	return err
 }
 
-// checkResponseHead checks the request id and the framing of a response before
-// any of it is written to the sink.
+// checkResponseHead checks the request id of a response before any of it is written
+// to the sink.
 func (f *forwarder) checkResponseHead() error {
 	f.report.Status = f.resp.StatusCode
 	if err := f.checkRequestID(); err != nil {
 		return err
 	}
 	f.report.IsStream = isEventStream(f.resp.Header)
-	if !f.report.IsStream && !isFramed(f.resp) {
-		return result.New(result.StreamBroken, "the server's response has neither a Content-Length nor chunked encoding")
-	}
 	if f.resp.StatusCode >= http.StatusInternalServerError && f.r.InterceptServerError {
 		return result.New(result.ServerError, "the server answered with status %d", f.resp.StatusCode)
 	}
@@ -239,9 +236,10 @@
 	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
 
-// isFramed reports whether the end of the response can be distinguished from a
-// lost connection.
-func isFramed(resp *http.Response) bool {
+// IsFramed reports whether a response has a length or chunks. Any other one ends
+// with its connection: a connection that was closed ends it, one that was reset has
+// cut it off.
+func IsFramed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
