Do not deliver a stream that ended before its first event as complete

A server that ends right after the head of a stream with neither a length nor chunks closes its connection like one that has finished. Callers got status 200 with an empty body, and the loss was not counted. An edge host now treats a stream without framing and without an event as broken off: it retries it or answers 502.

TestUnframedResponses has the case, which failed before, and eight others that passed: plain answers and streams, whole, reset, and ended inside an event; TestUnframedStreamIsResumed and TestConnectionsOfUnframedResponsesAreNotReused guard resumption and connection reuse.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -331,8 +331,10 @@
 // finishStream returns the result after the server has ended the response body
 // without an error.
 func (x *proxiedRequest) finishStream(a attemptResult, resp *http.Response) attemptResult {
-	if len(x.sseParser.buffer) > 0 {
-		a.outcome = dispatch.ConnectionLost // the last event is incomplete
+	// An incomplete event, or a connection that was closed before the first event,
+	// shows that the server broke off.
+	if len(x.sseParser.buffer) > 0 || x.sseParser.count == x.eventsBefore && !proxy.IsFramed(resp) {
+		a.outcome = dispatch.ConnectionLost
 		return a
 	}
 	x.writeStreamHead(resp)
