--- a/pkg/core/verdicts.go
+++ b/pkg/core/verdicts.go
@@ -17,6 +17,12 @@
 	verdictSubmitTimeout = 2 * time.Second
 )
 
+// Verdicts returns the stored verdicts on prompt parts.
+func (h *Host) Verdicts() []*apiv1.QuarantineVerdict {
+	state, _ := h.state.View(^uint64(0))
+	return withAges(time.Now(), state.GetVerdicts())
+}
+
 // storeVerdicts stores verdicts on prompt parts that edge hosts report, in the
 // background, so that they outlive a restart of all hosts.
 func (h *Host) storeVerdicts(verdicts []*apiv1.QuarantineVerdict) {
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -69,3 +69,43 @@
 	_, ok := NewState().Apply(1, []byte{0xff}).(error)
 	assert.Assert(t, ok)
 }
+
+func verdictCommand(t testing.TB, v *apiv1.QuarantineVerdict) []byte {
+	data, err := EncodeCommand(&apiv1.FleetCommand{Verdict: v})
+	assert.NilError(t, err)
+	return data
+}
+
+// Guards against an older verdict replacing a newer one, a state that grows with
+// the number of parts, and verdicts that a restart loses.
+func TestVerdictsAreStoredAndBounded(t *testing.T) {
+	s := NewState()
+	index := uint64(0)
+	apply := func(part uint64, generation, state uint32, storedMS int64) {
+		index++
+		s.Apply(index, verdictCommand(t, &apiv1.QuarantineVerdict{Part: part, Generation: generation, State: state, StoredUnixMs: storedMS}))
+	}
+	apply(1, 2, 2, 5)
+	apply(1, 1, 2, 6) // older
+	apply(1, 2, 1, 7) // equal generation, lower state
+	view, _ := s.View(0)
+	assert.Equal(t, len(view.GetVerdicts()), 1)
+	assert.Equal(t, view.GetVerdicts()[0].GetStoredUnixMs(), int64(5))
+	assert.Equal(t, view.GetRevision(), uint64(1), "a command without an effect wakes no watcher")
+	for part := range uint64(3 * MaxVerdicts) {
+		apply(100+part, 1, uint32(part%3), int64(part))
+	}
+	snapshot, err := s.Snapshot()
+	assert.NilError(t, err)
+	restored := NewState()
+	assert.NilError(t, restored.Restore(snapshot))
+	view, _ = restored.View(0)
+	assert.Equal(t, len(view.GetVerdicts()), MaxVerdicts)
+	quarantined := 0
+	for _, v := range view.GetVerdicts() {
+		if v.GetState() == 2 {
+			quarantined++
+		}
+	}
+	assert.Assert(t, quarantined >= MaxVerdicts-1, "%d of %d are quarantined", quarantined, MaxVerdicts)
+}
