Do not charge workspaces for answers that were lost with their server

A crash ends up to a hundred running requests.

An attempt that ends with a lost connection gives its tokens back, as one that was not executed does; a retry is charged again. TestLostAnswerIsNotChargedToShare failed before.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -247,6 +247,24 @@
 	assert.Equal(t, d.servers["engine-0"].running, 0)
 }
 
+// Guards against the work of a server that ended counting against the workspaces
+// whose answers it took along.
+func TestLostAnswerIsNotChargedToShare(t *testing.T) {
+	d := newFleet(1, 2)[0]
+	r := newRequest(start, "w", 10_000, time.Second)
+	first := d.Admit(start, r)
+	assert.Equal(t, first.Action, Send)
+	charged := d.shares.usageOf("w").served.sum
+	now := start.Add(300 * time.Millisecond)
+	d.RecordEvent(now, r)
+	d.RecordOutcome(now, r, ConnectionLost)
+	assert.Equal(t, d.shares.usageOf("w").served.sum, 0.0)
+	assert.Equal(t, d.Retry(now, r, first.Server).Action, Send)
+	assert.Equal(t, d.shares.usageOf("w").served.sum, charged, "the retry is charged once")
+	d.RecordOutcome(now, r, Completed)
+	assert.Equal(t, d.shares.usageOf("w").served.sum, charged)
+}
+
 func TestMaxMinShare(t *testing.T) {
 	for _, c := range []struct {
 		demands  []float64
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -44,7 +44,9 @@
 		}
 	}
 	switch o {
-	case NotExecuted, ConnectFailed, ConnectTimeout, Misdirected, NotSent, NoSlot:
+	// After a lost connection the caller needs the whole request again, so the work
+	// of the server does not count against its workspace.
+	case NotExecuted, ConnectFailed, ConnectTimeout, Misdirected, NotSent, NoSlot, ConnectionLost:
 		d.shares.recordServed(now, r.Workspace, -serviceTokens(r))
 		r.usageCounted = false
 	}
