Count only refused connections as the end of a server process

A connection check that was reset counted as the end of the process too, but a server with too many connections resets them while it runs. Only a refused connection counts now.

--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -134,8 +134,8 @@
 }
 
 // checkLoss finds out whether the server process has ended: then its address
-// refuses connections. A connection that cannot be opened in time proves nothing,
-// since the network may be the cause.
+// refuses connections. A connection that is reset or cannot be opened in time proves
+// nothing: the server may be full, or the network cut.
 func (s *Server) checkLoss(l *serverLoss) {
 	select {
 	case <-s.ctx.Done():
@@ -148,7 +148,7 @@
 	if err == nil {
 		_ = conn.Close()
 	}
-	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	ended := errors.Is(err, syscall.ECONNREFUSED)
 	s.losses.finish(l, ended)
 	s.logLoss(l, ended, "connection check")
 	if ended {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "jackdawtrack.example/jackdawtrack/internal/fixedseed"
 )
 
 // model decides from the whole history, without any of the Tracker's indexes.
@@ -17,6 +19,8 @@
 	began       []modelAnswer
 	quarantined map[uint64]time.Time
 	released    map[uint64]time.Time
+	lapsed      map[uint64]bool
+	terms       map[uint64]time.Duration
 }
 
 type modelLoss struct {
@@ -56,6 +60,9 @@
 }
 
 func (m *model) needed(part uint64, first, last time.Time) int {
+	if m.lapsed[part] {
+		return 1
+	}
 	from := first.Add(-hazardLead)
 	if earliest := last.Add(-hazardWindow); from.Before(earliest) {
 		from = earliest
@@ -81,6 +88,16 @@
 }
 
 func (m *model) poll(now time.Time, parts []uint64) {
+	m.evaluate(now, parts)
+	for p, since := range m.quarantined {
+		if now.Sub(since) > m.terms[p]+lapseTime {
+			delete(m.quarantined, p)
+			m.released[p], m.lapsed[p] = now, true
+		}
+	}
+}
+
+func (m *model) evaluate(now time.Time, parts []uint64) {
 	for {
 		best, most, mostLosses := []uint64(nil), 0, 0
 		for _, p := range parts {
@@ -88,7 +105,7 @@
 				continue
 			}
 			losses, episodes := m.evidence(p)
-			if len(episodes) < 3 {
+			if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
 				continue
 			}
 			needed := m.needed(p, episodes[0], episodes[len(episodes)-1])
@@ -113,7 +130,8 @@
 			}
 		}
 		for _, p := range same {
-			m.quarantined[p] = now
+			m.quarantined[p], m.lapsed[p] = now, false
+			m.terms[p] = min(max(3*m.terms[p], firstTerm), maxTerm)
 		}
 		m.explain()
 	}
@@ -131,7 +149,7 @@
 }
 
 func (m *model) release(now time.Time, part uint64) {
-	m.released[part] = now
+	m.released[part], m.lapsed[part] = now, false
 	delete(m.quarantined, part)
 	for i := range m.losses {
 		if m.losses[i].explainedBy == part {
@@ -147,7 +165,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		parts := []uint64{1, 2, 3, 4, 5, 6}
 		tracker, now := New(1), start
-		m := &model{quarantined: map[uint64]time.Time{}, released: map[uint64]time.Time{}}
+		m := &model{quarantined: map[uint64]time.Time{}, released: map[uint64]time.Time{}, lapsed: map[uint64]bool{}, terms: map[uint64]time.Duration{}}
 		begun := 0
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(settleTime + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
