Tell parts of the same losses apart only by settled evidence

Two parts, the deadly one and one of the sound requests, were quarantined together. The next loss was reported by two hosts; the first report named only the sound part, so the part was refused alone before the second report named the deadly one.

A part is now refused without its companions after two losses at different times that suspect it without them, that no other quarantine explains, and on which the reports of all hosts had time to arrive. The part that stays conditional refuses nothing that its companion does not.

--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -113,7 +113,6 @@
 		return nil
 	}
 	t.resolveTrials(now, l)
-	t.separateCompanions(now, l)
 	t.evaluateBy(now)
 	return l
 }
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -45,6 +45,9 @@
 	lossesToQuarantine = 3
 	maxLossesNeeded    = 18
 	maxFalseRate       = 1e-5
+	// lossesToSeparate is the number of losses, at different times, that the part is a
+	// suspect of without its companions, from which it is refused alone.
+	lossesToSeparate = 2
 	// episodeGap separates losses at different times. Servers of a rack end
 	// together and say no more about a part than one of them.
 	episodeGap = 200 * time.Millisecond
