Test the size of the evidence on crashed servers

The design asks that state and messages stay bounded whatever callers send. Further tests cover the messages field by field, invalid values in them, and the parts that are looked at in one request.

--- /dev/null
+++ b/pkg/edge/quarantine_test.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+)
+
+// fullTracker returns a tracker whose tables are all full, and the time of its last
+// event.
+func fullTracker() (*quarantine.Tracker, time.Time) {
+	tracker, now, part := quarantine.New(1), start, uint64(1)
+	next := func(n int) []uint64 {
+		out := make([]uint64, n)
+		for i := range out {
+			out[i] = part * 0x9e3779b97f4a7c15 // parts are hashes
+			part++
+		}
+		return out
+	}
+	for range 1200 {
+		now = now.Add(time.Millisecond)
+		tracker.AnswerBegan(now, now, next(maxRequestParts))
+	}
+	var verdicts []quarantine.Verdict
+	for _, p := range next(quarantine.MaxVerdicts) {
+		verdicts = append(verdicts, quarantine.Verdict{Part: p, Generation: 1, State: quarantine.Quarantined, Since: now, Term: time.Minute, Losses: 5, Hosts: 9, Companions: next(quarantine.MaxCompanions)})
+	}
+	tracker.MergeVerdicts(now, verdicts)
+	for i := range uint64(quarantine.MaxLosses) {
+		now = now.Add(time.Second)
+		server := quarantine.Server{Hash: i * 0x9e3779b97f4a7c15, StartMS: 1_780_000_000_000}
+		tracker.AddLoss(now, server, now, next(quarantine.MaxSuspectsPerMessage), 100)
+		for reporter := range uint64(quarantine.MaxReporters) {
+			tracker.Merge(now, quarantine.Message{Losses: []quarantine.Loss{{
+				Server: server, At: now, Reporter: reporter, Parts: next(quarantine.MaxSuspectsPerMessage), Requests: 100, Begun: 1000,
+			}}}, false)
+		}
+	}
+	return tracker, now
+}
+
+// Guards against evidence that does not fit into a datagram beside the load, or into
+// the memory of a small host, whatever callers put into prompts.
+func TestEvidenceFitsIntoDatagramAndMemory(t *testing.T) {
+	const maxMessageBytes, maxStateBytes = 16 << 10, 8 << 20
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	tracker, now := fullTracker()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	state := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	m := &apiv1.LoadDigest{}
+	addEvidence(now, m, tracker.Message(now, true))
+	summary := &apiv1.LoadDigest{}
+	addEvidence(now, summary, tracker.Summary(true))
+	size := max(proto.Size(m), proto.Size(summary))
+	t.Logf("state of %d bytes, digest of %d, summary of %d", state, proto.Size(m), proto.Size(summary))
+	assert.Assert(t, size <= maxMessageBytes, "%d bytes", size)
+	assert.Assert(t, state <= maxStateBytes, "%d bytes", state)
+	runtime.KeepAlive(tracker)
+}
+
+// Guards against messages that lose a field, and against ages or states from another
+// host that this one cannot bear.
+func TestEvidenceSurvivesMessages(t *testing.T) {
+	now := start.Add(time.Hour)
+	want := quarantine.Message{
+		Losses:  []quarantine.Loss{{Server: quarantine.Server{Hash: 1, StartMS: 2}, At: now.Add(-3 * time.Second), Reporter: 4, Parts: []uint64{5, 6}, Requests: 7, Begun: 8}},
+		Cleared: []quarantine.Cleared{{Part: 9, At: now.Add(-10 * time.Second)}},
+		Verdicts: []quarantine.Verdict{{
+			Part: 11, Generation: 12, State: quarantine.Quarantined, Since: now.Add(-13 * time.Second), Term: 14 * time.Second, Losses: 15, Hosts: 16,
+			TrialAt: now.Add(-17 * time.Millisecond), Companions: []uint64{18},
+		}},
+	}
+	m := &apiv1.LoadDigest{}
+	assert.Assert(t, addEvidence(now, m, want))
+	assert.DeepEqual(t, evidenceOf(now, m), want)
+	for _, m := range []*apiv1.LoadDigest{
+		{Verdicts: []*apiv1.QuarantineVerdict{{Part: 1, Generation: 1, State: 1 << 20, AgeMs: -5, TermMs: -1, TrialAgeMs: 1 << 62}}},
+		{Losses: []*apiv1.ServerLoss{{AgeMs: -1 << 62, Parts: make([]uint64, 5000)}}, Cleared: []*apiv1.ClearedPart{{AgeMs: 1 << 62}}},
+	} {
+		tracker := quarantine.New(1)
+		tracker.Merge(now, evidenceOf(now, m), false)
+		tracker.Poll(now.Add(time.Second))
+		assert.Equal(t, len(tracker.List()), 0)
+	}
+}
+
+// Guards against the parts of one request taking unbounded time or memory, and
+// against its own last part becoming a suspect.
+func TestSharedPartsAreBounded(t *testing.T) {
+	assert.Equal(t, len(sharedParts(nil)), 0)
+	assert.Equal(t, len(sharedParts([]dispatch.Part{{ID: 1}})), 0)
+	assert.DeepEqual(t, sharedParts([]dispatch.Part{{ID: 1}, {ID: 2}, {ID: 3}}), []uint64{1, 2})
+	assert.Equal(t, len(sharedParts(make([]dispatch.Part, 10*maxRequestParts))), maxRequestParts)
+	var ids []uint64
+	for i := range uint64(10 * maxLoggedParts) {
+		ids = append(ids, i)
+	}
+	assert.Assert(t, len(hexIDs(ids)) < 10*maxLoggedParts, fmt.Sprint(len(hexIDs(ids))))
+}
