Do not let the time of day at a core host end a quarantine

Core hosts store when a verdict was made by their time of day, and hosts took the earlier of two times for one verdict. A clock that jumps forward at one core host would have made a quarantine lapse in the whole fleet. Stored ages no longer change a verdict that a host knows, and count up to one term on a host that does not.

TestStoredAgeDoesNotEndQuarantine failed before.

--- a/pkg/quarantine/message.go
+++ b/pkg/quarantine/message.go
@@ -189,9 +189,17 @@
 	}
 }
 
-// MergeVerdicts merges verdicts that were stored durably.
+// MergeVerdicts merges verdicts that were stored durably. Their ages rest on the time
+// of day of another host, which may have jumped: they never make a verdict older that
+// this host knows, and never older than its term.
 func (t *Tracker) MergeVerdicts(now time.Time, verdicts []Verdict) {
 	for _, v := range verdicts[:min(len(verdicts), MaxVerdicts)] {
+		if known := t.verdicts[v.Part]; known != nil && known.Generation == v.Generation && known.State == v.State {
+			continue
+		}
+		if earliest := now.Add(-min(max(v.Term, firstTerm), maxTerm)); v.State == Quarantined && v.Since.Before(earliest) {
+			v.Since = earliest
+		}
 		t.mergeVerdict(now, v, true)
 	}
 }
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -352,6 +352,23 @@
 	assert.Equal(t, tracker.verdicts[5].State, Quarantined)
 }
 
+// Guards against a time of day that jumped at a core host ending a quarantine in the
+// whole fleet.
+func TestStoredAgeDoesNotEndQuarantine(t *testing.T) {
+	const part = 5
+	now := start.Add(2 * time.Hour)
+	stored := []Verdict{{Part: part, Generation: 1, State: Quarantined, Since: now.Add(-time.Hour), Term: firstTerm}}
+	for _, known := range []bool{false, true} {
+		tracker := New(1)
+		if known {
+			tracker.decide(now.Add(-time.Second), part, Quarantined, "test")
+		}
+		tracker.MergeVerdicts(now, stored)
+		tracker.Poll(now.Add(lapseTime - time.Second))
+		assert.Equal(t, tracker.verdicts[part].State, Quarantined)
+	}
+}
+
 // Guards against a request of a lost server being sent to one server after the
 // other by the system itself.
 func TestSecondLossOfAPartEndsRetries(t *testing.T) {
