--- /dev/null
+++ b/pkg/quarantine/model_test.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "jackdawtrack.example/jackdawtrack/internal/fixedseed"
+)
+
+// model decides from the whole history, without any of the Tracker's indexes.
+type model struct {
+	losses      []modelLoss
+	began       []modelAnswer
+	quarantined map[uint64]time.Time
+	released    map[uint64]time.Time
+	companions  map[uint64][]uint64
+	lapsed      map[uint64]bool
+	terms       map[uint64]time.Duration
+}
+
+type modelLoss struct {
+	at              time.Time
+	parts           []uint64
+	requests, begun int
+	explainedBy     uint64
+}
+
+type modelAnswer struct {
+	at    time.Time
+	parts []uint64
+}
+
+func (m *model) innocentUntil(part uint64) time.Time {
+	if at := m.answeredAt(part); at.After(m.released[part]) {
+		return at
+	}
+	return m.released[part]
+}
+
+func (m *model) answeredAt(part uint64) time.Time {
+	var at time.Time
+	for _, a := range m.began {
+		if slices.Contains(a.parts, part) && a.at.After(at) {
+			at = a.at
+		}
+	}
+	return at
+}
+
+// evidence returns the losses against a part and those at different times.
+func (m *model) evidence(part uint64) (losses []int, episodes []time.Time) {
+	for i, l := range m.losses {
+		if l.explainedBy != 0 || !slices.Contains(l.parts, part) || !l.at.After(m.innocentUntil(part)) {
+			continue
+		}
+		losses = append(losses, i)
+		if n := len(episodes); n == 0 || l.at.Sub(episodes[n-1]) >= episodeGap {
+			episodes = append(episodes, l.at)
+		}
+	}
+	return losses, episodes
+}
+
+func (m *model) needed(part uint64, first, last time.Time) int {
+	if m.lapsed[part] {
+		return 1
+	}
+	from := first.Add(-hazardLead)
+	if earliest := last.Add(-hazardWindow); from.Before(earliest) {
+		from = earliest
+	}
+	lost, all := 1.0, 48.0
+	for _, l := range m.losses {
+		if l.at.Before(from) {
+			continue
+		}
+		all += float64(l.begun)
+		if !slices.Contains(l.parts, part) {
+			lost += float64(l.requests)
+			all += float64(l.requests)
+		}
+	}
+	for _, a := range m.began {
+		if len(m.losses) == 0 || a.at.After(m.losses[len(m.losses)-1].at) {
+			all++
+		}
+	}
+	n := int(math.Ceil(math.Log(maxFalseRate)/math.Log(lost/all) - 1e-6))
+	return min(max(n, 3), 18)
+}
+
+// applies reports whether a prompt or a loss with the parts falls under the
+// quarantine of part.
+func (m *model) applies(part uint64, parts []uint64) bool {
+	if m.quarantined[part].IsZero() || !slices.Contains(parts, part) {
+		return false
+	}
+	for _, c := range m.companions[part] {
+		if !m.quarantined[c].IsZero() && !slices.Contains(parts, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// separate removes the companions of parts that were lost twice without them.
+func (m *model) separate(now time.Time, parts []uint64) {
+	for _, p := range parts {
+		if m.quarantined[p].IsZero() || len(m.companions[p]) == 0 {
+			continue
+		}
+		m.explain()
+		alone := 0
+		for _, l := range m.losses {
+			if l.explainedBy == 0 && slices.Contains(l.parts, p) && l.at.After(m.quarantined[p]) && l.at.After(m.answeredAt(p)) {
+				alone++
+			}
+		}
+		if alone >= lossesToSeparate {
+			m.quarantined[p], m.companions[p] = now, nil
+		}
+	}
+}
+
+func (m *model) poll(now time.Time, parts []uint64) {
+	m.evaluate(now, parts)
+	m.separate(now, parts)
+	for p, since := range m.quarantined {
+		if now.Sub(since) > m.terms[p]+lapseTime {
+			delete(m.quarantined, p)
+			delete(m.companions, p)
+			m.released[p], m.lapsed[p] = now, true
+		}
+	}
+}
+
+func (m *model) evaluate(now time.Time, parts []uint64) {
+	for {
+		best, most, mostLosses := []uint64(nil), 0, 0
+		for _, p := range parts {
+			if !m.quarantined[p].IsZero() {
+				continue
+			}
+			losses, episodes := m.evidence(p)
+			if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
+				continue
+			}
+			needed := m.needed(p, episodes[0], episodes[len(episodes)-1])
+			if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
+				continue
+			}
+			if len(episodes) > most || len(episodes) == most && len(losses) > mostLosses {
+				best, most, mostLosses = nil, len(episodes), len(losses)
+			}
+			if len(episodes) == most && len(losses) == mostLosses {
+				best = append(best, p)
+			}
+		}
+		if len(best) == 0 {
+			return
+		}
+		strongest, _ := m.evidence(best[0])
+		var same []uint64
+		for _, p := range best {
+			if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
+				same = append(same, p)
+			}
+		}
+		for _, p := range same {
+			m.quarantined[p], m.lapsed[p] = now, false
+			m.companions[p] = slices.DeleteFunc(slices.Clone(same), func(o uint64) bool { return o == p })
+			m.companions[p] = m.companions[p][:min(len(same)-1, MaxCompanions)]
+			m.terms[p] = min(max(3*m.terms[p], firstTerm), maxTerm)
+		}
+		m.explain()
+	}
+}
+
+// explain marks the losses that a quarantined part explains.
+func (m *model) explain() {
+	for i := range m.losses {
+		for _, p := range m.losses[i].parts {
+			if m.losses[i].explainedBy == 0 && m.applies(p, m.losses[i].parts) {
+				m.losses[i].explainedBy = p
+			}
+		}
+	}
+}
+
+func (m *model) release(now time.Time, part uint64) {
+	m.released[part], m.lapsed[part] = now, false
+	delete(m.quarantined, part)
+	delete(m.companions, part)
+	for i := range m.losses {
+		if m.losses[i].explainedBy == part {
+			m.losses[i].explainedBy = 0
+		}
+	}
+	m.explain()
+}
+
+// Guards against decisions that differ from the stated rule because of the order
+// or the timing of events.
+func TestTrackerMatchesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := []uint64{1, 2, 3, 4, 5, 6}
+		tracker, now := New(1), start
+		m := &model{quarantined: map[uint64]time.Time{}, released: map[uint64]time.Time{}, companions: map[uint64][]uint64{}, lapsed: map[uint64]bool{}, terms: map[uint64]time.Duration{}}
+		begun := 0
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(settleTime + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
+			drawn := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, 4, rapid.ID).Draw(t, "parts")
+			slices.Sort(drawn)
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0, 1, 2, 3, 4, 5:
+				requests := rapid.IntRange(1, 12).Draw(t, "requests")
+				tracker.AddLoss(now, Server{uint64(step), 1}, now, drawn, requests)
+				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, requests: requests, begun: begun})
+				m.explain()
+				begun = 0
+			case 6, 7, 8:
+				tracker.AnswerBegan(now, now, drawn)
+				m.began = append(m.began, modelAnswer{now, drawn})
+				begun++
+				for _, p := range drawn {
+					if since := m.quarantined[p]; now.After(since) && !since.IsZero() {
+						m.release(now, p)
+					}
+				}
+			case 9:
+				p := drawn[0]
+				if tracker.Release(now, p) != !m.quarantined[p].IsZero() {
+					t.Fatalf("step %d: release of part %d differs", step, p)
+				}
+				if !m.quarantined[p].IsZero() {
+					m.release(now, p)
+				}
+			}
+			now = now.Add(settleTime)
+			tracker.Poll(now)
+			m.poll(now, parts)
+			for _, p := range parts {
+				v := tracker.verdicts[p]
+				if got := v != nil && v.State == Quarantined; got != !m.quarantined[p].IsZero() {
+					t.Fatalf("step %d, part %d: quarantined %v, in the model since %v", step, p, got, m.quarantined[p])
+				}
+			}
+		}
+	})
+}
