Log fingerprints of requests and of those lost with a server

Cause: the log did not show whether the requests that were lost with several servers are the same one.

Change: pkg/quarantine.Fingerprint hashes what repeats when a request is sent again; edge hosts log it with each request and each lost connection. No decision changes.

--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -12,6 +12,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
@@ -54,6 +55,7 @@
 	route       *routing.Route
 	dispatchReq *dispatch.Request
 	sharedParts []uint64 // parts of the prompt that other requests may have too
+	fingerprint uint64   // what repeats if the same request is sent again
 	deadline    time.Time
 	callerCtx   context.Context
 
@@ -153,6 +155,7 @@
 	if x.dispatchReq.Objective == 0 {
 		x.dispatchReq.Objective = timeout
 	}
+	x.fingerprint = quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, in.Host, in.Target, in.Body))
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
 		x.sharedParts = sharedParts(p.Parts)
@@ -439,6 +442,7 @@
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
+		"fingerprint": strconv.FormatUint(x.fingerprint, 16),
 	}).Info("request")
 }
 
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -44,6 +44,7 @@
 	parts    map[uint64]bool // of requests whose answer had not begun
 	begun    int             // lost requests whose answer had begun
 	notBegun int
+	requests []uint64 // fingerprints of the requests whose answer had not begun
 }
 
 // lossCollector collects requests that lost their connection, by server process.
@@ -58,7 +59,7 @@
 
 // add records a lost request and returns the loss if it is the first one of the
 // server process.
-func (c *lossCollector) add(now time.Time, v dispatch.Decision, begun bool, parts []uint64) *serverLoss {
+func (c *lossCollector) add(now time.Time, v dispatch.Decision, begun bool, parts []uint64, request uint64) *serverLoss {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := serverProcess{v.Server, v.StartMS}
@@ -77,6 +78,9 @@
 		l.begun++
 	} else {
 		l.notBegun++
+		if len(l.requests) < maxSuspectParts {
+			l.requests = append(l.requests, request)
+		}
 		for _, p := range parts {
 			if len(l.parts) < maxSuspectParts {
 				l.parts[p] = true
@@ -128,7 +132,7 @@
 // server checked after the first one.
 func (x *proxiedRequest) recordLostConnection(v dispatch.Decision) {
 	begun := x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime
-	if l := x.s.losses.add(time.Now(), v, begun, x.sharedParts); l != nil {
+	if l := x.s.losses.add(time.Now(), v, begun, x.sharedParts, x.fingerprint); l != nil {
 		go x.s.checkLoss(l)
 	}
 }
@@ -163,6 +167,6 @@
 func (s *Server) logLoss(l *serverLoss, ended bool, source string) {
 	s.log.WithFields(logrus.Fields{
 		"server": l.id, "born_ms": l.startMS, "address": l.address, "ended": ended, "source": source, "age_ms": time.Since(l.at).Milliseconds(),
-		"begun": l.begun, "not_begun": l.notBegun, "parts": hexIDs(sortedIDs(l.parts)),
+		"begun": l.begun, "not_begun": l.notBegun, "parts": hexIDs(sortedIDs(l.parts)), "requests": hexIDs(l.requests),
 	}).Info("connections to a server lost")
 }
