Share the collection of lost requests and the messages of the quarantine

Cause: pkg/edge alone could collect requests that are lost with a server and translate messages of pkg/quarantine. The product path needs the same mechanism, and evidence on whole requests needs a place in the messages.

Change: package losses collects lost requests by server process and confirms the end of a process; pkg/quarantine translates its own messages (QuarantineNews, in digests and, for routers, in the envelope). A loss lists its requests with the time of sending. The old evidence fields of a digest are reserved: hosts of different versions do not share evidence during an upgrade, verdicts still go through the core hosts. No decision changes.

Result: go test of pkg/quarantine, edge, losses, dispatch, fleet and platform pass; the test of the collector moved with it and also bounds requests.

--- a/pkg/core/verdicts.go
+++ b/pkg/core/verdicts.go
@@ -27,18 +27,18 @@
 // background, so that they outlive a restart of all hosts.
 func (h *Host) storeVerdicts(verdicts []*apiv1.QuarantineVerdict) {
 	for _, v := range verdicts {
-		if v.GetGeneration() == 0 || !h.state.IsNews(v) || !h.beginVerdictSubmit(v.GetPart()) {
+		if v.GetGeneration() == 0 || !h.state.IsNews(v) || !h.beginVerdictSubmit(v.GetSuspect()) {
 			continue
 		}
 		stored := proto.Clone(v).(*apiv1.QuarantineVerdict)
 		stored.StoredUnixMs = time.Now().Add(-time.Duration(v.GetAgeMs()) * time.Millisecond).UnixMilli()
 		stored.AgeMs, stored.TrialAgeMs = 0, 0
 		go func() {
-			defer h.endVerdictSubmit(stored.GetPart())
+			defer h.endVerdictSubmit(stored.GetSuspect())
 			ctx, cancel := context.WithTimeout(h.ctx, verdictSubmitTimeout)
 			defer cancel()
 			err := h.submit(ctx, &apiv1.FleetCommand{Verdict: stored})
-			h.log.WithFields(map[string]any{"prompt_part": stored.GetPart(), "generation": stored.GetGeneration(), "state": stored.GetState(), "error": err}).Info("verdict on a prompt part stored")
+			h.log.WithFields(map[string]any{"prompt_part": stored.GetSuspect(), "generation": stored.GetGeneration(), "state": stored.GetState(), "error": err}).Info("verdict on a prompt part stored")
 		}()
 	}
 }
--- a/pkg/dispatch/split.go
+++ b/pkg/dispatch/split.go
@@ -37,7 +37,7 @@
 		datagram.Placements, placements = splitAt(placements, placementsPerDatagram)
 		if i == n-1 {
 			datagram.Uses, datagram.Leaving, datagram.Complete, datagram.Parts = m.GetUses(), m.GetLeaving(), m.GetComplete(), uint32(n)
-			datagram.Losses, datagram.Cleared, datagram.Verdicts = m.GetLosses(), m.GetCleared(), m.GetVerdicts()
+			datagram.Quarantine = m.GetQuarantine()
 		}
 		out = append(out, datagram)
 	}
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -46,6 +46,7 @@
 	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
 	startedAt := time.Now()
+	x.attemptStartedAt = startedAt
 	var arrival proxy.UnreadMonitor
 	inactivityTimeout := newInactivityTimer(x.inactivityTimeout(),
 		func() bool {
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -11,6 +11,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/losses"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
@@ -122,9 +123,9 @@
 }
 
 // addLoss adds a confirmed loss to the evidence. The caller must hold mu.
-func (s *Server) addLoss(now time.Time, l *serverLoss) {
+func (s *Server) addLoss(now time.Time, l *losses.Loss) {
 	metrics.GetOrRegisterCounter("edge.servers_ended", s.metrics.registry).Inc(1)
-	s.quarantine.AddLoss(now, quarantine.Server{Hash: hashName(l.id), StartMS: l.startMS}, l.at, sortedIDs(l.parts), l.notBegun)
+	s.quarantine.AddLoss(now, l.Evidence(quarantine.Server{Hash: hashName(l.ID), StartMS: l.StartMS}))
 }
 
 // recordChanges logs and counts verdicts that changed.
@@ -139,7 +140,7 @@
 	for _, c := range changes {
 		metrics.GetOrRegisterCounter("edge.quarantine.verdicts."+c.State.String(), s.metrics.registry).Inc(1)
 		s.log.WithFields(logrus.Fields{
-			"prompt_part": strconv.FormatUint(c.Part, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
+			"prompt_part": strconv.FormatUint(c.Suspect, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
 			"age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(), "losses": c.Losses, "hosts": c.Hosts, "companions": hexIDs(c.Companions),
 			"known_losses": losses, "suspects": suspects,
 		}).Warn("verdict on a prompt part changed")
@@ -168,8 +169,8 @@
 	defer s.mu.Unlock()
 	now, m := time.Now(), &apiv1.FleetWatcher{}
 	for _, e := range s.quarantine.List() {
-		if e.Generation > s.storedVerdicts[e.Part] && (e.Local || now.Sub(e.Since) > verdictReportDelay) && len(m.Verdicts) < maxReportedVerdicts {
-			m.Verdicts = append(m.Verdicts, verdictToProto(now, e.Verdict))
+		if e.Generation > s.storedVerdicts[e.Suspect] && (e.Local || now.Sub(e.Since) > verdictReportDelay) && len(m.Verdicts) < maxReportedVerdicts {
+			m.Verdicts = append(m.Verdicts, e.Verdict.ToProto(now))
 		}
 	}
 	return m
@@ -183,75 +184,8 @@
 	clear(s.storedVerdicts)
 	verdicts := make([]quarantine.Verdict, 0, len(stored))
 	for _, m := range stored {
-		s.storedVerdicts[m.GetPart()] = m.GetGeneration()
-		verdicts = append(verdicts, verdictFromProto(now, m))
+		s.storedVerdicts[m.GetSuspect()] = m.GetGeneration()
+		verdicts = append(verdicts, quarantine.VerdictFromProto(now, m))
 	}
 	s.quarantine.MergeVerdicts(now, verdicts)
 }
-
-// addEvidence adds the news on prompt parts to a digest and reports whether there
-// are any.
-func addEvidence(now time.Time, m *apiv1.LoadDigest, news quarantine.Message) bool {
-	for _, l := range news.Losses {
-		m.Losses = append(m.Losses, &apiv1.ServerLoss{Server: l.Server.Hash, BornMs: l.Server.StartMS, AgeMs: ageMS(now, l.At), Reporter: l.Reporter, Parts: l.Parts, Requests: uint32(l.Requests), Begun: uint32(l.Begun)})
-	}
-	for _, c := range news.Cleared {
-		m.Cleared = append(m.Cleared, &apiv1.ClearedPart{Part: c.Part, AgeMs: ageMS(now, c.At)})
-	}
-	for _, v := range news.Verdicts {
-		m.Verdicts = append(m.Verdicts, verdictToProto(now, v))
-	}
-	return !news.Empty()
-}
-
-// evidenceOf returns the news on prompt parts in a digest.
-func evidenceOf(now time.Time, m *apiv1.LoadDigest) quarantine.Message {
-	var out quarantine.Message
-	for _, l := range m.GetLosses() {
-		out.Losses = append(out.Losses, quarantine.Loss{
-			Server: quarantine.Server{Hash: l.GetServer(), StartMS: l.GetBornMs()}, At: timeOfAge(now, l.GetAgeMs()), Reporter: l.GetReporter(), Parts: l.GetParts(),
-			Requests: int(l.GetRequests()), Begun: int(l.GetBegun()),
-		})
-	}
-	for _, c := range m.GetCleared() {
-		out.Cleared = append(out.Cleared, quarantine.Cleared{Part: c.GetPart(), At: timeOfAge(now, c.GetAgeMs())})
-	}
-	for _, v := range m.GetVerdicts() {
-		out.Verdicts = append(out.Verdicts, verdictFromProto(now, v))
-	}
-	return out
-}
-
-func verdictToProto(now time.Time, v quarantine.Verdict) *apiv1.QuarantineVerdict {
-	out := &apiv1.QuarantineVerdict{
-		Part: v.Part, Generation: v.Generation, State: uint32(v.State), AgeMs: ageMS(now, v.Since), TermMs: v.Term.Milliseconds(),
-		Losses: uint32(v.Losses), Hosts: uint32(v.Hosts), Companions: v.Companions,
-	}
-	if !v.TrialAt.IsZero() {
-		out.TrialAgeMs = ageMS(now, v.TrialAt) + 1
-	}
-	return out
-}
-
-func verdictFromProto(now time.Time, m *apiv1.QuarantineVerdict) quarantine.Verdict {
-	v := quarantine.Verdict{
-		Part: m.GetPart(), Generation: m.GetGeneration(), State: quarantine.State(min(m.GetState(), 1<<8-1)), Since: timeOfAge(now, m.GetAgeMs()),
-		Term: time.Duration(m.GetTermMs()) * time.Millisecond, Losses: int(m.GetLosses()), Hosts: int(m.GetHosts()),
-		Companions: m.GetCompanions(),
-	}
-	if m.GetTrialAgeMs() > 0 {
-		v.TrialAt = timeOfAge(now, m.GetTrialAgeMs()-1)
-	}
-	return v
-}
-
-// maxAge bounds the ages in messages. Nothing older counts.
-const maxAge = time.Hour
-
-func ageMS(now, at time.Time) int64 {
-	return min(max(now.Sub(at), 0), maxAge).Milliseconds()
-}
-
-func timeOfAge(now time.Time, ageMS int64) time.Time {
-	return now.Add(-time.Duration(min(max(ageMS, 0), maxAge.Milliseconds())) * time.Millisecond)
-}
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -32,16 +32,16 @@
 	}
 	var verdicts []quarantine.Verdict
 	for _, p := range next(quarantine.MaxVerdicts) {
-		verdicts = append(verdicts, quarantine.Verdict{Part: p, Generation: 1, State: quarantine.Quarantined, Since: now, Term: time.Minute, Losses: 5, Hosts: 9, Companions: next(quarantine.MaxCompanions)})
+		verdicts = append(verdicts, quarantine.Verdict{Suspect: p, Generation: 1, State: quarantine.Quarantined, Since: now, Term: time.Minute, Losses: 5, Hosts: 9, Companions: next(quarantine.MaxCompanions)})
 	}
 	tracker.MergeVerdicts(now, verdicts)
 	for i := range uint64(quarantine.MaxLosses) {
 		now = now.Add(time.Second)
 		server := quarantine.Server{Hash: i * 0x9e3779b97f4a7c15, StartMS: 1_780_000_000_000}
-		tracker.AddLoss(now, server, now, next(quarantine.MaxSuspectsPerMessage), 100)
+		tracker.AddLoss(now, quarantine.Loss{Server: server, At: now, Parts: next(quarantine.MaxSuspectsPerMessage), Lost: 100})
 		for reporter := range uint64(quarantine.MaxReporters) {
 			tracker.Merge(now, quarantine.Message{Losses: []quarantine.Loss{{
-				Server: server, At: now, Reporter: reporter, Parts: next(quarantine.MaxSuspectsPerMessage), Requests: 100, Begun: 1000,
+				Server: server, At: now, Reporter: reporter, Parts: next(quarantine.MaxSuspectsPerMessage), Lost: 100, Begun: 1000,
 			}}}, false)
 		}
 	}
@@ -59,10 +59,8 @@
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	state := int64(after.HeapAlloc) - int64(before.HeapAlloc)
-	m := &apiv1.LoadDigest{}
-	addEvidence(now, m, tracker.Message(now, true))
-	summary := &apiv1.LoadDigest{}
-	addEvidence(now, summary, tracker.Summary(true))
+	digest, report := tracker.Message(now, true), tracker.Summary(true)
+	m, summary := digest.ToProto(now), report.ToProto(now)
 	size := max(proto.Size(m), proto.Size(summary))
 	t.Logf("state of %d bytes, digest of %d, summary of %d", state, proto.Size(m), proto.Size(summary))
 	assert.Assert(t, size <= maxMessageBytes, "%d bytes", size)
@@ -75,22 +73,20 @@
 func TestEvidenceSurvivesMessages(t *testing.T) {
 	now := start.Add(time.Hour)
 	want := quarantine.Message{
-		Losses:  []quarantine.Loss{{Server: quarantine.Server{Hash: 1, StartMS: 2}, At: now.Add(-3 * time.Second), Reporter: 4, Parts: []uint64{5, 6}, Requests: 7, Begun: 8}},
-		Cleared: []quarantine.Cleared{{Part: 9, At: now.Add(-10 * time.Second)}},
+		Losses:  []quarantine.Loss{{Server: quarantine.Server{Hash: 1, StartMS: 2}, At: now.Add(-3 * time.Second), Reporter: 4, Parts: []uint64{5, 6}, Requests: []quarantine.Sent{{Request: quarantine.RequestSuspect(7), At: now.Add(-3500 * time.Millisecond)}}, Lost: 7, Begun: 8}},
+		Cleared: []quarantine.Cleared{{Suspect: 9, At: now.Add(-10 * time.Second)}},
 		Verdicts: []quarantine.Verdict{{
-			Part: 11, Generation: 12, State: quarantine.Quarantined, Since: now.Add(-13 * time.Second), Term: 14 * time.Second, Losses: 15, Hosts: 16,
+			Suspect: 11, Generation: 12, State: quarantine.Quarantined, Since: now.Add(-13 * time.Second), Term: 14 * time.Second, Losses: 15, Hosts: 16,
 			TrialAt: now.Add(-17 * time.Millisecond), Companions: []uint64{18},
 		}},
 	}
-	m := &apiv1.LoadDigest{}
-	assert.Assert(t, addEvidence(now, m, want))
-	assert.DeepEqual(t, evidenceOf(now, m), want)
-	for _, m := range []*apiv1.LoadDigest{
-		{Verdicts: []*apiv1.QuarantineVerdict{{Part: 1, Generation: 1, State: 1 << 20, AgeMs: -5, TermMs: -1, TrialAgeMs: 1 << 62}}},
-		{Losses: []*apiv1.ServerLoss{{AgeMs: -1 << 62, Parts: make([]uint64, 5000)}}, Cleared: []*apiv1.ClearedPart{{AgeMs: 1 << 62}}},
+	assert.DeepEqual(t, quarantine.MessageFromProto(now, want.ToProto(now)), want)
+	for _, m := range []*apiv1.QuarantineNews{
+		{Verdicts: []*apiv1.QuarantineVerdict{{Suspect: 1, Generation: 1, State: 1 << 20, AgeMs: -5, TermMs: -1, TrialAgeMs: 1 << 62}}},
+		{Losses: []*apiv1.ServerLoss{{AgeMs: -1 << 62, Parts: make([]uint64, 5000)}}, Cleared: []*apiv1.ClearedSuspect{{AgeMs: 1 << 62}}},
 	} {
 		tracker := quarantine.New(1)
-		tracker.Merge(now, evidenceOf(now, m), false)
+		tracker.Merge(now, quarantine.MessageFromProto(now, m), false)
 		tracker.Poll(now.Add(time.Second))
 		assert.Equal(t, len(tracker.List()), 0)
 	}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -70,6 +70,7 @@
 	isTrial           bool              // tests whether a quarantined part still crashes servers
 	beganReported     bool              // the begin of the answer cleared the parts of the prompt
 	eventsBefore      int               // events forwarded by earlier attempts
+	attemptStartedAt  time.Time         // of the current attempt
 	firstEventAt      time.Time         // first event of the current attempt
 	headSent          bool              // status and headers were sent to the caller
 	status            int
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -18,6 +18,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/exchange"
 	"jackdawtrack.example/jackdawtrack/pkg/feed"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/losses"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
@@ -97,7 +98,7 @@
 	attemptAges       attemptAges
 	reservations      reserveLatency
 	responses         *responseMemory
-	losses            lossCollector
+	losses            losses.Collector
 	quarantine        *quarantine.Tracker
 	storedVerdicts    map[uint64]uint32 // by part: generation that the core hosts have stored
 
@@ -200,7 +201,7 @@
 	}
 	s.mergeStoredVerdicts(now, e.GetState().GetVerdicts())
 	for _, m := range e.GetServers() {
-		if l := s.losses.takeRestarted(now, m.GetAddress(), m.GetBornMs()); l != nil {
+		if l := s.losses.TakeRestarted(now, m.GetAddress(), m.GetBornMs()); l != nil {
 			s.logLoss(l, true, "announcement of a new process")
 			s.addLoss(now, l)
 		}
@@ -240,8 +241,9 @@
 	now := time.Now()
 	m, changed := s.dispatcher.Digest(now, s.incarnation)
 	s.appendLeaving(now, m)
-	changed = addEvidence(now, m, s.quarantine.Message(now, m.GetComplete())) || changed
-	return m, changed || len(m.GetLeaving()) > 0
+	news := s.quarantine.Message(now, m.GetComplete())
+	m.Quarantine = news.ToProto(now)
+	return m, changed || len(m.GetLeaving()) > 0 || !news.Empty()
 }
 
 // Summaries implements exchange.DigestHandler.
@@ -250,14 +252,14 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	var out []exchange.Summary
-	var evidence *quarantine.Message
+	var evidence *apiv1.QuarantineNews
 	for _, m := range s.dispatcher.Summaries(now, s.remoteDataCentres) {
 		s.appendLeaving(now, m.Digest)
 		if evidence == nil {
 			news := s.quarantine.Summary(m.Digest.GetComplete())
-			evidence = &news
+			evidence = news.ToProto(now)
 		}
-		addEvidence(now, m.Digest, *evidence)
+		m.Digest.Quarantine = evidence
 		out = append(out, exchange.Summary(m))
 	}
 	return out
@@ -272,7 +274,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.GetRouter() != s.config.Name || m.GetSummary() {
-		s.quarantine.Merge(now, evidenceOf(now, m), m.GetSummary())
+		s.quarantine.Merge(now, quarantine.MessageFromProto(now, m.GetQuarantine()), m.GetSummary())
 	}
 	return s.dispatcher.MergeDigest(now, m)
 }
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -58,8 +58,8 @@
 		s.marks[m.GetDataCentre()] = m
 		s.recordChange(index)
 	}
-	if v := c.GetVerdict(); v != nil && isNewerVerdict(s.verdicts[v.GetPart()], v) {
-		s.verdicts[v.GetPart()] = v
+	if v := c.GetVerdict(); v != nil && isNewerVerdict(s.verdicts[v.GetSuspect()], v) {
+		s.verdicts[v.GetSuspect()] = v
 		s.removeExcessVerdict()
 		s.recordChange(index)
 	}
@@ -85,14 +85,14 @@
 	slices.SortStableFunc(all, func(a, b *apiv1.QuarantineVerdict) int {
 		return cmp.Or(cmp.Compare(a.GetState(), b.GetState()), cmp.Compare(a.GetStoredUnixMs(), b.GetStoredUnixMs()))
 	})
-	delete(s.verdicts, all[0].GetPart())
+	delete(s.verdicts, all[0].GetSuspect())
 }
 
 // IsNews reports whether the state would store the verdict.
 func (s *State) IsNews(v *apiv1.QuarantineVerdict) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return isNewerVerdict(s.verdicts[v.GetPart()], v)
+	return isNewerVerdict(s.verdicts[v.GetSuspect()], v)
 }
 
 // recordChange sets the revision and wakes the watchers of the state. The caller must
@@ -139,7 +139,7 @@
 	for _, v := range s.verdicts {
 		out = append(out, v)
 	}
-	slices.SortFunc(out, func(a, b *apiv1.QuarantineVerdict) int { return cmp.Compare(a.GetPart(), b.GetPart()) })
+	slices.SortFunc(out, func(a, b *apiv1.QuarantineVerdict) int { return cmp.Compare(a.GetSuspect(), b.GetSuspect()) })
 	return out
 }
 
@@ -164,7 +164,7 @@
 	}
 	s.verdicts = map[uint64]*apiv1.QuarantineVerdict{}
 	for _, v := range v.GetVerdicts() {
-		s.verdicts[v.GetPart()] = v
+		s.verdicts[v.GetSuspect()] = v
 	}
 	s.recordChange(v.GetRevision())
 	return nil
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -83,7 +83,7 @@
 	index := uint64(0)
 	apply := func(part uint64, generation, state uint32, storedMS int64) {
 		index++
-		s.Apply(index, verdictCommand(t, &apiv1.QuarantineVerdict{Part: part, Generation: generation, State: state, StoredUnixMs: storedMS}))
+		s.Apply(index, verdictCommand(t, &apiv1.QuarantineVerdict{Suspect: part, Generation: generation, State: state, StoredUnixMs: storedMS}))
 	}
 	apply(1, 2, 2, 5)
 	apply(1, 1, 2, 6) // older
--- /dev/null
+++ b/pkg/losses/losses.go
@@ -0,0 +1,163 @@
+// Package losses collects the requests that lost their connection to a backend
+// server, by server process, and finds out whether the process has ended. It
+// supplies the evidence of package quarantine on both paths.
+package losses
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+)
+
+const (
+	// CollectTime is how long lost requests are collected before the server is
+	// checked. The connections of a server that ended break within some 10 ms.
+	CollectTime = 60 * time.Millisecond
+	// maxLosses bounds the servers whose losses are collected or wait for a
+	// confirmation at the same time.
+	maxLosses = 256
+	// confirmTime is how long a loss that the check did not confirm waits for the
+	// announcement of a new server process at the address.
+	confirmTime = 10 * time.Second
+	// maxSuspects bounds the prompt parts and the requests of one loss.
+	maxSuspects = 256
+)
+
+// Process identifies one start of a backend server.
+type Process struct {
+	ID      string
+	Address string // IP and port
+	StartMS int64  // start by the server's own clock, Unix milliseconds
+}
+
+// Request is a request that lost its connection.
+type Request struct {
+	Suspects []uint64 // its shared prompt parts, and the request itself
+	Sent     time.Time
+	Begun    bool // its answer had begun
+}
+
+// Loss is a server process whose connections to this host were lost.
+type Loss struct {
+	Process
+	At       time.Time // of the first lost connection
+	Begun    int       // lost requests whose answer had begun
+	NotBegun int
+	Parts    map[uint64]bool   // prompt parts of the requests whose answer had not begun
+	Requests []quarantine.Sent // these requests
+}
+
+// Evidence returns the loss as a report for package quarantine.
+func (l *Loss) Evidence(server quarantine.Server) quarantine.Loss {
+	return quarantine.Loss{Server: server, At: l.At, Parts: slices.Sorted(maps.Keys(l.Parts)), Requests: l.Requests, Lost: l.NotBegun}
+}
+
+// Collector collects lost requests by server process. Its zero value is ready to use.
+// It is safe for concurrent use.
+type Collector struct {
+	mu         sync.Mutex
+	collecting map[Process]*Loss
+	// unconfirmed holds, by address, losses at servers that still accept
+	// connections: a restarted process or a lost connection.
+	unconfirmed map[string]*Loss
+}
+
+// Add records a lost request and returns the loss if it is the first one of the
+// server process, nil otherwise or if too many are collected.
+func (c *Collector) Add(now time.Time, p Process, r Request) *Loss {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, first := c.collecting[p], false
+	if l == nil {
+		if len(c.collecting) >= maxLosses {
+			return nil
+		}
+		if c.collecting == nil {
+			c.collecting, c.unconfirmed = map[Process]*Loss{}, map[string]*Loss{}
+		}
+		l, first = &Loss{Process: p, At: now, Parts: map[uint64]bool{}}, true
+		c.collecting[p] = l
+	}
+	l.add(r)
+	if !first {
+		return nil
+	}
+	return l
+}
+
+func (l *Loss) add(r Request) {
+	if r.Begun {
+		l.Begun++
+		return
+	}
+	l.NotBegun++
+	for _, suspect := range r.Suspects {
+		switch {
+		case !quarantine.IsRequest(suspect) && len(l.Parts) < maxSuspects:
+			l.Parts[suspect] = true
+		case quarantine.IsRequest(suspect) && len(l.Requests) < maxSuspects:
+			l.Requests = append(l.Requests, quarantine.Sent{Request: suspect, At: r.Sent})
+		}
+	}
+}
+
+// Finish ends the collection of a loss. Without ended, the loss waits for another
+// start at its address.
+func (c *Collector) Finish(l *Loss, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.collecting, l.Process)
+	if ended || l.NotBegun == 0 {
+		return
+	}
+	for address, other := range c.unconfirmed {
+		if l.At.Sub(other.At) > confirmTime {
+			delete(c.unconfirmed, address)
+		}
+	}
+	if len(c.unconfirmed) < maxLosses {
+		c.unconfirmed[l.Address] = l
+	}
+}
+
+// TakeRestarted returns the unconfirmed loss at the address if the given process
+// started after the lost one, nil if there is none.
+func (c *Collector) TakeRestarted(now time.Time, address string, startMS int64) *Loss {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.unconfirmed[address]
+	if l == nil || startMS <= l.StartMS {
+		return nil
+	}
+	delete(c.unconfirmed, address)
+	if now.Sub(l.At) > confirmTime {
+		return nil
+	}
+	return l
+}
+
+// HasEnded waits for the other lost requests of a server process, and reports
+// whether its address refuses connections then. A connection that is reset or cannot
+// be opened within the timeout proves nothing: the server may be full, or the network
+// cut.
+func HasEnded(ctx context.Context, address string, timeout time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(CollectTime):
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/pkg/losses/losses_test.go
@@ -0,0 +1,37 @@
+package losses
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a growing table of lost servers, and against a loss at a server
+// that restarted at once going unnoticed.
+func TestLossesAreBoundedAndConfirmedByRestart(t *testing.T) {
+	var c Collector
+	request := Request{Suspects: []uint64{7, 8, quarantine.RequestSuspect(1)}, Sent: start}
+	lost := Process{ID: "i", StartMS: 1000, Address: "10.0.0.1:80"}
+	l := c.Add(start, lost, request)
+	assert.Assert(t, l != nil)
+	assert.Assert(t, c.Add(start, lost, Request{Suspects: []uint64{9}, Begun: true}) == nil, "one check for each server process")
+	assert.Equal(t, len(l.Parts), 2, "requests whose answer had begun name no part")
+	assert.Equal(t, len(l.Requests), 1)
+	assert.Equal(t, l.Begun, 1)
+	c.Finish(l, false)
+	assert.Assert(t, c.TakeRestarted(start, lost.Address, 1000) == nil, "the same process")
+	assert.Equal(t, c.TakeRestarted(start.Add(time.Second), lost.Address, 2000), l)
+	assert.Assert(t, c.TakeRestarted(start.Add(time.Second), lost.Address, 3000) == nil, "confirmed once")
+	for i := range 2 * maxLosses {
+		c.Add(start, Process{ID: "j", StartMS: int64(i)}, request)
+		c.Add(start, Process{ID: "j"}, Request{Suspects: []uint64{uint64(i), quarantine.RequestSuspect(uint64(i))}})
+	}
+	assert.Equal(t, len(c.collecting), maxLosses)
+	full := c.collecting[Process{ID: "j"}]
+	assert.Assert(t, len(full.Parts) == maxSuspects && len(full.Requests) == maxSuspects)
+}
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -142,11 +142,16 @@
 	}
 	for host, parts := range lost {
 		slices.Sort(parts)
-		f.hosts[host].tracker.AddLoss(f.now, s.id, f.now, slices.Compact(parts), requests[host])
+		addLoss(f.hosts[host].tracker, f.now, s.id, slices.Compact(parts), requests[host])
 	}
 	s.id.StartMS++
 }
 
+// addLoss adds a loss at the current time.
+func addLoss(t *Tracker, now time.Time, server Server, parts []uint64, lost int) {
+	t.AddLoss(now, Loss{Server: server, At: now, Parts: parts, Lost: lost})
+}
+
 // step advances the time by one tick.
 func (f *simulatedFleet) step() {
 	f.now = f.now.Add(tick)
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -248,7 +248,7 @@
 // decide makes a verdict of this host with the next generation, changed by the
 // given functions.
 func (t *Tracker) decide(now time.Time, part uint64, state State, reason string, changes ...func(*Verdict)) {
-	next := Verdict{Part: part, State: state, Since: now, Term: firstTerm}
+	next := Verdict{Suspect: part, State: state, Since: now, Term: firstTerm}
 	if v := t.verdicts[part]; v != nil {
 		next.Generation, next.Losses, next.Hosts, next.Term = v.Generation, v.Losses, v.Hosts, v.Term
 		if state == Quarantined {
@@ -266,14 +266,14 @@
 
 // setVerdict stores a verdict and makes room for it if necessary.
 func (t *Tracker) setVerdict(now time.Time, next Verdict) *verdict {
-	v := t.verdicts[next.Part]
+	v := t.verdicts[next.Suspect]
 	if v == nil {
 		t.evictVerdict()
 		v = &verdict{}
-		t.verdicts[next.Part] = v
+		t.verdicts[next.Suspect] = v
 	}
 	if v.State == Quarantined && next.State == Released {
-		t.reopenLosses(next.Part)
+		t.reopenLosses(next.Suspect)
 	}
 	t.active -= activeCount(v.State)
 	v.Verdict, v.local = next, false
@@ -311,7 +311,7 @@
 		}
 	}
 	t.active -= activeCount(victim.State)
-	delete(t.verdicts, victim.Part)
+	delete(t.verdicts, victim.Suspect)
 }
 
 func (v *verdict) evictedBefore(o *verdict) bool {
@@ -321,5 +321,5 @@
 	if !v.Since.Equal(o.Since) {
 		return v.Since.Before(o.Since)
 	}
-	return v.Part < o.Part
+	return v.Suspect < o.Suspect
 }
--- a/pkg/quarantine/message.go
+++ b/pkg/quarantine/message.go
@@ -72,7 +72,7 @@
 // reportOf returns the report of a host on a loss, with the given parts.
 func (l *loss) reportOf(reporter uint64, parts []uint64) Loss {
 	r := l.reports[reporter]
-	return Loss{Server: l.server, At: l.at, Reporter: reporter, Parts: parts, Requests: r.requests, Begun: r.begun}
+	return Loss{Server: l.server, At: l.at, Reporter: reporter, Parts: parts, Lost: r.requests, Begun: r.begun}
 }
 
 // uncleared returns the parts of a loss of this host that were not cleared since.
@@ -132,7 +132,7 @@
 		if len(out) >= MaxClearedPerMessage {
 			break
 		}
-		out = append(out, Cleared{Part: part, At: t.cleared.at(part)})
+		out = append(out, Cleared{Suspect: part, At: t.cleared.at(part)})
 		countDown(n.cleared, part, left)
 	}
 	return out
@@ -180,8 +180,8 @@
 		if c.At.After(now) {
 			continue
 		}
-		if t.clear(now, c.Part, c.At, false) && !fromSummary {
-			t.summaryNews.queueCleared(c.Part)
+		if t.clear(now, c.Suspect, c.At, false) && !fromSummary {
+			t.summaryNews.queueCleared(c.Suspect)
 		}
 	}
 	for _, v := range m.Verdicts[:min(len(m.Verdicts), MaxVerdictsPerMessage)] {
@@ -194,7 +194,7 @@
 // this host knows, and never older than its term.
 func (t *Tracker) MergeVerdicts(now time.Time, verdicts []Verdict) {
 	for _, v := range verdicts[:min(len(verdicts), MaxVerdicts)] {
-		if known := t.verdicts[v.Part]; known != nil && known.Generation == v.Generation && known.State == v.State {
+		if known := t.verdicts[v.Suspect]; known != nil && known.Generation == v.Generation && known.State == v.State {
 			continue
 		}
 		if earliest := now.Add(-min(max(v.Term, firstTerm), maxTerm)); v.State == Quarantined && v.Since.Before(earliest) {
@@ -211,7 +211,7 @@
 	}
 	in.Term = min(max(in.Term, firstTerm), maxTerm)
 	in.Companions = in.Companions[:min(len(in.Companions), MaxCompanions)]
-	current := t.verdicts[in.Part]
+	current := t.verdicts[in.Suspect]
 	switch {
 	case current == nil:
 		if in.State != Quarantined && now.Sub(in.Since) > verdictRetention || in.State == Quarantined && now.Sub(in.Since) > in.Term+lapseTime+verdictRetention {
@@ -226,7 +226,7 @@
 	t.setVerdict(now, in)
 	t.changes = append(t.changes, Change{Verdict: in, Reason: "learned from another host"})
 	if !fromSummary {
-		t.summaryNews.verdicts[in.Part] = messageRepeats
+		t.summaryNews.verdicts[in.Suspect] = messageRepeats
 	}
 }
 
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -218,7 +218,7 @@
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0, 1, 2, 3, 4, 5:
 				requests := rapid.IntRange(1, 12).Draw(t, "requests")
-				tracker.AddLoss(now, Server{uint64(step), 1}, now, drawn, requests)
+				addLoss(tracker, now, Server{uint64(step), 1}, drawn, requests)
 				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, requests: requests, begun: begun})
 				m.explain()
 				begun = 0
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -70,14 +70,15 @@
 // next may have happened before.
 func (t *Tracker) MarkSuspended(now time.Time) { t.ignoreClearUntil = now.Add(suspensionTime) }
 
-// AddLoss adds a loss that this host observed: a server that ended at a time while
-// requests with the parts waited for their answer to begin.
-func (t *Tracker) AddLoss(now time.Time, server Server, at time.Time, parts []uint64, requests int) {
-	parts = slices.Clone(parts)
+// AddLoss adds a loss that this host observed. The reporter and the number of
+// answers that began are filled in.
+func (t *Tracker) AddLoss(now time.Time, in Loss) {
+	parts := slices.Clone(in.Parts)
 	// Parts that were never cleared come first, in case the list is cut.
 	slices.SortStableFunc(parts, func(a, b uint64) int { return t.cleared.at(a).Compare(t.cleared.at(b)) })
 	parts = parts[:min(len(parts), MaxSuspectsPerMessage)]
-	l := t.mergeLoss(now, Loss{Server: server, At: at, Reporter: t.self, Parts: parts, Requests: requests, Begun: t.begun})
+	in.Reporter, in.Parts, in.Begun = t.self, parts, t.begun
+	l := t.mergeLoss(now, in)
 	if l == nil {
 		return
 	}
@@ -98,7 +99,7 @@
 	}
 	_, known := l.reports[in.Reporter]
 	if !known && len(l.reports) < MaxReporters {
-		l.reports[in.Reporter] = report{min(max(in.Requests, 0), maxCount), min(max(in.Begun, 0), maxCount)}
+		l.reports[in.Reporter] = report{min(max(in.Lost, 0), maxCount), min(max(in.Begun, 0), maxCount)}
 	}
 	added := false
 	for _, p := range in.Parts {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -51,7 +51,7 @@
 			parts[i] = next
 			next++
 		}
-		a.AddLoss(now, Server{server, 1}, now, parts, 100)
+		addLoss(a, now, Server{server, 1}, parts, 100)
 		for range 20 {
 			a.AnswerBegan(now, now, []uint64{next, next + 1})
 			next += 2
@@ -64,7 +64,7 @@
 		}
 		b.Merge(now, m, false)
 		assert.Assert(t, len(b.Summary(true).Losses) <= MaxLossesPerMessage)
-		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Requests: -1, Begun: math.MaxInt}}}, true)
+		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Lost: -1, Begun: math.MaxInt}}}, true)
 	}
 	for _, tracker := range []*Tracker{a, b} {
 		assert.Assert(t, len(tracker.losses) <= MaxLosses)
@@ -112,7 +112,7 @@
 func TestStoredAgeDoesNotEndQuarantine(t *testing.T) {
 	const part = 5
 	now := start.Add(2 * time.Hour)
-	stored := []Verdict{{Part: part, Generation: 1, State: Quarantined, Since: now.Add(-time.Hour), Term: firstTerm}}
+	stored := []Verdict{{Suspect: part, Generation: 1, State: Quarantined, Since: now.Add(-time.Hour), Term: firstTerm}}
 	for _, known := range []bool{false, true} {
 		tracker := New(1)
 		if known {
@@ -129,7 +129,7 @@
 func TestSecondLossOfAPartEndsRetries(t *testing.T) {
 	tracker := New(1)
 	assert.Assert(t, !tracker.SuspectsAgain(start, []uint64{1, 2}))
-	tracker.AddLoss(start, Server{1, 1}, start, []uint64{1, 2}, 2)
+	addLoss(tracker, start, Server{1, 1}, []uint64{1, 2}, 2)
 	assert.Assert(t, tracker.SuspectsAgain(start, []uint64{2}))
 	now := start.Add(time.Second)
 	tracker.AnswerBegan(now, now, []uint64{2})
@@ -146,7 +146,7 @@
 		tracker, now := New(1), start
 		for i := range uint64(lossesToQuarantine) {
 			now = now.Add(time.Second)
-			tracker.AddLoss(now, Server{i, 1}, now, both, 2)
+			addLoss(tracker, now, Server{i, 1}, both, 2)
 		}
 		now = now.Add(settleTime)
 		tracker.Poll(now)
@@ -170,11 +170,11 @@
 	// One loss of a sound request, or a loss of which another host reports the deadly
 	// part later, separates nothing.
 	tracker, now = tied()
-	tracker.AddLoss(now, Server{8, 1}, now, []uint64{sound}, 1)
+	addLoss(tracker, now, Server{8, 1}, []uint64{sound}, 1)
 	tracker.Poll(now)
 	tracker.Merge(now, Message{Losses: []Loss{{Server: Server{8, 1}, At: now, Reporter: 2, Parts: []uint64{deadly}}}}, false)
 	now = now.Add(time.Second)
-	tracker.AddLoss(now, Server{9, 1}, now, []uint64{sound}, 1)
+	addLoss(tracker, now, Server{9, 1}, []uint64{sound}, 1)
 	tracker.Poll(now.Add(settleTime))
 	check(tracker, now, Allow, sound)
 	check(tracker, now, Allow, deadly)
@@ -182,7 +182,7 @@
 	tracker, now = tied()
 	for i := range uint64(lossesToSeparate) {
 		now = now.Add(time.Second)
-		tracker.AddLoss(now, Server{10 + i, 1}, now, []uint64{deadly}, 1)
+		addLoss(tracker, now, Server{10 + i, 1}, []uint64{deadly}, 1)
 		tracker.Poll(now.Add(settleTime))
 	}
 	check(tracker, now, Allow, sound)
@@ -191,7 +191,7 @@
 
 	// A host that knows the sound part to be cleared refuses the deadly one alone.
 	tracker, now = tied()
-	tracker.Merge(now, Message{Verdicts: []Verdict{{Part: deadly, Generation: 1, State: Quarantined, Since: now.Add(-time.Second), Term: firstTerm}}}, false)
+	tracker.Merge(now, Message{Verdicts: []Verdict{{Suspect: deadly, Generation: 1, State: Quarantined, Since: now.Add(-time.Second), Term: firstTerm}}}, false)
 	check(tracker, now, Allow, sound)
 	check(tracker, now, Refuse, deadly)
 }
@@ -207,7 +207,7 @@
 		if i == 0 {
 			parts = parts[:1]
 		}
-		tracker.AddLoss(now, Server{i, 1}, now, parts, 2)
+		addLoss(tracker, now, Server{i, 1}, parts, 2)
 	}
 	now = now.Add(settleTime)
 	tracker.Poll(now)
@@ -215,7 +215,7 @@
 	now = now.Add(firstTerm + lapseTime + time.Second)
 	tracker.Poll(now)
 	assert.Equal(t, tracker.verdicts[deadly].State, Lapsed)
-	tracker.AddLoss(now, Server{99, 1}, now, []uint64{3}, 1) // has the evidence evaluated
+	addLoss(tracker, now, Server{99, 1}, []uint64{3}, 1) // has the evidence evaluated
 	tracker.Poll(now.Add(time.Second))
 	assert.Assert(t, tracker.verdicts[sound] == nil)
 }
@@ -253,7 +253,7 @@
 		for j := range parts {
 			parts[j] = i*uint64(len(parts)) + uint64(j)
 		}
-		tracker.AddLoss(now, Server{i, 1}, now, parts, 10)
+		addLoss(tracker, now, Server{i, 1}, parts, 10)
 	}
 	for b.Loop() {
 		tracker.evaluate(now)
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -43,10 +43,10 @@
 			break
 		}
 		v.TrialAt = now
-		t.announceVerdict(v.Part)
+		t.announceVerdict(v.Suspect)
 		t.changes = append(t.changes, Change{Verdict: v.Verdict, Reason: "trial", Local: true})
 	}
-	return Trial, tried[0].Part
+	return Trial, tried[0].Suspect
 }
 
 // applies reports whether a verdict refuses a prompt: the part is quarantined, and
@@ -78,7 +78,7 @@
 	if waited < 0 {
 		return false
 	}
-	key := v.Part
+	key := v.Suspect
 	for _, p := range v.Companions {
 		key = min(key, p)
 	}
@@ -160,7 +160,7 @@
 	for _, v := range t.verdicts {
 		out = append(out, Entry{Verdict: v.Verdict, Local: v.local, Refusals: v.refusals, RefusedAt: v.refusedAt, TrialFrom: v.nextTrialAt()})
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Suspect, b.Suspect) })
 	return out
 }
 
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -107,14 +107,21 @@
 	At       time.Time
 	Reporter uint64   // hash of the name of the host
 	Parts    []uint64 // shared prompt parts of these requests
-	Requests int      // number of these requests
+	Requests []Sent   // these requests, as far as they are listed
+	Lost     int      // number of these requests
 	Begun    int      // answers that began at the host since its previous report
 }
 
-// Cleared reports that an answer to a prompt with the part began and went on.
+// Sent is a request that was sent to a server.
+type Sent struct {
+	Request uint64 // suspect of the request
+	At      time.Time
+}
+
+// Cleared reports that an answer to a request with the suspect began and went on.
 type Cleared struct {
-	Part uint64
-	At   time.Time // of the first event
+	Suspect uint64
+	At      time.Time // of the first event
 }
 
 // State is the state of a part in a verdict.
@@ -133,7 +140,7 @@
 // Verdict is what all hosts believe about a part. Verdicts merge to the same
 // result in any order: the higher generation holds.
 type Verdict struct {
-	Part       uint64
+	Suspect    uint64
 	Generation uint32
 	State      State
 	Since      time.Time
