--- a/pkg/core/verdicts.go
+++ b/pkg/core/verdicts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -17,13 +18,13 @@
 	verdictSubmitTimeout = 2 * time.Second
 )
 
-// Verdicts returns the stored verdicts on prompt parts.
+// Verdicts returns the stored verdicts on prompt parts and requests.
 func (h *Host) Verdicts() []*apiv1.QuarantineVerdict {
 	state, _ := h.state.View(^uint64(0))
 	return withAges(time.Now(), state.GetVerdicts())
 }
 
-// storeVerdicts stores verdicts on prompt parts that edge hosts report, in the
+// storeVerdicts stores verdicts of the quarantine that edge hosts report, in the
 // background, so that they outlive a restart of all hosts.
 func (h *Host) storeVerdicts(verdicts []*apiv1.QuarantineVerdict) {
 	for _, v := range verdicts {
@@ -38,27 +39,27 @@
 			ctx, cancel := context.WithTimeout(h.ctx, verdictSubmitTimeout)
 			defer cancel()
 			err := h.submit(ctx, &apiv1.FleetCommand{Verdict: stored})
-			h.log.WithFields(map[string]any{"prompt_part": stored.GetSuspect(), "generation": stored.GetGeneration(), "state": stored.GetState(), "error": err}).Info("verdict on a prompt part stored")
+			h.log.WithFields(map[string]any{"suspect": strconv.FormatUint(stored.GetSuspect(), 16), "generation": stored.GetGeneration(), "state": stored.GetState(), "error": err}).Info("quarantine verdict stored")
 		}()
 	}
 }
 
-// beginVerdictSubmit reserves the submission of a verdict on the part. It returns
+// beginVerdictSubmit reserves the submission of a verdict on the suspect. It returns
 // false if one is running or too many are.
-func (h *Host) beginVerdictSubmit(part uint64) bool {
+func (h *Host) beginVerdictSubmit(suspect uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.verdictSubmits[part] || len(h.verdictSubmits) >= maxVerdictSubmits {
+	if h.verdictSubmits[suspect] || len(h.verdictSubmits) >= maxVerdictSubmits {
 		return false
 	}
-	h.verdictSubmits[part] = true
+	h.verdictSubmits[suspect] = true
 	return true
 }
 
-func (h *Host) endVerdictSubmit(part uint64) {
+func (h *Host) endVerdictSubmit(suspect uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.verdictSubmits, part)
+	delete(h.verdictSubmits, suspect)
 }
 
 // withAges returns copies of stored verdicts with their age by the clock of this
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -177,9 +177,7 @@
 		return a
 	}
 	a.outcome, a.done = dispatch.Completed, true
-	if resp.StatusCode/100 == 2 {
-		x.reportAnswerBegan(time.Now())
-	}
+	x.reportAnswerBegan(time.Now(), resp.StatusCode/100 == 2)
 	x.writeBuffered(h)
 	return a
 }
@@ -254,7 +252,7 @@
 					return a
 				}
 				if time.Since(x.firstEventAt) > beginTime {
-					x.reportAnswerBegan(x.firstEventAt)
+					x.reportAnswerBegan(x.firstEventAt, true)
 				}
 				x.coalesceEvents(ctx)
 			}
@@ -340,7 +338,7 @@
 	}
 	x.writeStreamHead(resp)
 	if x.sseParser.count > x.eventsBefore {
-		x.reportAnswerBegan(x.firstEventAt)
+		x.reportAnswerBegan(x.firstEventAt, true)
 	}
 	a.outcome, a.done = dispatch.Completed, true
 	return a
--- a/pkg/edge/parts.go
+++ b/pkg/edge/parts.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 )
 
 const (
@@ -17,7 +18,7 @@
 	maxLoggedParts = 48
 )
 
-// sharedParts returns the ids of the parts of a prompt that other requests may
+// sharedParts returns the suspects of the parts of a prompt that other requests may
 // share: all but the last one.
 func sharedParts(parts []dispatch.Part) []uint64 {
 	if len(parts) < 2 {
@@ -26,7 +27,7 @@
 	parts = parts[:min(len(parts)-1, maxRequestParts)]
 	out := make([]uint64, len(parts))
 	for i, p := range parts {
-		out[i] = p.ID
+		out[i] = quarantine.PartSuspect(p.ID)
 	}
 	return out
 }
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"iter"
 	"strconv"
 	"time"
@@ -17,12 +18,15 @@
 )
 
 const (
-	reasonQuarantined dispatch.Reason = "a prompt part is quarantined"
+	reasonPartQuarantined    dispatch.Reason = "a prompt part is quarantined"
+	reasonRequestQuarantined dispatch.Reason = "the request is quarantined"
 	// verdictReportDelay is the age from which a host reports a verdict of another
 	// one to the core hosts, in case that one could not.
 	verdictReportDelay = 3 * time.Second
 	// maxReportedVerdicts bounds the verdicts of one heartbeat.
 	maxReportedVerdicts = 16
+	// maxDescribedTarget bounds the path and query in the description of a request.
+	maxDescribedTarget = 256
 )
 
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
@@ -35,24 +39,30 @@
 	return out
 }
 
-// refuseQuarantined refuses a request with a quarantined part and reports whether
-// it did.
+// parts returns the suspects that are prompt parts.
+func (x *proxiedRequest) parts() []uint64 { return x.suspects[:len(x.suspects)-1] }
+
+// fingerprint returns the suspect that stands for the request itself.
+func (x *proxiedRequest) fingerprint() uint64 { return x.suspects[len(x.suspects)-1] }
+
+// refuseQuarantined refuses a request that is quarantined, or has a quarantined part,
+// and reports whether it did.
 func (x *proxiedRequest) refuseQuarantined() bool {
-	if len(x.sharedParts) == 0 || x.isTrial {
+	if x.isTrial {
 		return false
 	}
 	x.s.mu.Lock()
-	action, part := x.s.quarantine.Check(time.Now(), x.sharedParts)
+	action, suspect := x.s.quarantine.Check(time.Now(), x.suspects)
 	x.s.mu.Unlock()
 	if action != quarantine.Refuse {
 		return false
 	}
-	x.respondQuarantined(part)
+	x.respondQuarantined(suspect)
 	return true
 }
 
-// dropQuarantined refuses a request that got a server while one of its parts was
-// quarantined, and returns the server's place.
+// dropQuarantined refuses a request that got a server while it was quarantined, and
+// returns the server's place.
 func (x *proxiedRequest) dropQuarantined() bool {
 	if !x.refuseQuarantined() {
 		return false
@@ -61,19 +71,19 @@
 	return true
 }
 
-// mayBeSent decides for the last time before an attempt, which may be the trial of
-// a quarantined part. It responds to the request if it may not be sent.
+// mayBeSent decides for the last time before an attempt, which may be a trial. It
+// responds to the request if it may not be sent.
 func (x *proxiedRequest) mayBeSent() bool {
-	if len(x.sharedParts) == 0 || x.isTrial {
+	if x.isTrial {
 		return true
 	}
 	x.s.mu.Lock()
-	action, part := x.s.quarantine.Begin(time.Now(), x.sharedParts)
+	action, suspect := x.s.quarantine.Begin(time.Now(), x.suspects)
 	x.s.mu.Unlock()
 	switch action {
 	case quarantine.Refuse:
 		x.s.recordOutcome(x.dispatchReq, dispatch.NotSent)
-		x.respondQuarantined(part)
+		x.respondQuarantined(suspect)
 		return false
 	case quarantine.Trial:
 		x.isTrial = true
@@ -81,28 +91,46 @@
 	return true
 }
 
-// respondQuarantined sends the final response to a request with a quarantined
-// part. An earlier attempt may have run, and then the response says so.
-func (x *proxiedRequest) respondQuarantined(part uint64) {
+// respondQuarantined sends the final response to a request that has the quarantined
+// suspect. An earlier attempt may have run, and then the response says so.
+func (x *proxiedRequest) respondQuarantined(suspect uint64) {
 	metrics.GetOrRegisterCounter("edge.quarantine.refused", x.s.metrics.registry).Inc(1)
-	x.decision.Action, x.decision.Reason = dispatch.Refuse, reasonQuarantined
+	refusal := result.New(result.PartQuarantined, "backend servers crashed on part %x of the prompt", suspect)
+	x.decision.Action, x.decision.Reason = dispatch.Refuse, reasonPartQuarantined
+	if quarantine.IsRequest(suspect) {
+		refusal = result.New(result.RequestQuarantined, "backend servers crashed on this request (fingerprint %x)", suspect)
+		x.decision.Reason = reasonRequestQuarantined
+		x.s.describeRequest(suspect, x.in, x.dispatchReq.Workspace)
+	}
 	if x.mayHaveRun || x.headSent {
 		x.respondFailed(attemptResult{outcome: dispatch.ConnectionLost, err: x.lastError})
 		return
 	}
-	x.respondError(result.New(result.PartQuarantined, "backend servers crashed on part %x of the prompt", part))
+	x.respondError(refusal)
 }
 
-// suspectedAgain reports whether a request that was lost with its server before
-// its answer began shares a part with an earlier such loss. It is not sent to
-// another server then.
+// describeRequest keeps the latest text that tells operators which request a
+// fingerprint stands for, for about as many as there are verdicts.
+func (s *Server) describeRequest(suspect uint64, in *Request, workspace string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.quarantinedRequests[suspect]; !known && len(s.quarantinedRequests) >= quarantine.MaxVerdicts {
+		clear(s.quarantinedRequests)
+	}
+	target := in.Target[:min(len(in.Target), maxDescribedTarget)]
+	s.quarantinedRequests[suspect] = fmt.Sprintf("%s %s%s of workspace %q", in.Method, in.Host, target, workspace)
+}
+
+// suspectedAgain reports whether a request that was lost with its server before its
+// answer began was lost before, or shares a part with a request that was. It is not
+// sent to another server then.
 func (x *proxiedRequest) suspectedAgain(a attemptResult) bool {
-	if a.outcome != dispatch.ConnectionLost || len(x.sharedParts) == 0 || x.answerBegan() {
+	if a.outcome != dispatch.ConnectionLost || x.answerBegan() {
 		return false
 	}
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	return x.s.quarantine.SuspectsAgain(time.Now(), x.sharedParts)
+	return x.s.quarantine.SuspectsAgain(time.Now(), x.suspects)
 }
 
 // answerBegan reports whether the server of the current attempt began the answer
@@ -111,15 +139,20 @@
 	return x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime
 }
 
-// reportAnswerBegan clears the parts of the prompt, once for each request.
-func (x *proxiedRequest) reportAnswerBegan(at time.Time) {
-	if x.beganReported || len(x.sharedParts) == 0 {
+// reportAnswerBegan clears the request, once, and with allParts the parts of its
+// prompt: a server may reject a request before it reads the prompt.
+func (x *proxiedRequest) reportAnswerBegan(at time.Time, allParts bool) {
+	if x.beganReported {
 		return
 	}
 	x.beganReported = true
+	suspects := x.suspects
+	if !allParts {
+		suspects = suspects[len(suspects)-1:]
+	}
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	x.s.quarantine.AnswerBegan(time.Now(), at, x.sharedParts)
+	x.s.quarantine.AnswerBegan(time.Now(), at, suspects)
 }
 
 // addLoss adds a confirmed loss to the evidence. The caller must hold mu.
@@ -128,7 +161,7 @@
 	s.quarantine.AddLoss(now, l.Evidence(quarantine.Server{Hash: hashName(l.ID), StartMS: l.StartMS}))
 }
 
-// recordChanges logs and counts verdicts that changed.
+// recordChanges logs and counts verdicts that changed. The caller must not hold mu.
 func (s *Server) recordChanges(changes []quarantine.Change) {
 	if len(changes) == 0 {
 		return
@@ -136,30 +169,34 @@
 	s.mu.Lock()
 	active, losses, suspects := s.quarantine.Counts()
 	s.mu.Unlock()
-	metrics.GetOrRegisterGauge("edge.quarantine.parts", s.metrics.registry).Update(int64(active))
+	metrics.GetOrRegisterGauge("edge.quarantine.suspects", s.metrics.registry).Update(int64(active))
 	for _, c := range changes {
 		metrics.GetOrRegisterCounter("edge.quarantine.verdicts."+c.State.String(), s.metrics.registry).Inc(1)
 		s.log.WithFields(logrus.Fields{
-			"prompt_part": strconv.FormatUint(c.Suspect, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
+			"kind": quarantine.KindOf(c.Suspect), "suspect": strconv.FormatUint(c.Suspect, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
 			"age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(), "losses": c.Losses, "hosts": c.Hosts, "companions": hexIDs(c.Companions),
 			"known_losses": losses, "suspects": suspects,
-		}).Warn("verdict on a prompt part changed")
+		}).Warn("quarantine verdict changed")
 	}
 }
 
-// Quarantine returns the verdicts on prompt parts, ordered by part.
+// Quarantine returns the verdicts on prompt parts and requests, ordered by suspect.
 func (s *Server) Quarantine() []quarantine.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.List()
+	out := s.quarantine.List()
+	for i := range out {
+		out[i].Request = s.quarantinedRequests[out[i].Suspect]
+	}
+	return out
 }
 
-// ReleasePart ends the quarantine of a part in the whole fleet. It returns false
-// if the part is not quarantined.
-func (s *Server) ReleasePart(part uint64) bool {
+// Release ends the quarantine of a prompt part or request in the whole fleet. It
+// returns false if it is not quarantined.
+func (s *Server) Release(suspect uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.Release(time.Now(), part)
+	return s.quarantine.Release(time.Now(), suspect)
 }
 
 // Heartbeat implements feed.Reporter: it returns the verdicts that the core hosts
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 // event.
 func fullTracker() (*quarantine.Tracker, time.Time) {
 	tracker, now, part := quarantine.New(1), start, uint64(1)
+	var requests []quarantine.Sent
 	next := func(n int) []uint64 {
 		out := make([]uint64, n)
 		for i := range out {
@@ -29,6 +31,9 @@
 	for range 1200 {
 		now = now.Add(time.Millisecond)
 		tracker.AnswerBegan(now, now, next(maxRequestParts))
+		for _, r := range next(10) {
+			tracker.AnswerBegan(now, now, []uint64{quarantine.RequestSuspect(r)})
+		}
 	}
 	var verdicts []quarantine.Verdict
 	for _, p := range next(quarantine.MaxVerdicts) {
@@ -38,10 +43,18 @@
 	for i := range uint64(quarantine.MaxLosses) {
 		now = now.Add(time.Second)
 		server := quarantine.Server{Hash: i * 0x9e3779b97f4a7c15, StartMS: 1_780_000_000_000}
-		tracker.AddLoss(now, quarantine.Loss{Server: server, At: now, Parts: next(quarantine.MaxSuspectsPerMessage), Lost: 100})
+		requests = nil
+		for _, r := range next(quarantine.MaxRequestsPerMessage) {
+			requests = append(requests, quarantine.Sent{Request: quarantine.RequestSuspect(r), At: now.Add(-time.Second)})
+		}
+		tracker.AddLoss(now, quarantine.Loss{Server: server, At: now, Parts: next(quarantine.MaxPartsPerMessage), Requests: requests, Lost: 100})
 		for reporter := range uint64(quarantine.MaxReporters) {
+			others := slices.Clone(requests)
+			for i, r := range next(len(others)) {
+				others[i].Request = quarantine.RequestSuspect(r)
+			}
 			tracker.Merge(now, quarantine.Message{Losses: []quarantine.Loss{{
-				Server: server, At: now, Reporter: reporter, Parts: next(quarantine.MaxSuspectsPerMessage), Lost: 100, Begun: 1000,
+				Server: server, At: now, Reporter: reporter, Parts: next(quarantine.MaxPartsPerMessage), Requests: others, Lost: 100, Begun: 1000,
 			}}}, false)
 		}
 	}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -54,10 +54,11 @@
 	in          *Request
 	route       *routing.Route
 	dispatchReq *dispatch.Request
-	sharedParts []uint64 // parts of the prompt that other requests may have too
-	fingerprint uint64   // what repeats if the same request is sent again
-	deadline    time.Time
-	callerCtx   context.Context
+	// suspects holds the parts of the prompt that other requests may have too, and last
+	// the request itself.
+	suspects  []uint64
+	deadline  time.Time
+	callerCtx context.Context
 
 	decision          dispatch.Decision
 	slotReservation   string            // reservation id at the server of the decision, "" if none
@@ -156,12 +157,12 @@
 	if x.dispatchReq.Objective == 0 {
 		x.dispatchReq.Objective = timeout
 	}
-	x.fingerprint = quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, in.Host, in.Target, in.Body))
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
-		x.sharedParts = sharedParts(p.Parts)
+		x.suspects = sharedParts(p.Parts)
 		x.dispatchReq.OutputTokens = expectedOutputTokens(p)
 	}
+	x.suspects = append(x.suspects, quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, in.Host, in.Target, in.Body)))
 	return x
 }
 
@@ -442,8 +443,8 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
-		"fingerprint": strconv.FormatUint(x.fingerprint, 16),
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "trial": x.isTrial, "parts": hexIDs(x.parts()),
+		"fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -70,9 +70,8 @@
 }
 
 // Server is an edge host. mu guards fleetView, dispatcher, pendingDecisions,
-// polling, retryBudget, leaving, remoteDataCentres, quarantine and
-// storedVerdicts. It is not held during
-// network calls.
+// polling, retryBudget, leaving, remoteDataCentres, quarantine, storedVerdicts and
+// quarantinedRequests. It is not held during network calls.
 type Server struct {
 	config        Config
 	log           *logrus.Entry
@@ -100,7 +99,9 @@
 	responses         *responseMemory
 	losses            losses.Collector
 	quarantine        *quarantine.Tracker
-	storedVerdicts    map[uint64]uint32 // by part: generation that the core hosts have stored
+	storedVerdicts    map[uint64]uint32 // by suspect: generation that the core hosts have stored
+	// quarantinedRequests describes refused requests, by suspect.
+	quarantinedRequests map[uint64]string
 
 	loadShedder       *loadShedder
 	refusalLogLimiter *rate.Limiter // limits log lines on refused requests
@@ -122,7 +123,7 @@
 		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout}),
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{},
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
-		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
+		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{}, quarantinedRequests: map[uint64]string{},
 	}
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +18,7 @@
 func (x *proxiedRequest) recordLostConnection(v dispatch.Decision) {
 	begun := x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime
 	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
-	request := losses.Request{Suspects: append(slices.Clone(x.sharedParts), x.fingerprint), Sent: x.attemptStartedAt, Begun: begun}
+	request := losses.Request{Suspects: x.suspects, Sent: x.attemptStartedAt, Begun: begun}
 	if l := x.s.losses.Add(time.Now(), server, request); l != nil {
 		go x.s.checkLoss(l)
 	}
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -21,24 +21,30 @@
 	seeds           = 10
 	popularPart     = 1
 	firstDeadly     = 100
+	// deadlyRequest is a request that ends servers although its parts are sound, poll
+	// and popular are sound requests that callers repeat.
+	deadlyRequest = requestBit | 1<<40
+	poll          = requestBit | 2<<40
+	popular       = requestBit | 3<<40
 )
 
 // simulatedFleet sends requests of several hosts to servers that end when they
-// begin an answer on a deadly part. Time is virtual; hosts exchange messages each
+// begin an answer on a deadly part or to a deadly request. Time is virtual; hosts exchange messages each
 // 50 ms with a delay of one tick.
 type simulatedFleet struct {
-	random  *rand.Rand
-	now     time.Time
-	hosts   []*simulatedHost
-	servers []*simulatedServer
-	deadly  map[uint64]*deadlyPart
-	nextID  uint64
-	refused map[uint64]int // refused sound requests, by quarantined part
-	served  int            // sound requests whose answer began
-	lost    int            // sound requests lost with a server
+	random      *rand.Rand
+	now         time.Time
+	hosts       []*simulatedHost
+	servers     []*simulatedServer
+	deadly      map[uint64]*deadlySuspect
+	nextID      uint64
+	nextRequest uint64
+	refused     map[uint64]int // refused sound requests, by quarantined suspect
+	served      int            // sound requests whose answer began
+	lost        int            // sound requests lost with a server
 }
 
-type deadlyPart struct {
+type deadlySuspect struct {
 	crashes []time.Time
 	arrived []time.Time
 }
@@ -58,13 +64,14 @@
 
 type simulatedRequest struct {
 	host     int
-	parts    []uint64
+	suspects []uint64 // parts, and the request itself
+	sentAt   time.Time
 	beginsAt time.Time
 	retried  bool
 }
 
 func newSimulatedFleet(seed uint64, hosts, servers int, deadly int) *simulatedFleet {
-	f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, deadly: map[uint64]*deadlyPart{}, refused: map[uint64]int{}}
+	f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, deadly: map[uint64]*deadlySuspect{}, refused: map[uint64]int{}}
 	var names []uint64
 	for i := range hosts {
 		names = append(names, uint64(i+1)*7919)
@@ -78,24 +85,30 @@
 		f.servers = append(f.servers, &simulatedServer{id: Server{uint64(i + 1), 1}})
 	}
 	for i := range deadly {
-		f.deadly[firstDeadly+uint64(i)] = &deadlyPart{}
+		f.deadly[firstDeadly+uint64(i)] = &deadlySuspect{}
 	}
 	return f
 }
 
-// send sends a request from a random host that runs, to a random server that is up.
+// send sends a new request from a random host that runs, to a random server that is up.
 func (f *simulatedFleet) send(parts ...uint64) {
+	f.nextRequest++
+	f.repeat(RequestSuspect(f.nextRequest), parts...)
+}
+
+// repeat sends a request again.
+func (f *simulatedFleet) repeat(request uint64, parts ...uint64) {
 	host := f.random.IntN(len(f.hosts))
 	if f.now.Before(f.hosts[host].frozen) {
 		return
 	}
-	f.sendFrom(host, parts, false)
+	f.sendFrom(host, append(slices.Clone(parts), request), false)
 }
 
-func (f *simulatedFleet) sendFrom(host int, parts []uint64, retried bool) {
-	if action, part := f.hosts[host].tracker.Begin(f.now, parts); action == Refuse {
-		if !f.isDeadly(parts) {
-			f.refused[part]++
+func (f *simulatedFleet) sendFrom(host int, suspects []uint64, retried bool) {
+	if action, suspect := f.hosts[host].tracker.Begin(f.now, suspects); action == Refuse {
+		if !f.isDeadly(suspects) {
+			f.refused[suspect]++
 		}
 		return
 	}
@@ -110,16 +123,16 @@
 	}
 	s := up[f.random.IntN(len(up))]
 	wait := 100 + time.Duration(f.random.IntN(500))
-	s.pending = append(s.pending, &simulatedRequest{host, parts, f.now.Add(wait * time.Millisecond), retried})
-	for _, p := range parts {
+	s.pending = append(s.pending, &simulatedRequest{host, suspects, f.now, f.now.Add(wait * time.Millisecond), retried})
+	for _, p := range suspects {
 		if d := f.deadly[p]; d != nil {
 			d.arrived = append(d.arrived, f.now)
 		}
 	}
 }
 
-func (f *simulatedFleet) isDeadly(parts []uint64) bool {
-	return slices.ContainsFunc(parts, func(p uint64) bool { return f.deadly[p] != nil })
+func (f *simulatedFleet) isDeadly(suspects []uint64) bool {
+	return slices.ContainsFunc(suspects, func(p uint64) bool { return f.deadly[p] != nil })
 }
 
 // end ends a server for 3 s. All hosts with requests whose answer has not begun
@@ -127,22 +140,30 @@
 func (f *simulatedFleet) end(s *simulatedServer) {
 	pending := s.pending
 	s.pending, s.downTil = nil, f.now.Add(3*time.Second)
-	lost, requests := map[int][]uint64{}, map[int]int{}
+	reports := map[int]*Loss{}
 	for _, r := range pending {
-		lost[r.host] = append(lost[r.host], r.parts...)
-		requests[r.host]++
-		if !f.isDeadly(r.parts) {
+		l := reports[r.host]
+		if l == nil {
+			l = &Loss{Server: s.id, At: f.now}
+			reports[r.host] = l
+		}
+		l.Lost++
+		last := len(r.suspects) - 1
+		l.Parts = append(l.Parts, r.suspects[:last]...)
+		l.Requests = append(l.Requests, Sent{Request: r.suspects[last], At: r.sentAt})
+		if !f.isDeadly(r.suspects) {
 			f.lost++
 		}
 	}
 	for _, r := range pending {
-		if !r.retried && !f.hosts[r.host].tracker.SuspectsAgain(f.now, r.parts) {
-			f.sendFrom(r.host, r.parts, true)
+		if !r.retried && !f.hosts[r.host].tracker.SuspectsAgain(f.now, r.suspects) {
+			f.sendFrom(r.host, r.suspects, true)
 		}
 	}
-	for host, parts := range lost {
-		slices.Sort(parts)
-		addLoss(f.hosts[host].tracker, f.now, s.id, slices.Compact(parts), requests[host])
+	for host, l := range reports {
+		slices.Sort(l.Parts)
+		l.Parts = slices.Compact(l.Parts)
+		f.hosts[host].tracker.AddLoss(f.now, *l)
 	}
 	s.id.StartMS++
 }
@@ -186,8 +207,8 @@
 		if f.now.Before(r.beginsAt) {
 			continue
 		}
-		if f.isDeadly(r.parts) {
-			for _, p := range r.parts {
+		if f.isDeadly(r.suspects) {
+			for _, p := range r.suspects {
 				if d := f.deadly[p]; d != nil {
 					d.crashes = append(d.crashes, f.now)
 				}
@@ -196,7 +217,7 @@
 			return
 		}
 		f.served++
-		f.hosts[r.host].tracker.AnswerBegan(f.now, f.now, r.parts)
+		f.hosts[r.host].tracker.AnswerBegan(f.now, f.now, r.suspects)
 		s.pending = slices.Delete(s.pending, i, i+1)
 		i--
 	}
@@ -223,7 +244,7 @@
 
 // lateRequests returns the requests with the part that reached servers later than
 // contactTime after the fifth crash.
-func (d *deadlyPart) lateRequests() int {
+func (d *deadlySuspect) lateRequests() int {
 	if len(d.crashes) < 5 {
 		return 0
 	}
@@ -333,7 +354,8 @@
 	f.hosts[2].cutUntil = f.now.Add(20 * time.Second)
 	f.run(18*time.Second, func() {
 		if f.chance(2) {
-			f.sendFrom(f.random.IntN(2), []uint64{popularPart, firstDeadly}, false)
+			f.nextRequest++
+			f.sendFrom(f.random.IntN(2), []uint64{popularPart, firstDeadly, RequestSuspect(f.nextRequest)}, false)
 		}
 	})
 	assert.Assert(t, len(f.deadly[firstDeadly].crashes) >= lossesToQuarantine)
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -8,10 +8,12 @@
 	"time"
 )
 
-// suspicion is the evidence against one part.
+// suspicion is the evidence against one suspect.
 type suspicion struct {
 	losses   []*loss
 	episodes []time.Time // losses at different times
+	// explainedBy holds the quarantined requests that explain some of the losses.
+	explainedBy map[uint64]bool
 }
 
 // Poll evaluates new evidence, ends quarantines that lapsed, and returns the
@@ -33,8 +35,8 @@
 	return out
 }
 
-// evaluate quarantines every part with sufficient evidence, strongest first: each
-// quarantine explains losses that then no longer count against other parts.
+// evaluate quarantines every suspect with sufficient evidence, strongest first: each
+// quarantine explains losses that then no longer count against other suspects.
 func (t *Tracker) evaluate(now time.Time) {
 	t.evaluateAt = time.Time{}
 	losses := t.sortedLosses()
@@ -42,51 +44,123 @@
 	t.separateCompanions(now, losses)
 }
 
-// convict quarantines parts until the evidence that is not explained suffices for
-// no other one.
+// convict quarantines suspects until the evidence that is not explained suffices for
+// no other one. Parts wait while the evidence against a request settles.
 func (t *Tracker) convict(now time.Time, losses []*loss) {
 	for {
-		suspicions := t.suspicionsOf(now, losses)
-		var strongest []uint64
-		for part, s := range suspicions {
-			if len(s.episodes) < lossesToQuarantine && len(s.episodes) < t.lossesNeeded(part, s) {
+		suspicions := t.suspicionsOf(now, losses, true)
+		requests, settling := t.strongest(now, suspicions)
+		for _, request := range requests {
+			t.quarantine(now, request, suspicions[request], nil)
+		}
+		if len(requests) > 0 {
+			continue
+		}
+		if settling {
+			return
+		}
+		suspicions = t.suspicionsOf(now, losses, false)
+		parts, _ := t.strongest(now, suspicions)
+		for _, part := range parts {
+			t.quarantine(now, part, suspicions[part], parts)
+		}
+		if len(parts) == 0 {
+			return
+		}
+	}
+}
+
+// strongest returns the suspects with the strongest sufficient evidence: those of the
+// same losses, which cannot be told apart. It also reports whether some evidence
+// suffices but has not settled.
+func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) (tied []uint64, settling bool) {
+	for suspect, s := range suspicions {
+		if !t.mayBeCause(suspect, s) {
+			continue
+		}
+		needed := t.lossesNeeded(suspect, s)
+		if len(s.episodes) < needed { // the share of lost requests may fall
+			t.evaluateBy(now.Add(settleTime))
+			continue
+		}
+		if due := s.episodes[needed-1].Add(t.settleTime()); now.Before(due) {
+			t.evaluateBy(due)
+			settling = true
+			continue
+		}
+		if len(tied) > 0 {
+			order := s.compare(suspicions[tied[0]])
+			if order < 0 {
 				continue
 			}
-			if due := t.sufficientAt(now, part, s).Add(settleTime); now.Before(due) {
-				t.evaluateBy(due)
-				continue
+			if order > 0 {
+				tied = tied[:0]
 			}
-			if len(strongest) > 0 {
-				order := s.compare(suspicions[strongest[0]])
-				if order < 0 {
+		}
+		tied = append(tied, suspect)
+	}
+	if len(tied) == 0 {
+		return nil, settling
+	}
+	slices.Sort(tied)
+	first := suspicions[tied[0]]
+	return slices.DeleteFunc(tied, func(suspect uint64) bool { return !slices.Equal(suspicions[suspect].losses, first.losses) }), settling
+}
+
+// mayBeCause reports whether the evidence may suffice, now or later. Losses that one
+// request can explain say nothing about its parts.
+func (t *Tracker) mayBeCause(suspect uint64, s *suspicion) bool {
+	if len(s.episodes) < lossesToQuarantine && len(s.episodes) < t.lossesNeeded(suspect, s) {
+		return false
+	}
+	if v := t.verdicts[suspect]; IsRequest(suspect) || v != nil && v.State == Lapsed {
+		return true
+	}
+	return t.requestsLost(s) >= lossesToQuarantine
+}
+
+// requestsLost returns the least number of requests of which one was lost in each of
+// the losses: more than that may be repeats. It takes the request that was lost most
+// often first.
+func (t *Tracker) requestsLost(s *suspicion) int {
+	n, left := 0, slices.Clone(s.losses)
+	for len(left) > 0 {
+		counts := map[uint64]int{}
+		best := uint64(0)
+		for _, l := range left {
+			for request := range l.suspects {
+				if !IsRequest(request) || !t.isSuspectOf(request, l) {
 					continue
 				}
-				if order > 0 {
-					strongest = strongest[:0]
+				counts[request]++
+				if c := cmp.Compare(counts[request], counts[best]); c > 0 || c == 0 && request > best {
+					best = request
 				}
 			}
-			strongest = append(strongest, part)
 		}
-		if len(strongest) == 0 {
-			return
-		}
-		slices.Sort(strongest)
-		// Parts that are suspects of the same losses cannot be told apart.
-		first := suspicions[strongest[0]]
-		tied := slices.DeleteFunc(strongest, func(part uint64) bool { return !slices.Equal(suspicions[part].losses, first.losses) })
-		for _, part := range tied {
-			t.quarantine(now, part, suspicions[part], tied)
+		if counts[best] <= 1 {
+			return n + len(left)
 		}
+		n++
+		left = slices.DeleteFunc(left, func(l *loss) bool { return t.isSuspectOf(best, l) })
 	}
+	return n
 }
 
-// sufficientAt returns when the evidence against a part became sufficient, now if
-// it is not: the share of lost requests may fall.
-func (t *Tracker) sufficientAt(now time.Time, part uint64, s *suspicion) time.Time {
-	if needed := t.lossesNeeded(part, s); len(s.episodes) >= needed {
-		return s.episodes[needed-1]
+// isSuspectOf reports whether a request or part was lost in the loss and was not
+// cleared since.
+func (t *Tracker) isSuspectOf(suspect uint64, l *loss) bool {
+	_, lost := l.suspects[suspect]
+	return lost && l.at.After(t.innocentUntil(suspect))
+}
+
+// settleTime is the delay between the last loss and the decision. Without other hosts
+// there is nothing to wait for.
+func (t *Tracker) settleTime() time.Duration {
+	if len(t.hosts) <= 1 {
+		return 0
 	}
-	return now
+	return settleTime
 }
 
 // evaluateBy has the evidence evaluated at the given time or before.
@@ -96,37 +170,66 @@
 	}
 }
 
-// suspicionsOf returns the evidence against each part from the losses that no
-// quarantined part explains.
-func (t *Tracker) suspicionsOf(now time.Time, losses []*loss) map[uint64]*suspicion {
+// suspicionsOf returns the evidence against each request, or each part, from the losses
+// that no quarantined suspect explains. The losses that a request explains count
+// against a part as one: the part may still be what the request crashes on.
+func (t *Tracker) suspicionsOf(now time.Time, losses []*loss, requests bool) map[uint64]*suspicion {
 	out := map[uint64]*suspicion{}
 	for _, l := range losses {
-		if now.Sub(l.at) > lossRetention || t.isExplained(l) {
+		explained := t.isExplained(l)
+		if now.Sub(l.at) > lossRetention || explained && (requests || !IsRequest(l.explainedBy)) {
 			continue
 		}
-		for part := range l.parts {
-			if v := t.verdicts[part]; v != nil && v.State == Quarantined || !l.at.After(t.innocentUntil(part)) {
+		for suspect := range l.suspects {
+			if IsRequest(suspect) != requests {
+				continue
+			}
+			if v := t.verdicts[suspect]; v != nil && v.State == Quarantined || !l.at.After(t.innocentUntil(suspect)) {
 				continue
 			}
-			s := out[part]
+			s := out[suspect]
 			if s == nil {
 				s = &suspicion{}
-				out[part] = s
+				out[suspect] = s
+			}
+			if !explained || s.isFirstOf(l.explainedBy) {
+				s.add(l, suspect)
 			}
-			s.add(l)
 		}
 	}
 	return out
 }
 
+// isFirstOf reports whether no loss that the request explains was counted before.
+func (s *suspicion) isFirstOf(request uint64) bool {
+	if s.explainedBy[request] {
+		return false
+	}
+	if s.explainedBy == nil {
+		s.explainedBy = map[uint64]bool{}
+	}
+	s.explainedBy[request] = true
+	return true
+}
+
 // add adds a loss to the evidence. Losses come in order of time.
-func (s *suspicion) add(l *loss) {
+func (s *suspicion) add(l *loss, suspect uint64) {
 	s.losses = append(s.losses, l)
-	if n := len(s.episodes); n == 0 || l.at.Sub(s.episodes[n-1]) >= episodeGap {
+	if n := len(s.episodes); n == 0 || l.isApartFrom(s.episodes[n-1], suspect) {
 		s.episodes = append(s.episodes, l.at)
 	}
 }
 
+// isApartFrom reports whether the loss says more about the suspect than one at the
+// earlier time.
+func (l *loss) isApartFrom(earlier time.Time, suspect uint64) bool {
+	gap := l.at.Sub(earlier)
+	if IsRequest(suspect) {
+		return gap >= requestEpisodeGap || gap > 0 && l.suspects[suspect] <= gap
+	}
+	return gap >= episodeGap
+}
+
 // separateCompanions makes quarantines unconditional after losses that the part is a
 // suspect of and a companion is not. Reports of all hosts on a loss have arrived when
 // it is settled.
@@ -137,14 +240,14 @@
 		}
 		var alone suspicion
 		for _, l := range losses {
-			if !l.parts[part] || !l.at.After(v.Since) || !l.at.After(t.cleared.at(part)) || t.isExplained(l) {
+			if _, lost := l.suspects[part]; !lost || !l.at.After(v.Since) || !l.at.After(t.clearedAt(part)) || t.isExplained(l) {
 				continue
 			}
-			if due := l.at.Add(settleTime); now.Before(due) {
+			if due := l.at.Add(t.settleTime()); now.Before(due) {
 				t.evaluateBy(due)
 				break
 			}
-			alone.add(l)
+			alone.add(l, part)
 		}
 		if len(alone.episodes) < lossesToSeparate {
 			continue
@@ -162,53 +265,55 @@
 	return cmp.Or(cmp.Compare(len(s.episodes), len(o.episodes)), cmp.Compare(len(s.losses), len(o.losses)))
 }
 
-// isExplained reports whether a quarantined part is a suspect of the loss. The
-// explanation stays when the quarantine lapses.
+// isExplained reports whether a quarantined suspect was lost in the loss. The
+// explanation stays when the quarantine lapses. Of several suspects a request is the
+// explanation, and of equal kinds the greater one, so that all hosts agree.
 func (t *Tracker) isExplained(l *loss) bool {
-	if l.explained {
-		return true
+	if l.explained || t.active == 0 {
+		return l.explained
 	}
-	if t.active == 0 {
-		return false
-	}
-	for part := range l.parts {
-		if v := t.verdicts[part]; v != nil && t.applies(v, func(p uint64) bool { return l.parts[p] }) {
-			l.explained, l.explainedBy = true, part
-			return true
+	has := func(suspect uint64) bool { _, lost := l.suspects[suspect]; return lost }
+	for suspect := range l.suspects {
+		if v := t.verdicts[suspect]; v != nil && suspect >= l.explainedBy && t.applies(v, has) {
+			l.explained, l.explainedBy = true, suspect
 		}
 	}
-	return false
+	return l.explained
 }
 
-// innocentUntil returns the time up to which losses do not count against a part:
+// innocentUntil returns the time up to which losses do not count against a suspect:
 // when it was last cleared or released.
-func (t *Tracker) innocentUntil(part uint64) time.Time {
-	at := t.cleared.at(part)
-	if v := t.verdicts[part]; v != nil && v.State != Quarantined && v.Since.After(at) {
+func (t *Tracker) innocentUntil(suspect uint64) time.Time {
+	at := t.clearedAt(suspect)
+	if v := t.verdicts[suspect]; v != nil && v.State != Quarantined && v.Since.After(at) {
 		return v.Since
 	}
 	return at
 }
 
 // lossesNeeded returns the number of losses at different times that quarantine a
-// part. All its requests since the first of them were lost; with the share of
+// suspect. All its requests since the first of them were lost; with the share of
 // requests that are lost for other reasons, this is how unlikely that is.
-func (t *Tracker) lossesNeeded(part uint64, s *suspicion) int {
-	if v := t.verdicts[part]; v != nil && v.State == Lapsed {
+func (t *Tracker) lossesNeeded(suspect uint64, s *suspicion) int {
+	if v := t.verdicts[suspect]; v != nil && v.State == Lapsed {
 		return 1
 	}
 	if len(s.episodes) < lossesToQuarantine {
 		return lossesToQuarantine
 	}
-	share := t.lostShare(part, s.episodes)
+	most := maxLossesNeeded
+	if IsRequest(suspect) {
+		most = maxLossesOfRequest
+	}
+	share := t.lostShare(suspect, s.episodes)
 	n := int(math.Ceil(math.Log(maxFalseRate)/math.Log(share) - 1e-6))
-	return min(max(n, lossesToQuarantine), maxLossesNeeded)
+	return min(max(n, lossesToQuarantine), most)
 }
 
 // lostShare returns the share of the requests of the fleet that were lost together
-// with a server in losses that the part is no suspect of, from some time before
-// its first loss, given the times of its losses.
-func (t *Tracker) lostShare(part uint64, episodes []time.Time) float64 {
+// with a server in losses without the suspect, from some time before its first loss,
+// given the times of its losses.
+func (t *Tracker) lostShare(suspect uint64, episodes []time.Time) float64 {
 	since := episodes[0].Add(-hazardLead)
 	if earliest := episodes[len(episodes)-1].Add(-hazardWindow); since.Before(earliest) {
 		since = earliest
@@ -218,9 +323,10 @@
 		if l.at.Before(since) {
 			continue
 		}
+		_, suspected := l.suspects[suspect]
 		for _, r := range l.reports {
 			begun += r.begun
-			if !l.parts[part] {
+			if !suspected {
 				lost += r.requests
 			}
 		}
@@ -228,17 +334,18 @@
 	return float64(lost) / float64(lost+begun)
 }
 
-// quarantine quarantines a part on the evidence, which it shares with the tied parts.
-func (t *Tracker) quarantine(now time.Time, part uint64, s *suspicion, tied []uint64) {
+// quarantine quarantines a suspect on the evidence, which it shares with the tied
+// parts.
+func (t *Tracker) quarantine(now time.Time, suspect uint64, s *suspicion, tied []uint64) {
 	reporters := map[uint64]report{}
 	for _, l := range s.losses {
 		maps.Copy(reporters, l.reports)
-		l.explained, l.explainedBy = true, part
+		l.explained, l.explainedBy = true, suspect
 	}
-	t.decide(now, part, Quarantined, "servers ended before they answered", func(v *Verdict) {
+	t.decide(now, suspect, Quarantined, "servers ended before they answered", func(v *Verdict) {
 		v.Losses, v.Hosts = len(s.losses), len(reporters)
 		for _, other := range tied {
-			if other != part && len(v.Companions) < MaxCompanions {
+			if other != suspect && len(v.Companions) < MaxCompanions {
 				v.Companions = append(v.Companions, other)
 			}
 		}
@@ -247,12 +354,13 @@
 
 // decide makes a verdict of this host with the next generation, changed by the
 // given functions.
-func (t *Tracker) decide(now time.Time, part uint64, state State, reason string, changes ...func(*Verdict)) {
-	next := Verdict{Suspect: part, State: state, Since: now, Term: firstTerm}
-	if v := t.verdicts[part]; v != nil {
+func (t *Tracker) decide(now time.Time, suspect uint64, state State, reason string, changes ...func(*Verdict)) {
+	first, factor := termsOf(suspect)
+	next := Verdict{Suspect: suspect, State: state, Since: now, Term: first}
+	if v := t.verdicts[suspect]; v != nil {
 		next.Generation, next.Losses, next.Hosts, next.Term = v.Generation, v.Losses, v.Hosts, v.Term
 		if state == Quarantined {
-			next.Term = min(v.Term*termFactor, maxTerm)
+			next.Term = min(v.Term*factor, maxTerm)
 		}
 	}
 	next.Generation++
@@ -260,10 +368,18 @@
 		change(&next)
 	}
 	t.setVerdict(now, next).local = true
-	t.announceVerdict(part)
+	t.announceVerdict(suspect)
 	t.changes = append(t.changes, Change{Verdict: next, Reason: reason, Local: true})
 }
 
+// termsOf returns the first term of a quarantine and the factor of each further one.
+func termsOf(suspect uint64) (first, factor time.Duration) {
+	if IsRequest(suspect) {
+		return requestFirstTerm, requestTermFactor
+	}
+	return firstTerm, termFactor
+}
+
 // setVerdict stores a verdict and makes room for it if necessary.
 func (t *Tracker) setVerdict(now time.Time, next Verdict) *verdict {
 	v := t.verdicts[next.Suspect]
@@ -289,17 +405,17 @@
 	return 0
 }
 
-// reopenLosses lets the losses that a released part explained count again.
-func (t *Tracker) reopenLosses(part uint64) {
+// reopenLosses lets the losses that a released suspect explained count again.
+func (t *Tracker) reopenLosses(suspect uint64) {
 	for _, l := range t.losses {
-		if l.explained && l.explainedBy == part {
-			l.explained = false
+		if l.explained && l.explainedBy == suspect {
+			l.explained, l.explainedBy = false, 0
 		}
 	}
 }
 
 // evictVerdict removes a verdict from a full table: the oldest one, quarantined
-// parts last.
+// suspects last.
 func (t *Tracker) evictVerdict() {
 	if len(t.verdicts) < MaxVerdicts {
 		return
--- a/pkg/quarantine/message.go
+++ b/pkg/quarantine/message.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -22,11 +23,11 @@
 	return news{losses: map[lossKey]int{}, cleared: map[uint64]int{}, verdicts: map[uint64]int{}}
 }
 
-// queueCleared queues a cleared part, unless too many are queued. Then the part is
-// announced after the next loss that it is a suspect of.
-func (n *news) queueCleared(part uint64) {
+// queueCleared queues a cleared suspect, unless too many are queued. Then the suspect
+// is announced after its next loss.
+func (n *news) queueCleared(suspect uint64) {
 	if len(n.cleared) < maxPendingMessages {
-		n.cleared[part] = messageRepeats
+		n.cleared[suspect] = messageRepeats
 	}
 }
 
@@ -61,29 +62,19 @@
 		if l.own == nil || l.explained || len(m.Losses) >= MaxLossesPerMessage || !l.own.due(now) {
 			continue
 		}
-		if parts := t.uncleared(l); len(parts) > 0 {
-			m.Losses = append(m.Losses, l.reportOf(t.self, parts))
+		if report := t.uncleared(l, l.ownReport); len(report.Parts)+len(report.Requests) > 0 {
+			m.Losses = append(m.Losses, report)
 			t.queueForSummary(lossKey{l.server, t.self})
 		}
 	}
 	return m
 }
 
-// reportOf returns the report of a host on a loss, with the given parts.
-func (l *loss) reportOf(reporter uint64, parts []uint64) Loss {
-	r := l.reports[reporter]
-	return Loss{Server: l.server, At: l.at, Reporter: reporter, Parts: parts, Lost: r.requests, Begun: r.begun}
-}
-
-// uncleared returns the parts of a loss of this host that were not cleared since.
-func (t *Tracker) uncleared(l *loss) []uint64 {
-	var out []uint64
-	for _, p := range l.ownParts {
-		if !t.cleared.at(p).After(l.at) {
-			out = append(out, p)
-		}
-	}
-	return out
+// uncleared returns a report on a loss without the suspects that were cleared since.
+func (t *Tracker) uncleared(l *loss, report Loss) Loss {
+	report.Parts = slices.DeleteFunc(slices.Clone(report.Parts), func(part uint64) bool { return t.clearedAt(part).After(l.at) })
+	report.Requests = slices.DeleteFunc(slices.Clone(report.Requests), func(r Sent) bool { return t.clearedAt(r.Request).After(l.at) })
+	return report
 }
 
 // queueForSummary queues a report for the other data centres.
@@ -106,18 +97,44 @@
 		if l == nil || l.explained {
 			continue
 		}
-		parts := make([]uint64, 0, min(len(l.parts), MaxSuspectsPerMessage))
-		for p := range l.parts {
-			if len(parts) < MaxSuspectsPerMessage && !t.cleared.at(p).After(l.at) {
-				parts = append(parts, p)
-			}
-		}
-		slices.Sort(parts)
-		m.Losses = append(m.Losses, l.reportOf(key.reporter, parts))
+		m.Losses = append(m.Losses, t.reportOf(l, key.reporter))
 	}
 	return m
 }
 
+// reportOf returns a report with the suspects that all hosts of the data centre
+// reported, those first that say most.
+func (t *Tracker) reportOf(l *loss, reporter uint64) Loss {
+	r := l.reports[reporter]
+	out := Loss{Server: l.server, At: l.at, Reporter: reporter, Lost: r.requests, Begun: r.begun}
+	for suspect, sentBefore := range l.suspects {
+		if IsRequest(suspect) {
+			out.Requests = append(out.Requests, Sent{Request: suspect, At: l.at.Add(-sentBefore)})
+		} else {
+			out.Parts = append(out.Parts, suspect)
+		}
+	}
+	out = t.uncleared(l, out)
+	slices.Sort(out.Parts)
+	out.Parts = out.Parts[:min(len(out.Parts), MaxPartsPerMessage)]
+	slices.SortFunc(out.Requests, func(a, b Sent) int {
+		return cmp.Or(cmp.Compare(t.lossesOf(b.Request), t.lossesOf(a.Request)), cmp.Compare(a.Request, b.Request))
+	})
+	out.Requests = out.Requests[:min(len(out.Requests), MaxRequestsPerMessage)]
+	return out
+}
+
+// lossesOf returns the number of losses that have the suspect.
+func (t *Tracker) lossesOf(suspect uint64) int {
+	n := 0
+	for _, l := range t.losses {
+		if _, lost := l.suspects[suspect]; lost {
+			n++
+		}
+	}
+	return n
+}
+
 func countDown[K comparable](m map[K]int, key K, left int) {
 	if left <= 1 {
 		delete(m, key)
@@ -128,12 +145,12 @@
 
 func (t *Tracker) takeCleared(n *news) []Cleared {
 	var out []Cleared
-	for part, left := range n.cleared {
+	for suspect, left := range n.cleared {
 		if len(out) >= MaxClearedPerMessage {
 			break
 		}
-		out = append(out, Cleared{Suspect: part, At: t.cleared.at(part)})
-		countDown(n.cleared, part, left)
+		out = append(out, Cleared{Suspect: suspect, At: t.clearedAt(suspect)})
+		countDown(n.cleared, suspect, left)
 	}
 	return out
 }
@@ -167,11 +184,12 @@
 // other data centres, which this host does not pass on.
 func (t *Tracker) Merge(now time.Time, m Message, fromSummary bool) {
 	for _, l := range m.Losses[:min(len(m.Losses), MaxLossesPerMessage)] {
-		l.Parts = l.Parts[:min(len(l.Parts), MaxSuspectsPerMessage)]
+		l.Parts = l.Parts[:min(len(l.Parts), MaxPartsPerMessage)]
+		l.Requests = l.Requests[:min(len(l.Requests), MaxRequestsPerMessage)]
 		if l.At.After(now) || t.mergeLoss(now, l) == nil {
 			continue
 		}
-		t.announceCleared(l.Parts)
+		t.announceCleared(l)
 		if !fromSummary {
 			t.queueForSummary(lossKey{l.Server, l.Reporter})
 		}
@@ -197,7 +215,8 @@
 		if known := t.verdicts[v.Suspect]; known != nil && known.Generation == v.Generation && known.State == v.State {
 			continue
 		}
-		if earliest := now.Add(-min(max(v.Term, firstTerm), maxTerm)); v.State == Quarantined && v.Since.Before(earliest) {
+		first, _ := termsOf(v.Suspect)
+		if earliest := now.Add(-min(max(v.Term, first), maxTerm)); v.State == Quarantined && v.Since.Before(earliest) {
 			v.Since = earliest
 		}
 		t.mergeVerdict(now, v, true)
@@ -209,7 +228,8 @@
 	if in.Generation == 0 || in.State > Quarantined || in.Since.After(now) {
 		return
 	}
-	in.Term = min(max(in.Term, firstTerm), maxTerm)
+	first, _ := termsOf(in.Suspect)
+	in.Term = min(max(in.Term, first), maxTerm)
 	in.Companions = in.Companions[:min(len(in.Companions), MaxCompanions)]
 	current := t.verdicts[in.Suspect]
 	switch {
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -11,7 +11,8 @@
 	_ "jackdawtrack.example/jackdawtrack/internal/fixedseed"
 )
 
-// model decides from the whole history, without any of the Tracker's indexes.
+// model decides from the whole history, without any of the Tracker's indexes. Suspects
+// are parts and requests; a request is lost at a time of its own after it was sent.
 type model struct {
 	losses      []modelLoss
 	began       []modelAnswer
@@ -23,10 +24,10 @@
 }
 
 type modelLoss struct {
-	at              time.Time
-	parts           []uint64
-	requests, begun int
-	explainedBy     uint64
+	at          time.Time
+	parts       []uint64 // and requests
+	lost, begun int
+	explainedBy uint64
 }
 
 type modelAnswer struct {
@@ -53,10 +54,17 @@
 
 // evidence returns the losses against a part and those at different times.
 func (m *model) evidence(part uint64) (losses []int, episodes []time.Time) {
+	var explaining []uint64
 	for i, l := range m.losses {
-		if l.explainedBy != 0 || !slices.Contains(l.parts, part) || !l.at.After(m.innocentUntil(part)) {
+		if !slices.Contains(l.parts, part) || !l.at.After(m.innocentUntil(part)) {
 			continue
 		}
+		if l.explainedBy != 0 {
+			if IsRequest(part) || !IsRequest(l.explainedBy) || slices.Contains(explaining, l.explainedBy) {
+				continue
+			}
+			explaining = append(explaining, l.explainedBy)
+		}
 		losses = append(losses, i)
 		if n := len(episodes); n == 0 || l.at.Sub(episodes[n-1]) >= episodeGap {
 			episodes = append(episodes, l.at)
@@ -80,8 +88,8 @@
 		}
 		all += float64(l.begun)
 		if !slices.Contains(l.parts, part) {
-			lost += float64(l.requests)
-			all += float64(l.requests)
+			lost += float64(l.lost)
+			all += float64(l.lost)
 		}
 	}
 	for _, a := range m.began {
@@ -90,9 +98,42 @@
 		}
 	}
 	n := int(math.Ceil(math.Log(maxFalseRate)/math.Log(lost/all) - 1e-6))
+	if IsRequest(part) {
+		return min(max(n, 3), 4)
+	}
 	return min(max(n, 3), 18)
 }
 
+// fewRequestsMayBeCause reports whether fewer than three requests explain the losses,
+// where each loss that none of them was lost in has a request of its own.
+func (m *model) fewRequestsMayBeCause(losses []int, suspects []uint64) bool {
+	for _, first := range suspects {
+		for _, second := range suspects {
+			requests := 0
+			for _, request := range slices.Compact([]uint64{first, second}) {
+				if slices.ContainsFunc(losses, func(i int) bool { return m.mayBeCause(request, i) }) {
+					requests++
+				}
+			}
+			for _, i := range losses {
+				if !m.mayBeCause(first, i) && !m.mayBeCause(second, i) {
+					requests++
+				}
+			}
+			if requests < 3 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayBeCause reports whether the request was lost in the loss and not cleared since.
+func (m *model) mayBeCause(request uint64, loss int) bool {
+	l := m.losses[loss]
+	return IsRequest(request) && slices.Contains(l.parts, request) && l.at.After(m.innocentUntil(request))
+}
+
 // applies reports whether a prompt or a loss with the parts falls under the
 // quarantine of part.
 func (m *model) applies(part uint64, parts []uint64) bool {
@@ -138,53 +179,74 @@
 	}
 }
 
-func (m *model) evaluate(now time.Time, parts []uint64) {
-	for {
-		best, most, mostLosses := []uint64(nil), 0, 0
-		for _, p := range parts {
-			if !m.quarantined[p].IsZero() {
-				continue
-			}
-			losses, episodes := m.evidence(p)
-			if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
-				continue
-			}
-			needed := m.needed(p, episodes[0], episodes[len(episodes)-1])
-			if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
-				continue
-			}
-			if len(episodes) > most || len(episodes) == most && len(losses) > mostLosses {
-				best, most, mostLosses = nil, len(episodes), len(losses)
-			}
-			if len(episodes) == most && len(losses) == mostLosses {
-				best = append(best, p)
-			}
+func (m *model) evaluate(now time.Time, suspects []uint64) {
+	requests := slices.DeleteFunc(slices.Clone(suspects), func(s uint64) bool { return !IsRequest(s) })
+	parts := slices.DeleteFunc(slices.Clone(suspects), IsRequest)
+	for m.convict(now, requests, suspects) || m.convict(now, parts, suspects) {
+	}
+}
+
+// convict quarantines those of the candidates with the strongest evidence.
+func (m *model) convict(now time.Time, candidates, suspects []uint64) bool {
+	best, most, mostLosses := []uint64(nil), 0, 0
+	for _, p := range candidates {
+		if !m.quarantined[p].IsZero() {
+			continue
+		}
+		losses, episodes := m.evidence(p)
+		if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
+			continue
 		}
-		if len(best) == 0 {
-			return
+		needed := m.needed(p, episodes[0], episodes[len(episodes)-1])
+		if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
+			continue
 		}
-		strongest, _ := m.evidence(best[0])
-		var same []uint64
-		for _, p := range best {
-			if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
-				same = append(same, p)
-			}
+		if !IsRequest(p) && !m.lapsed[p] && m.fewRequestsMayBeCause(losses, suspects) {
+			continue
 		}
-		for _, p := range same {
-			m.quarantined[p], m.lapsed[p] = now, false
-			m.companions[p] = slices.DeleteFunc(slices.Clone(same), func(o uint64) bool { return o == p })
-			m.companions[p] = m.companions[p][:min(len(same)-1, MaxCompanions)]
-			m.terms[p] = min(max(3*m.terms[p], firstTerm), maxTerm)
+		if len(episodes) > most || len(episodes) == most && len(losses) > mostLosses {
+			best, most, mostLosses = nil, len(episodes), len(losses)
+		}
+		if len(episodes) == most && len(losses) == mostLosses {
+			best = append(best, p)
+		}
+	}
+	if len(best) == 0 {
+		return false
+	}
+	strongest, _ := m.evidence(best[0])
+	var same []uint64
+	for _, p := range best {
+		if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
+			same = append(same, p)
+		}
+	}
+	for _, p := range same {
+		previous := m.terms[p]
+		explained, _ := m.evidence(p)
+		m.quarantined[p], m.lapsed[p] = now, false
+		m.companions[p] = slices.DeleteFunc(slices.Clone(same), func(o uint64) bool { return o == p })
+		m.companions[p] = m.companions[p][:min(len(same)-1, MaxCompanions)]
+		m.terms[p] = min(max(3*m.terms[p], 15*time.Second), 10*time.Minute)
+		if IsRequest(p) {
+			m.companions[p], m.terms[p] = nil, min(max(4*previous, 10*time.Second), 10*time.Minute)
+		}
+		for _, i := range explained {
+			m.losses[i].explainedBy = p
 		}
-		m.explain()
 	}
+	m.explain()
+	return true
 }
 
 // explain marks the losses that a quarantined part explains.
 func (m *model) explain() {
-	for i := range m.losses {
-		for _, p := range m.losses[i].parts {
-			if m.losses[i].explainedBy == 0 && m.applies(p, m.losses[i].parts) {
+	for i, l := range m.losses {
+		if l.explainedBy != 0 {
+			continue
+		}
+		for _, p := range l.parts {
+			if p > m.losses[i].explainedBy && m.applies(p, l.parts) {
 				m.losses[i].explainedBy = p
 			}
 		}
@@ -207,19 +269,27 @@
 // or the timing of events.
 func TestTrackerMatchesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		parts := []uint64{1, 2, 3, 4, 5, 6}
+		suspects := []uint64{1, 2, 3, 4, RequestSuspect(5), RequestSuspect(6), RequestSuspect(7)}
 		tracker, now := New(1), start
 		m := &model{quarantined: map[uint64]time.Time{}, released: map[uint64]time.Time{}, companions: map[uint64][]uint64{}, lapsed: map[uint64]bool{}, terms: map[uint64]time.Duration{}}
 		begun := 0
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(settleTime + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
-			drawn := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, 4, rapid.ID).Draw(t, "parts")
+			drawn := rapid.SliceOfNDistinct(rapid.SampledFrom(suspects), 1, 4, rapid.ID).Draw(t, "parts")
 			slices.Sort(drawn)
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0, 1, 2, 3, 4, 5:
-				requests := rapid.IntRange(1, 12).Draw(t, "requests")
-				addLoss(tracker, now, Server{uint64(step), 1}, drawn, requests)
-				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, requests: requests, begun: begun})
+				lost := rapid.IntRange(1, 12).Draw(t, "lost")
+				l := Loss{Server: Server{uint64(step), 1}, At: now, Lost: lost}
+				for _, suspect := range drawn {
+					if IsRequest(suspect) {
+						l.Requests = append(l.Requests, Sent{Request: suspect, At: now.Add(-time.Millisecond)})
+					} else {
+						l.Parts = append(l.Parts, suspect)
+					}
+				}
+				tracker.AddLoss(now, l)
+				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, lost: lost, begun: begun})
 				m.explain()
 				begun = 0
 			case 6, 7, 8:
@@ -242,8 +312,8 @@
 			}
 			now = now.Add(settleTime)
 			tracker.Poll(now)
-			m.poll(now, parts)
-			for _, p := range parts {
+			m.poll(now, suspects)
+			for _, p := range suspects {
 				v := tracker.verdicts[p]
 				if got := v != nil && v.State == Quarantined; got != !m.quarantined[p].IsZero() {
 					t.Fatalf("step %d, part %d: quarantined %v, in the model since %v", step, p, got, m.quarantined[p])
--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -24,6 +24,14 @@
 // IsRequest reports whether a suspect is a request rather than a prompt part.
 func IsRequest(suspect uint64) bool { return suspect&requestBit != 0 }
 
+// KindOf returns "request" or "part".
+func KindOf(suspect uint64) string {
+	if IsRequest(suspect) {
+		return "request"
+	}
+	return "part"
+}
+
 // Fingerprint returns a hash of what repeats when a request is sent again, also at
 // another host: the workspace, method, host, target (path and query) and body. Of a
 // body above maxHashedBody it covers the length and both ends.
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -13,12 +13,13 @@
 	hosts []uint64 // hashes of all hosts that may hold trials, this one included
 
 	losses   map[Server]*loss
-	suspects map[uint64]time.Time // by part: time of its last loss
-	cleared  clearedTable
-	begun    int // answers that began at this host since its last loss
-	verdicts map[uint64]*verdict
-	// active is the number of quarantined parts, so that a request without any
-	// costs no lookup.
+	suspects map[uint64]time.Time // by suspect: time of its last loss
+	// clearedParts and clearedRequests hold when suspects were last cleared.
+	clearedParts, clearedRequests clearedTable
+	begun                         int // answers that began at this host since its last loss
+	verdicts                      map[uint64]*verdict
+	// active is the number of quarantined suspects, so that a request costs no lookup
+	// without any.
 	active           int
 	evaluateAt       time.Time // next evaluation of the evidence, zero if none is due
 	ignoreClearUntil time.Time
@@ -30,14 +31,16 @@
 
 // loss is the merged report of one lost server process.
 type loss struct {
-	server      Server
-	at          time.Time
-	parts       map[uint64]bool
+	server Server
+	at     time.Time
+	// suspects holds parts, and requests with the time from their sending to the loss.
+	suspects    map[uint64]time.Duration
+	requests    int               // number of requests among the suspects
 	reports     map[uint64]report // by host
-	explainedBy uint64            // quarantined part that caused it, 0 if none is known
+	explainedBy uint64            // quarantined suspect that caused it, 0 if none is known
 	explained   bool
 	own         *schedule // nil unless this host reported it
-	ownParts    []uint64
+	ownReport   Loss
 }
 
 // report is what one host counted with a loss.
@@ -54,7 +57,7 @@
 func New(self uint64) *Tracker {
 	return &Tracker{
 		self: self, hosts: []uint64{self}, losses: map[Server]*loss{}, suspects: map[uint64]time.Time{},
-		cleared: newClearedTable(), verdicts: map[uint64]*verdict{}, digestNews: newNews(), summaryNews: newNews(),
+		clearedParts: newClearedTable(maxClearedParts), clearedRequests: newClearedTable(maxClearedRequests), verdicts: map[uint64]*verdict{}, digestNews: newNews(), summaryNews: newNews(),
 	}
 }
 
@@ -73,44 +76,45 @@
 // AddLoss adds a loss that this host observed. The reporter and the number of
 // answers that began are filled in.
 func (t *Tracker) AddLoss(now time.Time, in Loss) {
-	parts := slices.Clone(in.Parts)
-	// Parts that were never cleared come first, in case the list is cut.
-	slices.SortStableFunc(parts, func(a, b uint64) int { return t.cleared.at(a).Compare(t.cleared.at(b)) })
-	parts = parts[:min(len(parts), MaxSuspectsPerMessage)]
-	in.Reporter, in.Parts, in.Begun = t.self, parts, t.begun
+	in.Reporter, in.Begun = t.self, t.begun
+	// Suspects that say most come first, in case a list is cut: parts that were never
+	// cleared, requests that were lost before.
+	in.Parts = slices.Clone(in.Parts)
+	slices.SortStableFunc(in.Parts, func(a, b uint64) int { return t.clearedAt(a).Compare(t.clearedAt(b)) })
+	in.Parts = in.Parts[:min(len(in.Parts), MaxPartsPerMessage)]
+	in.Requests = slices.Clone(in.Requests)
+	slices.SortStableFunc(in.Requests, func(a, b Sent) int { return t.suspects[b.Request].Compare(t.suspects[a.Request]) })
+	in.Requests = in.Requests[:min(len(in.Requests), MaxRequestsPerMessage)]
 	l := t.mergeLoss(now, in)
 	if l == nil {
 		return
 	}
-	l.own, l.ownParts, t.begun = newSchedule(now), parts, 0
-	t.announceCleared(parts)
+	l.own, l.ownReport, t.begun = newSchedule(now), in, 0
+	t.announceCleared(in)
 }
 
 // mergeLoss merges a loss and returns it if it is new or has news, else nil.
 func (t *Tracker) mergeLoss(now time.Time, in Loss) *loss {
-	if len(in.Parts) == 0 || now.Sub(in.At) > lossRetention {
+	if len(in.Parts)+len(in.Requests) == 0 || now.Sub(in.At) > lossRetention {
 		return nil
 	}
 	l := t.losses[in.Server]
 	if l == nil {
 		t.makeRoom(now)
-		l = &loss{server: in.Server, at: in.At, parts: map[uint64]bool{}, reports: map[uint64]report{}}
+		l = &loss{server: in.Server, at: in.At, suspects: map[uint64]time.Duration{}, reports: map[uint64]report{}}
 		t.losses[in.Server] = l
 	}
 	_, known := l.reports[in.Reporter]
 	if !known && len(l.reports) < MaxReporters {
 		l.reports[in.Reporter] = report{min(max(in.Lost, 0), maxCount), min(max(in.Begun, 0), maxCount)}
 	}
-	added := false
-	for _, p := range in.Parts {
-		if !l.parts[p] && len(l.parts) < MaxSuspects {
-			l.parts[p], added = true, true
-			if t.suspects[p].Before(l.at) {
-				t.suspects[p] = l.at
-			}
+	added := l.addSuspects(in)
+	for _, suspect := range added {
+		if t.suspects[suspect].Before(l.at) {
+			t.suspects[suspect] = l.at
 		}
 	}
-	if known && !added {
+	if known && len(added) == 0 {
 		return nil
 	}
 	t.resolveTrials(now, l)
@@ -118,6 +122,30 @@
 	return l
 }
 
+// addSuspects adds the suspects of a report and returns the new ones. Of a request
+// that several hosts lost, the copy that was sent last counts.
+func (l *loss) addSuspects(in Loss) (added []uint64) {
+	for _, part := range in.Parts {
+		if _, known := l.suspects[part]; !known && len(l.suspects)-l.requests < MaxParts {
+			l.suspects[part] = 0
+			added = append(added, part)
+		}
+	}
+	for _, r := range in.Requests {
+		before := max(in.At.Sub(r.At), 0)
+		known, ok := l.suspects[r.Request]
+		switch {
+		case ok:
+			l.suspects[r.Request] = min(known, before)
+		case l.requests < MaxRequests:
+			l.suspects[r.Request] = before
+			l.requests++
+			added = append(added, r.Request)
+		}
+	}
+	return added
+}
+
 // makeRoom removes losses that are out of date, and the oldest one of a full table.
 func (t *Tracker) makeRoom(now time.Time) {
 	var oldest *loss
@@ -135,91 +163,115 @@
 	}
 	clear(t.suspects)
 	for _, l := range t.losses {
-		for p := range l.parts {
-			if t.suspects[p].Before(l.at) {
-				t.suspects[p] = l.at
+		for suspect := range l.suspects {
+			if t.suspects[suspect].Before(l.at) {
+				t.suspects[suspect] = l.at
 			}
 		}
 	}
 }
 
-// AnswerBegan records that an answer to a prompt with the parts began at the given
-// time and went on.
-func (t *Tracker) AnswerBegan(now, began time.Time, parts []uint64) {
+// AnswerBegan records that an answer to a request with the suspects began at the
+// given time and went on.
+func (t *Tracker) AnswerBegan(now, began time.Time, suspects []uint64) {
 	if now.Before(t.ignoreClearUntil) {
 		return
 	}
 	t.begun = min(t.begun+1, maxCount)
-	for _, p := range parts {
-		t.clear(now, p, began, true)
+	for _, suspect := range suspects {
+		t.clear(now, suspect, began, true)
 	}
 }
 
-// clear records that a part was cleared, here or (own is false) at another host.
-// An answer that this host saw also ends a quarantine of the part.
-func (t *Tracker) clear(now time.Time, part uint64, at time.Time, own bool) (news bool) {
-	before := t.cleared.at(part)
-	if !t.cleared.put(part, at) {
+// clear records that a suspect was cleared, here or (own is false) at another host.
+// An answer that this host saw also ends a quarantine of the suspect.
+func (t *Tracker) clear(now time.Time, suspect uint64, at time.Time, own bool) (news bool) {
+	before := t.clearedAt(suspect)
+	if !t.clearedTable(suspect).put(suspect, at) {
 		return false
 	}
 	if own {
-		if v := t.verdicts[part]; v != nil && v.State == Quarantined && at.After(v.Since) {
-			t.decide(now, part, Released, "an answer on it began")
+		if v := t.verdicts[suspect]; v != nil && v.State == Quarantined && at.After(v.Since) {
+			t.decide(now, suspect, Released, "an answer on it began")
 		}
 	}
-	lossAt, suspect := t.suspects[part]
-	if news = suspect && at.After(lossAt) && !before.After(lossAt); news && own {
-		t.announcePart(part)
+	lossAt, lost := t.suspects[suspect]
+	news = lost && at.After(lossAt) && !before.After(lossAt)
+	if news && own {
+		t.announceSuspect(suspect)
+	}
+	if news && IsRequest(suspect) { // it no longer explains the losses of its parts
+		t.evaluateBy(now)
 	}
 	return news
 }
 
-// announceCleared tells other hosts that suspects were cleared after their last
-// loss, as far as this host knows.
-func (t *Tracker) announceCleared(parts []uint64) {
-	for _, p := range parts {
-		if t.cleared.at(p).After(t.suspects[p]) {
-			t.announcePart(p)
+// announceCleared tells other hosts which suspects of a loss were cleared after their
+// last loss, as far as this host knows.
+func (t *Tracker) announceCleared(l Loss) {
+	announce := func(suspect uint64) {
+		if t.clearedAt(suspect).After(t.suspects[suspect]) {
+			t.announceSuspect(suspect)
 		}
 	}
+	for _, part := range l.Parts {
+		announce(part)
+	}
+	for _, r := range l.Requests {
+		announce(r.Request)
+	}
 }
 
-// announcePart queues that a part was cleared.
-func (t *Tracker) announcePart(part uint64) {
-	t.digestNews.queueCleared(part)
-	t.summaryNews.queueCleared(part)
+// announceSuspect queues that a suspect was cleared.
+func (t *Tracker) announceSuspect(suspect uint64) {
+	t.digestNews.queueCleared(suspect)
+	t.summaryNews.queueCleared(suspect)
 }
 
 // announceVerdict queues a verdict of this host. MaxVerdicts bounds the queues.
-func (t *Tracker) announceVerdict(part uint64) {
-	t.digestNews.verdicts[part], t.summaryNews.verdicts[part] = messageRepeats, messageRepeats
+func (t *Tracker) announceVerdict(suspect uint64) {
+	t.digestNews.verdicts[suspect], t.summaryNews.verdicts[suspect] = messageRepeats, messageRepeats
 }
 
-// clearedTable holds when parts were last cleared. It keeps the parts of the last
-// maxCleared to 2*maxCleared updates.
-type clearedTable struct{ newer, older map[uint64]time.Time }
+// clearedTable returns the table that holds when the suspect was cleared.
+func (t *Tracker) clearedTable(suspect uint64) *clearedTable {
+	if IsRequest(suspect) {
+		return &t.clearedRequests
+	}
+	return &t.clearedParts
+}
+
+// clearedAt returns when the suspect was last cleared, zero if that is not known.
+func (t *Tracker) clearedAt(suspect uint64) time.Time { return t.clearedTable(suspect).at(suspect) }
+
+// clearedTable holds when suspects were last cleared. It keeps those of the last limit
+// to 2*limit updates.
+type clearedTable struct {
+	newer, older map[uint64]time.Time
+	limit        int
+}
 
-func newClearedTable() clearedTable {
-	return clearedTable{newer: map[uint64]time.Time{}, older: map[uint64]time.Time{}}
+func newClearedTable(limit int) clearedTable {
+	return clearedTable{newer: map[uint64]time.Time{}, older: map[uint64]time.Time{}, limit: limit}
 }
 
-// at returns when the part was last cleared, zero if that is not known.
-func (c *clearedTable) at(part uint64) time.Time {
-	if at, ok := c.newer[part]; ok {
+// at returns when the suspect was last cleared, zero if that is not known.
+func (c *clearedTable) at(suspect uint64) time.Time {
+	if at, ok := c.newer[suspect]; ok {
 		return at
 	}
-	return c.older[part]
+	return c.older[suspect]
 }
 
 // put records a time and returns false if a later one is known.
-func (c *clearedTable) put(part uint64, at time.Time) bool {
-	if !at.After(c.at(part)) {
+func (c *clearedTable) put(suspect uint64, at time.Time) bool {
+	if !at.After(c.at(suspect)) {
 		return false
 	}
-	if _, known := c.newer[part]; !known && len(c.newer) >= maxCleared {
+	if _, known := c.newer[suspect]; !known && len(c.newer) >= c.limit {
 		c.older, c.newer = c.newer, map[uint64]time.Time{}
 	}
-	c.newer[part] = at
+	c.newer[suspect] = at
 	return true
 }
 
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -46,32 +46,38 @@
 	now, next := start, uint64(1)
 	for server := range uint64(3 * MaxLosses) {
 		now = now.Add(300 * time.Millisecond)
-		parts := make([]uint64, 2*MaxSuspects)
+		parts, requests := make([]uint64, 2*MaxParts), make([]Sent, 2*MaxRequests)
 		for i := range parts {
 			parts[i] = next
 			next++
 		}
-		addLoss(a, now, Server{server, 1}, parts, 100)
+		for i := range requests {
+			requests[i] = Sent{Request: RequestSuspect(next), At: now}
+			next++
+		}
+		a.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Parts: parts, Requests: requests, Lost: 100})
 		for range 20 {
-			a.AnswerBegan(now, now, []uint64{next, next + 1})
+			a.AnswerBegan(now, now, []uint64{next, next + 1, RequestSuspect(next)})
 			next += 2
 		}
 		a.decide(now, next, Quarantined, "test")
 		m := a.Message(now, true)
 		assert.Assert(t, len(m.Losses) <= MaxLossesPerMessage && len(m.Cleared) <= MaxClearedPerMessage && len(m.Verdicts) <= MaxVerdictsPerMessage)
 		for _, l := range m.Losses {
-			assert.Assert(t, len(l.Parts) <= MaxSuspectsPerMessage)
+			assert.Assert(t, len(l.Parts) <= MaxPartsPerMessage && len(l.Requests) <= MaxRequestsPerMessage)
 		}
 		b.Merge(now, m, false)
 		assert.Assert(t, len(b.Summary(true).Losses) <= MaxLossesPerMessage)
-		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Lost: -1, Begun: math.MaxInt}}}, true)
+		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Requests: requests, Lost: -1, Begun: math.MaxInt}}}, true)
 	}
 	for _, tracker := range []*Tracker{a, b} {
 		assert.Assert(t, len(tracker.losses) <= MaxLosses)
-		assert.Assert(t, len(tracker.suspects) <= MaxLosses*MaxSuspects)
+		assert.Assert(t, len(tracker.suspects) <= MaxLosses*(MaxParts+MaxRequests))
 		assert.Assert(t, len(tracker.verdicts) <= MaxVerdicts)
 		assert.Assert(t, len(tracker.summaryNews.losses) <= maxPendingMessages)
-		assert.Assert(t, len(tracker.cleared.newer) <= maxCleared && len(tracker.cleared.older) <= maxCleared)
+		for _, table := range []clearedTable{tracker.clearedParts, tracker.clearedRequests} {
+			assert.Assert(t, len(table.newer) <= table.limit && len(table.older) <= table.limit)
+		}
 	}
 	now = now.Add(lossRetention + maxTerm + lapseTime + time.Second)
 	a.Poll(now)
@@ -249,7 +255,7 @@
 	now := start
 	for i := range uint64(MaxLosses) {
 		now = now.Add(100 * time.Millisecond)
-		parts := make([]uint64, MaxSuspectsPerMessage)
+		parts := make([]uint64, MaxPartsPerMessage)
 		for j := range parts {
 			parts[j] = i*uint64(len(parts)) + uint64(j)
 		}
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -6,32 +6,32 @@
 	"time"
 )
 
-// Check decides on a request with the given shared parts. For Refuse and Trial it
-// returns the quarantined part. A trial begins with Begin.
-func (t *Tracker) Check(now time.Time, parts []uint64) (Action, uint64) {
-	return t.check(now, parts, false)
+// Check decides on a request with the given suspects: itself and its shared parts. For
+// Refuse and Trial it returns the quarantined suspect. A trial begins with Begin.
+func (t *Tracker) Check(now time.Time, suspects []uint64) (Action, uint64) {
+	return t.check(now, suspects, false)
 }
 
 // Begin decides like Check right before the request is sent to a server, and
 // begins the trial that it allows.
-func (t *Tracker) Begin(now time.Time, parts []uint64) (Action, uint64) {
-	return t.check(now, parts, true)
+func (t *Tracker) Begin(now time.Time, suspects []uint64) (Action, uint64) {
+	return t.check(now, suspects, true)
 }
 
-func (t *Tracker) check(now time.Time, parts []uint64, begin bool) (Action, uint64) {
+func (t *Tracker) check(now time.Time, suspects []uint64, begin bool) (Action, uint64) {
 	if t.active == 0 {
 		return Allow, 0
 	}
 	var tried []*verdict
-	for _, p := range parts {
-		v := t.verdicts[p]
-		if v == nil || !t.applies(v, func(p uint64) bool { return slices.Contains(parts, p) }) {
+	for _, suspect := range suspects {
+		v := t.verdicts[suspect]
+		if v == nil || !t.applies(v, func(other uint64) bool { return slices.Contains(suspects, other) }) {
 			continue
 		}
 		if !t.mayTry(now, v) {
 			v.refusedAt = now
 			v.refusals++
-			return Refuse, p
+			return Refuse, suspect
 		}
 		tried = append(tried, v)
 	}
@@ -49,9 +49,9 @@
 	return Trial, tried[0].Suspect
 }
 
-// applies reports whether a verdict refuses a prompt: the part is quarantined, and
-// the prompt has all companions that are quarantined too.
-func (t *Tracker) applies(v *verdict, has func(part uint64) bool) bool {
+// applies reports whether a verdict refuses a request that has its suspect: the suspect
+// is quarantined, and the request has all companions that are quarantined too.
+func (t *Tracker) applies(v *verdict, has func(suspect uint64) bool) bool {
 	if v.State != Quarantined {
 		return false
 	}
@@ -71,8 +71,8 @@
 	return v.Since.Add(v.Term)
 }
 
-// mayTry reports whether this host may start a trial of the part now. The hosts
-// take turns, in an order that differs by part and is the same for its companions.
+// mayTry reports whether this host may start a trial of the suspect now. The hosts take
+// turns, in an order that differs by suspect and is the same for its companions.
 func (t *Tracker) mayTry(now time.Time, v *verdict) bool {
 	waited := now.Sub(v.nextTrialAt())
 	if waited < 0 {
@@ -97,51 +97,66 @@
 	return x ^ x>>31
 }
 
-// resolveTrials renews the quarantine of parts in trial that are suspects of a
-// loss after the start of the trial.
+// resolveTrials renews the quarantine of the suspects in trial of a loss after the
+// start of the trial.
 func (t *Tracker) resolveTrials(now time.Time, l *loss) {
-	for part := range l.parts {
-		v := t.verdicts[part]
+	for suspect := range l.suspects {
+		v := t.verdicts[suspect]
 		if v == nil || v.State != Quarantined || !v.TrialAt.After(v.Since) || l.at.Before(v.TrialAt) || l.at.Sub(v.TrialAt) > trialTimeout {
 			continue
 		}
 		companions := v.Companions
-		t.decide(now, part, Quarantined, "the server of the trial ended", func(next *Verdict) {
+		t.decide(now, suspect, Quarantined, "the server of the trial ended", func(next *Verdict) {
 			next.Losses++
 			next.Companions = companions
 		})
 	}
 }
 
-// SuspectsAgain reports whether a request with the parts that was just lost
-// together with a server should not be sent to another one: a part of it is
-// quarantined, or was a suspect of an earlier loss and was not cleared since.
-func (t *Tracker) SuspectsAgain(now time.Time, parts []uint64) bool {
-	for _, p := range parts {
-		if v := t.verdicts[p]; v != nil && t.applies(v, func(p uint64) bool { return slices.Contains(parts, p) }) {
+// SuspectsAgain reports whether a request with the suspects that was just lost
+// together with a server should not be sent to another one. One of them is
+// quarantined; or a part was a suspect of an earlier loss, or the request of two, and
+// was not cleared since. Any sound request may be lost twice while servers end, so it
+// is sent again once more than its parts allow to others.
+func (t *Tracker) SuspectsAgain(now time.Time, suspects []uint64) bool {
+	for _, suspect := range suspects {
+		if v := t.verdicts[suspect]; v != nil && t.applies(v, func(other uint64) bool { return slices.Contains(suspects, other) }) {
 			return true
 		}
-		innocent := t.innocentUntil(p)
-		if at, ok := t.suspects[p]; !ok || !at.After(innocent) || now.Sub(at) > lossRetention {
-			continue
+		least := 1
+		if IsRequest(suspect) {
+			least = lossesToQuarantine - 1
 		}
-		for _, l := range t.losses {
-			if l.parts[p] && l.at.After(innocent) && !t.isExplained(l) {
-				return true
-			}
+		if t.hasLosses(now, suspect, least) {
+			return true
 		}
 	}
 	return false
 }
 
-// Release ends the quarantine of a part on behalf of an operator. It returns
-// false if the part is not quarantined.
-func (t *Tracker) Release(now time.Time, part uint64) bool {
-	v := t.verdicts[part]
+// hasLosses reports whether a suspect has at least n losses at different times that no
+// quarantine explains and that it was not cleared after.
+func (t *Tracker) hasLosses(now time.Time, suspect uint64, n int) bool {
+	if at, ok := t.suspects[suspect]; !ok || !at.After(t.innocentUntil(suspect)) || now.Sub(at) > lossRetention {
+		return false
+	}
+	var s suspicion
+	for _, l := range t.sortedLosses() {
+		if t.isSuspectOf(suspect, l) && !t.isExplained(l) {
+			s.add(l, suspect)
+		}
+	}
+	return len(s.episodes) >= n
+}
+
+// Release ends the quarantine of a suspect on behalf of an operator. It returns false
+// if the suspect is not quarantined.
+func (t *Tracker) Release(now time.Time, suspect uint64) bool {
+	v := t.verdicts[suspect]
 	if v == nil || v.State != Quarantined {
 		return false
 	}
-	t.decide(now, part, Released, "released by an operator")
+	t.decide(now, suspect, Released, "released by an operator")
 	return true
 }
 
@@ -152,9 +167,10 @@
 	Refusals  uint64
 	RefusedAt time.Time // last refusal, zero if there was none
 	TrialFrom time.Time // when the next trial may start
+	Request   string    // describes a request that this host refused, "" if it is not known
 }
 
-// List returns all verdicts, ordered by part.
+// List returns all verdicts, ordered by suspect: parts first.
 func (t *Tracker) List() []Entry {
 	out := make([]Entry, 0, len(t.verdicts))
 	for _, v := range t.verdicts {
@@ -164,7 +180,7 @@
 	return out
 }
 
-// Counts returns the numbers of quarantined parts, of losses and of suspects that
+// Counts returns the numbers of quarantined suspects, of losses and of suspects that
 // are kept.
 func (t *Tracker) Counts() (quarantined, losses, suspects int) {
 	return t.active, len(t.losses), len(t.suspects)
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -1,37 +1,45 @@
-// Package quarantine decides which prompt parts crash the backend servers that
-// begin to write an answer on them, and keeps requests with such a part away from
-// the servers. It has no clock, goroutines or I/O: callers pass in events and the
-// current time.
+// Package quarantine decides which prompt parts, and which requests that are repeated
+// whole, crash the backend servers that begin to answer them, and keeps such requests
+// away from the servers. It has no clock, goroutines or I/O: callers pass in events
+// and the current time.
 //
-// The evidence is the loss of a server process: the parts of the requests whose
-// answer had not begun are suspects. An answer that begins and goes on clears all
-// parts of its prompt. A part is quarantined when several losses at different
-// times have it as a suspect and it has not been cleared since the first of them;
-// these losses are then explained and no longer count against other parts. Parts
-// that the same losses suspect are quarantined together: requests with only some of
-// them still pass, until an answer or a loss tells them apart. A quarantine ends by
-// a trial: after a term, one host at a time may let one request through.
+// The evidence is the loss of a server process: the requests whose answer had not
+// begun, and the parts of their prompts, are suspects. An answer that begins and goes
+// on clears its request and all parts of its prompt. A suspect is quarantined when
+// several losses at different times have it and it has not been cleared since the
+// first of them; these losses are then explained and no longer count against other
+// suspects. A request is the narrower explanation: it is considered before the parts,
+// the losses that it explains count against a part as one, and no part is quarantined
+// for losses that one request can explain. Parts that the same losses suspect are
+// quarantined together: requests with only some of them still pass, until an answer or
+// a loss tells them apart. A quarantine ends by a trial: after a term, one host at a
+// time may let one request through.
 package quarantine
 
 import "time"
 
 // Limits of the evidence and of the messages that carry it.
 const (
-	// MaxLosses bounds the losses that are kept, MaxSuspects the suspect parts of
-	// each, MaxReporters the hosts that are counted for each.
+	// MaxLosses bounds the losses that are kept, MaxParts and MaxRequests the
+	// suspects of each, MaxReporters the hosts that are counted for each.
 	MaxLosses    = 128
-	MaxSuspects  = 256
+	MaxParts     = 256
+	MaxRequests  = 128
 	MaxReporters = 16
 	// MaxCompanions bounds the parts that a verdict names beside its own.
 	MaxCompanions = 4
 	// MaxVerdicts bounds the verdicts that are kept, quarantined or not.
 	MaxVerdicts = 128
-	// maxCleared bounds each of the two generations of the table of cleared parts.
-	maxCleared = 16384
-	// MaxLossesPerMessage, MaxSuspectsPerMessage, MaxClearedPerMessage and
-	// MaxVerdictsPerMessage bound the message of one host to about 10 KB.
+	// maxClearedParts and maxClearedRequests bound each of the two generations of the
+	// tables of cleared suspects. That a request was cleared matters only until all
+	// hosts have reported its last loss; a part that few requests have is kept longer.
+	maxClearedParts    = 16384
+	maxClearedRequests = 4096
+	// MaxLossesPerMessage and the bounds for each loss, MaxClearedPerMessage and
+	// MaxVerdictsPerMessage bound the message of one host to about 13 KB.
 	MaxLossesPerMessage   = 8
-	MaxSuspectsPerMessage = 64
+	MaxPartsPerMessage    = 64 // of each loss
+	MaxRequestsPerMessage = 32 // of each loss
 	MaxClearedPerMessage  = 64
 	MaxVerdictsPerMessage = 64
 )
@@ -45,12 +53,20 @@
 	lossesToQuarantine = 3
 	maxLossesNeeded    = 18
 	maxFalseRate       = 1e-5
+	// maxLossesOfRequest is maxLossesNeeded for requests. A sound request that is
+	// lost so often in a row without an answer is rare even while a sixth of all
+	// requests are lost, and its first trial is near.
+	maxLossesOfRequest = 4
 	// lossesToSeparate is the number of losses, at different times, that the part is a
 	// suspect of without its companions, from which it is refused alone.
 	lossesToSeparate = 2
 	// episodeGap separates losses at different times. Servers of a rack end
 	// together and say no more about a part than one of them.
 	episodeGap = 200 * time.Millisecond
+	// requestEpisodeGap is episodeGap for requests. Copies of a request that wait at
+	// servers of a rack are lost within some 10 ms; a copy that was sent after the
+	// loss before counts at once.
+	requestEpisodeGap = 50 * time.Millisecond
 	// settleTime is the delay between the last loss and the decision. It covers
 	// the exchange between hosts, which tell that a part was cleared elsewhere.
 	settleTime = 400 * time.Millisecond
@@ -64,6 +80,11 @@
 	firstTerm  = 15 * time.Second
 	termFactor = 3
 	maxTerm    = 10 * time.Minute
+	// requestFirstTerm and requestTermFactor hold for requests: a false verdict on a
+	// request that callers poll ends soon, and a deadly one ends a server after 10 s,
+	// 50 s, 210 s and so on.
+	requestFirstTerm  = 10 * time.Second
+	requestTermFactor = 4
 	// turnTime is how long one host may start the trial; then the next one may.
 	turnTime = 2 * time.Second
 	// trialTimeout is the time within which a loss counts as the result of a trial.
@@ -124,20 +145,20 @@
 	At      time.Time // of the first event
 }
 
-// State is the state of a part in a verdict.
+// State is the state of a suspect in a verdict.
 type State uint8
 
 // Values of State. Of two verdicts with equal generations the larger state holds.
 const (
 	Lapsed      State = iota // ended without a trial
 	Released                 // ended by a trial or by an operator
-	Quarantined              // requests with the part are refused
+	Quarantined              // requests with the suspect are refused
 )
 
 // String returns the state in lower case.
 func (s State) String() string { return [...]string{"lapsed", "released", "quarantined"}[s] }
 
-// Verdict is what all hosts believe about a part. Verdicts merge to the same
+// Verdict is what all hosts believe about a suspect. Verdicts merge to the same
 // result in any order: the higher generation holds.
 type Verdict struct {
 	Suspect    uint64
@@ -178,6 +199,6 @@
 // Values of Action.
 const (
 	Allow  Action = iota
-	Refuse        // a part is quarantined
-	Trial         // a part is quarantined, and this request tests it
+	Refuse        // the request or a part is quarantined
+	Trial         // the request or a part is quarantined, and this request tests it
 )
