Let a server recover its id and address from an entry of another writer

An announcement of another writer under the id of a server, with a sequence number ahead or a later start time, made each true announcement stale for as long as the entry was kept, a minute. An entry under another id with the address of a server and a later start time hid the server just as long: addresses are reused, and the later start wins.

Two rules end this. A ready entry that was not heard for 5 s is replaced by an announcement that seems older if a second one of the same process, with a higher sequence number, follows at least 0.8 s later: servers announce themselves every 1.2 s, while late announcements come once or, after a partition, together. Entries that withdrew or are draining are not replaced. And an entry that was not heard for 5 s hides no server at its address that was, unless it withdrew.

Before: TestServerRecoversItsID "after 0s" (not within 20 s) for both kinds, TestSilentEntryDoesNotHideServerAtItsAddress/silent "odd != a". After: both pass; the server recovers within 5 s and three announcements. Each condition was removed once, and a test failed.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -42,6 +42,10 @@
 	// sequence number counts as a restart, for a server that does not state its start
 	// time.
 	restartGap = 5 * time.Second
+	// confirmGap is the time between two announcements of a process that replace a
+	// silent entry that seems newer. It is below the announcement interval of 1.2 s;
+	// announcements that a partition has delayed arrive together.
+	confirmGap = 800 * time.Millisecond
 	// livenessTimeout is how long after an announcement a host that received it
 	// directly reports the server as alive. Servers announce themselves every 1.2 s,
 	// and some announcements are late.
@@ -70,6 +74,15 @@
 	modified     uint64        // value of Registry.lastChange at the last change other than to times
 	sourceChange uint64        // value of Registry.lastChange when the server was last heard through another host instead of directly
 	element      *list.Element // position in Registry.changeOrder
+	older        olderProcess  // process that may replace this entry
+}
+
+// olderProcess is a process that announced itself under the id of an entry although
+// the entry is newer.
+type olderProcess struct {
+	startMS  int64
+	sequence uint64
+	heard    time.Time
 }
 
 // Change is the effect of an offered announcement.
@@ -110,7 +123,7 @@
 		r.store(e, true)
 		return Modified
 	}
-	if current.isAtLeastAsNew(&e) {
+	if current.isAtLeastAsNew(&e) && !current.isOutlivedBy(&e) {
 		return Stale
 	}
 	if e.StartMS == current.StartMS && e.State == Gone {
@@ -201,6 +214,26 @@
 	return !restarted
 }
 
+// isOutlivedBy reports whether an announcement that seems older than the entry
+// replaces it, because the entry was wrong: nothing was heard of it for restartGap,
+// while another process goes on to announce itself under the id. It remembers that
+// process until a second announcement confirms that the first was not a late one.
+// Another host has confirmed the announcements that it passes on.
+func (e *Entry) isOutlivedBy(other *Entry) bool {
+	if e.State != Ready || other.State == Gone || other.Heard.Sub(e.Heard) <= restartGap {
+		return false
+	}
+	if !other.HeardDirectly {
+		return true
+	}
+	p := e.older
+	if p.heard.IsZero() || p.startMS != other.StartMS {
+		e.older = olderProcess{other.StartMS, other.Sequence, other.Heard}
+		return false
+	}
+	return other.Sequence > p.sequence && other.Heard.Sub(p.heard) >= confirmGap
+}
+
 // sameStart reports whether a newer announcement comes from the same server process
 // as the entry.
 func (e *Entry) sameStart(newer *Entry) bool {
@@ -268,12 +301,19 @@
 func (e *Entry) HandedOverSince(cursor uint64) bool { return e.sourceChange > cursor }
 
 // NewestPerAddress returns one entry per address: the server that started last,
-// because addresses are reused.
+// because addresses are reused. A server that was not heard for restartGap does not
+// hide one that was, unless it withdrew.
 func (r *Registry) NewestPerAddress() []Entry {
+	lastHeard := make(map[string]time.Time, len(r.entries))
+	for _, e := range r.entries {
+		if e.Heard.After(lastHeard[e.Address]) {
+			lastHeard[e.Address] = e.Heard
+		}
+	}
 	newest := make(map[string]*Entry, len(r.entries))
 	for _, e := range r.entries {
-		other := newest[e.Address]
-		if other == nil || startedLater(e, other) {
+		silent := e.State != Gone && lastHeard[e.Address].Sub(e.Heard) > restartGap
+		if other := newest[e.Address]; !silent && (other == nil || startedLater(e, other)) {
 			newest[e.Address] = e
 		}
 	}
