Ignore an invalid server in an event of a core host alone

Hosts merged each announcement in an event of a core host as it was. One with a start time or sequence number at its maximum, slots, a cold time or a port out of range, an unknown state or a service of any length replaced the known server, and an age that is negative or overflows put its last announcement into the future, so that it never expired. A host that runs an older version, or that had stored such an entry, passes it on to all others.

feed.Client removes invalid announcements from an event before any handler sees it, with a log line that names the core host, the server and the field. The other announcements of the event, and what earlier events said about the same server, stay in force, and so does the stream. Ages are bounded to 0 to 24 h.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -332,7 +332,7 @@
 // seen records an edge host and when it was last connected, from the age in m. It
 // requires mu.
 func (h *Host) seen(m *apiv1.EdgeHost, now time.Time) {
-	seenAt := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
+	seenAt := now.Add(-registry.DurationOfAge(m.GetAgeMs()))
 	e := h.edges[m.GetName()]
 	if e == nil {
 		e = &edge{}
--- a/pkg/edge/fleet_view.go
+++ b/pkg/edge/fleet_view.go
@@ -185,7 +185,7 @@
 	if m.GetIncarnation() >= e.incarnation {
 		e.incarnation, e.address, e.dataCentre = m.GetIncarnation(), m.GetAddress(), m.GetDataCentre()
 	}
-	if at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond); at.After(e.lastSeen) {
+	if at := now.Add(-registry.DurationOfAge(m.GetAgeMs())); at.After(e.lastSeen) {
 		e.lastSeen = at
 	}
 	return changed
--- a/pkg/feed/client.go
+++ b/pkg/feed/client.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/registry"
 )
 
 const (
@@ -232,6 +235,20 @@
 // begins with the complete state of the core host, so no event is lost.
 var errHandlerPanicked = errors.New("fleet event handler panicked")
 
+// removeInvalidServers removes the announcements that are not valid from an event and
+// logs them, so that they affect no others.
+func (c *Client) removeInvalidServers(address string, e *apiv1.FleetEvent) {
+	now := time.Now()
+	e.Servers = slices.DeleteFunc(e.Servers, func(m *apiv1.ServerAnnouncement) bool {
+		entry := registry.FromProto(m, now)
+		err := entry.Validate(now)
+		if err != nil {
+			c.log.WithError(err).WithFields(logrus.Fields{"core": address, "server": fmt.Sprintf("%.64q", m.GetId())}).Warn("invalid server announcement ignored")
+		}
+		return err != nil
+	})
+}
+
 // deliver calls the handler. It recovers from a panic and returns
 // errHandlerPanicked, so that a panic ends the stream but not the process.
 func (c *Client) deliver(address string, e *apiv1.FleetEvent) (err error) {
@@ -241,6 +258,7 @@
 			err = errHandlerPanicked
 		}
 	}()
+	c.removeInvalidServers(address, e)
 	c.handler.HandleEvent(address, e)
 	return nil
 }
--- a/pkg/feed/liveness.go
+++ b/pkg/feed/liveness.go
@@ -41,7 +41,7 @@
 	if e.GetHeardWithinMs() <= 0 {
 		return false
 	}
-	heard := now.Add(-time.Duration(e.GetHeardWithinMs()) * time.Millisecond)
+	heard := now.Add(-registry.DurationOfAge(e.GetHeardWithinMs()))
 	for id, startMS := range by.servers {
 		servers.Renew(id, startMS, heard)
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -349,12 +349,12 @@
 }
 
 // FromProto converts a received announcement; ages become times of the local
-// clock.
+// clock. It does not validate the entry.
 func FromProto(m *apiv1.ServerAnnouncement, now time.Time) Entry {
 	return Entry{
 		ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
 		Slots: int(m.GetSlots()), State: State(m.GetState()), Sequence: m.GetSequence(), StartMS: m.GetBornMs(),
-		ColdUntil: now.Add(time.Duration(m.GetColdMs()) * time.Millisecond),
-		Heard:     now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		ColdUntil: now.Add(clampMS(m.GetColdMs(), 2*MaxColdTime)),
+		Heard:     now.Add(-DurationOfAge(m.GetAgeMs())),
 	}
 }
--- a/pkg/registry/validate.go
+++ b/pkg/registry/validate.go
@@ -26,6 +26,8 @@
 	// MaxColdTime is the longest remaining cold time. Servers are cold for seconds
 	// or minutes.
 	MaxColdTime = time.Hour
+	// maxAge bounds the age in a message of another host. An older entry has expired.
+	maxAge = 24 * time.Hour
 )
 
 // ValidID reports whether a server id has 1 to MaxNameBytes printable ASCII
@@ -87,3 +89,12 @@
 func invalid(format string, args ...any) error {
 	return result.New(result.InvalidCommand, format, args...)
 }
+
+// DurationOfAge converts an age in milliseconds in a message of another host. A
+// negative age counts as 0, so that nothing is heard in the future.
+func DurationOfAge(ms int64) time.Duration { return clampMS(ms, maxAge) }
+
+// clampMS converts a number of milliseconds to a duration from 0 to most.
+func clampMS(ms int64, most time.Duration) time.Duration {
+	return time.Duration(min(max(ms, 0), most.Milliseconds())) * time.Millisecond
+}
