Break a stream off if the next server does not continue it

When a server broke a stream off, the edge host sent the request to another one with Last-Event-Id. It checked only the first event of a response with status 200. Any other status below 500 was taken for the response to the request: its body was written into the stream, and the stream ended as if it were complete. So did one whose second server sent an empty response, a response of another type with a matching event, or an error as a later event without an id.

Evidence: callers got "id: 2\ndata: two\n\n{"error":"no room"}" and the regular end of the response. 5xx responses and refusals with Jackdawtrack-Not-Executed did break the stream off.

A response continues a stream only with status 200 and the media type of the stream; its first event must have the next id, all others a greater id than the one before, and at least one event must come, because the first server had not ended the stream. Otherwise the attempt failed: another server may be tried, or the caller's connection is aborted. writeBuffered and respondError now abort a response that has begun, so no other path can write into it.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
@@ -138,7 +139,8 @@
 
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
-// compressed, or states that the request was not executed.
+// compressed, states that the request was not executed, or does not continue the
+// stream that the caller receives.
 func (x *proxiedRequest) rejectHead(resp *http.Response, reply ResponseMetadata) (attemptResult, bool) {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	switch {
@@ -152,12 +154,22 @@
 		a.outcome = dispatch.InvalidResponse
 	case resp.Header.Get("Content-Encoding") != "":
 		a.outcome = dispatch.InvalidResponse
+	case x.headSent && resp.StatusCode >= http.StatusInternalServerError:
+		a.outcome = dispatch.ServerError
+	case x.headSent && (resp.StatusCode != http.StatusOK || mediaType(resp.Header) != mediaType(x.w.Header())):
+		a.outcome = dispatch.InvalidResponse
 	default:
 		return a, false
 	}
 	return a, true
 }
 
+// mediaType returns the Content-Type without its parameters, in lower case.
+func mediaType(h http.Header) string {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
 // forwardBuffered reads the complete response before it forwards it, so that a
 // failure before the end can be retried.
 func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response) attemptResult {
@@ -205,6 +217,9 @@
 
 // writeBuffered sends a buffered response to the caller.
 func (x *proxiedRequest) writeBuffered(h *bufferedResponse) {
+	if x.headSent {
+		abortResponse() // it would become part of the stream
+	}
 	out := x.w.Header()
 	for name, values := range h.header {
 		out[name] = values
@@ -229,7 +244,7 @@
 func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, arrival *proxy.UnreadMonitor) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	x.sseParser.buffer = x.sseParser.buffer[:0]
-	resumed := x.headSent
+	resumed, nextID := x.headSent, x.headSent
 	buf := make([]byte, readBufferBytes)
 	x.s.openStreams.Add(1)
 	defer x.s.openStreams.Add(-1)
@@ -243,11 +258,11 @@
 			}
 			if len(events) > 0 {
 				inactivity.progress(x.stallTimeout())
-				if resumed && !isNextID(x.sseParser.lastID, firstID(events)) {
+				if nextID && !isNextID(x.sseParser.lastID, firstID(events)) || resumed && !idsIncrease(x.sseParser.lastID, events) {
 					a.outcome = dispatch.InvalidResponse
 					return a
 				}
-				resumed = false
+				nextID = false
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
@@ -337,6 +352,11 @@
 		a.outcome = dispatch.ConnectionLost
 		return a
 	}
+	if x.headSent && x.sseParser.count == x.eventsBefore {
+		// The first server had not ended the stream, so something is missing.
+		a.outcome = dispatch.InvalidResponse
+		return a
+	}
 	x.writeStreamHead(resp)
 	if x.sseParser.count > x.eventsBefore {
 		x.reportAnswerBegan(x.firstEventAt)
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -57,6 +57,17 @@
 	assert.Assert(t, !isNextID("4", ""))
 }
 
+// Guards against events of a resumed stream that do not continue it.
+func TestIDsIncrease(t *testing.T) {
+	for events, want := range map[string]bool{
+		"id: 5\ndata: x\n\nid: 9\n\n": true, "id: 5\r\ndata: x\r\n\r\n": true, "": true, ": ping\n\nid: 5\n\n\n\n": true,
+		"id: 4\n\n": false, "id: 5\n\nid: 5\n\n": false, "id: 5\n\ndata: x\n\n": false, "event: error\n\nid: 5\n\n": false, "id: x\n\n": false,
+	} {
+		assert.Equal(t, idsIncrease("4", []byte(events)), want, "%q", events)
+	}
+	assert.Assert(t, !idsIncrease("", []byte("id: 1\n\n")))
+}
+
 // Guards against all hosts together exceeding the retry budget of the fleet in a
 // window.
 func TestRetryBudgetHoldsOverTheFleet(t *testing.T) {
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -367,6 +367,9 @@
 func abortResponse() { panic(http.ErrAbortHandler) }
 
 func (x *proxiedRequest) respondError(e *result.Error) {
+	if x.headSent {
+		abortResponse() // the error would become part of the stream
+	}
 	x.status = e.Code.Status()
 	writeError(x.w, e)
 }
--- a/pkg/edge/sse.go
+++ b/pkg/edge/sse.go
@@ -74,3 +74,30 @@
 	b, errB := strconv.ParseUint(next, 10, 64)
 	return errA == nil && errB == nil && b == a+1
 }
+
+// idsIncrease reports whether each of the complete events has a number as its id that
+// is greater than that of the event before it, the first one than last. Comments and
+// blank lines are not events.
+func idsIncrease(last string, events []byte) bool {
+	previous, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return false
+	}
+	id, hasFields := "", false
+	for line := range bytes.Lines(events) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch value, isID := bytes.CutPrefix(line, []byte("id:")); {
+		case isID:
+			id, hasFields = string(bytes.TrimSpace(value)), true
+		case len(line) > 0:
+			hasFields = hasFields || line[0] != ':'
+		case hasFields:
+			next, err := strconv.ParseUint(id, 10, 64)
+			if err != nil || next <= previous {
+				return false
+			}
+			previous, id, hasFields = next, "", false
+		}
+	}
+	return true
+}
