Resume a stream of the product path only with status 200

A router that resumes a broken stream accepted any 2xx response with the right offset. Whether the end marker is missing was checked for status 200 only, so a 201, 204 or 206 without the marker completed the stream, and the text of an error with such a status became part of it.

Evidence: a stream cut after "data: tw" went on with {"error":"no room"} and was reported as complete.

A resumed stream now needs status 200, as the stream itself did. Other answers end it with the error event that callers of the product path know.

Before: 3 of 12 cases of TestBrokenStreamIsNotContinuedWithAnError in pkg/proxy failed, for example 204 "the stream counts as complete". Errors with other statuses, another type, another or no id and answers outside the protocol did not get into the stream before either. After: all pass.

--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -70,7 +70,7 @@
 	// Without the offset header the server may have restarted at the first byte;
 	// with another offset bytes would be lost or duplicated.
 	serverOffset := f.resp.Header.Get(HeaderResumeOffset)
-	if f.resp.StatusCode/100 != 2 || !isEventStream(f.resp.Header) || serverOffset != offset {
+	if f.resp.StatusCode != http.StatusOK || !isEventStream(f.resp.Header) || serverOffset != offset {
 		return result.New(result.StreamBroken, "the server did not resume the stream: status %d, offset %q", f.resp.StatusCode, serverOffset)
 	}
 	return nil
