Believe a refusal only with a status that can be one

Jackdawtrack-Not-Executed was believed on a response with any status, also on a success or a 500 that a faulty server sent for a request that it executed. The request then went to a second server, or its caller was told that it had not been executed.

Evidence: with a server that answers 200, 206 or 500 with that header, "executed 2 times" for requests that must not be executed twice.

The header counts only with the statuses that can refuse a request (400, 408, 421, 429, 503). Any other such response is invalid, and the request may have been executed. Retry-After and Server-Leaving of an invalid response no longer count either.

An earlier refusal that is written once more on a kept connection was not believed before: it bears the id of another request or none. The same test shows this for refusals with the id of the request before, without an id, with status 421, 429 and 503, twice in a row, at once after the first, before and instead of the answer.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -62,10 +63,11 @@
 	}
 	defer resp.Body.Close()
 	reply := x.s.config.Dialect.ReadHead(resp)
-	if reply.RequestID == x.in.ID && !reply.Misdirected {
+	a, bad := x.rejectHead(resp, reply)
+	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
 		x.s.applyServerHints(v, reply)
 	}
-	if a, bad := x.rejectHead(resp, reply); bad {
+	if bad {
 		return x.finishAttempt(v, a)
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
@@ -137,6 +139,12 @@
 	return a
 }
 
+// refusalStatuses are the statuses with which a server can state that it did not
+// execute a request.
+var refusalStatuses = []int{
+	http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
 // compressed, states that the request was not executed, or does not continue the
@@ -146,6 +154,8 @@
 	switch {
 	case reply.RequestID != x.in.ID:
 		a.outcome = dispatch.InvalidResponse
+	case (reply.Misdirected || reply.NotExecuted) && !slices.Contains(refusalStatuses, resp.StatusCode):
+		a.outcome = dispatch.InvalidResponse
 	case reply.Misdirected:
 		a.outcome = dispatch.Misdirected
 	case reply.NotExecuted:
