--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
@@ -62,10 +64,11 @@
 	}
 	defer resp.Body.Close()
 	reply := x.s.config.Dialect.ReadHead(resp)
-	if reply.RequestID == x.in.ID && !reply.Misdirected {
+	a, bad := x.rejectHead(resp, reply)
+	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
 		x.s.applyServerHints(v, reply)
 	}
-	if a, bad := x.rejectHead(resp, reply); bad {
+	if bad {
 		return x.finishAttempt(v, a)
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
@@ -137,14 +140,23 @@
 	return a
 }
 
+// refusalStatuses are the statuses with which a server can state that it did not
+// execute a request.
+var refusalStatuses = []int{
+	http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
-// compressed, or states that the request was not executed.
+// compressed, states that the request was not executed, or does not continue the
+// stream that the caller receives.
 func (x *proxiedRequest) rejectHead(resp *http.Response, reply ResponseMetadata) (attemptResult, bool) {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	switch {
 	case reply.RequestID != x.in.ID:
 		a.outcome = dispatch.InvalidResponse
+	case (reply.Misdirected || reply.NotExecuted) && !slices.Contains(refusalStatuses, resp.StatusCode):
+		a.outcome = dispatch.InvalidResponse
 	case reply.Misdirected:
 		a.outcome = dispatch.Misdirected
 	case reply.NotExecuted:
@@ -153,12 +165,22 @@
 		a.outcome = dispatch.InvalidResponse
 	case resp.Header.Get("Content-Encoding") != "":
 		a.outcome = dispatch.InvalidResponse
+	case x.headSent && resp.StatusCode >= http.StatusInternalServerError:
+		a.outcome = dispatch.ServerError
+	case x.headSent && (resp.StatusCode != http.StatusOK || mediaType(resp.Header) != mediaType(x.w.Header())):
+		a.outcome = dispatch.InvalidResponse
 	default:
 		return a, false
 	}
 	return a, true
 }
 
+// mediaType returns the Content-Type without its parameters, in lower case.
+func mediaType(h http.Header) string {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
 // forwardBuffered reads the complete response before it forwards it, so that a
 // failure before the end can be retried.
 func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response) attemptResult {
@@ -204,6 +226,9 @@
 
 // writeBuffered sends a buffered response to the caller.
 func (x *proxiedRequest) writeBuffered(h *bufferedResponse) {
+	if x.headSent {
+		abortResponse() // it would become part of the stream
+	}
 	out := x.w.Header()
 	for name, values := range h.header {
 		out[name] = values
@@ -228,7 +253,7 @@
 func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, arrival *proxy.UnreadMonitor) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	x.sseParser.buffer = x.sseParser.buffer[:0]
-	resumed := x.headSent
+	resumed, nextID := x.headSent, x.headSent
 	buf := make([]byte, readBufferBytes)
 	x.s.openStreams.Add(1)
 	defer x.s.openStreams.Add(-1)
@@ -242,11 +267,11 @@
 			}
 			if len(events) > 0 {
 				inactivity.progress(x.stallTimeout())
-				if resumed && !isNextID(x.sseParser.lastID, firstID(events)) {
+				if nextID && !isNextID(x.sseParser.lastID, firstID(events)) || resumed && !idsIncrease(x.sseParser.lastID, events) {
 					a.outcome = dispatch.InvalidResponse
 					return a
 				}
-				resumed = false
+				nextID = false
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
@@ -336,6 +361,11 @@
 		a.outcome = dispatch.ConnectionLost
 		return a
 	}
+	if x.headSent && x.sseParser.count == x.eventsBefore {
+		// The first server had not ended the stream, so something is missing.
+		a.outcome = dispatch.InvalidResponse
+		return a
+	}
 	x.writeStreamHead(resp)
 	if x.sseParser.count > x.eventsBefore {
 		x.reportAnswerBegan(x.firstEventAt, true)
