Record why a caller's connection is closed without a response

Request lines said how the last attempt ended, but not whether the caller's connection was closed because of it, nor why there was no other server. So the hypotheses on requests without an answer could not be told apart.

Request lines have closed and retry_refusal now, and edge.closed.* counts the reasons. A request whose context ended although the socket shows neither an end nor an error counts apart from callers that have left. The end of a planned stop logs what is still open. No change of what callers get.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -113,14 +113,14 @@
 		case <-ticker.C:
 		}
 		s.closeIdle(0)
-		if s.openCount() > 0 {
+		if s.OpenCount() > 0 {
 			empty = time.Now()
 		}
 	}
 }
 
-// openCount returns the number of open connections.
-func (s *ConnTracker) openCount() int {
+// OpenCount returns the number of open connections.
+func (s *ConnTracker) OpenCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.open
--- /dev/null
+++ b/pkg/edge/abort.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// closeReason states why the connection of a caller is closed without a complete
+// response. The values are fields of request lines; the metrics are in
+// closeMetrics.
+type closeReason string
+
+const (
+	closeCallerLeft closeReason = "the caller has left"
+	// closeCallerConnected means that the context of the request has ended although
+	// the connection shows neither an end nor an error.
+	closeCallerConnected closeReason = "the request context ended, the caller is connected"
+	closeTruncated       closeReason = "the response was interrupted after its start"
+)
+
+// closeMetrics holds the counter of each reason.
+var closeMetrics = map[closeReason]string{
+	closeCallerLeft:      "edge.closed.caller_left",
+	closeCallerConnected: "edge.closed.caller_connected",
+	closeTruncated:       "edge.closed.truncated",
+}
+
+// abort closes the connection of the caller, so that a truncated response does not
+// look complete, and records the reason. It does not return.
+func (x *proxiedRequest) abort(reason closeReason) {
+	if reason == closeCallerLeft && x.in.Disconnected != nil && !x.in.Disconnected() {
+		reason = closeCallerConnected
+	}
+	x.closeReason = reason
+	metrics.GetOrRegisterCounter(closeMetrics[reason], x.s.metrics.registry).Inc(1)
+	panic(http.ErrAbortHandler)
+}
+
+// RecordCut records that the host stops while connections of callers are open, and
+// how many requests on them are in progress.
+func (s *Server) RecordCut(connections int) {
+	requests := s.openRequests.Load()
+	metrics.GetOrRegisterCounter("edge.closed.host_stopped", s.metrics.registry).Inc(requests)
+	s.log.WithFields(logrus.Fields{"connections": connections, "requests": requests, "streams": s.openStreams.Load()}).Warn("open connections closed at the end of the grace period")
+}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -74,7 +74,9 @@
 	sseParser         sseParser
 	releaseFuncs      []func() // return the memory of buffered responses
 	outcomes          []string
-	lastError         error // error of the last failed attempt
+	lastError         error           // error of the last failed attempt
+	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
+	closeReason       closeReason     // "" unless the connection was closed without a complete response
 }
 
 // destination is the result of matching a request against the configuration.
@@ -213,6 +215,9 @@
 			return
 		}
 		v = x.s.retryDecision(x.dispatchReq, v.Server, a.sent)
+		if v.Action == dispatch.Refuse {
+			x.retryRefusal = v.Reason
+		}
 		if v.Action == dispatch.Refuse && x.mayHaveRun {
 			x.respondFailed(a)
 			return
@@ -269,7 +274,7 @@
 func (x *proxiedRequest) respondUndispatched(err error) {
 	if errors.Is(err, context.Canceled) {
 		x.outcomes = append(x.outcomes, "caller left waiting")
-		abortResponse()
+		x.abort(closeCallerLeft)
 	}
 	x.respondError(result.New(result.DeadlinePassed, "the request deadline passed while the request was queued").WithRetryAfter(failedDispatchRetryAfter))
 }
@@ -350,9 +355,9 @@
 func (x *proxiedRequest) respondFailed(a attemptResult) {
 	switch {
 	case x.callerCtx.Err() != nil:
-		abortResponse()
+		x.abort(closeCallerLeft)
 	case x.headSent:
-		abortResponse() // a truncated response must not look complete
+		x.abort(closeTruncated)
 	case x.lastErrorResponse != nil:
 		x.writeBuffered(x.lastErrorResponse)
 	case !x.mayHaveRun:
@@ -364,8 +369,6 @@
 	}
 }
 
-func abortResponse() { panic(http.ErrAbortHandler) }
-
 func (x *proxiedRequest) respondError(e *result.Error) {
 	x.status = e.Code.Status()
 	writeError(x.w, e)
@@ -438,7 +441,7 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
 	}).Info("request")
 }
 
