--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -227,7 +227,7 @@
 // writeBuffered sends a buffered response to the caller.
 func (x *proxiedRequest) writeBuffered(h *bufferedResponse) {
 	if x.headSent {
-		abortResponse() // it would become part of the stream
+		x.abort(closeTruncated) // it would become part of the stream
 	}
 	out := x.w.Header()
 	for name, values := range h.header {
