Confirm a loss by a restart during its collection

A server that was back within 60 ms of its first lost request accepted connections when it was checked. Its loss then waited for the next announcement of the same process, although the announcement of the new process had been handled before. On the product path servers state a boot id without order in place of a start time, so "started after" cannot be decided by the collector.

TakeRestarted now looks at losses that are still being collected too, and the caller states which processes have ended. Finish reports whether the caller has to report the loss, so that it counts once.

--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -201,7 +201,8 @@
 	}
 	s.mergeStoredVerdicts(now, e.GetState().GetVerdicts())
 	for _, m := range e.GetServers() {
-		if l := s.losses.TakeRestarted(now, m.GetAddress(), m.GetBornMs()); l != nil {
+		startedBefore := func(p losses.Process) bool { return p.StartMS < m.GetBornMs() }
+		for l := s.losses.TakeRestarted(now, m.GetAddress(), startedBefore); l != nil; l = s.losses.TakeRestarted(now, m.GetAddress(), startedBefore) {
 			s.logLoss(l, true, "announcement of a new process")
 			s.addLoss(now, l)
 		}
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -28,9 +28,9 @@
 // checkLoss finds out whether a server process has ended.
 func (s *Server) checkLoss(l *losses.Loss) {
 	ended := losses.HasEnded(s.ctx, l.Address, connectTimeout)
-	s.losses.Finish(l, ended)
+	confirmed := s.losses.Finish(l, ended)
 	s.logLoss(l, ended, "connection check")
-	if ended {
+	if confirmed {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.addLoss(time.Now(), l)
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -30,11 +30,13 @@
 	maxSuspects = 256
 )
 
-// Process identifies one start of a backend server.
+// Process identifies one start of a backend server. Servers state StartMS or BootID;
+// the other one is 0.
 type Process struct {
 	ID      string
 	Address string // IP and port
 	StartMS int64  // start by the server's own clock, Unix milliseconds
+	BootID  uint64 // chosen at the start, without order
 }
 
 // Request is a request that lost its connection.
@@ -108,14 +110,18 @@
 	}
 }
 
-// Finish ends the collection of a loss. Without ended, the loss waits for another
-// start at its address.
-func (c *Collector) Finish(l *Loss, ended bool) {
+// Finish ends the collection of a loss, and reports whether the caller has to report
+// it: the process has ended, and TakeRestarted has not returned the loss before.
+// Without ended, the loss waits for another start at its address.
+func (c *Collector) Finish(l *Loss, ended bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.collecting[l.Process] != l {
+		return false
+	}
 	delete(c.collecting, l.Process)
 	if ended || l.NotBegun == 0 {
-		return
+		return ended
 	}
 	for address, other := range c.unconfirmed {
 		if l.At.Sub(other.At) > confirmTime {
@@ -125,15 +131,23 @@
 	if len(c.unconfirmed) < maxLosses {
 		c.unconfirmed[l.Address] = l
 	}
+	return false
 }
 
-// TakeRestarted returns the unconfirmed loss at the address if the given process
-// started after the lost one, nil if there is none.
-func (c *Collector) TakeRestarted(now time.Time, address string, startMS int64) *Loss {
+// TakeRestarted returns a loss at the address whose process has ended according to
+// ended, nil if there is none. It returns each loss once. A loss that is still being
+// collected is complete enough: its connections broke before the next start.
+func (c *Collector) TakeRestarted(now time.Time, address string, ended func(Process) bool) *Loss {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for p, l := range c.collecting {
+		if p.Address == address && l.NotBegun > 0 && ended(p) {
+			delete(c.collecting, p)
+			return l
+		}
+	}
 	l := c.unconfirmed[address]
-	if l == nil || startMS <= l.StartMS {
+	if l == nil || !ended(l.Process) {
 		return nil
 	}
 	delete(c.unconfirmed, address)
