Report connections that broke after a request was sent

A router could not tell the loss of a server from an answer that it rejected: both end with code 203. Report.Lost is set if the connection broke after a byte of the request can have reached the server, and if a stream without a length or chunks ended before its end marker. It is not set if the server was silent, its answer was not valid, or the caller left.

TestLostConnectionIsReported fails without either assignment ("reset before the head: false (report.Lost bool) != true", "unframed stream closed").

--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -117,6 +117,7 @@
 	case errors.Is(err, errProgressTimeout):
 		return f.resultIfSent(result.ServerSilent, result.ConnectFailed, err), f.outcomeIfSent(pool.OutcomeSilent, pool.OutcomeConnectFailed)
 	default:
+		f.report.Lost = f.report.Sent
 		return f.resultIfSent(result.StreamBroken, result.ConnectFailed, err), f.outcomeIfSent(pool.OutcomeBroken, pool.OutcomeConnectFailed)
 	}
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -74,6 +74,7 @@
 	HeadWritten   bool // the head was written to the sink
 	IsStream      bool // the response is a server-sent event stream
 	PartialEvent  bool // the last event that the caller received is incomplete
+	Lost          bool // the connection broke after a byte can have reached the server
 	Status        int  // HTTP status of the server's response, 0 if there was none
 	BytesWritten  int64
 	ResumeCount   int
@@ -364,6 +365,8 @@
 // buffered rest. A stream with status 200 needs its end marker.
 func (f *forwarder) handleEOF() error {
 	if f.report.IsStream && f.resp.StatusCode == http.StatusOK && !f.scanner.SawEndMarker() {
+		// Without a length or chunks, the end of a server looks like that of a response.
+		f.report.Lost = !IsFramed(f.resp)
 		return result.New(result.StreamBroken, "the stream ended without its end marker")
 	}
 	return f.flushBuffered()
