--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -149,6 +149,7 @@
 	c.addWatchCommand()
 	c.addWhyCommand()
 	c.addReportCommands()
+	c.addQuarantineCommands()
 	c.addCompletionCommand()
 }
 
