--- a/pkg/cli/quarantine.go
+++ b/pkg/cli/quarantine.go
@@ -30,7 +30,7 @@
 	if err := c.requireRouters(); err != nil {
 		return err
 	}
-	t := table{columns: []string{"router", "suspect", "state", "age_ms", "trial_in_ms", "losses", "hosts", "refusals", "refused_ms"}}
+	t := table{columns: []string{"router", "kind", "suspect", "request", "state", "age_ms", "trial_in_ms", "losses", "hosts", "refusals", "refused_ms"}}
 	var failed error
 	for _, response := range queryRouters[[]quarantine.Status](ctx, c.routerAddresses, quarantinePath) {
 		if response.err != nil {
@@ -38,7 +38,7 @@
 			continue
 		}
 		for _, s := range response.value {
-			t.addRow(response.address, s.Part, s.State, s.AgeMS, s.TrialInMS, s.Losses, s.Hosts, s.Refusals, s.RefusedMS)
+			t.addRow(response.address, s.Kind, s.Suspect, s.Request, s.State, s.AgeMS, s.TrialInMS, s.Losses, s.Hosts, s.Refusals, s.RefusedMS)
 		}
 	}
 	if err := c.print(t); err != nil {
--- a/pkg/cli/quarantine_test.go
+++ b/pkg/cli/quarantine_test.go
@@ -35,7 +35,7 @@
 		t.Cleanup(s.Close)
 		return s.Listener.Addr().String()
 	}
-	without, with := serve("[]"), serve(`[{"part":"8c1f","state":"quarantined","losses":3,"hosts":2,"refusals":41}]`)
+	without, with := serve("[]"), serve(`[{"kind":"request","suspect":"8c1f","request":"POST /x of workspace \"w\"","state":"quarantined","losses":3,"hosts":2,"refusals":41}]`)
 	for _, c := range []struct {
 		args  string
 		code  int
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"strconv"
-	"strings"
-)
+import "strings"
 
 const (
 	// MaxRequestParts bounds the shared parts that are looked at in one request,
@@ -13,9 +10,6 @@
 	maxLoggedSuspects = 48
 )
 
-// Format returns a suspect in hexadecimal, as in logs and operator calls.
-func Format(suspect uint64) string { return strconv.FormatUint(suspect, 16) }
-
 // FormatList returns suspects in hexadecimal, separated by spaces. It cuts the list
 // to the length of a log line.
 func FormatList(suspects []uint64) string {
@@ -24,7 +18,7 @@
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(Format(s))
+		b.WriteString(FormatSuspect(s))
 	}
 	return b.String()
 }
--- a/pkg/quarantine/validate.go
+++ b/pkg/quarantine/validate.go
@@ -14,7 +14,7 @@
 	}
 	for _, l := range m.GetLosses() {
 		parts, requests := len(l.GetParts()), len(l.GetRequests())
-		if parts > MaxSuspectsPerMessage || requests > MaxSuspectsPerMessage {
+		if parts > MaxPartsPerMessage || requests > MaxRequestsPerMessage {
 			return eris.Errorf("a loss with %d parts and %d requests exceeds the limits", parts, requests)
 		}
 		if times := len(l.GetSentBeforeMs()); times != requests {
--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -86,14 +86,14 @@
 	r.counters.quarantined.Inc(1)
 	if r.quarantine.logLimiter.Allow() {
 		r.log.WithFields(logrus.Fields{
-			"id": q.id, "workspace": q.workspace.Name, "class": q.class.Name, "pool": q.poolName, "suspect": quarantine.Format(suspect),
-			"fingerprint": quarantine.Format(q.suspects[len(q.suspects)-1]),
+			"id": q.id, "workspace": q.workspace.Name, "class": q.class.Name, "pool": q.poolName, "suspect": quarantine.FormatSuspect(suspect),
+			"fingerprint": quarantine.FormatSuspect(q.suspects[len(q.suspects)-1]),
 		}).Info("request refused: servers crashed on it")
 	}
 	if quarantine.IsRequest(suspect) {
-		return result.New(result.RequestQuarantined, "backend servers crashed on this request, %s", quarantine.Format(suspect))
+		return result.New(result.RequestQuarantined, "backend servers crashed on this request, %s", quarantine.FormatSuspect(suspect))
 	}
-	return result.New(result.PartQuarantined, "backend servers crashed on part %s of the request", quarantine.Format(suspect))
+	return result.New(result.PartQuarantined, "backend servers crashed on part %s of the request", quarantine.FormatSuspect(suspect))
 }
 
 // suspectedAgain reports whether a request that was lost with its server shares a
@@ -180,9 +180,9 @@
 	for _, c := range changes {
 		metrics.GetOrRegisterCounter("quarantine.verdicts."+c.State.String(), r.metrics).Inc(1)
 		r.log.WithFields(logrus.Fields{
-			"suspect": quarantine.Format(c.Suspect), "request": quarantine.IsRequest(c.Suspect), "state": c.State.String(), "generation": c.Generation,
+			"kind": quarantine.KindOf(c.Suspect), "suspect": quarantine.FormatSuspect(c.Suspect), "state": c.State.String(), "generation": c.Generation,
 			"reason": c.Reason, "local": c.Local, "age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(),
 			"losses": c.Losses, "hosts": c.Hosts, "companions": quarantine.FormatList(c.Companions), "known_losses": known, "suspects": suspects,
-		}).Warn("verdict on a request changed")
+		}).Warn("quarantine verdict changed")
 	}
 }
--- a/pkg/router/quarantine_admin.go
+++ b/pkg/router/quarantine_admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
@@ -24,7 +23,7 @@
 			writeJSON(w, operatorHTTPStatus(err.Code), map[string]any{"code": err.Code, "message": err.Message})
 			return
 		}
-		writeJSON(w, http.StatusOK, map[string]string{"released": quarantine.Format(suspect)})
+		writeJSON(w, http.StatusOK, map[string]string{"released": quarantine.FormatSuspect(suspect)})
 	})
 }
 
@@ -35,7 +34,7 @@
 	r.quarantine.mu.Unlock()
 	now, out := time.Now(), make([]quarantine.Status, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, quarantine.NewStatus(now, e))
+		out = append(out, e.Status(now))
 	}
 	return out
 }
@@ -46,7 +45,7 @@
 	if refusal != nil {
 		return 0, refusal
 	}
-	suspect, err := strconv.ParseUint(req.PathValue("suspect"), 16, 64)
+	suspect, err := quarantine.ParseSuspect(req.PathValue("suspect"))
 	if err != nil {
 		return 0, result.New(result.InvalidCommand, "suspect %.20q is not a hexadecimal number", req.PathValue("suspect"))
 	}
@@ -57,8 +56,8 @@
 	r.quarantine.mu.Unlock()
 	r.recordChanges(changes)
 	if !released {
-		return 0, result.New(result.NotFound, "%s is not quarantined", quarantine.Format(suspect))
+		return 0, result.New(result.NotFound, "%s is not quarantined", quarantine.FormatSuspect(suspect))
 	}
-	r.log.Infof("operator %s released %s", operator, quarantine.Format(suspect))
+	r.log.Infof("operator %s released %s", operator, quarantine.FormatSuspect(suspect))
 	return suspect, nil
 }
--- a/pkg/router/quarantine_bench_test.go
+++ b/pkg/router/quarantine_bench_test.go
@@ -42,7 +42,7 @@
 		t.AnswerBegan(now, now, suspects(quarantine.MaxRequestParts))
 	}
 	for i := range uint64(quarantine.MaxLosses) {
-		t.AddLoss(now, quarantine.Loss{Server: quarantine.Server{Hash: i}, At: now, Parts: suspects(quarantine.MaxSuspectsPerMessage), Lost: 8})
+		t.AddLoss(now, quarantine.Loss{Server: quarantine.Server{Hash: i}, At: now, Parts: suspects(quarantine.MaxPartsPerMessage), Lost: 8})
 	}
 	for range quarantine.MaxVerdicts {
 		tr.convict(suspects(1)[0], 0)
--- a/pkg/router/quarantine_test.go
+++ b/pkg/router/quarantine_test.go
@@ -42,7 +42,7 @@
 
 func (tr *testRouter) stateOf(suspect uint64) string {
 	for _, s := range tr.router.Quarantine() {
-		if s.Part == quarantine.Format(suspect) {
+		if s.Suspect == quarantine.FormatSuspect(suspect) {
 			return s.State
 		}
 	}
@@ -209,8 +209,8 @@
 		suspect, operator string
 		status            int
 	}{
-		{quarantine.Format(suspect), "stranger", http.StatusForbidden}, {"x", "op", http.StatusBadRequest},
-		{"77", "op", http.StatusNotFound}, {quarantine.Format(suspect), "op", http.StatusOK},
+		{quarantine.FormatSuspect(suspect), "stranger", http.StatusForbidden}, {"x", "op", http.StatusBadRequest},
+		{"77", "op", http.StatusNotFound}, {quarantine.FormatSuspect(suspect), "op", http.StatusOK},
 	} {
 		status, body := release(p.callers[1], tc.suspect, tc.operator)
 		assert.Equal(t, status, tc.status, body)
@@ -224,7 +224,7 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	var listed []quarantine.Status
 	assert.NilError(t, json.Unmarshal([]byte(body), &listed))
-	assert.Assert(t, len(listed) == 1 && listed[0].Part == quarantine.Format(suspect) && listed[0].State == "released", body)
+	assert.Assert(t, len(listed) == 1 && listed[0].Suspect == quarantine.FormatSuspect(suspect) && listed[0].State == "released", body)
 	assert.Equal(t, f.crashCount(), 0)
 }
 
@@ -255,7 +255,7 @@
 		{Verdicts: many},
 		{Verdicts: []*apiv1.QuarantineVerdict{verdict(1), crowd}},
 		{Verdicts: []*apiv1.QuarantineVerdict{verdict(1)}, Losses: make([]*apiv1.ServerLoss, quarantine.MaxLossesPerMessage+1)},
-		{Verdicts: []*apiv1.QuarantineVerdict{verdict(1)}, Losses: []*apiv1.ServerLoss{{Parts: make([]uint64, quarantine.MaxSuspectsPerMessage+1)}}},
+		{Verdicts: []*apiv1.QuarantineVerdict{verdict(1)}, Losses: []*apiv1.ServerLoss{{Parts: make([]uint64, quarantine.MaxPartsPerMessage+1)}}},
 		{Verdicts: []*apiv1.QuarantineVerdict{verdict(1)}, Losses: []*apiv1.ServerLoss{{Requests: []uint64{1, 2}, SentBeforeMs: []uint32{1}}}},
 		{Verdicts: []*apiv1.QuarantineVerdict{verdict(1)}, Cleared: make([]*apiv1.ClearedSuspect, quarantine.MaxClearedPerMessage+1)},
 		{Verdicts: []*apiv1.QuarantineVerdict{{Suspect: 1, Generation: 1, State: 9}}},
@@ -268,7 +268,7 @@
 	tr.router.HandleMessages(from, batch)
 	listed := tr.router.Quarantine()
 	assert.Equal(t, len(listed), 1)
-	assert.Equal(t, listed[0].Part, "4d")
+	assert.Equal(t, listed[0].Suspect, "4d")
 	_, metrics := do(t, mustRequest(t, tr.admin.URL+"/metrics"))
 	var counts map[string]map[string]float64
 	assert.NilError(t, json.Unmarshal([]byte(metrics), &counts))
