Clear parts at routers only by an answer with status 2xx

A server that rejects a request, for example with 404, may not have read its content. Its answer cleared the parts of the content all the same, so that content which crashes servers could stay unsuspected beside rejected requests. Such an answer clears the request alone now, as on the platform's path.

TestAnswersThatGoOnClearSuspects failed before for "not found" and "long text of not found" (suspect of the part cleared).

--- a/pkg/router/losses.go
+++ b/pkg/router/losses.go
@@ -34,20 +34,20 @@
 	r *Router
 	q *request
 
-	isError     bool // the server answered with status 500 or above
+	status      int // 0 before the head
 	firstByteAt time.Time
 	began       bool // the suspects of the request were cleared
 }
 
 // WriteHead implements proxy.Sink.
 func (m *answerMonitor) WriteHead(status int, header http.Header) error {
-	m.isError = status >= http.StatusInternalServerError
+	m.status = status
 	return m.Sink.WriteHead(status, header)
 }
 
 // Write implements proxy.Sink.
 func (m *answerMonitor) Write(p []byte) (int, error) {
-	if !m.began && !m.isError {
+	if !m.began && isAnswer(m.status) {
 		now := time.Now()
 		if m.firstByteAt.IsZero() {
 			m.firstByteAt = now
@@ -60,7 +60,7 @@
 
 func (m *answerMonitor) reportBegan() {
 	m.began = true
-	m.r.reportAnswerBegan(m.q, m.firstByteAt)
+	m.r.reportAnswerBegan(m.q, m.firstByteAt, m.status/100 == 2)
 }
 
 // observeAttempt adds the result of an attempt to the evidence on its suspects.
@@ -71,7 +71,7 @@
 		// The attempts to resume a stream come after the loss.
 		begun := m.began || report.ResumeCount == 0 && !m.firstByteAt.IsZero() && now.Sub(m.firstByteAt) > answerBeginTime
 		r.recordLostRequest(now, g, losses.Request{Suspects: q.suspects, Sent: q.dispatchedAt, Begun: begun})
-	case report.Err == nil && !m.began && isAnswer(report.Status):
+	case report.Err == nil && !m.began && isAnswer(m.status):
 		if m.firstByteAt.IsZero() || !report.IsStream {
 			m.firstByteAt = now
 		}
@@ -79,8 +79,8 @@
 	}
 }
 
-// isAnswer reports whether a complete response with the status shows that the
-// server has run the request. A server that limits its callers has not.
+// isAnswer reports whether a response with the status shows that the server did not
+// crash on the request. A server that limits its callers may not have looked at it.
 func isAnswer(status int) bool {
 	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
 }
--- a/pkg/router/losses_test.go
+++ b/pkg/router/losses_test.go
@@ -23,7 +23,8 @@
 // or a request that crashes its server at the first byte counts as answered.
 func TestAnswersThatGoOnClearSuspects(t *testing.T) {
 	self := pool.RouterID{Name: "rt-1", DataCentre: "north", Incarnation: 7}
-	const part = 77
+	const part, lossGap = 77, 300 * time.Millisecond
+	whole := quarantine.RequestSuspect(78)
 	const wait, moment = answerBeginTime + time.Millisecond, answerBeginTime / 10
 	for _, tc := range []struct {
 		name     string
@@ -43,7 +44,8 @@
 		{"short stream", 200, 1, 0, 0, proxy.Report{IsStream: true}, true, 0},
 		{"answer", 200, 1, 0, 0, proxy.Report{}, true, 0},
 		{"empty answer", 204, 0, 0, 0, proxy.Report{}, true, 0},
-		{"not found", 404, 1, 0, 0, proxy.Report{}, true, 0},
+		{"not found", 404, 1, 0, 0, proxy.Report{}, false, 0},
+		{"long text of not found", 404, 2, wait, 0, proxy.Report{}, false, 0},
 		{"error of the server", 500, 2, wait, 0, proxy.Report{}, false, 0},
 		{"limit of the server", 429, 1, 0, 0, proxy.Report{}, false, 0},
 		{"silent", 0, 0, 0, wait, proxy.Report{Err: result.New(result.ServerSilent, "silent")}, false, 0},
@@ -51,12 +53,17 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := New(NewConfig(), self, Dependencies{Catalog: catalog.NewStore(), Ownership: NewStaticOwnership(self), Pool: pool.DefaultConfig()})
 			synctest.Test(t, func(t *testing.T) {
-				suspects := []uint64{part}
-				suspected := func() bool { return r.quarantine.tracker.SuspectsAgain(time.Now(), suspects) }
-				r.quarantine.tracker.AddLoss(time.Now(), quarantine.Loss{Server: quarantine.Server{Hash: 1}, At: time.Now(), Parts: suspects, Lost: 1})
-				assert.Assert(t, suspected())
-				time.Sleep(time.Millisecond)
-				q := &request{suspects: suspects, dispatchedAt: time.Now()}
+				suspected := func(suspect uint64) bool {
+					return r.quarantine.tracker.SuspectsAgain(time.Now(), []uint64{suspect})
+				}
+				for server := range uint64(2) {
+					r.quarantine.tracker.AddLoss(time.Now(), quarantine.Loss{
+						Server: quarantine.Server{Hash: server}, At: time.Now(), Parts: []uint64{part}, Requests: []quarantine.Sent{{Request: whole, At: time.Now()}}, Lost: 1,
+					})
+					time.Sleep(lossGap)
+				}
+				assert.Assert(t, suspected(part) && suspected(whole))
+				q := &request{suspects: []uint64{part, whole}, dispatchedAt: time.Now()}
 				m := &answerMonitor{Sink: newCallerSink(httptest.NewRecorder(), time.Second, false), r: r, q: q}
 				if tc.status > 0 {
 					assert.NilError(t, m.WriteHead(tc.status, http.Header{}))
@@ -69,7 +76,7 @@
 					assert.NilError(t, err)
 				}
 				if tc.writes > 1 {
-					assert.Equal(t, !suspected(), tc.clears, "before the end")
+					assert.Equal(t, !suspected(part), tc.clears, "before the end")
 				}
 				time.Sleep(tc.silence)
 				tc.report.Status = tc.status
@@ -80,7 +87,8 @@
 				// Without a check of the process, which needs a connection.
 				r.quarantine.losses.Add(time.Now(), p, losses.Request{Begun: true})
 				r.observeAttempt(q, pool.Grant{Server: p.ID, Address: p.Address, BootID: p.BootID}, m, tc.report)
-				assert.Equal(t, !suspected(), tc.clears, "at the end")
+				assert.Equal(t, !suspected(part), tc.clears, "at the end")
+				assert.Equal(t, !suspected(whole), tc.clears || tc.status == http.StatusNotFound, "the request at the end")
 				l := r.quarantine.losses.TakeRestarted(time.Now(), p.Address, func(losses.Process) bool { return true })
 				notBegun := 0
 				if l != nil {
--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -107,11 +107,17 @@
 	return r.quarantine.tracker.SuspectsAgain(time.Now(), q.suspects)
 }
 
-// reportAnswerBegan clears the suspects of a request whose answer began and went on.
-func (r *Router) reportAnswerBegan(q *request, at time.Time) {
+// reportAnswerBegan clears a request whose answer began and went on, and with
+// allParts the parts of its content: a server may reject a request before it reads
+// the content.
+func (r *Router) reportAnswerBegan(q *request, at time.Time, allParts bool) {
+	suspects := q.suspects
+	if !allParts {
+		suspects = suspects[len(suspects)-1:]
+	}
 	r.quarantine.mu.Lock()
 	defer r.quarantine.mu.Unlock()
-	r.quarantine.tracker.AnswerBegan(time.Now(), at, q.suspects)
+	r.quarantine.tracker.AnswerBegan(time.Now(), at, suspects)
 }
 
 // exchangeQuarantine evaluates the evidence and sends its news to all live routers.
--- a/pkg/router/quarantine_bench_test.go
+++ b/pkg/router/quarantine_bench_test.go
@@ -79,7 +79,7 @@
 					if tr.router.refuseQuarantined(q) != nil || tr.router.beginAttempt(q) != nil {
 						b.Fatal("a sound request was refused")
 					}
-					tr.router.reportAnswerBegan(q, time.Now())
+					tr.router.reportAnswerBegan(q, time.Now(), true)
 				}
 			})
 		}
