Share limits, descriptions and log lists of suspects between both paths

Both paths bound the parts of a request and the suspects of a log line, and tell operators which request a fingerprint stands for. Package quarantine has this once now. The test of the bounds moves with it.

--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"iter"
 	"strconv"
 	"time"
@@ -25,8 +24,6 @@
 	verdictReportDelay = 3 * time.Second
 	// maxReportedVerdicts bounds the verdicts of one heartbeat.
 	maxReportedVerdicts = 16
-	// maxDescribedTarget bounds the path and query in the description of a request.
-	maxDescribedTarget = 256
 )
 
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
@@ -100,7 +97,9 @@
 	if quarantine.IsRequest(suspect) {
 		refusal = result.New(result.RequestQuarantined, "backend servers crashed on this request (fingerprint %x)", suspect)
 		x.decision.Reason = reasonRequestQuarantined
-		x.s.describeRequest(suspect, x.in, x.dispatchReq.Workspace)
+		x.s.mu.Lock()
+		x.s.quarantinedRequests.Add(suspect, x.in.Method, x.in.Host, x.in.Target, x.dispatchReq.Workspace)
+		x.s.mu.Unlock()
 	}
 	if x.mayHaveRun || x.headSent {
 		x.respondFailed(attemptResult{outcome: dispatch.ConnectionLost, err: x.lastError})
@@ -109,18 +108,6 @@
 	x.respondError(refusal)
 }
 
-// describeRequest keeps the latest text that tells operators which request a
-// fingerprint stands for, for about as many as there are verdicts.
-func (s *Server) describeRequest(suspect uint64, in *Request, workspace string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, known := s.quarantinedRequests[suspect]; !known && len(s.quarantinedRequests) >= quarantine.MaxVerdicts {
-		clear(s.quarantinedRequests)
-	}
-	target := in.Target[:min(len(in.Target), maxDescribedTarget)]
-	s.quarantinedRequests[suspect] = fmt.Sprintf("%s %s%s of workspace %q", in.Method, in.Host, target, workspace)
-}
-
 // suspectedAgain reports whether a request that was lost with its server before its
 // answer began was lost before, or shares a part with a request that was. It is not
 // sent to another server then.
@@ -174,7 +161,7 @@
 		metrics.GetOrRegisterCounter("edge.quarantine.verdicts."+c.State.String(), s.metrics.registry).Inc(1)
 		s.log.WithFields(logrus.Fields{
 			"kind": quarantine.KindOf(c.Suspect), "suspect": strconv.FormatUint(c.Suspect, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
-			"age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(), "losses": c.Losses, "hosts": c.Hosts, "companions": hexIDs(c.Companions),
+			"age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(), "losses": c.Losses, "hosts": c.Hosts, "companions": quarantine.FormatList(c.Companions),
 			"known_losses": losses, "suspects": suspects,
 		}).Warn("quarantine verdict changed")
 	}
@@ -185,9 +172,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.quarantine.List()
-	for i := range out {
-		out[i].Request = s.quarantinedRequests[out[i].Suspect]
-	}
+	s.quarantinedRequests.Complete(out)
 	return out
 }
 
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"runtime"
 	"slices"
 	"testing"
@@ -30,7 +29,7 @@
 	}
 	for range 1200 {
 		now = now.Add(time.Millisecond)
-		tracker.AnswerBegan(now, now, next(maxRequestParts))
+		tracker.AnswerBegan(now, now, next(quarantine.MaxRequestParts))
 		for _, r := range next(10) {
 			tracker.AnswerBegan(now, now, []uint64{quarantine.RequestSuspect(r)})
 		}
@@ -111,10 +110,5 @@
 	assert.Equal(t, len(sharedParts(nil)), 0)
 	assert.Equal(t, len(sharedParts([]dispatch.Part{{ID: 1}})), 0)
 	assert.DeepEqual(t, sharedParts([]dispatch.Part{{ID: 1}, {ID: 2}, {ID: 3}}), []uint64{1, 2})
-	assert.Equal(t, len(sharedParts(make([]dispatch.Part, 10*maxRequestParts))), maxRequestParts)
-	var ids []uint64
-	for i := range uint64(10 * maxLoggedParts) {
-		ids = append(ids, i)
-	}
-	assert.Assert(t, len(hexIDs(ids)) < 10*maxLoggedParts, fmt.Sprint(len(hexIDs(ids))))
+	assert.Equal(t, len(sharedParts(make([]dispatch.Part, 10*quarantine.MaxRequestParts))), quarantine.MaxRequestParts)
 }
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -450,7 +450,7 @@
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial,
-		"parts": hexIDs(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
+		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -100,8 +100,8 @@
 	losses            losses.Collector
 	quarantine        *quarantine.Tracker
 	storedVerdicts    map[uint64]uint32 // by suspect: generation that the core hosts have stored
-	// quarantinedRequests describes refused requests, by suspect.
-	quarantinedRequests map[uint64]string
+	// quarantinedRequests describes refused requests.
+	quarantinedRequests quarantine.Descriptions
 
 	loadShedder       *loadShedder
 	refusalLogLimiter *rate.Limiter // limits log lines on refused requests
@@ -123,7 +123,7 @@
 		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout}),
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{},
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
-		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{}, quarantinedRequests: map[uint64]string{},
+		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/losses"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 )
 
 // beginTime is the time from the first event within which a lost connection still
@@ -45,6 +48,6 @@
 	}
 	s.log.WithFields(logrus.Fields{
 		"server": l.ID, "born_ms": l.StartMS, "address": l.Address, "ended": ended, "source": source, "age_ms": time.Since(l.At).Milliseconds(),
-		"begun": l.Begun, "not_begun": l.NotBegun, "parts": hexIDs(sortedIDs(l.Parts)), "requests": hexIDs(requests),
+		"begun": l.Begun, "not_begun": l.NotBegun, "parts": quarantine.FormatList(slices.Sorted(maps.Keys(l.Parts))), "requests": quarantine.FormatList(requests),
 	}).Info("connections to a server lost")
 }
--- a/pkg/quarantine/validate_test.go
+++ b/pkg/quarantine/validate_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -43,8 +44,21 @@
 	})
 }
 
-// Guards against one log line without bound.
-func TestFormattedSuspectsAreBounded(t *testing.T) {
+// Guards against log lines and descriptions without bound.
+func TestTextOnSuspectsIsBounded(t *testing.T) {
 	assert.Equal(t, FormatList([]uint64{255, 16}), "ff 10")
-	assert.Equal(t, len(FormatList(make([]uint64, 10*maxLoggedSuspects))), 2*maxLoggedSuspects-1)
+	var ids []uint64
+	for i := range uint64(10 * maxLoggedSuspects) {
+		ids = append(ids, i)
+	}
+	assert.Assert(t, len(FormatList(ids)) < 10*maxLoggedSuspects, "%d bytes", len(FormatList(ids)))
+	var d Descriptions
+	for _, id := range ids {
+		d.Add(id, "POST", "h", strings.Repeat("/x", maxDescribedTarget), "w")
+		assert.Assert(t, len(d.bySuspect) <= MaxVerdicts)
+	}
+	entries := []Entry{{Verdict: Verdict{Suspect: ids[len(ids)-1]}}, {Verdict: Verdict{Suspect: 1 << 60}}}
+	d.Complete(entries)
+	assert.Assert(t, strings.HasPrefix(entries[0].Request, "POST h/x/x") && len(entries[0].Request) < 2*maxDescribedTarget, entries[0].Request)
+	assert.Equal(t, entries[1].Request, "")
 }
--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -34,6 +34,7 @@
 type quarantineState struct {
 	mu      sync.Mutex // no other lock is taken while it is held
 	tracker *quarantine.Tracker
+	refused quarantine.Descriptions
 
 	losses     losses.Collector
 	logLimiter *rate.Limiter
@@ -91,7 +92,10 @@
 		}).Info("request refused: servers crashed on it")
 	}
 	if quarantine.IsRequest(suspect) {
-		return result.New(result.RequestQuarantined, "backend servers crashed on this request, %s", quarantine.FormatSuspect(suspect))
+		r.quarantine.mu.Lock()
+		r.quarantine.refused.Add(suspect, q.req.Method, "", q.req.URL.RequestURI(), q.workspace.Name)
+		r.quarantine.mu.Unlock()
+		return result.New(result.RequestQuarantined, "backend servers crashed on this request (fingerprint %s)", quarantine.FormatSuspect(suspect))
 	}
 	return result.New(result.PartQuarantined, "backend servers crashed on part %s of the request", quarantine.FormatSuspect(suspect))
 }
--- a/pkg/router/quarantine_admin.go
+++ b/pkg/router/quarantine_admin.go
@@ -31,6 +31,7 @@
 func (r *Router) Quarantine() []quarantine.Status {
 	r.quarantine.mu.Lock()
 	entries := r.quarantine.tracker.List()
+	r.quarantine.refused.Complete(entries)
 	r.quarantine.mu.Unlock()
 	now, out := time.Now(), make([]quarantine.Status, 0, len(entries))
 	for _, e := range entries {
--- a/pkg/router/quarantine_test.go
+++ b/pkg/router/quarantine_test.go
@@ -162,6 +162,7 @@
 	for _, tr := range p.callers {
 		tr.convict(suspect, testTerm-time.Second)
 		expectRefusal(t, tr.request(t, http.MethodGet, "/services/p/popular", "chat", ""), result.RequestQuarantined)
+		assert.Equal(t, tr.router.Quarantine()[0].Request, `GET /services/p/popular of workspace "w"`)
 	}
 	served := [2]bool{}
 	p.callers[0].waitFor(t, "both routers serve the request", func() bool {
