Test requests that crash servers when they are repeated whole at routers

What callers saw: one request, sent again with the same path, workspace and body at any router, crashed server after server.

Two routers, four servers that are back after 200 ms, the request each 20 ms as a service with and without a body, with a key, as a stream and as a chat of one message: from 3 s after the third crash on, none reached a server, and both routers answered 127. Three crashes at alternating routers suffice. Requests that share the first message with the crashing one are served.

--- a/pkg/router/crashing_request_test.go
+++ b/pkg/router/crashing_request_test.go
@@ -50,10 +50,10 @@
 	})
 }
 
-// Guards against requests with one content crashing server after server: they come
-// at either of two routers, each 20 ms, until a second
+// Guards against one request crashing server after server: it comes again with the
+// same path, caller and body, at either of two routers, each 20 ms, until a second
 // after the time within which all routers must refuse it.
-func TestContentThatCrashesServersIsStoppedAtEveryRouter(t *testing.T) {
+func TestRequestRepeatedWholeIsStoppedAtEveryRouter(t *testing.T) {
 	t.Parallel()
 	for _, tc := range []struct {
 		name, class, method, path, body string
@@ -61,6 +61,11 @@
 		keyed                           bool
 		code                            result.Code
 	}{
+		{"service", "order", http.MethodPost, "/services/p/deadly", `{"item":7}`, backend.Service, false, result.RequestQuarantined},
+		{"service without a body", "chat", http.MethodGet, "/services/p/deadly?x=1", "", backend.Service, false, result.RequestQuarantined},
+		{"keyed", "order", http.MethodPost, "/services/p/deadly", `{"item":7}`, backend.Service, true, result.RequestQuarantined},
+		{"stream", "chat", http.MethodPost, chatPath, chatBodyOf("be kind", "deadly"), backend.Engine, false, result.RequestQuarantined},
+		{"chat of one message", "order", http.MethodPost, chatPath, chatBodyOf("deadly"), backend.Engine, false, result.RequestQuarantined},
 		{"body on many paths", "order", http.MethodPost, "/services/p/%d", `{"deadly":7}`, backend.Service, false, result.PartQuarantined},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -109,6 +114,27 @@
 	}
 }
 
+// Guards against each router judging by its own losses: one crashes a server, then
+// the other one, then the first one again, and no further request is needed.
+func TestThreeCrashesAtDifferentRoutersSuffice(t *testing.T) {
+	t.Parallel()
+	const path, body = "/services/p/deadly", `{"item":7}`
+	p, _ := newRecordingPair(t)
+	f := newCrashFleet(t, p.callers[0], 4, backend.Service, func(r *http.Request, _ string) bool { return strings.Contains(r.URL.Path, "deadly") })
+	p.awaitPool(t)
+	for i := range 3 {
+		expectRefusal(t, p.callers[i%2].request(t, http.MethodPost, path, "order", body), result.StreamBroken)
+	}
+	suspect := wholeSuspect(http.MethodPost, path, body)
+	for _, tr := range p.callers {
+		tr.waitFor(t, "the verdict", func() bool { return tr.stateOf(suspect) == "quarantined" })
+		expectRefusal(t, tr.request(t, http.MethodPost, path, "order", body), result.RequestQuarantined)
+	}
+	third, _ := f.thirdCrash()
+	assert.Assert(t, time.Since(third) < contactTime, "%s after the third crash", time.Since(third))
+	assert.Equal(t, f.crashCount(), 3)
+}
+
 // Guards against requests that are refused because servers crash beside them: a
 // server ends each 300 ms on whatever request comes next, while callers poll one GET
 // at both routers, and others send requests of their own with one body, again until
@@ -175,3 +201,30 @@
 		}
 	}
 }
+
+// Guards against the parts of a request that crashes servers being quarantined with
+// it: nothing but the request has its first message until it is refused, then
+// others do.
+func TestRequestsThatShareMessagesWithCrashingOneAreServed(t *testing.T) {
+	t.Parallel()
+	p, _ := newRecordingPair(t)
+	f := newCrashFleet(t, p.callers[0], 4, backend.Engine, func(_ *http.Request, body string) bool { return strings.Contains(body, "deadly") })
+	p.awaitPool(t)
+	p.callers[0].waitFor(t, "both routers refuse the request", func() bool {
+		refused := 0
+		for _, tr := range p.callers {
+			_, body := tryDo(tr.request(t, http.MethodPost, chatPath, "order", chatBodyOf("be kind", "deadly")))
+			if strings.Contains(body, "quarantined") {
+				refused++
+			}
+			<-time.After(callPace)
+		}
+		return refused == 2
+	})
+	assert.Assert(t, f.crashCount() >= 3)
+	for i := range 20 {
+		resp, body := do(t, p.callers[i%2].request(t, http.MethodPost, chatPath, "order", chatBodyOf("be kind", fmt.Sprint("question ", i))))
+		assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+		expectRefusal(t, p.callers[i%2].request(t, http.MethodPost, chatPath, "order", chatBodyOf("be kind", "deadly")), result.RequestQuarantined)
+	}
+}
