--- a/pkg/router/quarantine_bench_test.go
+++ b/pkg/router/quarantine_bench_test.go
@@ -40,12 +40,22 @@
 	t := tr.router.quarantine.tracker
 	for range 1200 {
 		t.AnswerBegan(now, now, suspects(quarantine.MaxRequestParts))
+		for _, s := range suspects(10) {
+			t.AnswerBegan(now, now, []uint64{quarantine.RequestSuspect(s)})
+		}
 	}
 	for i := range uint64(quarantine.MaxLosses) {
-		t.AddLoss(now, quarantine.Loss{Server: quarantine.Server{Hash: i}, At: now, Parts: suspects(quarantine.MaxPartsPerMessage), Lost: 8})
+		l := quarantine.Loss{Server: quarantine.Server{Hash: i}, At: now, Lost: 8}
+		for _, s := range suspects(quarantine.MaxPartsPerMessage) {
+			l.Parts = append(l.Parts, quarantine.PartSuspect(s))
+		}
+		for _, s := range suspects(quarantine.MaxRequestsPerMessage) {
+			l.Requests = append(l.Requests, quarantine.Sent{Request: quarantine.RequestSuspect(s), At: now.Add(-time.Second)})
+		}
+		t.AddLoss(now, l)
 	}
 	for range quarantine.MaxVerdicts {
-		tr.convict(suspects(1)[0], 0)
+		tr.convict(suspects(1)[0], 0, suspects(quarantine.MaxCompanions)...)
 	}
 }
 
--- a/pkg/router/quarantine_test.go
+++ b/pkg/router/quarantine_test.go
@@ -31,12 +31,12 @@
 
 // convict quarantines a suspect at a router as if another one had decided it some
 // time ago.
-func (tr *testRouter) convict(suspect uint64, age time.Duration) {
+func (tr *testRouter) convict(suspect uint64, age time.Duration, companions ...uint64) {
 	now := time.Now()
 	tr.router.quarantine.mu.Lock()
 	defer tr.router.quarantine.mu.Unlock()
 	tr.router.quarantine.tracker.Merge(now, quarantine.Message{Verdicts: []quarantine.Verdict{{
-		Suspect: suspect, Generation: 1, State: quarantine.Quarantined, Since: now.Add(-age), Term: testTerm, Losses: 3, Hosts: 1,
+		Suspect: suspect, Generation: 1, State: quarantine.Quarantined, Since: now.Add(-age), Term: testTerm, Losses: 3, Hosts: 1, Companions: companions,
 	}}}, true)
 }
 
