--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -100,8 +100,8 @@
 	losses            losses.Collector
 	quarantine        *quarantine.Tracker
 	storedVerdicts    map[uint64]uint32 // by suspect: generation that the core hosts have stored
-	// quarantinedRequests describes refused requests, by suspect.
-	quarantinedRequests map[uint64]string
+	// quarantinedRequests describes refused requests.
+	quarantinedRequests quarantine.Descriptions
 
 	loadShedder       *loadShedder
 	refusalLogLimiter *rate.Limiter // limits log lines on refused requests
@@ -123,7 +123,7 @@
 		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout}),
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{},
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
-		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{}, quarantinedRequests: map[uint64]string{},
+		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
@@ -202,7 +202,8 @@
 	}
 	s.mergeStoredVerdicts(now, e.GetState().GetVerdicts())
 	for _, m := range e.GetServers() {
-		if l := s.losses.TakeRestarted(now, m.GetAddress(), m.GetBornMs()); l != nil {
+		startedBefore := func(p losses.Process) bool { return p.StartMS < m.GetBornMs() }
+		for l := s.losses.TakeRestarted(now, m.GetAddress(), startedBefore); l != nil; l = s.losses.TakeRestarted(now, m.GetAddress(), startedBefore) {
 			s.logLoss(l, true, "announcement of a new process")
 			s.addLoss(now, l)
 		}
