Do not believe a second refusal from an address

An id does not prove that a refusal belongs to an attempt if the same request was sent to the same address before. That can happen although a request never goes to the same server twice: a server that has taken over the address of another one refuses a request for it with 421, announces itself, and gets the request under its own id, over a connection that was kept. A copy of the first refusal then counted for an attempt that the server executed.

Shown at the level of one request only, not seen in a fleet: the second refusal gave the outcome "not executed".

A proxied request remembers the addresses that it may have reached. A refusal from one of them is an invalid response, after which the request may have been executed.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -116,6 +116,9 @@
 	if a.outcome == dispatch.ConnectionLost {
 		x.recordLostConnection(v)
 	}
+	if a.sent {
+		x.sentTo = append(x.sentTo, v.Address)
+	}
 	x.s.recordOutcome(x.dispatchReq, a.outcome)
 	return a
 }
@@ -145,6 +148,13 @@
 	http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
 }
 
+// mayRefuse reports whether a refusal with the status and the id of the request
+// belongs to the current attempt. A second refusal from the same address may be a
+// copy of the first.
+func (x *proxiedRequest) mayRefuse(status int) bool {
+	return slices.Contains(refusalStatuses, status) && !slices.Contains(x.sentTo, x.decision.Address)
+}
+
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
 // compressed, states that the request was not executed, or does not continue the
@@ -154,7 +164,7 @@
 	switch {
 	case reply.RequestID != x.in.ID:
 		a.outcome = dispatch.InvalidResponse
-	case (reply.Misdirected || reply.NotExecuted) && !slices.Contains(refusalStatuses, resp.StatusCode):
+	case (reply.Misdirected || reply.NotExecuted) && !x.mayRefuse(resp.StatusCode):
 		a.outcome = dispatch.InvalidResponse
 	case reply.Misdirected:
 		a.outcome = dispatch.Misdirected
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -60,6 +60,7 @@
 	decision          dispatch.Decision
 	slotReservation   string            // reservation id at the server of the decision, "" if none
 	sentAttempts      int               // attempts that may have reached a server
+	sentTo            []string          // addresses of these attempts
 	mayHaveRun        bool              // a server may have executed it, so no response may claim that it was not executed
 	lastErrorResponse *bufferedResponse // last 5xx response, sent to the caller if no attempt succeeds
 	unsentAttempts    int               // attempts that failed before any byte was sent
