Reject responses of servers with a status out of range

net/http reads any three digits as the status of a response, but WriteHeader panics below 100, and 101 or 600 and above mean nothing to a caller. On the platform path the handler of such a response panicked after the request had run: the caller's connection was closed without an answer, and the outcome of the attempt was not reported to the dispatcher. The product path passed the status on in the same way.

Statuses outside 200 to 599 make a response invalid (platform path) or broken (product path).

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -164,6 +164,8 @@
 	switch {
 	case reply.RequestID != x.in.ID:
 		a.outcome = dispatch.InvalidResponse
+	case !proxy.IsFinalStatus(resp.StatusCode):
+		a.outcome = dispatch.InvalidResponse
 	case (reply.Misdirected || reply.NotExecuted) && !x.mayRefuse(resp.StatusCode):
 		a.outcome = dispatch.InvalidResponse
 	case reply.Misdirected:
--- a/pkg/edge/response_fuzz_test.go
+++ b/pkg/edge/response_fuzz_test.go
@@ -107,6 +107,7 @@
 		f.Add([]byte(rawHead(status, "Not-Executed: 1", "Content-Length: 0")), true)
 	}
 	f.Add([]byte(rawHead(503, "Id: id-0", "Id: "+fuzzID, "Not-Executed: 1")), true)
+	f.Add([]byte("HTTP/1.1 000 \r\nId: "+fuzzID+"\r\n\r\n"), false)
 	f.Add([]byte(rawHead(503, "Id: id-0", "Not-Executed: 1", "Content-Length: 0")+rawHead(503, "Id: "+fuzzID, "Not-Executed: 1")), false)
 	f.Fuzz(func(t *testing.T, raw []byte, sentBefore bool) {
 		resp, err := parseResponse(raw)
@@ -150,6 +151,7 @@
 		rawHead(500, id, "Content-Length: 2") + "{}",
 		rawHead(503, id, "Not-Executed: 1", "Content-Length: 2") + "{}",
 		rawHead(206, id, seal, ok, length(next)) + next,
+		"HTTP/1.1 000 \r\n" + id + "\r\n\r\n",
 		"",
 	} {
 		f.Add([]byte(first), []byte(second))
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -214,6 +214,9 @@
 	if err := f.checkRequestID(); err != nil {
 		return err
 	}
+	if !IsFinalStatus(f.resp.StatusCode) {
+		return result.New(result.StreamBroken, "the server answered with status %d", f.resp.StatusCode)
+	}
 	f.report.IsStream = isEventStream(f.resp.Header)
 	if f.resp.StatusCode >= http.StatusInternalServerError && f.r.InterceptServerError {
 		return result.New(result.ServerError, "the server answered with status %d", f.resp.StatusCode)
@@ -231,6 +234,12 @@
 	return result.New(result.IdentityMismatch, "the server's response carries request id %q", got)
 }
 
+// IsFinalStatus reports whether a status can be that of a complete response. net/http
+// reads any three digits, but panics when it writes some of them.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
+
 func isEventStream(h http.Header) bool {
 	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
 	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
--- a/pkg/proxy/resume_error_test.go
+++ b/pkg/proxy/resume_error_test.go
@@ -56,3 +56,17 @@
 		})
 	}
 }
+
+// Guards against a status that no response can have: the handler panicked when it
+// passed the status on.
+func TestStatusOutOfRangeIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		f := newFakeServer(t, func(c net.Conn, _ *http.Request, _ int64) {
+			writeString(c, "HTTP/1.1 "+status+" Odd\r\nJackdawtrack-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+		})
+		report, sink := forward(t, newRequest(f))
+		assert.Equal(t, resultCode(report), result.StreamBroken, "status %s", status)
+		assert.Equal(t, sink.status, 0)
+	}
+}
