Refuse announcements of the product path with odd values or trailing data

Decode read the first JSON value and ignored what followed, also what lay beyond 16 KiB. It accepted addresses that no server has (port 0, unspecified, multicast, IPv6 zone), two spellings of one address, and load reports whose counts overflow when they are added up or whose age overflows as a duration: such a report counts as taken in the future.

Shown at the level of Decode; not seen in a fleet.

An announcement must be one JSON object of at most 16 KiB, with an address in the canonical form, counts up to 2^20 and an age of at most an hour. A router logs each refusal with the server and the field, also of announcements that another router forwards, which were dropped without a line.

A very deeply nested member is refused beyond the depth limit of encoding/json, or ignored, as before.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -19,6 +19,10 @@
 	MaxModels            = 64
 	MaxLoadable          = 64
 	MaxSlots             = 4096
+	// MaxReported bounds the counts of a load report, so that their sums and products
+	// cannot overflow, and MaxLoadAge its age. Reports lag by seconds.
+	MaxReported = 1 << 20
+	MaxLoadAge  = time.Hour
 
 	// AnnounceInterval is how often a BackendServer announces itself.
 	AnnounceInterval = time.Second
@@ -87,14 +91,24 @@
 // Decode reads and validates one announcement of at most MaxAnnouncementBytes.
 // Errors have the code AnnouncementRefused.
 func Decode(r io.Reader) (Announcement, error) {
+	data, err := io.ReadAll(io.LimitReader(r, MaxAnnouncementBytes+1))
+	if err != nil {
+		return Announcement{}, result.Wrap(result.AnnouncementRefused, err, "announcement cannot be read")
+	}
 	var a Announcement
-	d := json.NewDecoder(io.LimitReader(r, MaxAnnouncementBytes))
-	if err := d.Decode(&a); err != nil {
-		return Announcement{}, result.Wrap(result.AnnouncementRefused, err, "announcement is not valid JSON of at most %d bytes", MaxAnnouncementBytes)
+	if err = json.Unmarshal(data, &a); err != nil || len(data) > MaxAnnouncementBytes {
+		return Announcement{}, result.Wrap(result.AnnouncementRefused, err, "server %.64q: announcement is not one JSON object of at most %d bytes", a.Name, MaxAnnouncementBytes)
 	}
 	return a, a.Validate()
 }
 
+// isServerAddress reports whether a server can have the address.
+func isServerAddress(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	ip := at.Addr()
+	return err == nil && at.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast() && at.String() == address
+}
+
 // Validate returns an AnnouncementRefused error for the first value that is
 // out of range.
 func (a Announcement) Validate() error {
@@ -102,10 +116,10 @@
 		return result.New(result.AnnouncementRefused, format, args...)
 	}
 	if !class.ValidName(a.Name) || !class.ValidName(a.DataCentre) || !class.ValidName(a.Pool) {
-		return refusalErrorf("name %q, data centre %q or pool %q is not valid", a.Name, a.DataCentre, a.Pool)
+		return refusalErrorf("name %.64q, data centre %.64q or pool %.64q is not valid", a.Name, a.DataCentre, a.Pool)
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return refusalErrorf("server %s: address %q is not IP and port", a.Name, a.Address)
+	if !isServerAddress(a.Address) {
+		return refusalErrorf("server %s: address %.64q is not IP and port of a server", a.Name, a.Address)
 	}
 	if a.Kind != Engine && a.Kind != Service {
 		return refusalErrorf("server %s: kind %q is not engine or service", a.Name, a.Kind)
@@ -125,8 +139,12 @@
 	if a.Slots < 0 || a.Slots > MaxSlots || a.ColdSlots < 0 || a.ColdSlots > MaxSlots {
 		return refusalErrorf("server %s: slots %d or cold slots %d outside 0 to %d", a.Name, a.Slots, a.ColdSlots, MaxSlots)
 	}
-	if a.Load.Running < 0 || a.Load.Waiting < 0 || a.Load.AgeMS < 0 {
-		return refusalErrorf("server %s: load report contains a negative value", a.Name)
+	l := a.Load
+	if min(l.Running, l.Waiting, l.CachedPrefixes) < 0 || max(l.Running, l.Waiting, l.CachedPrefixes) > MaxReported || l.TotalRequests < 0 {
+		return refusalErrorf("server %s: load report contains a count outside 0 to %d", a.Name, MaxReported)
+	}
+	if l.AgeMS < 0 || l.AgeMS > MaxLoadAge.Milliseconds() {
+		return refusalErrorf("server %s: age of the load report, %d ms, is outside 0 to %s", a.Name, l.AgeMS, MaxLoadAge)
 	}
 	return nil
 }
--- a/pkg/router/announce.go
+++ b/pkg/router/announce.go
@@ -22,6 +22,7 @@
 	r.counters.announcements.Inc(1)
 	if err := r.announce(req); err != nil {
 		r.counters.announcementsRefused.Inc(1)
+		r.log.Warnf("announcement from %s refused: %v", req.RemoteAddr, err)
 		writeError(w, err)
 		return
 	}
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -174,7 +174,7 @@
 	case *apiv1.Envelope_HeldGrants:
 		r.receiveHeldGrants(peer.ShardFromProto(item.HeldGrants.Shard), from, peer.HeldGrantsFromProto(from, item.HeldGrants.Grants))
 	case *apiv1.Envelope_Announcement:
-		r.receiveAnnouncement(item.Announcement.Json)
+		r.receiveAnnouncement(from, item.Announcement.Json)
 	case *apiv1.Envelope_DataCentreMark:
 		r.receiveMark(item.DataCentreMark)
 	case *apiv1.Envelope_Handover:
@@ -233,10 +233,14 @@
 
 // receiveAnnouncement stores an announcement that another router has forwarded.
 // If this router owns the pool, its owner receives it too.
-func (r *Router) receiveAnnouncement(text []byte) {
+func (r *Router) receiveAnnouncement(from pool.RouterID, text []byte) {
 	a, err := backend.Decode(bytes.NewReader(text))
 	now := time.Now()
-	if err != nil || r.checkNameConflict(now, a) != nil {
+	if conflict := r.checkNameConflict(now, a); err == nil && conflict != nil {
+		err = conflict
+	}
+	if err != nil {
+		r.log.Warnf("announcement of server %.64q from router %s ignored: %v", a.Name, from.Name, err)
 		return
 	}
 	r.servers.update(now, a)
