Drop odd member records alone

Swim merged every record of a packet that can be decoded. A record with the largest incarnation or version could not be refuted, because a refutation raises it by one and wrapped around to 0: the member stayed shut out. A record larger than a datagram never fitted into one and blocked all updates behind it. An unknown status was stored, and Status.String panics on it. Without a membership key any process that reaches the port can send such records.

Records are validated before they are merged: a valid name, incarnation at most 2^62, version at most 2^31, a known status, at most half a datagram, and addresses with a port. A bad one is dropped alone, with a rate-limited log line that names the member and the field. A packet whose sender or target is not a name is dropped.

--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
@@ -28,6 +29,8 @@
 	done       chan struct{}
 	closeOnce  sync.Once
 	goroutines sync.WaitGroup
+	// invalidLogLimit limits the log lines on invalid datagrams.
+	invalidLogLimit *rate.Limiter
 
 	mu          sync.Mutex // guards the fields below
 	swim        *Swim
@@ -55,7 +58,7 @@
 	if cfg.Self.Incarnation == 0 {
 		cfg.Self.Incarnation = uint64(now.UnixMilli())
 	}
-	n := &Node{log: logging.ForComponent("membership"), conn: conn, done: make(chan struct{}), swim: NewSwim(cfg, now)}
+	n := &Node{log: logging.ForComponent("membership"), conn: conn, done: make(chan struct{}), swim: NewSwim(cfg, now), invalidLogLimit: rate.NewLimiter(1, 5)}
 	n.goroutines.Go(n.receiveLoop)
 	n.goroutines.Go(n.tickLoop)
 	return n, nil
@@ -161,11 +164,15 @@
 	before := n.swim.Self().Incarnation
 	packets := input(time.Now())
 	after := n.swim.Self().Incarnation
+	invalid := n.swim.TakeInvalid()
 	n.notifySubscribers()
 	n.mu.Unlock()
 	if before != after {
 		n.log.Warnf("another process used the name of this router, or the clock went back: incarnation %d raised to %d", before, after)
 	}
+	if invalid != "" && n.invalidLogLimit.Allow() {
+		n.log.Warnf("member record ignored: %s", invalid)
+	}
 	for _, p := range packets {
 		to, err := netip.ParseAddrPort(p.To)
 		if err != nil {
--- a/pkg/membership/swim.go
+++ b/pkg/membership/swim.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -50,6 +51,7 @@
 	nextSync         time.Time
 	syncPartner      string // name of the member to request the next page from, "" if none
 	lastSelfUpdate   time.Time
+	invalid          string // why the last invalid record was dropped
 }
 
 // NewSwim returns a member that knows no other member.
@@ -95,8 +97,16 @@
 	if err != nil || p.From == s.self.Name && p.FromIncarnation == s.self.Incarnation {
 		return nil
 	}
+	if !isValidHeader(p) {
+		s.invalid = fmt.Sprintf("invalid sender %.64q or target %.64q", p.From, p.Target)
+		return nil
+	}
 	before := s.changeCount
 	for _, r := range p.Records {
+		if reason := invalidRecord(r); reason != "" {
+			s.invalid = reason
+			continue
+		}
 		s.mergeRecord(now, r)
 	}
 	switch p.Kind {
@@ -114,6 +124,14 @@
 	return s.takeOutgoing()
 }
 
+// TakeInvalid returns why the last invalid record since the last call was dropped, ""
+// if there was none.
+func (s *Swim) TakeInvalid() string {
+	reason := s.invalid
+	s.invalid = ""
+	return reason
+}
+
 // Members returns all members in the table, sorted by name: this router, the live
 // members, and those that died or left within DeadMemberRetention.
 func (s *Swim) Members() []Member {
