Ignore a service total of another router that is too large

Totals of other routers were added up as they came. One at the maximum of its field made the sum of the workspace negative; the workspace then seems to have had less service than none.

Shown at the level of one router: after totals of 5 and 2^64-1 the sum was -1.

A total above 2^53 units is ignored alone, with a log line that names the workspace and the router. Other odd messages of routers did no harm: an odd announcement in a batch is dropped, and the ones after it are taken (TestOddAnnouncementInBatchIsIgnoredAlone passed before too).

Before: TestOddTotalIsIgnoredAlone "-1 != 5". After: passes. FuzzHandleMessages ran 1 min with -fuzz (69,361 batches) without a panic or a lost announcement.

--- a/pkg/router/totals.go
+++ b/pkg/router/totals.go
@@ -18,6 +18,10 @@
 	// are kept. The router may be in another partition. If its totals were
 	// dropped, all service that it counts until it returns would be lost.
 	lostOriginRetention = membership.DeadMemberRetention
+	// maxServiceUnits bounds a received total, so that the sum over all origins
+	// cannot overflow. A fleet of the size to design for counts 1e7 units a second,
+	// 1e15 in three years.
+	maxServiceUnits = 1 << 53
 )
 
 // exchangeTotalsIfDue exchanges totals at whole multiples of the interval. If
@@ -61,6 +65,10 @@
 	}
 	totals := make([]fairshare.ServiceTotal, 0, len(t.Totals))
 	for _, w := range t.Totals {
+		if w.Units > maxServiceUnits {
+			r.log.Warnf("total of workspace %.64q from router %.64q ignored: %d service units are more than %d", w.Workspace, t.Origin.Name, w.Units, uint64(maxServiceUnits))
+			continue
+		}
 		totals = append(totals, fairshare.ServiceTotal{Workspace: w.Workspace, Units: w.Units})
 	}
 	origin := fairshare.Origin{Name: t.Origin.Name, DataCentre: t.Origin.DataCentre, Incarnation: t.Origin.Incarnation}
