Follow the digests of an edge host again after one with the largest number

A digest with the number 2^64-1 under the incarnation of an edge host made each later digest of that process stale for good: its load and the usage of its workspaces were no longer counted. A digest with the largest incarnation had this effect for 2 s only, because a lower one is accepted once the peer was silent for peerTimeout.

Shown in the dispatcher, not seen in a fleet: digests come from edge hosts only.

The same now holds for numbers: a peer that was silent for peerTimeout is followed from its next digest on, with the counters of that digest as the baseline.

Before: TestDigestWithLargestNumberDoesNotSilenceAnEdgeHost "taken is false: incarnation:1 number:". After: passes.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -209,16 +209,17 @@
 }
 
 // isStale reports whether the digest is older than the last one. The clock of
-// the other host may have been set back before a restart, so a lower
-// incarnation is accepted once the known one has been silent for peerTimeout.
+// the other host may have been set back before a restart, and one digest may have a
+// wrong number, so a lower incarnation or number is accepted once the peer has been
+// silent for peerTimeout.
 func (p *peer) isStale(now time.Time, m *apiv1.LoadDigest) bool {
 	switch {
-	case p == nil:
+	case p == nil || now.Sub(p.heardAt) >= peerTimeout:
 		return false
 	case m.GetIncarnation() == p.incarnation:
 		return m.GetNumber() <= p.lastNumber
 	default:
-		return m.GetIncarnation() < p.incarnation && now.Sub(p.heardAt) < peerTimeout
+		return m.GetIncarnation() < p.incarnation
 	}
 }
 
--- a/pkg/dispatch/digest_test.go
+++ b/pkg/dispatch/digest_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 )
 
 // Guards against counting the work that another edge host did during a
@@ -104,6 +107,27 @@
 	assert.Assert(t, b.servers["engine-0"].backlogTokens >= 5000)
 }
 
+// Guards against a digest with the largest number or incarnation after which the
+// digests of the edge host are stale for good.
+func TestDigestWithLargestNumberDoesNotSilenceAnEdgeHost(t *testing.T) {
+	for _, odd := range []*apiv1.LoadDigest{{Incarnation: 1, Number: math.MaxUint64}, {Incarnation: math.MaxUint64, Number: 1}} {
+		fleet := newFleet(2, 1)
+		a, b := fleet[0], fleet[1]
+		b.MergeDigest(start, nextDigest(a, start))
+		odd.Router = a.self
+		b.MergeDigest(start, odd)
+		now := start
+		taken := false
+		for ; !taken && now.Before(start.Add(2*peerTimeout)); now = now.Add(50 * time.Millisecond) {
+			taken = b.MergeDigest(now, nextDigest(a, now))
+		}
+		assert.Assert(t, taken, "%v", odd)
+		a.Admit(now, newRequest(now, "w", 9000, time.Second))
+		b.MergeDigest(now, nextDigest(a, now))
+		assert.Assert(t, b.servers["engine-0"].backlogTokens >= 9000, "%v", odd)
+	}
+}
+
 // Guards against placements that are published too slowly during an overload.
 // Other edge hosts then do not know what engines cache, and have it prefilled
 // again when the load moves to them.
