Show that an earlier answer on a kept connection is not taken

No fault found on the product path: a router takes an answer on a kept connection only with the id of the request, and uses a new connection for servers that do not repeat ids and for requests that may not run twice. A status of a server never counts as "not executed" there.

The test writes an earlier refusal once more, with the id of the request before or none, once or twice, after the first answer or before the second. Without the check of the id it fails with "0 ok != identity_mismatch", without new connections for servers that do not repeat ids with "status 503".

--- a/pkg/proxy/execution_test.go
+++ b/pkg/proxy/execution_test.go
@@ -131,3 +131,61 @@
 	c.release(second)
 	assert.Equal(t, table.closeIdle("server"), 1)
 }
+
+// Guards against an earlier answer that a server writes once more on a kept
+// connection and that is taken for the answer to the next request: a refusal would
+// tell the caller that a request was not executed which the server executes.
+func TestEarlierAnswerOnKeptConnectionIsNotTaken(t *testing.T) {
+	refusal := func(id string) string {
+		if id != "" {
+			id = HeaderRequestID + ": " + id + "\r\n"
+		}
+		return "HTTP/1.1 503 Service Unavailable\r\n" + id + "Retry-After: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, c := range []struct {
+		name        string
+		stray       string // after the first answer, or before the second
+		mayRunTwice bool
+		repeatsID   bool
+		code        result.Code
+	}{
+		{"refusal of the request before", refusal("r-1"), true, true, result.IdentityMismatch},
+		{"twice", refusal("r-1") + refusal("r-1"), true, true, result.IdentityMismatch},
+		{"refusal without an id", refusal(""), true, true, result.IdentityMismatch},
+		{"server that does not repeat ids", refusal(""), true, false, result.OK},
+		{"class that may not run twice", refusal("r-1"), false, true, result.OK},
+	} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, early %v", c.name, early), func(t *testing.T) {
+				var mu sync.Mutex
+				answered := map[net.Conn]bool{}
+				f := newFakeServer(t, func(conn net.Conn, r *http.Request, _ int64) {
+					mu.Lock()
+					defer mu.Unlock()
+					answer := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": " + r.Header.Get(HeaderRequestID) + "\r\nContent-Length: 10\r\n\r\n0123456789"
+					switch {
+					case !answered[conn] && early:
+						answer += c.stray
+					case answered[conn] && !early:
+						answer = c.stray + answer
+					}
+					answered[conn] = true
+					writeString(conn, answer)
+				})
+				tr := NewTransport()
+				defer tr.Close()
+				r := newRequest(f)
+				r.Class.MayRunTwice, r.Abilities.RepeatsID = c.mayRunTwice, c.repeatsID
+				assert.Equal(t, resultCode(tr.Forward(t.Context(), r, &recordingSink{})), result.OK)
+				r.ID = "r-2"
+				sink := &recordingSink{}
+				report := tr.Forward(t.Context(), r, sink)
+				if code := resultCode(report); code != result.OK || !early {
+					assert.Equal(t, code, c.code, "%v", report.Err)
+				}
+				assert.Assert(t, report.Err == nil || report.Err.Code.Executed() != result.ExecutedNo || !report.Sent, "%v", report.Err)
+				assert.Assert(t, sink.status == 0 || sink.status == http.StatusOK, "status %d", sink.status)
+			})
+		}
+	}
+}
