--- /dev/null
+++ b/pkg/fleet/fuzz_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"math"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+)
+
+// Guards against a stored command that crashes core hosts, that replaces a newer
+// document, or after which the state cannot be restored from its snapshot.
+func FuzzApply(f *testing.F) {
+	for _, c := range []*apiv1.FleetCommand{
+		{},
+		{Document: &apiv1.FleetDocument{Version: math.MaxUint64, Data: []byte("[[[")}},
+		{Mark: &apiv1.FleetMark{DataCentre: "z", Out: true, Revision: math.MaxUint64}},
+		{Verdict: &apiv1.QuarantineVerdict{Part: 1, Generation: math.MaxUint32, State: math.MaxUint32, AgeMs: math.MinInt64, StoredUnixMs: math.MinInt64}},
+	} {
+		data, err := EncodeCommand(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0xff, 0xff})
+	f.Fuzz(func(t *testing.T, command []byte) {
+		s := NewState()
+		first, err := EncodeCommand(&apiv1.FleetCommand{Document: &apiv1.FleetDocument{Version: 7, Data: []byte("{}")}, Mark: &apiv1.FleetMark{DataCentre: "first", Out: true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Apply(1, first)
+		s.Apply(2, command)
+		if s.Version() < 7 {
+			t.Fatalf("version %d", s.Version())
+		}
+		snapshot, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := NewState()
+		if err := restored.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		want, _ := s.View(0)
+		got, _ := restored.View(0)
+		if !proto.Equal(got, want) {
+			t.Fatalf("%v restored as %v", want, got)
+		}
+	})
+}
