--- a/pkg/fleet/fuzz_test.go
+++ b/pkg/fleet/fuzz_test.go
@@ -16,7 +16,7 @@
 		{},
 		{Document: &apiv1.FleetDocument{Version: math.MaxUint64, Data: []byte("[[[")}},
 		{Mark: &apiv1.FleetMark{DataCentre: "z", Out: true, Revision: math.MaxUint64}},
-		{Verdict: &apiv1.QuarantineVerdict{Part: 1, Generation: math.MaxUint32, State: math.MaxUint32, AgeMs: math.MinInt64, StoredUnixMs: math.MinInt64}},
+		{Verdict: &apiv1.QuarantineVerdict{Suspect: 1, Generation: math.MaxUint32, State: math.MaxUint32, AgeMs: math.MinInt64, StoredUnixMs: math.MinInt64}},
 	} {
 		data, err := EncodeCommand(c)
 		if err != nil {
