Keep a request at a silent server until another one answers

Callers saw a stream end in its middle, or got status 502, although the server was sound, silent for a second, and went on.

Cause: an edge host cancelled the attempt when the server had sent nothing for four pauses of the route (2.5 objectives before the first byte), and looked for another server only then. If that one was full, could not be reached, failed or resumed at another event, or the retry budget was spent meanwhile, the attempt at the sound server was already gone. All streams of a silent server come to this point at the same moment.

The second attempt runs beside the first now. The retry is taken from the budget together with the place at the second server. Without a second server a stream stays; a request without any response is given up after 2 s, if its server has answered nobody since. The time in which a caller takes the last events no longer counts as silence of the server.

TestSlowServerKeepsRequestWithoutRetryBudget allowed to give up a request at a server that was silent for any time. TestSlowServerKeepsRequestThatNoOtherTakes replaces it: the same cases, and the silence that a sound server may show.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -158,6 +158,30 @@
 	return d.refuse(now, r, Decision{}, ReasonNoServer)
 }
 
+// Hedge assigns a second server to a request that runs at the given one. It returns a
+// copy of the request for the second attempt, whose outcome is recorded by itself, or
+// nil if no other server may take it. The work counts once for the workspace.
+func (d *Dispatcher) Hedge(now time.Time, r *Request, running string) (*Request, Decision) {
+	second := *r
+	second.ExcludedServers = append(slices.Clone(r.ExcludedServers), running)
+	second.prefixHolders, second.firstEventSeen, second.isHedge = nil, false, true
+	svc := d.services[r.Service]
+	if svc == nil {
+		return nil, Decision{}
+	}
+	f := d.evaluateServers(now, &second, svc)
+	if f.cheapest == nil {
+		return nil, Decision{}
+	}
+	v := d.assign(now, &second, f.cheapest, Decision{Action: Send, Class: OnTime})
+	v.ReserveSlot = false // the first server keeps the request until the second answers
+	d.ConfirmReservation(now, &second)
+	return &second, v
+}
+
+// EndHedge makes a request that Hedge returned the only attempt.
+func (r *Request) EndHedge() { r.isHedge = false }
+
 // fairShare updates and returns the fair share of a workspace in shareWindow,
 // in service tokens.
 func (d *Dispatcher) fairShare(now time.Time) float64 {
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // RecordEvent records an event of a running request. The first one updates the
 // estimates of the engine.
@@ -47,20 +44,14 @@
 	// After a lost connection the caller needs the whole request again, so the work
 	// of the server does not count against its workspace.
 	case NotExecuted, ConnectFailed, ConnectTimeout, Misdirected, NotSent, NoSlot, ConnectionLost:
-		d.shares.recordServed(now, r.Workspace, -serviceTokens(r))
-		r.usageCounted = false
+		if !r.isHedge {
+			d.shares.recordServed(now, r.Workspace, -serviceTokens(r))
+			r.usageCounted = false
+		}
 	}
 	d.applyOutcome(now, r, s, o)
 }
 
-// HasAlternative reports whether the service has another available server.
-func (d *Dispatcher) HasAlternative(service, id string) bool {
-	svc := d.services[service]
-	return svc != nil && slices.ContainsFunc(svc.servers, func(s *server) bool {
-		return s.info.ID != id && s.info.Ready && s.downSince.IsZero()
-	})
-}
-
 // HeardSince reports whether the server has sent an event or an answer to this
 // edge host after the given time.
 func (d *Dispatcher) HeardSince(id string, then time.Time) bool {
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -40,6 +40,7 @@
 	demandCounted  bool // counted in the demand of its workspace
 	slotPending    bool // assigned to an engine that has not confirmed a slot yet
 	queued         bool
+	isHedge        bool // second attempt, whose work the first one counts for the workspace
 	usageCounted   bool
 	server         *server
 	prefixHolders  []prefixHolder // per data centre, the engine that caches the longest prefix of the prompt
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -41,21 +41,16 @@
 // response.
 func (x *proxiedRequest) attempt(v dispatch.Decision) attemptResult {
 	x.eventsBefore = x.sseParser.count
-	ctx, cancel := context.WithCancelCause(x.callerCtx)
-	defer cancel(nil)
-	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadlinePassed) })
+	e := x.takeExchange(v)
+	ctx := e.ctx
+	defer e.cancel(nil)
+	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { e.cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
-	startedAt := time.Now()
-	var arrival proxy.UnreadMonitor
-	inactivityTimeout := newInactivityTimer(x.inactivityTimeout(),
-		func() bool {
-			return x.s.mayAbandon(x.dispatchReq.Service, v.Server, startedAt) &&
-				(!x.headSent || x.s.hasAlternative(x.dispatchReq.Service, v.Server)) && !arrival.HasUnread()
-		},
-		func() { cancel(errServerInactive) })
-	defer inactivityTimeout.stop()
+	h := x.newHedge(e)
+	inactivityTimeout := startInactivityTimer(x.inactivityTimeout(), &inactivityTimer{mayAbandon: h.tryReplace, keep: h.keepFirst, abandon: func() { e.cancel(errServerInactive) }})
+	defer func() { h.close(inactivityTimeout.stop()) }()
 
-	resp, sent, err := x.s.transport.SendRequest(ctx, x.buildRequest(v), &arrival, x.in.Body)
+	resp, sent, err := e.send(x)
 	if err != nil {
 		return x.finishAttempt(v, x.classifySendError(ctx, err, sent))
 	}
@@ -68,9 +63,9 @@
 		return x.finishAttempt(v, a)
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
-		return x.finishAttempt(v, x.forwardStream(ctx, resp, inactivityTimeout, &arrival))
+		return x.finishAttempt(v, x.forwardStream(ctx, resp, inactivityTimeout, h))
 	}
-	return x.finishAttempt(v, x.forwardBuffered(ctx, resp))
+	return x.finishAttempt(v, x.forwardBuffered(ctx, resp, inactivityTimeout))
 }
 
 // inactivityTimeout returns how long a server may send nothing before the request
@@ -84,16 +79,17 @@
 	return max(time.Duration(inactivityFactor*float64(x.dispatchReq.Objective)), minInactivityTimeout)
 }
 
-// buildRequest returns the request to send to the server of the decision.
-func (x *proxiedRequest) buildRequest(v dispatch.Decision) *http.Request {
+// buildRequest returns the request to send to the server of the decision. It resumes
+// a stream after the event lastID that was forwarded to the caller, "" if none was.
+func (x *proxiedRequest) buildRequest(v dispatch.Decision, lastID, slotReservation string) *http.Request {
 	h := x.in.Header.Clone()
 	lastEvent := x.in.LastEventID
-	if x.sseParser.lastID != "" {
-		lastEvent = x.sseParser.lastID
+	if lastID != "" {
+		lastEvent = lastID
 	}
 	x.s.config.Dialect.WriteHeaders(h, RequestMetadata{
 		RequestID: x.in.ID, Server: v.Server, Workspace: x.dispatchReq.Workspace,
-		RemainingTime: max(time.Until(x.deadline), time.Millisecond), LastEventID: lastEvent, FetchFrom: v.FetchFrom, SlotReservation: x.slotReservation,
+		RemainingTime: max(time.Until(x.deadline), time.Millisecond), LastEventID: lastEvent, FetchFrom: v.FetchFrom, SlotReservation: slotReservation,
 	})
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // prevents net/http from setting its default
@@ -160,13 +156,14 @@
 
 // forwardBuffered reads the complete response before it forwards it, so that a
 // failure before the end can be retried.
-func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response) attemptResult {
+func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response, inactivity *inactivityTimer) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	body, done, err := x.s.responses.read(resp.Body)
 	x.releaseFuncs = append(x.releaseFuncs, done)
 	if err != nil {
 		return x.classifyBodyError(ctx, a, err)
 	}
+	inactivity.stop()
 	x.timeToFirst = time.Since(x.in.Arrived)
 	header := resp.Header.Clone()
 	proxy.RemoveHopByHopHeaders(header)
@@ -226,7 +223,7 @@
 
 // forwardStream forwards server-sent events as they arrive, but only complete
 // ones, so that another server can resume the stream after a failure.
-func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, arrival *proxy.UnreadMonitor) attemptResult {
+func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, h *hedge) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	x.sseParser.buffer = x.sseParser.buffer[:0]
 	resumed := x.headSent
@@ -236,18 +233,22 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			arrival.MarkRead()
+			h.first.arrival.MarkRead()
 			events := x.sseParser.appendBytes(buf[:n])
 			if len(x.sseParser.buffer)-len(events) > maxEventBytes {
 				return x.classifyBodyError(ctx, a, errEventTooLarge)
 			}
 			if len(events) > 0 {
-				inactivity.progress(x.stallTimeout())
+				if !inactivity.progress(x.stallTimeout(h.sentAttempts())) {
+					a.outcome, a.err = dispatch.ResponseTimeout, errServerInactive
+					return a
+				}
 				if resumed && !isNextID(x.sseParser.lastID, firstID(events)) {
 					a.outcome = dispatch.InvalidResponse
 					return a
 				}
 				resumed = false
+				inactivity.pause()
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
@@ -256,6 +257,8 @@
 					x.reportAnswerBegan(x.firstEventAt)
 				}
 				x.coalesceEvents(ctx)
+				h.forwarded(x.sseParser.lastID)
+				inactivity.resume()
 			}
 		}
 		if err == io.EOF {
@@ -346,10 +349,10 @@
 }
 
 // stallTimeout returns the inactivity timeout of a stream after its first event.
-// On the last attempt, and for a stream that cannot be resumed, it exceeds the
-// deadline.
-func (x *proxiedRequest) stallTimeout() time.Duration {
-	last := x.sentAttempts+1 >= max(x.route.MaxAttempts, 1)
+// hedges is the number of failed attempts beside the current one. On the last
+// attempt, and for a stream that cannot be resumed, it exceeds the deadline.
+func (x *proxiedRequest) stallTimeout(hedges int) time.Duration {
+	last := x.sentAttempts+hedges+1 >= max(x.route.MaxAttempts, 1)
 	if last || x.route.RetryPolicy != routing.Resumable {
 		return time.Until(x.deadline) + time.Second
 	}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -15,6 +16,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
@@ -77,21 +79,48 @@
 	assert.Assert(t, float64(spent) <= limit.Ratio*hosts*requests+limit.Extra, "%d", spent)
 }
 
-// Guards against abandoning a request at a slow server when the retry budget does
-// not allow another one: on a large deployment callers got status 502 for requests
-// that were about to be answered.
-func TestSlowServerKeepsRequestWithoutRetryBudget(t *testing.T) {
-	d := dispatch.New("edge", "z", start)
-	d.SetServers(start, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 6, Ready: true, Heard: start}})
-	s := &Server{dispatcher: d, retryBudget: newRetryBudget(RetryBudget{Extra: 1 / usableBudgetShare})}
-	other := &dispatch.Request{ID: "other", Service: "s", Arrived: start, Objective: time.Second, Deadline: start.Add(time.Minute)}
-	assert.Equal(t, d.Admit(start, other).Action, dispatch.Send)
-	assert.Assert(t, s.mayAbandon("s", "i", start), "the retry budget allows another server")
-	assert.Assert(t, s.retryBudget.spend("s"))
-	assert.Assert(t, s.mayAbandon("s", "i", start), "the server has sent no response")
-	d.RecordOutcome(start.Add(time.Second), other, dispatch.Completed)
-	assert.Assert(t, !s.mayAbandon("s", "i", start), "the server has responded to another request")
-	assert.Assert(t, s.mayAbandon("s", "i", start.Add(time.Second)), "the server has sent nothing since then")
+// Guards against abandoning a request at a slow server when no other one takes it: on
+// a large deployment callers got status 502 for requests that were about to be
+// answered, and streams were cut.
+func TestSlowServerKeepsRequestThatNoOtherTakes(t *testing.T) {
+	const sound = soundSilence
+	for _, c := range []struct {
+		name        string
+		retryBudget float64
+		silent      time.Duration // since the start of the attempt
+		began       bool          // events were sent to the caller
+		heard       bool          // the server has responded to another request since
+		want        bool
+	}{
+		{"no other server", 50, sound - time.Millisecond, false, false, false},
+		{"no retry budget", 0, sound - time.Millisecond, false, false, false},
+		{"silent for longer than a sound server", 50, sound + time.Second, false, false, true},
+		{"the same without retry budget", 0, sound + time.Second, false, false, true},
+		{"the server has responded to another request", 0, sound + time.Second, false, true, false},
+		{"the response has begun", 50, time.Hour, true, false, false},
+		{"the same without retry budget", 0, time.Hour, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := time.Now()
+				d := dispatch.New("edge", "z", now)
+				d.SetServers(now, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 6, Ready: true, Heard: now}})
+				s := &Server{dispatcher: d, retryBudget: newRetryBudget(RetryBudget{Extra: c.retryBudget}), quarantine: quarantine.New(1)}
+				r := &dispatch.Request{ID: "r", Service: "s", Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute)}
+				x := &proxiedRequest{s: s, route: &routing.Route{RetryPolicy: routing.Resumable, MaxAttempts: 2}, dispatchReq: r, callerCtx: t.Context(), headSent: c.began}
+				x.sseParser.lastID = "4"
+				h := x.newHedge(x.newExchange(d.Admit(now, r), r))
+				if c.heard {
+					time.Sleep(time.Millisecond)
+					another := &dispatch.Request{ID: "another", Service: "s", Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute)}
+					assert.Equal(t, d.Admit(now, another).Action, dispatch.Send)
+					d.RecordOutcome(time.Now(), another, dispatch.Completed)
+				}
+				time.Sleep(c.silent)
+				assert.Equal(t, h.tryReplace(), c.want)
+			})
+		})
+	}
 }
 
 // Guards against retries beyond the retry budget, which would double the load of
--- /dev/null
+++ b/pkg/edge/hedge.go
@@ -0,0 +1,311 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+	"jackdawtrack.example/jackdawtrack/pkg/routing"
+)
+
+// soundSilence is how long a sound server may send nothing. By the users' pages that
+// is a second or so, and their callers wait for 2 s. A request is never given up
+// earlier for that reason alone.
+const soundSilence = 2 * time.Second
+
+// errAttemptEnded cancels a second attempt that is no longer needed.
+var errAttemptEnded = errors.New("the attempt at the other server has ended or made progress")
+
+// serverExchange is one HTTP exchange with a server. Its context covers the
+// response body.
+type serverExchange struct {
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	decision    dispatch.Decision
+	dispatchReq *dispatch.Request
+	arrival     proxy.UnreadMonitor
+	resp        *http.Response // nil until it was sent
+}
+
+func (x *proxiedRequest) newExchange(v dispatch.Decision, r *dispatch.Request) *serverExchange {
+	e := &serverExchange{decision: v, dispatchReq: r}
+	e.ctx, e.cancel = context.WithCancelCause(x.callerCtx)
+	return e
+}
+
+// takeExchange returns the exchange that a second attempt has begun, or a new one.
+func (x *proxiedRequest) takeExchange(v dispatch.Decision) *serverExchange {
+	e := x.replacement
+	x.replacement = nil
+	if e == nil {
+		return x.newExchange(v, x.dispatchReq)
+	}
+	return e
+}
+
+// takeOver continues the request with a second attempt that has begun to answer, and
+// returns its decision.
+func (x *proxiedRequest) takeOver(e *serverExchange) dispatch.Decision {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	x.dispatchReq = e.dispatchReq
+	x.dispatchReq.EndHedge()
+	return e.decision
+}
+
+// closeReplacement ends a second attempt that was not taken over.
+func (x *proxiedRequest) closeReplacement() {
+	if e := x.replacement; e != nil {
+		x.replacement = nil
+		x.s.endHedge(e, dispatch.CallerDisconnected)
+	}
+}
+
+// send sends the request, unless a second attempt has done so.
+func (e *serverExchange) send(x *proxiedRequest) (*http.Response, func() bool, error) {
+	if e.resp != nil {
+		return e.resp, nil, nil
+	}
+	return x.s.transport.SendRequest(e.ctx, x.buildRequest(e.decision, x.sseParser.lastID, x.slotReservation), &e.arrival, x.in.Body)
+}
+
+// hedge sends a request to a second server while the first one is silent. The
+// first one keeps the request until the second has begun to answer, so a silent
+// server costs no caller its response if no other server takes the request.
+type hedge struct {
+	x         *proxiedRequest
+	first     *serverExchange
+	startedAt time.Time
+	mayRepeat bool // the route allows another attempt
+
+	mu          sync.Mutex
+	began       bool   // bytes of the response were sent to the caller
+	lastEventID string // of the last event sent to the caller
+	closed      bool
+	running     chan struct{} // closed when tryReplace returns, nil if it does not run
+	second      *serverExchange
+	sent        int // second attempts that may have reached a server, without the one that was taken over
+	unsent      int
+	mayHaveRun  bool
+	outcomes    []string
+}
+
+func (x *proxiedRequest) newHedge(first *serverExchange) *hedge {
+	return &hedge{
+		x: x, first: first, startedAt: time.Now(), began: x.headSent, lastEventID: x.sseParser.lastID,
+		mayRepeat: x.route.RetryPolicy != routing.AtMostOnce && !x.isTrial,
+	}
+}
+
+// forwarded records what the caller has received.
+func (h *hedge) forwarded(lastEventID string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.began, h.lastEventID = true, lastEventID
+}
+
+// sentAttempts returns the number of second attempts that may have reached a server.
+func (h *hedge) sentAttempts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sent
+}
+
+// tryReplace reports whether the silent first server may be given up: a second one
+// has begun to answer, or nothing can be lost because the caller has received
+// nothing and the server has sent nothing to anyone for longer than a sound one.
+func (h *hedge) tryReplace() bool {
+	h.mu.Lock()
+	if h.closed || h.first.arrival.HasUnread() {
+		h.mu.Unlock()
+		return false
+	}
+	began, lastEventID := h.began, h.lastEventID
+	mayHedge := h.mayRepeat && (!began || h.x.route.RetryPolicy == routing.Resumable && lastEventID != "") &&
+		h.x.sentAttempts+h.sent+1 < h.x.route.MaxAttempts && h.unsent < maxUnsentAttempts
+	var second *serverExchange
+	if mayHedge {
+		second = h.x.beginHedge(h.first)
+	}
+	if second == nil {
+		h.mu.Unlock()
+		return !began && time.Since(h.startedAt) > soundSilence && !h.x.s.heardSince(h.first.decision.Server, h.startedAt)
+	}
+	h.second, h.running = second, make(chan struct{})
+	running := h.running
+	h.mu.Unlock()
+	defer close(running)
+
+	a := h.x.awaitBegin(second, began, lastEventID)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case a.done && !h.closed:
+		return true
+	case a.sent && (a.done || context.Cause(second.ctx) == errAttemptEnded):
+		a.outcome = dispatch.CallerDisconnected
+	case context.Cause(second.ctx) == errAttemptEnded:
+		a.outcome = dispatch.NotSent
+	case a.outcome == dispatch.ConnectionLost:
+		h.x.addLostConnection(second.decision, false)
+	}
+	h.drop(a)
+	return false
+}
+
+// drop ends the second attempt with the result a. The caller must hold mu.
+func (h *hedge) drop(a attemptResult) {
+	second := h.second
+	if second == nil {
+		return
+	}
+	h.second = nil
+	if a.sent {
+		h.sent++
+	} else {
+		h.unsent++
+		h.x.s.refundRetry(h.x.dispatchReq.Service)
+	}
+	h.mayHaveRun = h.mayHaveRun || a.sent && a.outcome != dispatch.NotExecuted && a.outcome != dispatch.Misdirected
+	h.outcomes = append(h.outcomes, "second: "+a.outcome.String())
+	h.x.s.endHedge(second, a.outcome)
+}
+
+// keepFirst ends a second attempt because the first server has gone on.
+func (h *hedge) keepFirst() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
+}
+
+// close ends a second attempt in progress and waits for it. It adds the results to
+// the request, which takes over a second attempt that has begun to answer if the
+// first was given up for it.
+func (h *hedge) close(abandoned bool) {
+	h.mu.Lock()
+	h.closed = true
+	running := h.running
+	if h.second != nil && !abandoned {
+		h.second.cancel(errAttemptEnded)
+	}
+	h.mu.Unlock()
+	if running != nil {
+		<-running
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if abandoned {
+		h.x.replacement, h.second = h.second, nil
+	}
+	h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
+	h.x.sentAttempts += h.sent
+	h.x.mayHaveRun = h.x.mayHaveRun || h.mayHaveRun
+	h.x.outcomes = append(h.x.outcomes, h.outcomes...)
+}
+
+// beginHedge returns an exchange with a second server, nil if there is none or no
+// retry budget.
+func (x *proxiedRequest) beginHedge(first *serverExchange) *serverExchange {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	now := time.Now()
+	if action, _ := x.s.quarantine.Check(now, x.sharedParts); action != quarantine.Allow {
+		return nil
+	}
+	if !x.s.retryBudget.canSpend(x.dispatchReq.Service) {
+		return nil
+	}
+	r, v := x.s.dispatcher.Hedge(now, first.dispatchReq, first.decision.Server)
+	if r == nil {
+		return nil
+	}
+	x.s.retryBudget.spend(x.dispatchReq.Service)
+	if v.FetchFrom == first.decision.Address {
+		v.FetchFrom = "" // the silent server would delay the fetch
+	}
+	return x.newExchange(v, r)
+}
+
+// awaitBegin sends the request to a second server and waits until it has begun to
+// answer: with the next event of a stream, or with the head of another response.
+// The result is done then.
+func (x *proxiedRequest) awaitBegin(e *serverExchange, began bool, lastEventID string) attemptResult {
+	resp, sent, err := x.s.transport.SendRequest(e.ctx, x.buildRequest(e.decision, lastEventID, ""), &e.arrival, x.in.Body)
+	if err != nil {
+		return x.classifySendError(e.ctx, err, sent)
+	}
+	e.resp = resp
+	reply := x.s.config.Dialect.ReadHead(resp)
+	if reply.RequestID == x.in.ID && !reply.Misdirected {
+		x.s.applyServerHints(e.decision, reply)
+	}
+	a, bad := x.rejectHead(resp, reply)
+	if bad {
+		return a
+	}
+	if !x.route.Stream || resp.StatusCode != http.StatusOK {
+		a.done = !began && resp.StatusCode < http.StatusInternalServerError
+		a.outcome = dispatch.ServerError
+		return a
+	}
+	events, err := readFirstEvents(resp)
+	if err != nil {
+		return x.classifyBodyError(e.ctx, a, err)
+	}
+	a.done, a.outcome = !began || isNextID(lastEventID, firstID(events)), dispatch.InvalidResponse
+	return a
+}
+
+// readFirstEvents reads the body of a stream until it has a complete event, and puts
+// the bytes back.
+func readFirstEvents(resp *http.Response) ([]byte, error) {
+	var read []byte
+	buf := make([]byte, readBufferBytes)
+	for lastBoundary(read) == 0 {
+		n, err := resp.Body.Read(buf)
+		read = append(read, buf[:n]...)
+		if err != nil && lastBoundary(read) == 0 {
+			return nil, err
+		}
+		if len(read) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
+	}
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(slices.Clone(read)), resp.Body), resp.Body}
+	return read[:lastBoundary(read)], nil
+}
+
+// endHedge ends a second attempt that is not taken over.
+func (s *Server) endHedge(e *serverExchange, o dispatch.Outcome) {
+	e.cancel(errAttemptEnded)
+	if e.resp != nil {
+		_ = e.resp.Body.Close()
+	}
+	s.recordOutcome(e.dispatchReq, o)
+}
+
+// heardSince reports whether the server has answered any request of this host since
+// the given time.
+func (s *Server) heardSince(server string, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.HeardSince(server, since)
+}
+
+// refundRetry returns the retry of an attempt that reached no server.
+func (s *Server) refundRetry(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget.refund(service)
+}
--- a/pkg/edge/inactivity_test.go
+++ b/pkg/edge/inactivity_test.go
@@ -95,3 +95,42 @@
 		assert.Equal(t, time.Duration(abandonedAfter.Load()), 750*time.Millisecond)
 	})
 }
+
+// Guards against abandoning a sound server while this host waits for a slow caller
+// to take the last events.
+func TestTimeOfSlowCallerDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var abandonCount atomic.Int32
+		w := newInactivityTimer(time.Second, alwaysTrue, func() { abandonCount.Add(1) })
+		assert.Assert(t, w.progress(time.Second))
+		w.pause()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, abandonCount.Load(), int32(0))
+		w.resume()
+		time.Sleep(950 * time.Millisecond)
+		assert.Equal(t, abandonCount.Load(), int32(0))
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, abandonCount.Load(), int32(1))
+		assert.Assert(t, !w.progress(time.Second), "events after that come from another server")
+		assert.Assert(t, w.stop())
+	})
+}
+
+// Guards against two servers that both send events of a stream: the first one goes on
+// while the second has just begun.
+func TestProgressKeepsFirstServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var kept, abandoned atomic.Int32
+		var timer atomic.Pointer[inactivityTimer]
+		w := startInactivityTimer(time.Second, &inactivityTimer{
+			mayAbandon: func() bool { return timer.Load().progress(time.Minute) },
+			keep:       func() { kept.Add(1) },
+			abandon:    func() { abandoned.Add(1) },
+		})
+		timer.Store(w)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, kept.Load(), int32(1))
+		assert.Equal(t, abandoned.Load(), int32(0))
+		assert.Assert(t, !w.stop())
+	})
+}
--- a/pkg/edge/retry_budget.go
+++ b/pkg/edge/retry_budget.go
@@ -71,3 +71,9 @@
 	*b.bucket(service)--
 	return true
 }
+
+// refund returns the token of a retry that reached no server.
+func (b *retryBudget) refund(service string) {
+	tokens := b.bucket(service)
+	*tokens = min(*tokens+1, b.bucketSize())
+}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -76,6 +76,7 @@
 	outcomes          []string
 	lastError         error           // error of the last failed attempt
 	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
+	replacement       *serverExchange // attempt that has begun to answer in place of a silent server, nil if none
 	closeReason       closeReason     // "" unless the connection was closed without a complete response
 }
 
@@ -138,6 +139,7 @@
 	x := s.newProxiedRequest(ctx, w, in)
 	defer x.log(in.dest.configVersion)
 	defer x.releaseResponses()
+	defer x.closeReplacement()
 	x.run()
 }
 
@@ -191,7 +193,7 @@
 			break
 		}
 		x.decision = v
-		if x.dropQuarantined() {
+		if x.replacement == nil && x.dropQuarantined() {
 			return
 		}
 		if x.slotReservation = ""; v.ReserveSlot && !x.reserve(v) {
@@ -201,7 +203,7 @@
 		if x.sentAttempts == 0 {
 			x.queueWait = time.Since(x.in.Arrived)
 		}
-		if !x.mayBeSent() {
+		if x.replacement == nil && !x.mayBeSent() {
 			return
 		}
 		a := x.attempt(v)
@@ -214,6 +216,10 @@
 			x.respondFailed(a)
 			return
 		}
+		if x.replacement != nil {
+			v = x.takeOver(x.replacement)
+			continue
+		}
 		v = x.s.retryDecision(x.dispatchReq, v.Server, a.sent)
 		if v.Action == dispatch.Refuse {
 			x.retryRefusal = v.Reason
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -365,25 +365,6 @@
 	return s.dispatcher.Retry(time.Now(), r, failed)
 }
 
-// mayAbandon reports whether to abandon a request at a server that has sent no
-// byte of the response, or no event of a stream, since the given time. Without
-// retry budget the request stays if the server has responded to other requests
-// since then. If it has not, the request is abandoned, so that its caller gets an
-// error at once.
-func (s *Server) mayAbandon(service, server string, since time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.retryBudget.canSpend(service) || !s.dispatcher.HeardSince(server, since)
-}
-
-// hasAlternative reports whether another server can resume a stream. If there is
-// none, a stalled stream is kept.
-func (s *Server) hasAlternative(service, server string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dispatcher.HasAlternative(service, server)
-}
-
 // runEvery calls f at each interval until the Server is closed.
 func (s *Server) runEvery(interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -127,7 +127,11 @@
 // recordLostConnection collects an attempt whose connection was lost, and has the
 // server checked after the first one.
 func (x *proxiedRequest) recordLostConnection(v dispatch.Decision) {
-	begun := x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime
+	x.addLostConnection(v, x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime)
+}
+
+// addLostConnection does so for an attempt whose answer had begun or not.
+func (x *proxiedRequest) addLostConnection(v dispatch.Decision, begun bool) {
 	if l := x.s.losses.add(time.Now(), v, begun, x.sharedParts); l != nil {
 		go x.s.checkLoss(l)
 	}
