Do not close a connection in the middle of the head of a request

A caller whose request head arrived in parts could lose its connection without an answer, most likely during a planned stop, when idle connections are closed at once.

Cause: the tracker ends the wait on an idle connection with a past read deadline. net/http reports a connection as idle until the whole head was read, and then nothing is unread in the socket. A request that arrived between the look at the socket and the deadline was lost as well.

Connections of callers are wrapped by the tracker's listener now. They know whether bytes of the next request have arrived, also those that were read with the request before, and look at the socket once more when the wait was ended. The header timeout of net/http bounds a head that stays incomplete.

--- /dev/null
+++ b/pkg/callers/conn.go
@@ -0,0 +1,129 @@
+package callers
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
+)
+
+// Listener returns a listener whose connections tell the tracker whether a request
+// has begun to arrive. net/http reports a connection as idle until it has read the
+// whole head of the next request.
+func (s *ConnTracker) Listener(l net.Listener) net.Listener { return &listener{l} }
+
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &callerConn{TCPConn: tcp}, err
+	}
+	return c, err
+}
+
+// callerConn is the connection of a caller. It embeds a TCP connection, so net/http
+// finds CloseWrite, with which it closes without a reset.
+type callerConn struct {
+	*net.TCPConn
+
+	mu         sync.Mutex
+	deadline   time.Time // read deadline that net/http has set
+	bufferSize int       // of the read buffer of net/http
+	idle       bool
+	deadlines  int  // read deadlines set since the connection became idle
+	begun      bool // bytes of the next request have arrived
+	early      bool // net/http has read a byte of the next request while a request runs
+	closing    bool // the wait for a request was ended
+}
+
+// Read implements net.Conn. A request that arrives when the wait for it ends is read.
+func (c *callerConn) Read(p []byte) (int, error) {
+	c.beforeRead(len(p))
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.continueWait() {
+		n, err = c.TCPConn.Read(p)
+	}
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.early = len(p) == 1 // only the check for a closed connection reads single bytes
+		c.markBegun()
+	}
+	return n, err
+}
+
+// beforeRead detects bytes of the next request that were read with the request before:
+// then net/http reads into the rest of its buffer.
+func (c *callerConn) beforeRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if c.idle && size < c.bufferSize {
+		c.markBegun()
+	}
+}
+
+// markBegun records that a request has begun to arrive. The caller must hold mu.
+func (c *callerConn) markBegun() {
+	c.begun = true
+	if c.closing {
+		c.closing = false
+		_ = c.TCPConn.SetReadDeadline(c.deadline) // fails on a closed connection only
+	}
+}
+
+// continueWait reports whether unread bytes have arrived although the wait for a
+// request was ended.
+func (c *callerConn) continueWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state, err := netpeek.Peek(c.TCPConn)
+	if !c.closing || err != nil || !state.UnreadData {
+		return false
+	}
+	c.markBegun()
+	return true
+}
+
+// SetReadDeadline implements net.Conn. net/http sets the deadline of an idle connection,
+// and another one when it has four bytes of the next request.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.deadlines++; c.idle && c.deadlines > 1 {
+		c.markBegun()
+	}
+	if c.closing {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// setIdle records whether net/http waits for a request.
+func (c *callerConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.deadlines = idle, 0
+	c.begun, c.early = idle && c.early, false
+}
+
+// endWait ends the wait for a request, after which net/http closes the connection. It
+// reports false if a request has begun to arrive.
+func (c *callerConn) endWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun {
+		return false
+	}
+	c.closing = true
+	_ = c.TCPConn.SetReadDeadline(pastDeadline) // fails on a closed connection only
+	return true
+}
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -69,6 +69,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.idle, c)
+	if tracked, ok := c.(*callerConn); ok {
+		tracked.setIdle(state == http.StateIdle)
+	}
 	switch state {
 	case http.StateNew:
 		s.open++
@@ -145,7 +148,7 @@
 // overLimitIdle while too many are open. It peeks at the sockets without holding
 // the lock, because OnStateChange needs the lock when a request arrives.
 func (s *ConnTracker) closeIdle(limit time.Duration) {
-	closed, unread, failed := 0, 0, 0
+	closed, begun, unread, failed := 0, 0, 0, 0
 	var cause error
 	candidates, limit := s.idleConns(limit)
 	for _, c := range candidates {
@@ -157,10 +160,12 @@
 			unread++
 		case s.closeIfIdle(c):
 			closed++
+		default:
+			begun++
 		}
 	}
 	if len(candidates) > 0 {
-		s.log.WithFields(logrus.Fields{"closed": closed, "unread": unread, "failed": failed, "error": cause, "limit_ms": limit.Milliseconds()}).Info("checked idle connections")
+		s.log.WithFields(logrus.Fields{"closed": closed, "begun": begun, "unread": unread, "failed": failed, "error": cause, "limit_ms": limit.Milliseconds()}).Info("checked idle connections")
 	}
 }
 
@@ -189,6 +194,13 @@
 	if _, idle := s.idle[c]; !idle {
 		return false
 	}
+	if tracked, ok := c.(*callerConn); ok {
+		if tracked.endWait() {
+			delete(s.idle, c)
+			return true
+		}
+		return false
+	}
 	delete(s.idle, c)
 	s.closing[c] = true
 	_ = c.SetReadDeadline(pastDeadline) // fails on a closed connection only
