Return the place of a request that leaves as its decision arrives

The estimates of an edge host counted a running request at a server that had none, for the rest of the process, once for each queued request whose caller left or whose deadline passed in the moment of its decision. Slots of engines and room at plain servers were lost with it, and requests waited or were refused.

Cause: the poll removes a decided request from pendingDecisions, and cancelWaiting looked for the decision only there.

cancelWaiting takes the channel of the request. With the old lookup the test fails: 'assertion failed: ok is false'.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -123,6 +123,35 @@
 	}
 }
 
+// Guards against a place at a server that is never returned: the decision on a queued
+// request arrives in the moment in which its caller leaves or its deadline passes.
+func TestDecisionOnRequestThatLeavesIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		d := dispatch.New("edge", "z", now)
+		d.SetServers(now, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 1, Ready: true, Heard: now}})
+		s := &Server{dispatcher: d, pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{}, polling: true}
+		var running []*dispatch.Request
+		var waiting chan dispatch.Decision
+		var r *dispatch.Request
+		for waiting == nil {
+			r = &dispatch.Request{ID: "r", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Minute)}
+			if _, waiting = s.requestDecision(r); waiting == nil {
+				running = append(running, r)
+			}
+		}
+		for _, finished := range running {
+			s.recordOutcome(finished, dispatch.Completed)
+		}
+		s.mu.Lock()
+		s.pollLocked()
+		s.mu.Unlock()
+		v, ok := s.cancelWaiting(r, waiting)
+		assert.Assert(t, ok)
+		assert.Equal(t, v.Action, dispatch.Send)
+	})
+}
+
 // Guards against retries beyond the retry budget, which would double the load of
 // overloaded servers.
 func TestRetryNeedsBudget(t *testing.T) {
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -267,7 +267,7 @@
 	case <-timer.C:
 		err = errDeadlinePassed
 	}
-	if v, ok := x.s.cancelWaiting(x.dispatchReq); ok {
+	if v, ok := x.s.cancelWaiting(x.dispatchReq, waiting); ok {
 		if v.Action == dispatch.Send {
 			x.s.recordOutcome(x.dispatchReq, dispatch.NotSent)
 		}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -297,11 +297,10 @@
 }
 
 // cancelWaiting removes a request from the queue. If its decision has already
-// arrived, it returns that decision and true.
-func (s *Server) cancelWaiting(r *dispatch.Request) (dispatch.Decision, bool) {
+// arrived in c, it returns that decision and true.
+func (s *Server) cancelWaiting(r *dispatch.Request, c chan dispatch.Decision) (dispatch.Decision, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.pendingDecisions[r]
 	delete(s.pendingDecisions, r)
 	s.dispatcher.Cancel(r)
 	select {
