Count answers to requests that were sent after a suspension

Cause: for 2 s after a suspension the answers that a host reads clear nothing, since they may have begun before it. In these 2 s the host did report losses, so a part that servers answered was suspected in four.

Change: an answer counts if its request was sent after the end of the suspension, whenever it is read; one that was sent before never counts.

--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -139,7 +139,7 @@
 	}
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	x.s.quarantine.AnswerBegan(time.Now(), at, suspects)
+	x.s.quarantine.AnswerBegan(time.Now(), x.attemptStartedAt, at, suspects)
 }
 
 // addLoss adds a confirmed loss to the evidence. The caller must hold mu.
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -22,9 +22,9 @@
 	verdicts map[uint64]*verdict
 	// active is the number of quarantined suspects, so that a request costs no lookup
 	// without any.
-	active           int
-	evaluateAt       time.Time // next evaluation of the evidence, zero if none is due
-	ignoreClearUntil time.Time
+	active     int
+	evaluateAt time.Time // next evaluation of the evidence, zero if none is due
+	resumedAt  time.Time // end of the last suspension of this host
 
 	digestNews  news // for hosts that get the messages of this host
 	summaryNews news // for other data centres, if this host speaks for its own
@@ -72,9 +72,9 @@
 	t.hosts = slices.Compact(t.hosts)
 }
 
-// MarkSuspended records that this host did not run for a while. What it observes
+// MarkSuspended records that this host did not run until now. What it observes
 // next may have happened before.
-func (t *Tracker) MarkSuspended(now time.Time) { t.ignoreClearUntil = now.Add(suspensionTime) }
+func (t *Tracker) MarkSuspended(now time.Time) { t.resumedAt = now }
 
 // AddLoss adds a loss that this host observed. The reporter and the number of
 // answers that began are filled in.
@@ -176,10 +176,11 @@
 	}
 }
 
-// AnswerBegan records that an answer to a request with the suspects began at the
-// given time and went on.
-func (t *Tracker) AnswerBegan(now, began time.Time, suspects []uint64) {
-	if now.Before(t.ignoreClearUntil) {
+// AnswerBegan records that an answer to a request with the suspects, sent and begun at
+// the given times, went on. A request that was sent before a suspension of this host may
+// have been answered before it, so its answer clears nothing.
+func (t *Tracker) AnswerBegan(now, sent, began time.Time, suspects []uint64) {
+	if sent.Before(t.resumedAt) {
 		return
 	}
 	begun := t.begunOf(slices.ContainsFunc(suspects, func(s uint64) bool { return !IsRequest(s) }))
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -91,9 +91,6 @@
 	// lapseTime is the time without a trial after which a quarantine ends: no host
 	// got a request with the part in its turn. One loss then renews it.
 	lapseTime = time.Minute
-	// suspensionTime is the time after a suspension of this host in which answers
-	// clear nothing: they may have begun before it.
-	suspensionTime = 2 * time.Second
 	// messageRepeats is the number of messages in a row that carry news. A loss is
 	// sent again each time that its age has doubled, for hosts that were cut off.
 	messageRepeats     = 3
--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -121,7 +121,7 @@
 	}
 	r.quarantine.mu.Lock()
 	defer r.quarantine.mu.Unlock()
-	r.quarantine.tracker.AnswerBegan(time.Now(), at, suspects)
+	r.quarantine.tracker.AnswerBegan(time.Now(), q.dispatchedAt, at, suspects)
 }
 
 // exchangeQuarantine evaluates the evidence and sends its news to all live routers.
