Refuse configurations whose weights overflow

The weights of a route were added up without a bound. With two weights of 2^63-1 the sum is -2, which is not 0, so the configuration was valid, and all of 20 request ids went to the first service instead of half of them.

A weight may be at most 2^30, as an invalid configuration names the route and the weight.

Before: TestDecodeConfigRejectsInvalidDocuments/weights_whose_sum_overflows "expected an error, got nil". After: passes.

--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -126,6 +126,9 @@
 	return nil
 }
 
+// maxWeight bounds the weight of a target, so that the sum of a route cannot overflow.
+const maxWeight = 1 << 30
+
 func (r *Route) validate(services map[string]bool) error {
 	if n := len(r.PathPrefix); n == 0 || r.PathPrefix[0] != '/' || r.PathPrefix[n-1] != '/' {
 		return invalid("route %q: path prefix %q must begin and end with a slash", r.Name, r.PathPrefix)
@@ -141,8 +144,8 @@
 		if !services[t.Service] {
 			return invalid("route %q: unknown service %q", r.Name, t.Service)
 		}
-		if t.Weight < 0 {
-			return invalid("route %q: weight %d is negative", r.Name, t.Weight)
+		if t.Weight < 0 || t.Weight > maxWeight {
+			return invalid("route %q: weight %d is outside 0 to %d", r.Name, t.Weight, maxWeight)
 		}
 		sum += t.Weight
 	}
