--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -11,12 +11,14 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/losses"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
 const (
-	reasonQuarantined dispatch.Reason = "a prompt part is quarantined"
+	reasonPartQuarantined    dispatch.Reason = "a prompt part is quarantined"
+	reasonRequestQuarantined dispatch.Reason = "the request is quarantined"
 	// verdictReportDelay is the age from which a host reports a verdict of another
 	// one to the core hosts, in case that one could not.
 	verdictReportDelay = 3 * time.Second
@@ -34,24 +36,30 @@
 	return out
 }
 
-// refuseQuarantined refuses a request with a quarantined part and reports whether
-// it did.
+// parts returns the suspects that are prompt parts.
+func (x *proxiedRequest) parts() []uint64 { return x.suspects[:len(x.suspects)-1] }
+
+// fingerprint returns the suspect that stands for the request itself.
+func (x *proxiedRequest) fingerprint() uint64 { return x.suspects[len(x.suspects)-1] }
+
+// refuseQuarantined refuses a request that is quarantined, or has a quarantined part,
+// and reports whether it did.
 func (x *proxiedRequest) refuseQuarantined() bool {
-	if len(x.sharedParts) == 0 || x.isTrial {
+	if x.isTrial {
 		return false
 	}
 	x.s.mu.Lock()
-	action, part := x.s.quarantine.Check(time.Now(), x.sharedParts)
+	action, suspect := x.s.quarantine.Check(time.Now(), x.suspects)
 	x.s.mu.Unlock()
 	if action != quarantine.Refuse {
 		return false
 	}
-	x.respondQuarantined(part)
+	x.respondQuarantined(suspect)
 	return true
 }
 
-// dropQuarantined refuses a request that got a server while one of its parts was
-// quarantined, and returns the server's place.
+// dropQuarantined refuses a request that got a server while it was quarantined, and
+// returns the server's place.
 func (x *proxiedRequest) dropQuarantined() bool {
 	if !x.refuseQuarantined() {
 		return false
@@ -60,19 +68,19 @@
 	return true
 }
 
-// mayBeSent decides for the last time before an attempt, which may be the trial of
-// a quarantined part. It responds to the request if it may not be sent.
+// mayBeSent decides for the last time before an attempt, which may be a trial. It
+// responds to the request if it may not be sent.
 func (x *proxiedRequest) mayBeSent() bool {
-	if len(x.sharedParts) == 0 || x.isTrial {
+	if x.isTrial {
 		return true
 	}
 	x.s.mu.Lock()
-	action, part := x.s.quarantine.Begin(time.Now(), x.sharedParts)
+	action, suspect := x.s.quarantine.Begin(time.Now(), x.suspects)
 	x.s.mu.Unlock()
 	switch action {
 	case quarantine.Refuse:
 		x.s.recordOutcome(x.dispatchReq, dispatch.NotSent)
-		x.respondQuarantined(part)
+		x.respondQuarantined(suspect)
 		return false
 	case quarantine.Trial:
 		x.isTrial = true
@@ -80,28 +88,36 @@
 	return true
 }
 
-// respondQuarantined sends the final response to a request with a quarantined
-// part. An earlier attempt may have run, and then the response says so.
-func (x *proxiedRequest) respondQuarantined(part uint64) {
+// respondQuarantined sends the final response to a request that has the quarantined
+// suspect. An earlier attempt may have run, and then the response says so.
+func (x *proxiedRequest) respondQuarantined(suspect uint64) {
 	metrics.GetOrRegisterCounter("edge.quarantine.refused", x.s.metrics.registry).Inc(1)
-	x.decision.Action, x.decision.Reason = dispatch.Refuse, reasonQuarantined
+	refusal := result.New(result.PartQuarantined, "backend servers crashed on part %x of the prompt", suspect)
+	x.decision.Action, x.decision.Reason = dispatch.Refuse, reasonPartQuarantined
+	if quarantine.IsRequest(suspect) {
+		refusal = result.New(result.RequestQuarantined, "backend servers crashed on this request (fingerprint %x)", suspect)
+		x.decision.Reason = reasonRequestQuarantined
+		x.s.mu.Lock()
+		x.s.quarantinedRequests.Add(suspect, x.in.Method, x.in.Host, x.in.Target, x.dispatchReq.Workspace)
+		x.s.mu.Unlock()
+	}
 	if x.mayHaveRun || x.headSent {
 		x.respondFailed(attemptResult{outcome: dispatch.ConnectionLost, err: x.lastError})
 		return
 	}
-	x.respondError(result.New(result.PartQuarantined, "backend servers crashed on part %x of the prompt", part))
+	x.respondError(refusal)
 }
 
-// suspectedAgain reports whether a request that was lost with its server before
-// its answer began shares a part with an earlier such loss. It is not sent to
-// another server then.
+// suspectedAgain reports whether a request that was lost with its server before its
+// answer began was lost before, or shares a part with a request that was. It is not
+// sent to another server then.
 func (x *proxiedRequest) suspectedAgain(a attemptResult) bool {
-	if a.outcome != dispatch.ConnectionLost || len(x.sharedParts) == 0 || x.answerBegan() {
+	if a.outcome != dispatch.ConnectionLost || x.answerBegan() {
 		return false
 	}
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	return x.s.quarantine.SuspectsAgain(time.Now(), x.sharedParts)
+	return x.s.quarantine.SuspectsAgain(time.Now(), x.suspects)
 }
 
 // answerBegan reports whether the server of the current attempt began the answer
@@ -110,24 +126,29 @@
 	return x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime
 }
 
-// reportAnswerBegan clears the parts of the prompt, once for each request.
-func (x *proxiedRequest) reportAnswerBegan(at time.Time) {
-	if x.beganReported || len(x.sharedParts) == 0 {
+// reportAnswerBegan clears the request, once, and with allParts the parts of its
+// prompt: a server may reject a request before it reads the prompt.
+func (x *proxiedRequest) reportAnswerBegan(at time.Time, allParts bool) {
+	if x.beganReported {
 		return
 	}
 	x.beganReported = true
+	suspects := x.suspects
+	if !allParts {
+		suspects = suspects[len(suspects)-1:]
+	}
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	x.s.quarantine.AnswerBegan(time.Now(), at, x.sharedParts)
+	x.s.quarantine.AnswerBegan(time.Now(), at, suspects)
 }
 
 // addLoss adds a confirmed loss to the evidence. The caller must hold mu.
-func (s *Server) addLoss(now time.Time, l *serverLoss) {
+func (s *Server) addLoss(now time.Time, l *losses.Loss) {
 	metrics.GetOrRegisterCounter("edge.servers_ended", s.metrics.registry).Inc(1)
-	s.quarantine.AddLoss(now, quarantine.Server{Hash: hashName(l.id), StartMS: l.startMS}, l.at, sortedIDs(l.parts), l.notBegun)
+	s.quarantine.AddLoss(now, l.Evidence(quarantine.Server{Hash: hashName(l.ID), StartMS: l.StartMS}))
 }
 
-// recordChanges logs and counts verdicts that changed.
+// recordChanges logs and counts verdicts that changed. The caller must not hold mu.
 func (s *Server) recordChanges(changes []quarantine.Change) {
 	if len(changes) == 0 {
 		return
@@ -135,30 +156,32 @@
 	s.mu.Lock()
 	active, losses, suspects := s.quarantine.Counts()
 	s.mu.Unlock()
-	metrics.GetOrRegisterGauge("edge.quarantine.parts", s.metrics.registry).Update(int64(active))
+	metrics.GetOrRegisterGauge("edge.quarantine.suspects", s.metrics.registry).Update(int64(active))
 	for _, c := range changes {
 		metrics.GetOrRegisterCounter("edge.quarantine.verdicts."+c.State.String(), s.metrics.registry).Inc(1)
 		s.log.WithFields(logrus.Fields{
-			"prompt_part": strconv.FormatUint(c.Part, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
-			"age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(), "losses": c.Losses, "hosts": c.Hosts, "companions": hexIDs(c.Companions),
+			"kind": quarantine.KindOf(c.Suspect), "suspect": strconv.FormatUint(c.Suspect, 16), "state": c.State.String(), "generation": c.Generation, "reason": c.Reason, "local": c.Local,
+			"age_ms": time.Since(c.Since).Milliseconds(), "term_ms": c.Term.Milliseconds(), "losses": c.Losses, "hosts": c.Hosts, "companions": quarantine.FormatList(c.Companions),
 			"known_losses": losses, "suspects": suspects,
-		}).Warn("verdict on a prompt part changed")
+		}).Warn("quarantine verdict changed")
 	}
 }
 
-// Quarantine returns the verdicts on prompt parts, ordered by part.
+// Quarantine returns the verdicts on prompt parts and requests, ordered by suspect.
 func (s *Server) Quarantine() []quarantine.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.List()
+	out := s.quarantine.List()
+	s.quarantinedRequests.Complete(out)
+	return out
 }
 
-// ReleasePart ends the quarantine of a part in the whole fleet. It returns false
-// if the part is not quarantined.
-func (s *Server) ReleasePart(part uint64) bool {
+// Release ends the quarantine of a prompt part or request in the whole fleet. It
+// returns false if it is not quarantined.
+func (s *Server) Release(suspect uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.Release(time.Now(), part)
+	return s.quarantine.Release(time.Now(), suspect)
 }
 
 // Heartbeat implements feed.Reporter: it returns the verdicts that the core hosts
@@ -168,8 +191,8 @@
 	defer s.mu.Unlock()
 	now, m := time.Now(), &apiv1.FleetWatcher{}
 	for _, e := range s.quarantine.List() {
-		if e.Generation > s.storedVerdicts[e.Part] && (e.Local || now.Sub(e.Since) > verdictReportDelay) && len(m.Verdicts) < maxReportedVerdicts {
-			m.Verdicts = append(m.Verdicts, verdictToProto(now, e.Verdict))
+		if e.Generation > s.storedVerdicts[e.Suspect] && (e.Local || now.Sub(e.Since) > verdictReportDelay) && len(m.Verdicts) < maxReportedVerdicts {
+			m.Verdicts = append(m.Verdicts, e.Verdict.ToProto(now))
 		}
 	}
 	return m
@@ -183,75 +206,8 @@
 	clear(s.storedVerdicts)
 	verdicts := make([]quarantine.Verdict, 0, len(stored))
 	for _, m := range stored {
-		s.storedVerdicts[m.GetPart()] = m.GetGeneration()
-		verdicts = append(verdicts, verdictFromProto(now, m))
+		s.storedVerdicts[m.GetSuspect()] = m.GetGeneration()
+		verdicts = append(verdicts, quarantine.VerdictFromProto(now, m))
 	}
 	s.quarantine.MergeVerdicts(now, verdicts)
 }
-
-// addEvidence adds the news on prompt parts to a digest and reports whether there
-// are any.
-func addEvidence(now time.Time, m *apiv1.LoadDigest, news quarantine.Message) bool {
-	for _, l := range news.Losses {
-		m.Losses = append(m.Losses, &apiv1.ServerLoss{Server: l.Server.Hash, BornMs: l.Server.StartMS, AgeMs: ageMS(now, l.At), Reporter: l.Reporter, Parts: l.Parts, Requests: uint32(l.Requests), Begun: uint32(l.Begun)})
-	}
-	for _, c := range news.Cleared {
-		m.Cleared = append(m.Cleared, &apiv1.ClearedPart{Part: c.Part, AgeMs: ageMS(now, c.At)})
-	}
-	for _, v := range news.Verdicts {
-		m.Verdicts = append(m.Verdicts, verdictToProto(now, v))
-	}
-	return !news.Empty()
-}
-
-// evidenceOf returns the news on prompt parts in a digest.
-func evidenceOf(now time.Time, m *apiv1.LoadDigest) quarantine.Message {
-	var out quarantine.Message
-	for _, l := range m.GetLosses() {
-		out.Losses = append(out.Losses, quarantine.Loss{
-			Server: quarantine.Server{Hash: l.GetServer(), StartMS: l.GetBornMs()}, At: timeOfAge(now, l.GetAgeMs()), Reporter: l.GetReporter(), Parts: l.GetParts(),
-			Requests: int(l.GetRequests()), Begun: int(l.GetBegun()),
-		})
-	}
-	for _, c := range m.GetCleared() {
-		out.Cleared = append(out.Cleared, quarantine.Cleared{Part: c.GetPart(), At: timeOfAge(now, c.GetAgeMs())})
-	}
-	for _, v := range m.GetVerdicts() {
-		out.Verdicts = append(out.Verdicts, verdictFromProto(now, v))
-	}
-	return out
-}
-
-func verdictToProto(now time.Time, v quarantine.Verdict) *apiv1.QuarantineVerdict {
-	out := &apiv1.QuarantineVerdict{
-		Part: v.Part, Generation: v.Generation, State: uint32(v.State), AgeMs: ageMS(now, v.Since), TermMs: v.Term.Milliseconds(),
-		Losses: uint32(v.Losses), Hosts: uint32(v.Hosts), Companions: v.Companions,
-	}
-	if !v.TrialAt.IsZero() {
-		out.TrialAgeMs = ageMS(now, v.TrialAt) + 1
-	}
-	return out
-}
-
-func verdictFromProto(now time.Time, m *apiv1.QuarantineVerdict) quarantine.Verdict {
-	v := quarantine.Verdict{
-		Part: m.GetPart(), Generation: m.GetGeneration(), State: quarantine.State(min(m.GetState(), 1<<8-1)), Since: timeOfAge(now, m.GetAgeMs()),
-		Term: time.Duration(m.GetTermMs()) * time.Millisecond, Losses: int(m.GetLosses()), Hosts: int(m.GetHosts()),
-		Companions: m.GetCompanions(),
-	}
-	if m.GetTrialAgeMs() > 0 {
-		v.TrialAt = timeOfAge(now, m.GetTrialAgeMs()-1)
-	}
-	return v
-}
-
-// maxAge bounds the ages in messages. Nothing older counts.
-const maxAge = time.Hour
-
-func ageMS(now, at time.Time) int64 {
-	return min(max(now.Sub(at), 0), maxAge).Milliseconds()
-}
-
-func timeOfAge(now time.Time, ageMS int64) time.Time {
-	return now.Add(-time.Duration(min(max(ageMS, 0), maxAge.Milliseconds())) * time.Millisecond)
-}
--- a/pkg/edge/response_fuzz_test.go
+++ b/pkg/edge/response_fuzz_test.go
@@ -17,8 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
-	"jackdawtrack.example/jackdawtrack/pkg/logging"
-	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
@@ -43,14 +42,11 @@
 
 func newAttemptTest() attemptTest {
 	caller := httptest.NewRecorder()
-	s := &Server{
-		config: Config{Dialect: headerDialect{}}, dispatcher: dispatch.New("edge", "z", start), responses: newResponseMemory(0),
-		metrics: newMetrics(metrics.NewRegistry()), log: logging.ForComponent("test"),
-	}
+	s := &Server{config: Config{Dialect: headerDialect{}}, dispatcher: dispatch.New("edge", "z", start), responses: newResponseMemory(0), quarantine: quarantine.New(1), metrics: newMetrics(metrics.NewRegistry())}
 	x := &proxiedRequest{
 		s: s, w: caller, in: &Request{ID: fuzzID, Arrived: time.Now()}, route: &routing.Route{Stream: true, RetryPolicy: routing.Resumable, MaxAttempts: 2},
 		dispatchReq: &dispatch.Request{ID: fuzzID}, callerCtx: context.Background(), deadline: time.Now().Add(time.Hour),
-		beganReported: true, // needs no quarantine
+		suspects: []uint64{quarantine.RequestSuspect(1)},
 	}
 	return attemptTest{x, caller}
 }
@@ -70,13 +66,13 @@
 			panic(cause)
 		}
 	}()
-	a, bad := x.rejectHead(resp, x.s.config.Dialect.ReadHead(resp))
+	a, bad := x.rejectHead(resp, x.s.config.Dialect.ReadHead(resp), x.headSent, slices.Contains(x.sentTo, x.decision.Address))
+	timer := startInactivityTimer(time.Hour, &inactivityTimer{mayAbandon: func() bool { return false }, keep: func() {}, abandon: func() {}})
+	defer timer.stop()
 	if !bad && resp.StatusCode == http.StatusOK {
-		timer := newInactivityTimer(time.Hour, func() bool { return false }, func() {})
-		defer timer.stop()
-		a = x.forwardStream(context.Background(), resp, timer, &proxy.UnreadMonitor{})
+		a = x.forwardStream(context.Background(), resp, timer, x.newHedge(x.newExchange(x.decision, x.dispatchReq)))
 	} else if !bad {
-		a = x.forwardBuffered(context.Background(), resp)
+		a = x.forwardBuffered(context.Background(), resp, timer)
 	}
 	x.releaseResponses()
 	return a, false
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -12,6 +12,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
@@ -53,9 +54,11 @@
 	in          *Request
 	route       *routing.Route
 	dispatchReq *dispatch.Request
-	sharedParts []uint64 // parts of the prompt that other requests may have too
-	deadline    time.Time
-	callerCtx   context.Context
+	// suspects holds the parts of the prompt that other requests may have too, and last
+	// the request itself.
+	suspects  []uint64
+	deadline  time.Time
+	callerCtx context.Context
 
 	decision          dispatch.Decision
 	slotReservation   string            // reservation id at the server of the decision, "" if none
@@ -69,13 +72,17 @@
 	isTrial           bool              // tests whether a quarantined part still crashes servers
 	beganReported     bool              // the begin of the answer cleared the parts of the prompt
 	eventsBefore      int               // events forwarded by earlier attempts
+	attemptStartedAt  time.Time         // of the current attempt
 	firstEventAt      time.Time         // first event of the current attempt
 	headSent          bool              // status and headers were sent to the caller
 	status            int
 	sseParser         sseParser
 	releaseFuncs      []func() // return the memory of buffered responses
 	outcomes          []string
-	lastError         error // error of the last failed attempt
+	lastError         error           // error of the last failed attempt
+	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
+	replacement       *serverExchange // attempt that has begun to answer in place of a silent server, nil if none
+	closeReason       closeReason     // "" unless the connection was closed without a complete response
 }
 
 // destination is the result of matching a request against the configuration.
@@ -137,6 +144,7 @@
 	x := s.newProxiedRequest(ctx, w, in)
 	defer x.log(in.dest.configVersion)
 	defer x.releaseResponses()
+	defer x.closeReplacement()
 	x.run()
 }
 
@@ -156,9 +164,10 @@
 	}
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
-		x.sharedParts = sharedParts(p.Parts)
+		x.suspects = sharedParts(p.Parts)
 		x.dispatchReq.OutputTokens = expectedOutputTokens(p)
 	}
+	x.suspects = append(x.suspects, quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, in.Host, in.Target, in.Body)))
 	return x
 }
 
@@ -190,7 +199,7 @@
 			break
 		}
 		x.decision = v
-		if x.dropQuarantined() {
+		if x.replacement == nil && x.dropQuarantined() {
 			return
 		}
 		if x.slotReservation = ""; v.ReserveSlot && !x.reserve(v) {
@@ -200,7 +209,7 @@
 		if x.sentAttempts == 0 {
 			x.queueWait = time.Since(x.in.Arrived)
 		}
-		if !x.mayBeSent() {
+		if x.replacement == nil && !x.mayBeSent() {
 			return
 		}
 		a := x.attempt(v)
@@ -213,7 +222,14 @@
 			x.respondFailed(a)
 			return
 		}
+		if x.replacement != nil {
+			v = x.takeOver(x.replacement)
+			continue
+		}
 		v = x.s.retryDecision(x.dispatchReq, v.Server, a.sent)
+		if v.Action == dispatch.Refuse {
+			x.retryRefusal = v.Reason
+		}
 		if v.Action == dispatch.Refuse && x.mayHaveRun {
 			x.respondFailed(a)
 			return
@@ -257,7 +273,7 @@
 	case <-timer.C:
 		err = errDeadlinePassed
 	}
-	if v, ok := x.s.cancelWaiting(x.dispatchReq); ok {
+	if v, ok := x.s.cancelWaiting(x.dispatchReq, waiting); ok {
 		if v.Action == dispatch.Send {
 			x.s.recordOutcome(x.dispatchReq, dispatch.NotSent)
 		}
@@ -270,7 +286,7 @@
 func (x *proxiedRequest) respondUndispatched(err error) {
 	if errors.Is(err, context.Canceled) {
 		x.outcomes = append(x.outcomes, "caller left waiting")
-		abortResponse()
+		x.abort(closeCallerLeft)
 	}
 	x.respondError(result.New(result.DeadlinePassed, "the request deadline passed while the request was queued").WithRetryAfter(failedDispatchRetryAfter))
 }
@@ -351,9 +367,9 @@
 func (x *proxiedRequest) respondFailed(a attemptResult) {
 	switch {
 	case x.callerCtx.Err() != nil:
-		abortResponse()
+		x.abort(closeCallerLeft)
 	case x.headSent:
-		abortResponse() // a truncated response must not look complete
+		x.abort(closeTruncated)
 	case x.lastErrorResponse != nil:
 		x.writeBuffered(x.lastErrorResponse)
 	case !x.mayHaveRun:
@@ -365,11 +381,9 @@
 	}
 }
 
-func abortResponse() { panic(http.ErrAbortHandler) }
-
 func (x *proxiedRequest) respondError(e *result.Error) {
 	if x.headSent {
-		abortResponse() // the error would become part of the stream
+		x.abort(closeTruncated) // the error would become part of the stream
 	}
 	x.status = e.Code.Status()
 	writeError(x.w, e)
@@ -442,7 +456,8 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial,
+		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
 }
 
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -11,7 +11,8 @@
 	_ "jackdawtrack.example/jackdawtrack/internal/fixedseed"
 )
 
-// model decides from the whole history, without any of the Tracker's indexes.
+// model decides from the whole history, without any of the Tracker's indexes. Suspects
+// are parts and requests; a request is lost at a time of its own after it was sent.
 type model struct {
 	losses      []modelLoss
 	began       []modelAnswer
@@ -23,10 +24,10 @@
 }
 
 type modelLoss struct {
-	at              time.Time
-	parts           []uint64
-	requests, begun int
-	explainedBy     uint64
+	at          time.Time
+	parts       []uint64 // and requests
+	lost, begun int
+	explainedBy uint64
 }
 
 type modelAnswer struct {
@@ -51,12 +52,32 @@
 	return at
 }
 
+func (m *model) answered(suspect uint64) bool { return !m.answeredAt(suspect).IsZero() }
+
+// answersSince returns the answers to requests of the same kind since a loss.
+func (m *model) answersSince(loss int) int {
+	n := 0
+	for _, a := range m.began {
+		if hasParts(a.parts) == hasParts(m.losses[loss].parts) && a.at.After(m.losses[loss].at) {
+			n++
+		}
+	}
+	return n
+}
+
 // evidence returns the losses against a part and those at different times.
 func (m *model) evidence(part uint64) (losses []int, episodes []time.Time) {
+	var explaining []uint64
 	for i, l := range m.losses {
-		if l.explainedBy != 0 || !slices.Contains(l.parts, part) || !l.at.After(m.innocentUntil(part)) {
+		if !slices.Contains(l.parts, part) || !l.at.After(m.innocentUntil(part)) {
 			continue
 		}
+		if l.explainedBy != 0 {
+			if IsRequest(part) || !IsRequest(l.explainedBy) || slices.Contains(explaining, l.explainedBy) {
+				continue
+			}
+			explaining = append(explaining, l.explainedBy)
+		}
 		losses = append(losses, i)
 		if n := len(episodes); n == 0 || l.at.Sub(episodes[n-1]) >= episodeGap {
 			episodes = append(episodes, l.at)
@@ -65,32 +86,80 @@
 	return losses, episodes
 }
 
-func (m *model) needed(part uint64, first, last time.Time) int {
+// needed returns the losses that quarantine a suspect with the given ones.
+func (m *model) needed(part uint64, losses []int, episodes []time.Time) int {
 	if m.lapsed[part] {
 		return 1
 	}
+	if IsRequest(part) {
+		return 3
+	}
+	return min(max(m.beyondChance(part, losses, episodes), 3), 18)
+}
+
+func (m *model) beyondChance(part uint64, losses []int, episodes []time.Time) int {
+	first, last, parts := episodes[0], episodes[len(episodes)-1], hasParts(m.losses[losses[0]].parts)
 	from := first.Add(-hazardLead)
 	if earliest := last.Add(-hazardWindow); from.Before(earliest) {
 		from = earliest
 	}
 	lost, all := 1.0, 48.0
 	for _, l := range m.losses {
-		if l.at.Before(from) {
+		if l.at.Before(from) || hasParts(l.parts) != parts {
 			continue
 		}
 		all += float64(l.begun)
 		if !slices.Contains(l.parts, part) {
-			lost += float64(l.requests)
-			all += float64(l.requests)
+			lost += float64(l.lost)
+			all += float64(l.lost)
+		}
+	}
+	var lastLoss time.Time
+	for _, l := range m.losses {
+		if hasParts(l.parts) == parts {
+			lastLoss = l.at
 		}
 	}
 	for _, a := range m.began {
-		if len(m.losses) == 0 || a.at.After(m.losses[len(m.losses)-1].at) {
+		if hasParts(a.parts) == parts && a.at.After(lastLoss) {
 			all++
 		}
 	}
-	n := int(math.Ceil(math.Log(maxFalseRate)/math.Log(lost/all) - 1e-6))
-	return min(max(n, 3), 18)
+	return int(math.Ceil(math.Log(maxFalseRate)/math.Log(lost/all) - 1e-6))
+}
+
+func hasParts(suspects []uint64) bool {
+	return slices.ContainsFunc(suspects, func(s uint64) bool { return !IsRequest(s) })
+}
+
+// fewRequestsMayBeCause reports whether fewer than three requests explain the losses,
+// where each loss that none of them was lost in has a request of its own.
+func (m *model) fewRequestsMayBeCause(losses []int, suspects []uint64) bool {
+	for _, first := range suspects {
+		for _, second := range suspects {
+			requests := 0
+			for _, request := range slices.Compact([]uint64{first, second}) {
+				if slices.ContainsFunc(losses, func(i int) bool { return m.mayBeCause(request, i) }) {
+					requests++
+				}
+			}
+			for _, i := range losses {
+				if !m.mayBeCause(first, i) && !m.mayBeCause(second, i) {
+					requests++
+				}
+			}
+			if requests < 3 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayBeCause reports whether the request was lost in the loss and not cleared since.
+func (m *model) mayBeCause(request uint64, loss int) bool {
+	l := m.losses[loss]
+	return IsRequest(request) && slices.Contains(l.parts, request) && l.at.After(m.innocentUntil(request))
 }
 
 // applies reports whether a prompt or a loss with the parts falls under the
@@ -138,53 +207,80 @@
 	}
 }
 
-func (m *model) evaluate(now time.Time, parts []uint64) {
-	for {
-		best, most, mostLosses := []uint64(nil), 0, 0
-		for _, p := range parts {
-			if !m.quarantined[p].IsZero() {
-				continue
-			}
-			losses, episodes := m.evidence(p)
-			if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
-				continue
-			}
-			needed := m.needed(p, episodes[0], episodes[len(episodes)-1])
-			if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
-				continue
-			}
-			if len(episodes) > most || len(episodes) == most && len(losses) > mostLosses {
-				best, most, mostLosses = nil, len(episodes), len(losses)
-			}
-			if len(episodes) == most && len(losses) == mostLosses {
-				best = append(best, p)
-			}
+func (m *model) evaluate(now time.Time, suspects []uint64) {
+	requests := slices.DeleteFunc(slices.Clone(suspects), func(s uint64) bool { return !IsRequest(s) })
+	parts := slices.DeleteFunc(slices.Clone(suspects), IsRequest)
+	for m.convict(now, requests, suspects) || m.convict(now, parts, suspects) {
+	}
+}
+
+// convict quarantines those of the candidates with the strongest evidence.
+func (m *model) convict(now time.Time, candidates, suspects []uint64) bool {
+	var best []uint64
+	var most []int
+	for _, p := range candidates {
+		if !m.quarantined[p].IsZero() {
+			continue
+		}
+		losses, episodes := m.evidence(p)
+		if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
+			continue
 		}
-		if len(best) == 0 {
-			return
+		needed := m.needed(p, losses, episodes)
+		if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
+			continue
 		}
-		strongest, _ := m.evidence(best[0])
-		var same []uint64
-		for _, p := range best {
-			if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
-				same = append(same, p)
-			}
+		if !m.lapsed[p] && (!IsRequest(p) && m.fewRequestsMayBeCause(losses, suspects) || m.answered(p) && m.answersSince(losses[0]) < 16) {
+			continue
 		}
-		for _, p := range same {
-			m.quarantined[p], m.lapsed[p] = now, false
-			m.companions[p] = slices.DeleteFunc(slices.Clone(same), func(o uint64) bool { return o == p })
-			m.companions[p] = m.companions[p][:min(len(same)-1, MaxCompanions)]
-			m.terms[p] = min(max(3*m.terms[p], firstTerm), maxTerm)
+		strength := []int{0, len(episodes), len(losses)}
+		if !m.answered(p) {
+			strength[0] = 1
+		}
+		if slices.Compare(strength, most) > 0 {
+			best, most = nil, strength
+		}
+		if slices.Equal(strength, most) {
+			best = append(best, p)
+		}
+	}
+	if len(best) == 0 {
+		return false
+	}
+	strongest, episodes := m.evidence(best[0])
+	var same []uint64
+	for _, p := range best {
+		if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
+			same = append(same, p)
+		}
+	}
+	for _, p := range same {
+		first := 15 * time.Second
+		if IsRequest(p) && len(episodes) < m.beyondChance(p, strongest, episodes) {
+			first = 5 * time.Second
+		}
+		m.quarantined[p], m.lapsed[p] = now, false
+		m.companions[p] = slices.DeleteFunc(slices.Clone(same), func(o uint64) bool { return o == p || IsRequest(p) })
+		m.companions[p] = m.companions[p][:min(len(m.companions[p]), MaxCompanions)]
+		if m.terms[p] = min(3*m.terms[p], 10*time.Minute); m.terms[p] == 0 {
+			m.terms[p] = first
+		}
+		for _, i := range strongest {
+			m.losses[i].explainedBy = p
 		}
-		m.explain()
 	}
+	m.explain()
+	return true
 }
 
 // explain marks the losses that a quarantined part explains.
 func (m *model) explain() {
-	for i := range m.losses {
-		for _, p := range m.losses[i].parts {
-			if m.losses[i].explainedBy == 0 && m.applies(p, m.losses[i].parts) {
+	for i, l := range m.losses {
+		if l.explainedBy != 0 {
+			continue
+		}
+		for _, p := range l.parts {
+			if p > m.losses[i].explainedBy && m.applies(p, l.parts) {
 				m.losses[i].explainedBy = p
 			}
 		}
@@ -207,25 +303,35 @@
 // or the timing of events.
 func TestTrackerMatchesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		parts := []uint64{1, 2, 3, 4, 5, 6}
+		suspects := []uint64{1, 2, 3, 4, RequestSuspect(5), RequestSuspect(6), RequestSuspect(7)}
 		tracker, now := New(1), start
 		m := &model{quarantined: map[uint64]time.Time{}, released: map[uint64]time.Time{}, companions: map[uint64][]uint64{}, lapsed: map[uint64]bool{}, terms: map[uint64]time.Duration{}}
-		begun := 0
+		begun := map[bool]int{} // by whether the requests have parts
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(settleTime + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
-			drawn := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, 4, rapid.ID).Draw(t, "parts")
+			drawn := rapid.SliceOfNDistinct(rapid.SampledFrom(suspects), 1, 4, rapid.ID).Draw(t, "parts")
 			slices.Sort(drawn)
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0, 1, 2, 3, 4, 5:
-				requests := rapid.IntRange(1, 12).Draw(t, "requests")
-				tracker.AddLoss(now, Server{uint64(step), 1}, now, drawn, requests)
-				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, requests: requests, begun: begun})
+				lost := rapid.IntRange(1, 12).Draw(t, "lost")
+				l := Loss{Server: Server{uint64(step), 1}, At: now, Lost: lost}
+				for _, suspect := range drawn {
+					if IsRequest(suspect) {
+						l.Requests = append(l.Requests, Sent{Request: suspect, At: now.Add(-time.Millisecond)})
+					} else {
+						l.Parts = append(l.Parts, suspect)
+					}
+				}
+				tracker.AddLoss(now, l)
+				m.losses = append(m.losses, modelLoss{at: now, parts: drawn, lost: lost, begun: begun[hasParts(drawn)]})
 				m.explain()
-				begun = 0
+				begun[hasParts(drawn)] = 0
 			case 6, 7, 8:
-				tracker.AnswerBegan(now, now, drawn)
-				m.began = append(m.began, modelAnswer{now, drawn})
-				begun++
+				for range rapid.IntRange(1, 12).Draw(t, "answers") {
+					tracker.AnswerBegan(now, now, drawn)
+					m.began = append(m.began, modelAnswer{now, drawn})
+					begun[hasParts(drawn)]++
+				}
 				for _, p := range drawn {
 					if since := m.quarantined[p]; now.After(since) && !since.IsZero() {
 						m.release(now, p)
@@ -242,11 +348,11 @@
 			}
 			now = now.Add(settleTime)
 			tracker.Poll(now)
-			m.poll(now, parts)
-			for _, p := range parts {
+			m.poll(now, suspects)
+			for _, p := range suspects {
 				v := tracker.verdicts[p]
 				if got := v != nil && v.State == Quarantined; got != !m.quarantined[p].IsZero() {
-					t.Fatalf("step %d, part %d: quarantined %v, in the model since %v", step, p, got, m.quarantined[p])
+					t.Fatalf("step %d, suspect %x: %+v, in the model since %v, term %v, now %v", step, p, v, m.quarantined[p], m.terms[p], now)
 				}
 			}
 		}
