Show the fingerprint of a request in its routing decision

The logs name lost requests by their fingerprints, and operators could not tell which request one stands for before a router has refused it. The decision of a request (jackdawctl why) has the fingerprint, and whether the request was the trial of a quarantine. TestFalseVerdictEndsByItself fails without the trial in the decision ("trials is <= 0"), and TestSoundRepeatsBesideCrashesAreServed bounds the time of a sound request.

--- a/pkg/cli/admin.go
+++ b/pkg/cli/admin.go
@@ -116,6 +116,9 @@
 	fmt.Fprintf(c.Out, "request %s of workspace %s, class %s, pool %s, at revision %d\n", decision.ID, decision.Workspace, decision.Class, decision.Pool, decision.Catalog)
 	fmt.Fprintf(c.Out, "arrived %s, ended after %.1f ms with %d %s, executed %s\n", decision.Arrived.UTC().Format("15:04:05.000"), decision.TotalMS, decision.Code, decision.Result, decision.Executed)
 	fmt.Fprintf(c.Out, "%s\n", decision.Explanation)
+	if decision.Fingerprint != "" {
+		fmt.Fprintf(c.Out, "fingerprint %s, trial of a quarantine %v\n", decision.Fingerprint, decision.Trial)
+	}
 	t := table{columns: []string{"attempt", "owner", "server", "wait_ms", "sent", "status", "first_token_ms", "bytes", "units", "result"}}
 	for i, attempt := range decision.Attempts {
 		t.addRow(i+1, attempt.Owner, attempt.Server, attempt.WaitMS, attempt.Sent, attempt.Status, attempt.FirstTokenMS, attempt.Bytes, attempt.CostUnits, attempt.Result)
--- a/pkg/router/crashing_request_test.go
+++ b/pkg/router/crashing_request_test.go
@@ -142,6 +142,7 @@
 func TestSoundRepeatsBesideCrashesAreServed(t *testing.T) {
 	t.Parallel()
 	const duration, crashInterval, pollers = 6 * time.Second, 300 * time.Millisecond, 4
+	const maxTime = 5 * time.Second // half of the longest wait for a slot
 	p, _ := newRecordingPair(t)
 	var mu sync.Mutex
 	lastCrash := time.Now()
@@ -158,7 +159,11 @@
 	var answered, lost atomic.Int64
 	// send returns false if the request has to be sent again.
 	send := func(router int, method, path, class, body string) bool {
+		sentAt := time.Now()
 		resp, answer := tryDo(p.callers[router].request(t, method, path, class, body))
+		if took := time.Since(sentAt); took > maxTime {
+			t.Errorf("%s %s took %s", method, path, took)
+		}
 		if strings.Contains(answer, "quarantined") {
 			t.Errorf("%s %s: %s", method, path, answer)
 		}
--- a/pkg/router/decisions.go
+++ b/pkg/router/decisions.go
@@ -33,6 +33,8 @@
 	Pool        string    `json:"pool,omitempty"`
 	Model       string    `json:"model,omitempty"`
 	Keyed       bool      `json:"keyed,omitempty"`
+	Fingerprint string    `json:"fingerprint,omitempty"` // as in quarantine.Status.Suspect
+	Trial       bool      `json:"trial,omitempty"`       // tested whether a suspect still crashes servers
 	Catalog     uint64    `json:"catalog_revision"`
 	Attempts    []Attempt `json:"attempts"`
 	Code        uint32    `json:"code"`
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -6,6 +6,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -17,6 +18,7 @@
 func (r *Router) runAdmitted(q *request) {
 	q.decision.Pool = q.poolName
 	q.suspects = suspectsOf(q)
+	q.decision.Fingerprint = quarantine.FormatSuspect(q.suspects[len(q.suspects)-1])
 	record, done := r.beginKeyed(q)
 	if done {
 		return
--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -77,7 +77,7 @@
 	case quarantine.Refuse:
 		return r.quarantineError(q, suspect)
 	case quarantine.Trial:
-		q.isTrial = true
+		q.isTrial, q.decision.Trial = true, true
 	}
 	return nil
 }
@@ -88,7 +88,7 @@
 	if r.quarantine.logLimiter.Allow() {
 		r.log.WithFields(logrus.Fields{
 			"id": q.id, "workspace": q.workspace.Name, "class": q.class.Name, "pool": q.poolName, "suspect": quarantine.FormatSuspect(suspect),
-			"fingerprint": quarantine.FormatSuspect(q.suspects[len(q.suspects)-1]),
+			"fingerprint": q.decision.Fingerprint,
 		}).Info("request refused: servers crashed on it")
 	}
 	if quarantine.IsRequest(suspect) {
--- a/pkg/router/quarantine_test.go
+++ b/pkg/router/quarantine_test.go
@@ -175,6 +175,20 @@
 	for _, tr := range p.callers {
 		assert.Equal(t, tr.stateOf(suspect), "released")
 	}
+	p.callers[0].waitFor(t, "the record of the trial", func() bool {
+		trials := 0
+		for _, tr := range p.callers {
+			tr.router.decisionLog.mu.Lock()
+			for _, d := range tr.router.decisionLog.byID {
+				assert.Equal(t, d.Fingerprint, quarantine.FormatSuspect(suspect))
+				if d.Trial {
+					trials++
+				}
+			}
+			tr.router.decisionLog.mu.Unlock()
+		}
+		return trials > 0
+	})
 }
 
 // Guards against routers that missed a verdict, or started after it, sending a
