Test stored answers and shared messages beside a quarantined request

A keyed request whose answer is stored gets it although the request is in quarantine: the test fails if the check comes before the key is recorded (400 instead of 201). Requests that share a message with the crashing one are also sent between its repeats; they are never refused.

--- a/pkg/router/crashing_request_test.go
+++ b/pkg/router/crashing_request_test.go
@@ -208,10 +208,22 @@
 }
 
 // Guards against the parts of a request that crashes servers being quarantined with
-// it: nothing but the request has its first message until it is refused, then
-// others do.
+// it. Either nothing but the request has its first message until it is refused, then
+// others do, or others are sent between any two of its repeats.
 func TestRequestsThatShareMessagesWithCrashingOneAreServed(t *testing.T) {
 	t.Parallel()
+	for _, between := range []bool{false, true} {
+		t.Run(fmt.Sprintf("between=%v", between), func(t *testing.T) {
+			t.Parallel()
+			testSharedMessages(t, between)
+		})
+	}
+}
+
+func testSharedMessages(t *testing.T, between bool) {
+	sound := func(tr *testRouter, n int) *http.Request {
+		return tr.request(t, http.MethodPost, chatPath, "order", chatBodyOf("be kind", fmt.Sprint("question ", n)))
+	}
 	p, _ := newRecordingPair(t)
 	f := newCrashFleet(t, p.callers[0], 4, backend.Engine, func(_ *http.Request, body string) bool { return strings.Contains(body, "deadly") })
 	p.awaitPool(t)
@@ -222,13 +234,17 @@
 			if strings.Contains(body, "quarantined") {
 				refused++
 			}
+			if between {
+				_, body := tryDo(sound(tr, 1000+f.crashCount())) // may be lost with a server
+				assert.Assert(t, !strings.Contains(body, "quarantined"), body)
+			}
 			<-time.After(callPace)
 		}
 		return refused == 2
 	})
 	assert.Assert(t, f.crashCount() >= 3)
 	for i := range 20 {
-		resp, body := do(t, p.callers[i%2].request(t, http.MethodPost, chatPath, "order", chatBodyOf("be kind", fmt.Sprint("question ", i))))
+		resp, body := do(t, sound(p.callers[i%2], i))
 		assert.Equal(t, resp.StatusCode, http.StatusOK, body)
 		expectRefusal(t, p.callers[i%2].request(t, http.MethodPost, chatPath, "order", chatBodyOf("be kind", "deadly")), result.RequestQuarantined)
 	}
--- a/pkg/router/quarantine_test.go
+++ b/pkg/router/quarantine_test.go
@@ -93,6 +93,21 @@
 	assert.Equal(t, len(records.finishes), 2)
 }
 
+// Guards against a keyed request whose answer is stored being refused: no server
+// runs it again.
+func TestStoredAnswerIsGivenDuringQuarantine(t *testing.T) {
+	records := &fakeRecords{begin: func() (*apiv1.BeginResponse, error) {
+		return &apiv1.BeginResponse{State: apiv1.BeginState_BEGIN_DONE, Answer: &apiv1.StoredAnswer{Status: 201, Body: []byte("first")}}, nil
+	}}
+	tr := newTestRouter(t, func(_ *Config, p *Dependencies) { p.Records = records })
+	tr.announceRawServer(t, "s1", newRawServer(t, respondOK), backend.Abilities{})
+	tr.convict(wholeSuspect(http.MethodPost, "/services/p/x", "{}"), 0)
+	expectRefusal(t, tr.request(t, http.MethodPost, "/services/p/x", "order", "{}"), result.RequestQuarantined)
+	resp, body := do(t, tr.request(t, http.MethodPost, "/services/p/x", "order", "{}", proxy.HeaderIdempotencyKey, "k1"))
+	assert.Equal(t, resp.StatusCode, 201, body)
+	assert.Equal(t, body, "first")
+}
+
 // Guards against a refusal that claims that a request has not run although an
 // earlier attempt may have run it. The verdict comes during the first attempt.
 func TestRefusalAfterAttemptDoesNotClaimNotExecuted(t *testing.T) {
