--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -43,28 +43,23 @@
 // response.
 func (x *proxiedRequest) attempt(v dispatch.Decision) attemptResult {
 	x.eventsBefore = x.sseParser.count
-	ctx, cancel := context.WithCancelCause(x.callerCtx)
-	defer cancel(nil)
-	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadlinePassed) })
+	e := x.takeExchange(v)
+	ctx := e.ctx
+	defer e.cancel(nil)
+	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { e.cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
-	startedAt := time.Now()
-	x.attemptStartedAt = startedAt
-	var arrival proxy.UnreadMonitor
-	inactivityTimeout := newInactivityTimer(x.inactivityTimeout(),
-		func() bool {
-			return x.s.mayAbandon(x.dispatchReq.Service, v.Server, startedAt) &&
-				(!x.headSent || x.s.hasAlternative(x.dispatchReq.Service, v.Server)) && !arrival.HasUnread()
-		},
-		func() { cancel(errServerInactive) })
-	defer inactivityTimeout.stop()
+	x.attemptStartedAt = e.startedAt
+	h := x.newHedge(e)
+	inactivityTimeout := startInactivityTimer(x.inactivityTimeout(), &inactivityTimer{mayAbandon: h.tryReplace, keep: h.keepFirst, abandon: func() { e.cancel(errServerInactive) }})
+	defer func() { h.close(inactivityTimeout.stop()) }()
 
-	resp, sent, err := x.s.transport.SendRequest(ctx, x.buildRequest(v), &arrival, x.in.Body)
+	resp, sent, err := e.send(x)
 	if err != nil {
 		return x.finishAttempt(v, x.classifySendError(ctx, err, sent))
 	}
 	defer resp.Body.Close()
 	reply := x.s.config.Dialect.ReadHead(resp)
-	a, bad := x.rejectHead(resp, reply)
+	a, bad := x.rejectHead(resp, reply, x.headSent, slices.Contains(x.sentTo, v.Address))
 	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
 		x.s.applyServerHints(v, reply)
 	}
@@ -72,9 +67,9 @@
 		return x.finishAttempt(v, a)
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
-		return x.finishAttempt(v, x.forwardStream(ctx, resp, inactivityTimeout, &arrival))
+		return x.finishAttempt(v, x.forwardStream(ctx, resp, inactivityTimeout, h))
 	}
-	return x.finishAttempt(v, x.forwardBuffered(ctx, resp))
+	return x.finishAttempt(v, x.forwardBuffered(ctx, resp, inactivityTimeout))
 }
 
 // inactivityTimeout returns how long a server may send nothing before the request
@@ -88,16 +83,17 @@
 	return max(time.Duration(inactivityFactor*float64(x.dispatchReq.Objective)), minInactivityTimeout)
 }
 
-// buildRequest returns the request to send to the server of the decision.
-func (x *proxiedRequest) buildRequest(v dispatch.Decision) *http.Request {
+// buildRequest returns the request to send to the server of the decision. It resumes
+// a stream after the event lastID that was forwarded to the caller, "" if none was.
+func (x *proxiedRequest) buildRequest(v dispatch.Decision, lastID, slotReservation string) *http.Request {
 	h := x.in.Header.Clone()
 	lastEvent := x.in.LastEventID
-	if x.sseParser.lastID != "" {
-		lastEvent = x.sseParser.lastID
+	if lastID != "" {
+		lastEvent = lastID
 	}
 	x.s.config.Dialect.WriteHeaders(h, RequestMetadata{
 		RequestID: x.in.ID, Server: v.Server, Workspace: x.dispatchReq.Workspace,
-		RemainingTime: max(time.Until(x.deadline), time.Millisecond), LastEventID: lastEvent, FetchFrom: v.FetchFrom, SlotReservation: x.slotReservation,
+		RemainingTime: max(time.Until(x.deadline), time.Millisecond), LastEventID: lastEvent, FetchFrom: v.FetchFrom, SlotReservation: slotReservation,
 	})
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // prevents net/http from setting its default
@@ -117,6 +113,9 @@
 	if a.outcome == dispatch.ConnectionLost {
 		x.recordLostConnection(v)
 	}
+	if a.sent {
+		x.sentTo = append(x.sentTo, v.Address)
+	}
 	x.s.recordOutcome(x.dispatchReq, a.outcome)
 	return a
 }
@@ -149,13 +148,16 @@
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
 // compressed, states that the request was not executed, or does not continue the
-// stream that the caller receives.
-func (x *proxiedRequest) rejectHead(resp *http.Response, reply ResponseMetadata) (attemptResult, bool) {
+// stream that the caller receives (began). sentBefore is set if the request was sent
+// to the address before: then a refusal may be a copy of an earlier one.
+func (x *proxiedRequest) rejectHead(resp *http.Response, reply ResponseMetadata, began, sentBefore bool) (attemptResult, bool) {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	switch {
 	case reply.RequestID != x.in.ID:
 		a.outcome = dispatch.InvalidResponse
-	case (reply.Misdirected || reply.NotExecuted) && !slices.Contains(refusalStatuses, resp.StatusCode):
+	case !proxy.IsFinalStatus(resp.StatusCode):
+		a.outcome = dispatch.InvalidResponse
+	case (reply.Misdirected || reply.NotExecuted) && (sentBefore || !slices.Contains(refusalStatuses, resp.StatusCode)):
 		a.outcome = dispatch.InvalidResponse
 	case reply.Misdirected:
 		a.outcome = dispatch.Misdirected
@@ -165,9 +167,9 @@
 		a.outcome = dispatch.InvalidResponse
 	case resp.Header.Get("Content-Encoding") != "":
 		a.outcome = dispatch.InvalidResponse
-	case x.headSent && resp.StatusCode >= http.StatusInternalServerError:
+	case began && resp.StatusCode >= http.StatusInternalServerError:
 		a.outcome = dispatch.ServerError
-	case x.headSent && (resp.StatusCode != http.StatusOK || mediaType(resp.Header) != mediaType(x.w.Header())):
+	case began && (resp.StatusCode != http.StatusOK || mediaType(resp.Header) != mediaType(x.w.Header())):
 		a.outcome = dispatch.InvalidResponse
 	default:
 		return a, false
@@ -183,13 +185,14 @@
 
 // forwardBuffered reads the complete response before it forwards it, so that a
 // failure before the end can be retried.
-func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response) attemptResult {
+func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response, inactivity *inactivityTimer) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	body, done, err := x.s.responses.read(resp.Body)
 	x.releaseFuncs = append(x.releaseFuncs, done)
 	if err != nil {
 		return x.classifyBodyError(ctx, a, err)
 	}
+	inactivity.stop()
 	x.timeToFirst = time.Since(x.in.Arrived)
 	header := resp.Header.Clone()
 	proxy.RemoveHopByHopHeaders(header)
@@ -250,7 +253,7 @@
 
 // forwardStream forwards server-sent events as they arrive, but only complete
 // ones, so that another server can resume the stream after a failure.
-func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, arrival *proxy.UnreadMonitor) attemptResult {
+func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, h *hedge) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	x.sseParser.buffer = x.sseParser.buffer[:0]
 	resumed, nextID := x.headSent, x.headSent
@@ -260,18 +263,22 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			arrival.MarkRead()
+			h.first.arrival.MarkRead()
 			events := x.sseParser.appendBytes(buf[:n])
 			if len(x.sseParser.buffer)-len(events) > maxEventBytes {
 				return x.classifyBodyError(ctx, a, errEventTooLarge)
 			}
 			if len(events) > 0 {
-				inactivity.progress(x.stallTimeout())
+				if !inactivity.progress(x.stallTimeout(h.sentAttempts())) {
+					a.outcome, a.err = dispatch.ResponseTimeout, errServerInactive
+					return a
+				}
 				if nextID && !isNextID(x.sseParser.lastID, firstID(events)) || resumed && !idsIncrease(x.sseParser.lastID, events) {
 					a.outcome = dispatch.InvalidResponse
 					return a
 				}
 				nextID = false
+				inactivity.pause()
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
@@ -280,6 +287,8 @@
 					x.reportAnswerBegan(x.firstEventAt, true)
 				}
 				x.coalesceEvents(ctx)
+				h.forwarded(x.sseParser.lastID)
+				inactivity.resume()
 			}
 		}
 		if err == io.EOF {
@@ -375,10 +384,10 @@
 }
 
 // stallTimeout returns the inactivity timeout of a stream after its first event.
-// On the last attempt, and for a stream that cannot be resumed, it exceeds the
-// deadline.
-func (x *proxiedRequest) stallTimeout() time.Duration {
-	last := x.sentAttempts+1 >= max(x.route.MaxAttempts, 1)
+// hedges is the number of failed attempts beside the current one. On the last
+// attempt, and for a stream that cannot be resumed, it exceeds the deadline.
+func (x *proxiedRequest) stallTimeout(hedges int) time.Duration {
+	last := x.sentAttempts+hedges+1 >= max(x.route.MaxAttempts, 1)
 	if last || x.route.RetryPolicy != routing.Resumable {
 		return time.Until(x.deadline) + time.Second
 	}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -63,6 +63,7 @@
 	decision          dispatch.Decision
 	slotReservation   string            // reservation id at the server of the decision, "" if none
 	sentAttempts      int               // attempts that may have reached a server
+	sentTo            []string          // addresses of these attempts
 	mayHaveRun        bool              // a server may have executed it, so no response may claim that it was not executed
 	lastErrorResponse *bufferedResponse // last 5xx response, sent to the caller if no attempt succeeds
 	unsentAttempts    int               // attempts that failed before any byte was sent
@@ -80,6 +81,7 @@
 	outcomes          []string
 	lastError         error           // error of the last failed attempt
 	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
+	replacement       *serverExchange // attempt that has begun to answer in place of a silent server, nil if none
 	closeReason       closeReason     // "" unless the connection was closed without a complete response
 }
 
@@ -142,6 +144,7 @@
 	x := s.newProxiedRequest(ctx, w, in)
 	defer x.log(in.dest.configVersion)
 	defer x.releaseResponses()
+	defer x.closeReplacement()
 	x.run()
 }
 
@@ -196,7 +199,7 @@
 			break
 		}
 		x.decision = v
-		if x.dropQuarantined() {
+		if x.replacement == nil && x.dropQuarantined() {
 			return
 		}
 		if x.slotReservation = ""; v.ReserveSlot && !x.reserve(v) {
@@ -206,7 +209,7 @@
 		if x.sentAttempts == 0 {
 			x.queueWait = time.Since(x.in.Arrived)
 		}
-		if !x.mayBeSent() {
+		if x.replacement == nil && !x.mayBeSent() {
 			return
 		}
 		a := x.attempt(v)
@@ -219,6 +222,10 @@
 			x.respondFailed(a)
 			return
 		}
+		if x.replacement != nil {
+			v = x.takeOver(x.replacement)
+			continue
+		}
 		v = x.s.retryDecision(x.dispatchReq, v.Server, a.sent)
 		if v.Action == dispatch.Refuse {
 			x.retryRefusal = v.Reason
@@ -266,7 +273,7 @@
 	case <-timer.C:
 		err = errDeadlinePassed
 	}
-	if v, ok := x.s.cancelWaiting(x.dispatchReq); ok {
+	if v, ok := x.s.cancelWaiting(x.dispatchReq, waiting); ok {
 		if v.Action == dispatch.Send {
 			x.s.recordOutcome(x.dispatchReq, dispatch.NotSent)
 		}
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -19,10 +19,13 @@
 // recordLostConnection collects an attempt whose connection was lost, and has the
 // server checked after the first one.
 func (x *proxiedRequest) recordLostConnection(v dispatch.Decision) {
-	begun := x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime
+	x.addLostConnection(v, x.attemptStartedAt, x.sseParser.count > x.eventsBefore && time.Since(x.firstEventAt) > beginTime)
+}
+
+// addLostConnection does so for an attempt that began at the given time.
+func (x *proxiedRequest) addLostConnection(v dispatch.Decision, sent time.Time, begun bool) {
 	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
-	request := losses.Request{Suspects: x.suspects, Sent: x.attemptStartedAt, Begun: begun}
-	if l := x.s.losses.Add(time.Now(), server, request); l != nil {
+	if l := x.s.losses.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: sent, Begun: begun}); l != nil {
 		go x.s.checkLoss(l)
 	}
 }
