Bound what callers and other hosts can do to the evidence on requests

- answers to other requests displaced the record that a request was answered between two losses: the record is kept as long as the loss;
- a request that came back often after its quarantine had lapsed reached servers until the next loss was judged: after a lapse each host tries one at a time, an answer releases it, a loss renews the quarantine;
- a batch of equal requests, sent before, was convicted by three crashes 100 ms apart although servers had answered it: of a request that was answered before, only copies sent after the loss before count;
- a verdict of another host with the largest generation could not be released: generations are bounded;
- verdicts queued for summaries grew without bound at a host that sends none: an evicted verdict leaves the queues;
- an evaluation of many losses with common parts took seconds: repeated requests are indexed once for each evaluation.

--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -106,12 +106,23 @@
 		switch {
 		case !quarantine.IsRequest(suspect) && len(l.Parts) < maxSuspects:
 			l.Parts[suspect] = true
-		case quarantine.IsRequest(suspect) && len(l.Requests) < maxSuspects:
-			l.Requests = append(l.Requests, quarantine.Sent{Request: suspect, At: r.Sent})
+		case quarantine.IsRequest(suspect):
+			l.addRequest(quarantine.Sent{Request: suspect, At: r.Sent})
 		}
 	}
 }
 
+// addRequest adds a request. Of its copies the one that was sent last counts.
+func (l *Loss) addRequest(r quarantine.Sent) {
+	i := slices.IndexFunc(l.Requests, func(other quarantine.Sent) bool { return other.Request == r.Request })
+	switch {
+	case i >= 0 && r.At.After(l.Requests[i].At):
+		l.Requests[i] = r
+	case i < 0 && len(l.Requests) < maxSuspects:
+		l.Requests = append(l.Requests, r)
+	}
+}
+
 // Finish ends the collection of a loss, and reports whether the caller has to report
 // it: the process has ended, and TakeRestarted has not returned the loss before.
 // Without ended, the loss waits for another start at its address.
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -28,7 +28,7 @@
 		case v.State == Quarantined && now.Sub(v.nextTrialAt()) > lapseTime:
 			t.decide(now, part, Lapsed, "no trial")
 		case v.State != Quarantined && now.Sub(v.Since) > verdictRetention:
-			delete(t.verdicts, part)
+			t.forget(v)
 		}
 	}
 	out := t.changes
@@ -41,7 +41,9 @@
 func (t *Tracker) evaluate(now time.Time) {
 	t.evaluateAt = time.Time{}
 	losses := t.sortedLosses()
+	t.repeats = t.indexRepeats(losses)
 	t.convict(now, losses)
+	t.repeats = nil
 	t.separateCompanions(now, losses)
 }
 
@@ -148,31 +150,54 @@
 }
 
 // requestsLost returns the least number of requests of which one was lost in each of
-// the losses: more than that may be repeats. It takes the request that was lost most
-// often first.
+// the losses, up to lossesToQuarantine: more than that may be repeats. It takes the
+// request that was lost most often first.
 func (t *Tracker) requestsLost(s *suspicion) int {
-	n, left := 0, slices.Clone(s.losses)
-	for len(left) > 0 {
-		counts := map[uint64]int{}
-		best := uint64(0)
+	left, counts := slices.Clone(s.losses), map[int]int{}
+	for n := range lossesToQuarantine {
+		clear(counts)
+		best := 0
 		for _, l := range left {
-			for request := range l.suspects {
-				if !IsRequest(request) || !t.isSuspectOf(request, l) {
-					continue
-				}
+			for _, request := range t.repeats[l] {
 				counts[request]++
-				if c := cmp.Compare(counts[request], counts[best]); c > 0 || c == 0 && request > best {
+				if counts[request] > counts[best] || counts[request] == counts[best] && request > best {
 					best = request
 				}
 			}
 		}
 		if counts[best] <= 1 {
-			return n + len(left)
+			return min(n+len(left), lossesToQuarantine)
 		}
-		n++
-		left = slices.DeleteFunc(left, func(l *loss) bool { return t.isSuspectOf(best, l) })
+		left = slices.DeleteFunc(left, func(l *loss) bool { return slices.Contains(t.repeats[l], best) })
 	}
-	return n
+	return lossesToQuarantine
+}
+
+// indexRepeats returns, for each loss, the numbers of the requests that are suspects of
+// it and of another one.
+func (t *Tracker) indexRepeats(losses []*loss) map[*loss][]int {
+	counts := map[uint64]int{}
+	for _, l := range losses {
+		for request := range l.suspects {
+			if IsRequest(request) && t.isSuspectOf(request, l) {
+				counts[request]++
+			}
+		}
+	}
+	requests := slices.DeleteFunc(slices.Sorted(maps.Keys(counts)), func(request uint64) bool { return counts[request] < 2 })
+	numbers := make(map[uint64]int, len(requests))
+	for i, request := range requests {
+		numbers[request] = i + 1
+	}
+	out := make(map[*loss][]int, len(losses))
+	for _, l := range losses {
+		for request := range l.suspects {
+			if number := numbers[request]; number > 0 && t.isSuspectOf(request, l) {
+				out[l] = append(out[l], number)
+			}
+		}
+	}
+	return out
 }
 
 // isSuspectOf reports whether a request or part was lost in the loss and was not
@@ -243,17 +268,19 @@
 // add adds a loss to the evidence. Losses come in order of time.
 func (s *suspicion) add(l *loss, suspect uint64) {
 	s.losses = append(s.losses, l)
-	if n := len(s.episodes); n == 0 || l.isApartFrom(s.episodes[n-1], suspect) {
+	if n := len(s.episodes); n == 0 || l.isApartFrom(s.episodes[n-1], suspect, s.answered) {
 		s.episodes = append(s.episodes, l.at)
 	}
 }
 
 // isApartFrom reports whether the loss says more about the suspect than one at the
-// earlier time.
-func (l *loss) isApartFrom(earlier time.Time, suspect uint64) bool {
+// earlier time. A copy of a request was sent after the earlier loss; or some time has
+// passed and no server ever answered the request: callers send a batch of equal requests
+// that wait together.
+func (l *loss) isApartFrom(earlier time.Time, suspect uint64, answered bool) bool {
 	gap := l.at.Sub(earlier)
 	if IsRequest(suspect) {
-		return gap >= requestEpisodeGap || gap > 0 && l.suspects[suspect] <= gap
+		return gap > 0 && l.suspects[suspect] <= gap || gap >= requestEpisodeGap && !answered
 	}
 	return gap >= episodeGap || l.started.After(earlier)
 }
@@ -424,18 +451,30 @@
 	if v.State == Quarantined && next.State == Released {
 		t.reopenLosses(next.Suspect)
 	}
-	t.active -= activeCount(v.State)
+	t.count(v, -1)
 	v.Verdict, v.local = next, false
-	t.active += activeCount(v.State)
+	t.count(v, 1)
 	t.evaluateBy(now)
 	return v
 }
 
-func activeCount(s State) int {
-	if s == Quarantined {
-		return 1
+// count adds n to the numbers of verdicts that v is counted in.
+func (t *Tracker) count(v *verdict, n int) {
+	if v.State == Quarantined {
+		t.active += n
+	}
+	if v.State == Quarantined || v.isProbation() {
+		t.restricted += n
+	}
+}
+
+// forget removes a verdict.
+func (t *Tracker) forget(v *verdict) {
+	t.count(v, -1)
+	for _, n := range []*news{&t.digestNews, &t.summaryNews} {
+		delete(n.verdicts, v.Suspect)
 	}
-	return 0
+	delete(t.verdicts, v.Suspect)
 }
 
 // reopenLosses lets the losses that a released suspect explained count again.
@@ -459,13 +498,12 @@
 			victim = v
 		}
 	}
-	t.active -= activeCount(victim.State)
-	delete(t.verdicts, victim.Suspect)
+	t.forget(victim)
 }
 
 func (v *verdict) evictedBefore(o *verdict) bool {
-	if active, otherActive := activeCount(v.State), activeCount(o.State); active != otherActive {
-		return active < otherActive
+	if active := v.State == Quarantined; active != (o.State == Quarantined) {
+		return !active
 	}
 	if !v.Since.Equal(o.Since) {
 		return v.Since.Before(o.Since)
--- a/pkg/quarantine/message.go
+++ b/pkg/quarantine/message.go
@@ -37,6 +37,7 @@
 	firstAt time.Time
 	next    time.Time
 	repeats int
+	sent    int // messages so far
 }
 
 func newSchedule(now time.Time) *schedule {
@@ -48,6 +49,7 @@
 	if now.Before(s.next) {
 		return false
 	}
+	s.sent++
 	if s.repeats--; s.repeats <= 0 {
 		s.next = now.Add(max(now.Sub(s.firstAt), firstResend))
 	}
@@ -63,6 +65,7 @@
 			continue
 		}
 		if report := t.uncleared(l, l.ownReport); len(report.Parts)+len(report.Requests) > 0 {
+			report.Requests = t.selectRequests(report.Requests, l.own.sent-1)
 			m.Losses = append(m.Losses, report)
 			t.queueForSummary(lossKey{l.server, t.self})
 		}
@@ -97,14 +100,14 @@
 		if l == nil || l.explained {
 			continue
 		}
-		m.Losses = append(m.Losses, t.reportOf(l, key.reporter))
+		m.Losses = append(m.Losses, t.reportOf(l, key.reporter, messageRepeats-left))
 	}
 	return m
 }
 
 // reportOf returns a report with the suspects that all hosts of the data centre
 // reported, those first that say most.
-func (t *Tracker) reportOf(l *loss, reporter uint64) Loss {
+func (t *Tracker) reportOf(l *loss, reporter uint64, sent int) Loss {
 	r := l.reports[reporter]
 	out := Loss{Server: l.server, At: l.at, Reporter: reporter, Lost: r.requests, Begun: r.begun}
 	for suspect, sentBefore := range l.suspects {
@@ -117,22 +120,43 @@
 	out = t.uncleared(l, out)
 	slices.Sort(out.Parts)
 	out.Parts = out.Parts[:min(len(out.Parts), MaxPartsPerMessage)]
-	slices.SortFunc(out.Requests, func(a, b Sent) int {
-		return cmp.Or(cmp.Compare(t.lossesOf(b.Request), t.lossesOf(a.Request)), cmp.Compare(a.Request, b.Request))
+	out.Requests = t.selectRequests(out.Requests, sent)
+	return out
+}
+
+// selectRequests returns the requests for one message: those of several losses, and the
+// others in turn, since any of them may be the one that crashes servers.
+func (t *Tracker) selectRequests(requests []Sent, sent int) []Sent {
+	if len(requests) <= MaxRequestsPerMessage {
+		return requests
+	}
+	counts := t.lossesOf(requests)
+	slices.SortFunc(requests, func(a, b Sent) int {
+		return cmp.Or(cmp.Compare(counts[b.Request], counts[a.Request]), cmp.Compare(a.Request, b.Request))
 	})
-	out.Requests = out.Requests[:min(len(out.Requests), MaxRequestsPerMessage)]
+	single := slices.IndexFunc(requests, func(r Sent) bool { return counts[r.Request] < 2 })
+	if single < 0 || single >= MaxRequestsPerMessage {
+		return requests[:MaxRequestsPerMessage]
+	}
+	out, room := slices.Clone(requests[:single]), MaxRequestsPerMessage-single
+	others := requests[single:]
+	for i := range room {
+		out = append(out, others[(sent*room+i)%len(others)])
+	}
 	return out
 }
 
-// lossesOf returns the number of losses that have the suspect.
-func (t *Tracker) lossesOf(suspect uint64) int {
-	n := 0
-	for _, l := range t.losses {
-		if _, lost := l.suspects[suspect]; lost {
-			n++
+// lossesOf returns the number of losses that have each of the requests.
+func (t *Tracker) lossesOf(requests []Sent) map[uint64]int {
+	out := make(map[uint64]int, len(requests))
+	for _, r := range requests {
+		for _, l := range t.losses {
+			if _, lost := l.suspects[r.Request]; lost {
+				out[r.Request]++
+			}
 		}
 	}
-	return n
+	return out
 }
 
 func countDown[K comparable](m map[K]int, key K, left int) {
@@ -224,7 +248,7 @@
 
 // mergeVerdict merges a verdict of another host.
 func (t *Tracker) mergeVerdict(now time.Time, in Verdict, fromSummary bool) {
-	if in.Generation == 0 || in.State > Quarantined || in.Since.After(now) {
+	if in.Generation == 0 || in.Generation > maxGeneration || in.State > Quarantined || in.Since.After(now) {
 		return
 	}
 	in.Term = min(max(in.Term, weakFirstTerm), maxTerm)
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -332,6 +332,11 @@
 					m.began = append(m.began, modelAnswer{now, drawn})
 					begun[hasParts(drawn)]++
 				}
+				for _, p := range drawn {
+					if m.lapsed[p] {
+						m.lapsed[p], m.released[p] = false, now
+					}
+				}
 				for _, p := range drawn {
 					if since := m.quarantined[p]; now.After(since) && !since.IsZero() {
 						m.release(now, p)
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -13,24 +13,31 @@
 	hosts []uint64 // hashes of all hosts that may hold trials, this one included
 
 	losses   map[Server]*loss
-	suspects map[uint64]time.Time // by suspect: time of its last loss
+	suspects map[uint64]suspectTimes // those of the losses that are kept
 	// clearedParts and clearedRequests hold when suspects were last cleared.
 	clearedParts, clearedRequests clearedTable
 	// begun counts the answers that began at this host since its last loss, for requests
 	// with and without parts: engines and plain services fail by themselves.
 	begun    struct{ withParts, withoutParts int }
 	verdicts map[uint64]*verdict
-	// active is the number of quarantined suspects, so that a request costs no lookup
+	// active is the number of quarantined suspects, restricted that of suspects whose
+	// requests are quarantined or tried after a lapse, so that a request costs no lookup
 	// without any.
-	active     int
-	evaluateAt time.Time // next evaluation of the evidence, zero if none is due
-	resumedAt  time.Time // end of the last suspension of this host
+	active, restricted int
+	evaluateAt         time.Time // next evaluation of the evidence, zero if none is due
+	resumedAt          time.Time // end of the last suspension of this host
+
+	repeats map[*loss][]int // requests of several losses, during an evaluation
 
 	digestNews  news // for hosts that get the messages of this host
 	summaryNews news // for other data centres, if this host speaks for its own
 	changes     []Change
 }
 
+// suspectTimes holds when a suspect was last lost, and cleared since it became one. The
+// tables of cleared suspects may forget it earlier than the loss.
+type suspectTimes struct{ lost, cleared time.Time }
+
 // loss is the merged report of one lost server process.
 type loss struct {
 	server Server
@@ -59,7 +66,7 @@
 // New returns a Tracker for the host with the given hash of its name.
 func New(self uint64) *Tracker {
 	return &Tracker{
-		self: self, hosts: []uint64{self}, losses: map[Server]*loss{}, suspects: map[uint64]time.Time{},
+		self: self, hosts: []uint64{self}, losses: map[Server]*loss{}, suspects: map[uint64]suspectTimes{},
 		clearedParts: newClearedTable(maxClearedParts), clearedRequests: newClearedTable(maxClearedRequests), verdicts: map[uint64]*verdict{}, digestNews: newNews(), summaryNews: newNews(),
 	}
 }
@@ -87,8 +94,8 @@
 	slices.SortStableFunc(in.Parts, func(a, b uint64) int { return t.clearedAt(a).Compare(t.clearedAt(b)) })
 	in.Parts = in.Parts[:min(len(in.Parts), MaxPartsPerMessage)]
 	in.Requests = slices.Clone(in.Requests)
-	slices.SortStableFunc(in.Requests, func(a, b Sent) int { return t.suspects[b.Request].Compare(t.suspects[a.Request]) })
-	in.Requests = in.Requests[:min(len(in.Requests), MaxRequestsPerMessage)]
+	slices.SortStableFunc(in.Requests, func(a, b Sent) int { return t.suspects[b.Request].lost.Compare(t.suspects[a.Request].lost) })
+	in.Requests = in.Requests[:min(len(in.Requests), MaxRequests)]
 	l := t.mergeLoss(now, in)
 	if l == nil {
 		return
@@ -115,8 +122,8 @@
 	}
 	added := l.addSuspects(in)
 	for _, suspect := range added {
-		if t.suspects[suspect].Before(l.at) {
-			t.suspects[suspect] = l.at
+		if times := t.suspects[suspect]; times.lost.Before(l.at) {
+			t.suspects[suspect] = suspectTimes{l.at, times.cleared}
 		}
 	}
 	if known && len(added) == 0 {
@@ -154,6 +161,7 @@
 // makeRoom removes losses that are out of date, and the oldest one of a full table.
 func (t *Tracker) makeRoom(now time.Time) {
 	var oldest *loss
+	kept := len(t.losses)
 	for key, l := range t.losses {
 		if now.Sub(l.at) > lossRetention {
 			delete(t.losses, key)
@@ -166,11 +174,15 @@
 	if len(t.losses) >= MaxLosses {
 		delete(t.losses, oldest.server)
 	}
-	clear(t.suspects)
+	if len(t.losses) == kept {
+		return
+	}
+	before := t.suspects
+	t.suspects = make(map[uint64]suspectTimes, len(before))
 	for _, l := range t.losses {
 		for suspect := range l.suspects {
-			if t.suspects[suspect].Before(l.at) {
-				t.suspects[suspect] = l.at
+			if t.suspects[suspect].lost.Before(l.at) {
+				t.suspects[suspect] = suspectTimes{l.at, before[suspect].cleared}
 			}
 		}
 	}
@@ -209,12 +221,15 @@
 		return false
 	}
 	if own {
-		if v := t.verdicts[suspect]; v != nil && v.State == Quarantined && at.After(v.Since) {
+		if v := t.verdicts[suspect]; v != nil && v.State != Released && at.After(v.Since) {
 			t.decide(now, suspect, Released, "an answer on it began")
 		}
 	}
-	lossAt, lost := t.suspects[suspect]
-	news = lost && at.After(lossAt) && !before.After(lossAt)
+	times, lost := t.suspects[suspect]
+	if lost && at.After(times.cleared) {
+		t.suspects[suspect] = suspectTimes{times.lost, at}
+	}
+	news = lost && at.After(times.lost) && !before.After(times.lost)
 	if news && own {
 		t.announceSuspect(suspect)
 	}
@@ -228,7 +243,7 @@
 // last loss, as far as this host knows.
 func (t *Tracker) announceCleared(l Loss) {
 	announce := func(suspect uint64) {
-		if t.clearedAt(suspect).After(t.suspects[suspect]) {
+		if t.clearedAt(suspect).After(t.suspects[suspect].lost) {
 			t.announceSuspect(suspect)
 		}
 	}
@@ -260,7 +275,13 @@
 }
 
 // clearedAt returns when the suspect was last cleared, zero if that is not known.
-func (t *Tracker) clearedAt(suspect uint64) time.Time { return t.clearedTable(suspect).at(suspect) }
+func (t *Tracker) clearedAt(suspect uint64) time.Time {
+	at := t.clearedTable(suspect).at(suspect)
+	if kept := t.suspects[suspect].cleared; kept.After(at) {
+		return kept
+	}
+	return at
+}
 
 // clearedTable holds when suspects were last cleared. It keeps those of the last limit
 // to 2*limit updates.
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -19,13 +19,13 @@
 }
 
 func (t *Tracker) check(now time.Time, suspects []uint64, begin bool) (Action, uint64) {
-	if t.active == 0 {
+	if t.restricted == 0 {
 		return Allow, 0
 	}
 	var tried []*verdict
 	for _, suspect := range suspects {
 		v := t.verdicts[suspect]
-		if v == nil || !t.applies(v, func(other uint64) bool { return slices.Contains(suspects, other) }) {
+		if v == nil || !v.isProbation() && !t.applies(v, func(other uint64) bool { return slices.Contains(suspects, other) }) {
 			continue
 		}
 		if !t.mayTry(now, v) {
@@ -63,6 +63,13 @@
 	return true
 }
 
+// isProbation reports whether requests with the suspect are tried one at a time at each
+// host, until one is answered or lost: its quarantine has lapsed, and callers may send it
+// often when they return. A part that was refused only together with others is free.
+func (v *verdict) isProbation() bool {
+	return v.State == Lapsed && v.Generation > 0 && len(v.Companions) == 0
+}
+
 // nextTrialAt returns when the next trial may start: one trial in each term.
 func (v *verdict) nextTrialAt() time.Time {
 	if v.TrialAt.After(v.Since) {
@@ -74,6 +81,9 @@
 // mayTry reports whether this host may start a trial of the suspect now. The hosts take
 // turns, in an order that differs by suspect and is the same for its companions.
 func (t *Tracker) mayTry(now time.Time, v *verdict) bool {
+	if v.isProbation() {
+		return now.Sub(v.TrialAt) >= turnTime
+	}
 	waited := now.Sub(v.nextTrialAt())
 	if waited < 0 {
 		return false
@@ -138,10 +148,10 @@
 // hasLosses reports whether a suspect has at least n losses at different times that no
 // quarantine explains and that it was not cleared after.
 func (t *Tracker) hasLosses(now time.Time, suspect uint64, n int) bool {
-	if at, ok := t.suspects[suspect]; !ok || !at.After(t.innocentUntil(suspect)) || now.Sub(at) > lossRetention {
+	if times, ok := t.suspects[suspect]; !ok || !times.lost.After(t.innocentUntil(suspect)) || now.Sub(times.lost) > lossRetention {
 		return false
 	}
-	var s suspicion
+	s := suspicion{answered: !t.clearedAt(suspect).IsZero()}
 	for _, l := range t.sortedLosses() {
 		if t.isSuspectOf(suspect, l) && !t.isExplained(l) {
 			s.add(l, suspect)
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -109,6 +109,8 @@
 	priorRequests = 48
 	// maxCount bounds the counts in messages.
 	maxCount = 1 << 20
+	// maxGeneration bounds the generations in messages, so that a later one is possible.
+	maxGeneration = 1 << 30
 )
 
 // Server identifies one start of a backend server.
