Detect a suspension of a router before it believes an answer

A router that was stopped and goes on may read an answer that began before a loss in the up to 50 ms before its next exchange, which is what detects the suspension. The answer then cleared what crashes servers. The suspension is now also detected when an answer is reported.

TestAnswersReadAfterStopClearNothing failed before for "read at once" (the suspect was cleared). It replaces a check with the exchange always first, and also has answers to requests that were sent after the stop, which count.

--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -32,17 +32,16 @@
 
 // quarantineState holds what this router knows about requests that crash servers.
 type quarantineState struct {
-	mu      sync.Mutex // no other lock is taken while it is held
-	tracker *quarantine.Tracker
-	refused quarantine.Descriptions
+	mu          sync.Mutex // no other lock is taken while it is held
+	tracker     *quarantine.Tracker
+	refused     quarantine.Descriptions
+	exchangedAt time.Time // last exchange of news, zero before the first
 
 	losses     losses.Collector
 	logLimiter *rate.Limiter
 	connected  atomic.Bool // a router has connected since the last complete news
 
-	// The following fields are used by the goroutine of Run only.
-	exchangedAt time.Time
-	completeAt  time.Time // last complete news
+	completeAt time.Time // last complete news, used by the goroutine of Run only
 }
 
 func newQuarantineState(self string) *quarantineState {
@@ -119,9 +118,19 @@
 	if !allParts {
 		suspects = suspects[len(suspects)-1:]
 	}
+	now := time.Now()
 	r.quarantine.mu.Lock()
 	defer r.quarantine.mu.Unlock()
-	r.quarantine.tracker.AnswerBegan(time.Now(), q.dispatchedAt, at, suspects)
+	r.quarantine.detectSuspension(now)
+	r.quarantine.tracker.AnswerBegan(now, q.dispatchedAt, at, suspects)
+}
+
+// detectSuspension tells the tracker that this router did not run for a while. It must
+// be called with mu held before an observation, which may come before the next exchange.
+func (s *quarantineState) detectSuspension(now time.Time) {
+	if !s.exchangedAt.IsZero() && now.Sub(s.exchangedAt) > suspensionGap {
+		s.tracker.MarkSuspended(now)
+	}
 }
 
 // exchangeQuarantine evaluates the evidence and sends its news to all live routers.
@@ -134,14 +143,12 @@
 		s.completeAt = now
 	}
 	s.mu.Lock()
-	if !s.exchangedAt.IsZero() && now.Sub(s.exchangedAt) > suspensionGap {
-		s.tracker.MarkSuspended(now)
-	}
+	s.detectSuspension(now)
+	s.exchangedAt = now
 	s.tracker.SetHosts(routerHashes(live))
 	changes := s.tracker.Poll(now)
 	news := s.tracker.Message(now, complete)
 	s.mu.Unlock()
-	s.exchangedAt = now
 	r.recordChanges(changes)
 	if news.Empty() {
 		return
--- a/pkg/router/quarantine_news_test.go
+++ b/pkg/router/quarantine_news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -68,17 +69,41 @@
 }
 
 // Guards against answers that a router reads after it was stopped for a while, and
-// that began before a loss, clearing what crashes servers.
+// that may have begun before a loss, clearing what crashes servers: also before the
+// first exchange after the stop. Answers to requests that it sends later count.
 func TestAnswersReadAfterStopClearNothing(t *testing.T) {
-	for _, gap := range []time.Duration{reconcileInterval, suspensionGap + time.Millisecond} {
-		tr, _ := newIdleRouter()
-		const part = 77
-		tracker := tr.router.quarantine.tracker
-		now := time.Now()
-		tr.router.exchangeQuarantine(now.Add(-gap))
-		tracker.AddLoss(now.Add(-gap/2), quarantine.Loss{Server: quarantine.Server{Hash: 1}, At: now.Add(-gap / 2), Parts: []uint64{part}, Lost: 1})
-		tr.router.exchangeQuarantine(now)
-		tr.router.reportAnswerBegan(&request{suspects: []uint64{part}}, now, true)
-		assert.Equal(t, tracker.SuspectsAgain(now, []uint64{part}), gap > suspensionGap, "after %s", gap)
+	for _, tc := range []struct {
+		name      string
+		stop      time.Duration
+		exchange  bool          // before the answer is read
+		sentAfter time.Duration // from the stop
+		clears    bool
+	}{
+		{"not stopped", reconcileInterval, true, -time.Millisecond, true},
+		{"read at once", 2 * suspensionGap, false, -time.Millisecond, false},
+		{"read after an exchange", 2 * suspensionGap, true, -time.Millisecond, false},
+		{"sent later", 2 * suspensionGap, true, 3 * suspensionGap, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tr, _ := newIdleRouter()
+			synctest.Test(t, func(t *testing.T) {
+				const part = 77
+				tracker := tr.router.quarantine.tracker
+				stoppedAt := time.Now()
+				tr.router.exchangeQuarantine(stoppedAt)
+				time.Sleep(tc.stop)
+				tracker.AddLoss(time.Now(), quarantine.Loss{Server: quarantine.Server{Hash: 1}, At: stoppedAt.Add(time.Millisecond), Parts: []uint64{part}, Lost: 1})
+				if tc.exchange {
+					tr.router.exchangeQuarantine(time.Now())
+				}
+				sentAt := stoppedAt.Add(tc.sentAfter)
+				if wait := time.Until(sentAt); wait > 0 {
+					tr.router.exchangeQuarantine(time.Now().Add(wait))
+					time.Sleep(wait)
+				}
+				tr.router.reportAnswerBegan(&request{suspects: []uint64{part}, dispatchedAt: sentAt}, time.Now(), true)
+				assert.Equal(t, !tracker.SuspectsAgain(time.Now(), []uint64{part}), tc.clears)
+			})
+		})
 	}
 }
