Answer the open requests before the end of a planned stop

When the grace period of a planned stop ended, requests that were queued, whose body was incomplete or whose server had not answered lost their connection without an answer, and streams were cut without a reason in the log: the process ended while they were open.

Half a second before the end of the grace period, requests without a response are answered now: 503 if nothing was sent, 502 if a server may have run them. Their retries and queues end. Streams go on until 300 ms before the end, then they are aborted, and request lines say that the host stops. A read deadline ends the wait for a body; a caller that has left still gets nothing.

Without the new step TestStopAnswersRequestsThatDoNotEnd fails: 'the request with half of its body got no answer: unexpected EOF'. With it three runs with -race pass, and TestQueuedRequestIsRefusedWhenTheHostStops.

--- a/pkg/edge/abort.go
+++ b/pkg/edge/abort.go
@@ -18,6 +18,7 @@
 	// the connection shows neither an end nor an error.
 	closeCallerConnected closeReason = "the request context ended, the caller is connected"
 	closeTruncated       closeReason = "the response was interrupted after its start"
+	closeHostStopped     closeReason = "the host stops"
 )
 
 // closeMetrics holds the counter of each reason.
@@ -25,6 +26,7 @@
 	closeCallerLeft:      "edge.closed.caller_left",
 	closeCallerConnected: "edge.closed.caller_connected",
 	closeTruncated:       "edge.closed.truncated",
+	closeHostStopped:     "edge.closed.host_stopped",
 }
 
 // abort closes the connection of the caller, so that a truncated response does not
@@ -38,10 +40,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// RecordCut records that the host stops while connections of callers are open, and
-// how many requests on them are in progress.
+// RecordCut records what is open when the host stops.
 func (s *Server) RecordCut(connections int) {
-	requests := s.openRequests.Load()
-	metrics.GetOrRegisterCounter("edge.closed.host_stopped", s.metrics.registry).Inc(requests)
-	s.log.WithFields(logrus.Fields{"connections": connections, "requests": requests, "streams": s.openStreams.Load()}).Warn("open connections closed at the end of the grace period")
+	s.log.WithFields(logrus.Fields{"connections": connections, "requests": s.openRequests.Load(), "streams": s.openStreams.Load()}).Warn("open connections closed at the end of the grace period")
 }
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -49,6 +49,7 @@
 	h := x.newHedge(e)
 	inactivityTimeout := startInactivityTimer(x.inactivityTimeout(), &inactivityTimer{mayAbandon: h.tryReplace, keep: h.keepFirst, abandon: func() { e.cancel(errServerInactive) }})
 	defer func() { h.close(inactivityTimeout.stop()) }()
+	defer x.endWithHost(e, h)()
 
 	resp, sent, err := e.send(x)
 	if err != nil {
@@ -124,7 +125,7 @@
 		a.outcome = dispatch.ConnectTimeout
 	case !a.sent:
 		a.outcome = dispatch.ConnectFailed
-	case errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errServerInactive):
+	case errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errServerInactive) || errors.Is(cause, errHostStopping):
 		a.outcome, a.err = dispatch.ResponseTimeout, cause
 	default:
 		a.outcome = dispatch.ConnectionLost
@@ -188,7 +189,7 @@
 	switch {
 	case x.callerCtx.Err() != nil:
 		a.outcome = dispatch.CallerDisconnected
-	case errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errServerInactive):
+	case errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errServerInactive) || errors.Is(cause, errHostStopping):
 		a.outcome, a.err = dispatch.ResponseTimeout, cause
 	case errors.Is(err, errResponseTooLarge) || errors.Is(err, errEventTooLarge):
 		a.outcome = dispatch.InvalidResponse
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -152,6 +154,30 @@
 	})
 }
 
+// Guards against a queued request that ends without an answer with the process.
+func TestQueuedRequestIsRefusedWhenTheHostStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		d := dispatch.New("edge", "z", now)
+		d.SetServers(now, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 1, Ready: true, Heard: now}})
+		s := &Server{stopping: newStopping(), dispatcher: d, pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{}, polling: true}
+		for {
+			r := &dispatch.Request{ID: "r", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Minute)}
+			if v, _ := s.requestDecision(r); v.Action == dispatch.Wait {
+				break
+			}
+		}
+		w := httptest.NewRecorder()
+		r := &dispatch.Request{ID: "waits", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Minute)}
+		x := &proxiedRequest{s: s, w: w, in: &Request{}, dispatchReq: r, callerCtx: t.Context(), deadline: r.Deadline}
+		time.AfterFunc(time.Second, s.AnswerOpen)
+		_, err := x.awaitDecision()
+		assert.Equal(t, time.Since(now), time.Second)
+		x.respondUndispatched(err)
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	})
+}
+
 // Guards against retries beyond the retry budget, which would double the load of
 // overloaded servers.
 func TestRetryNeedsBudget(t *testing.T) {
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -112,6 +112,13 @@
 	h.began, h.lastEventID = true, lastEventID
 }
 
+// hasBegun reports whether events were sent to the caller.
+func (h *hedge) hasBegun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.began
+}
+
 // sentAttempts returns the number of second attempts that may have reached a server.
 func (h *hedge) sentAttempts() int {
 	h.mu.Lock()
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -266,6 +266,8 @@
 		err = context.Canceled
 	case <-timer.C:
 		err = errDeadlinePassed
+	case <-x.s.stopping.answer.Done():
+		err = errHostStopping
 	}
 	if v, ok := x.s.cancelWaiting(x.dispatchReq, waiting); ok {
 		if v.Action == dispatch.Send {
@@ -282,6 +284,10 @@
 		x.outcomes = append(x.outcomes, "caller left waiting")
 		x.abort(closeCallerLeft)
 	}
+	if errors.Is(err, errHostStopping) {
+		x.respondError(errStoppingUnsent)
+		return
+	}
 	x.respondError(result.New(result.DeadlinePassed, "the request deadline passed while the request was queued").WithRetryAfter(failedDispatchRetryAfter))
 }
 
@@ -314,7 +320,7 @@
 // canRetry counts a failed attempt and reports whether the request may be sent
 // to another server.
 func (x *proxiedRequest) canRetry(a attemptResult) bool {
-	if time.Until(x.deadline) <= 0 || x.callerCtx.Err() != nil {
+	if time.Until(x.deadline) <= 0 || x.callerCtx.Err() != nil || errors.Is(a.err, errHostStopping) {
 		return false
 	}
 	if !a.sent {
@@ -362,6 +368,8 @@
 	switch {
 	case x.callerCtx.Err() != nil:
 		x.abort(closeCallerLeft)
+	case x.headSent && errors.Is(a.err, errHostStopping):
+		x.abort(closeHostStopped)
 	case x.headSent:
 		x.abort(closeTruncated)
 	case x.lastErrorResponse != nil:
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -81,6 +81,7 @@
 	exchange      *exchange.Exchange
 	table         atomic.Pointer[routing.Table]
 	draining      atomic.Bool
+	stopping      stopping
 	overloadState overloadState
 	ctx           context.Context
 	stop          context.CancelFunc
@@ -117,7 +118,7 @@
 	}
 	now := time.Now()
 	s := &Server{
-		config: c, log: logging.ForComponent("edge"), metrics: newMetrics(c.Registry),
+		config: c, stopping: newStopping(), log: logging.ForComponent("edge"), metrics: newMetrics(c.Registry),
 		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout}),
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{},
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
