Answer the open requests of a router that stops

When the drain limit of a router passed, or a second signal came, requests that waited for a grant lost their connection without an answer although they had been refused a moment before, and streams broke off without the error event that ends them otherwise.

Cause: Service.close refused the waiting requests and closed all connections in the next statement, before the refusals were written. Running requests were not ended at all.

--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -110,7 +110,7 @@
 	switch {
 	case errors.As(err, &known):
 		return known, outcomeForCode(known.Code)
-	case f.requestCtx.Err() != nil && errors.Is(context.Cause(f.requestCtx), errMaxDuration):
+	case f.requestCtx.Err() != nil && isOwnEnd(context.Cause(f.requestCtx)):
 		return f.resultIfSent(result.StreamBroken, result.ConnectFailed, err), pool.OutcomeCancelled
 	case f.requestCtx.Err() != nil:
 		return f.resultIfSent(result.CallerLeft, result.CallerLeftWaiting, err), f.outcomeIfSent(pool.OutcomeCancelled, pool.OutcomeUnused)
@@ -121,6 +121,12 @@
 	}
 }
 
+// isOwnEnd reports whether this router has cancelled a request whose caller is
+// connected.
+func isOwnEnd(cause error) bool {
+	return errors.Is(cause, errMaxDuration) || errors.Is(cause, ErrStopping)
+}
+
 // outcomeForCode returns the outcome of a failure with a known result code.
 func outcomeForCode(c result.Code) pool.Outcome {
 	switch c {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -35,6 +35,9 @@
 var (
 	errProgressTimeout = errors.New("no byte received within the progress timeout")
 	errMaxDuration     = errors.New("maximum duration of the class exceeded")
+	// ErrStopping is the cause with which a router that stops cancels its requests.
+	// Their callers are still connected.
+	ErrStopping = errors.New("the router stops")
 )
 
 // Request is a request to one BackendServer.
--- a/pkg/router/asks.go
+++ b/pkg/router/asks.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -200,6 +202,9 @@
 	case got := <-w.reply:
 		return got.grant, got.refusal
 	case <-ctx.Done():
+		if errors.Is(context.Cause(ctx), proxy.ErrStopping) {
+			return r.abandonAsk(w, result.New(result.ShuttingDown, "the router is shutting down"))
+		}
 		return r.abandonAsk(w, result.Wrap(result.CallerLeftWaiting, context.Cause(ctx), "the caller closed the connection"))
 	case <-r.closing:
 		return r.abandonAsk(w, result.New(result.ShuttingDown, "the router is shutting down"))
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -39,7 +39,9 @@
 	members         *membershipState
 	peerDialOptions []grpc.DialOption // credentials for connections to other routers
 	grpc            *grpc.Server
-	httpServers     []*http.Server // callers, announce, admin
+	httpServers     []*http.Server  // callers, announce, admin
+	requests        context.Context // of all requests of callers
+	endRequests     context.CancelCauseFunc
 	listeners       []net.Listener // callers, announce, admin, peers
 }
 
@@ -48,6 +50,7 @@
 func NewService(cfg *Config) (*Service, error) {
 	self := pool.RouterID{Name: cfg.Name, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixNano())}
 	s := &Service{cfg: cfg, store: catalog.NewStore()}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	deps := Dependencies{Catalog: s.store, Pool: pool.DefaultConfig()}
 	var members *ownership.ConcurrentTracker
 	if len(cfg.Peers) > 0 {
@@ -162,6 +165,7 @@
 		s.httpServers = append(s.httpServers, server)
 		s.listeners = append(s.listeners, listener)
 	}
+	s.httpServers[0].BaseContext = func(net.Listener) context.Context { return s.requests }
 	listener, err := listen(s.cfg.Listen.Peers)
 	if err != nil {
 		return err
@@ -298,7 +302,7 @@
 }
 
 func (s *Service) close() {
-	s.router.Close()
+	s.answerOpen()
 	if s.members != nil {
 		s.members.node.Close()
 	}
