Know a request whatever the spelling of its host name

Cause: routes match a host name without regard to case and port, the fingerprint took it as the caller wrote it.

Change: the fingerprint has the host name as routes match it.

--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -167,7 +167,7 @@
 		x.suspects = sharedParts(p.Parts)
 		x.dispatchReq.OutputTokens = expectedOutputTokens(p)
 	}
-	x.suspects = append(x.suspects, quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, in.Host, in.Target, in.Body)))
+	x.suspects = append(x.suspects, quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, routing.NormalizeHost(in.Host), in.Target, in.Body)))
 	return x
 }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -29,7 +29,7 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		host := normalizeHost(r.Host)
+		host := NormalizeHost(r.Host)
 		if t.routes[host] == nil {
 			t.routes[host] = make(map[string]*Route)
 		}
@@ -46,8 +46,9 @@
 	return t
 }
 
-// normalizeHost removes the port of a host name and converts it to lower case.
-func normalizeHost(host string) string {
+// NormalizeHost removes the port of a host name and converts it to lower case, as for
+// the match of a route.
+func NormalizeHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
@@ -58,7 +59,7 @@
 // if there is none. Its cost depends on the number of slashes in the path, not on
 // the number of routes.
 func (t *Table) Match(host, path string) *Route {
-	prefixes := t.routes[normalizeHost(host)]
+	prefixes := t.routes[NormalizeHost(host)]
 	for end := len(path); end > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
