--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -145,17 +145,13 @@
 
 func (s *Server) newProxiedRequest(ctx context.Context, w http.ResponseWriter, in *Request) *proxiedRequest {
 	route := in.dest.route
-	timeout := route.Timeout
-	if in.CallerTimeout > 0 {
-		timeout = min(timeout, in.CallerTimeout)
-	}
-	x := &proxiedRequest{s: s, w: w, in: in, route: route, callerCtx: ctx, deadline: in.Arrived.Add(timeout - responseMargin)}
+	x := &proxiedRequest{s: s, w: w, in: in, route: route, callerCtx: ctx, deadline: in.Deadline()}
 	x.dispatchReq = &dispatch.Request{
 		ID: in.ID, Workspace: in.dest.workspace, Service: route.ChooseService(in.ID), Arrived: in.Arrived, AgeAtArrival: in.dest.attemptAge,
 		Objective: route.Objective, Deadline: x.deadline,
 	}
 	if x.dispatchReq.Objective == 0 {
-		x.dispatchReq.Objective = timeout
+		x.dispatchReq.Objective = in.timeout()
 	}
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -33,6 +33,17 @@
 	dest *destination // route and workspace, set by Admit
 }
 
+// timeout returns the time from the arrival of an admitted request to its timeout.
+func (in *Request) timeout() time.Duration {
+	if in.CallerTimeout > 0 {
+		return min(in.dest.route.Timeout, in.CallerTimeout)
+	}
+	return in.dest.route.Timeout
+}
+
+// Deadline returns when the final response to an admitted request is due.
+func (in *Request) Deadline() time.Time { return in.Arrived.Add(in.timeout() - responseMargin) }
+
 // Prompt holds the token counts that a request states for a model engine.
 type Prompt struct {
 	Tokens           int             // tokens of the whole prompt
