Keep a request at a server whose service was removed

A request whose server was silent for 2 s got status 502 if a new configuration had removed the service of its route meanwhile, or the server was otherwise no longer listed, although the server worked on it.

Cause: a server that the dispatcher does not know counted as one that had answered nobody, which is the condition to give up a request without another server.

An unknown server counts as heard: its silence to others is not known. The new case of TestSlowServerKeepsRequestThatNoOtherTakes failed before: 'true (bool) != false (c.want bool)'. Queued requests of a removed service are refused by the next polls; a test keeps that, it passed before.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -343,3 +343,25 @@
 	assert.Equal(t, len(decided), 1)
 	assert.Equal(t, decided[0].Decision.Action, Send)
 }
+
+// Guards against queued requests that wait for their deadline although a new
+// configuration has removed their service, and they can no longer be served.
+func TestQueuedRequestsOfRemovedServiceAreRefusedAtOnce(t *testing.T) {
+	const queued = 3 * minPollDecisions
+	d := New("edge", "z", start)
+	d.SetServers(start, []ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 1, Ready: true, Heard: start}})
+	for i := 0; d.QueueLength() < queued; i++ {
+		assert.Assert(t, i < 100, "no request was queued")
+		d.Admit(start, &Request{ID: fmt.Sprint(i), Service: "s", Arrived: start, Objective: time.Hour, Deadline: start.Add(time.Hour)})
+	}
+	d.SetServers(start, nil)
+	refused := 0
+	for range queued {
+		for _, q := range d.Poll(start) {
+			assert.Equal(t, q.Decision.Action, Refuse)
+			assert.Equal(t, q.Decision.Reason, ReasonNoServer)
+			refused++
+		}
+	}
+	assert.Equal(t, refused, queued)
+}
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -53,10 +53,11 @@
 }
 
 // HeardSince reports whether the server has sent an event or an answer to this
-// edge host after the given time.
+// edge host after the given time, or is no longer known: a new configuration may have
+// removed its service while it works.
 func (d *Dispatcher) HeardSince(id string, then time.Time) bool {
 	s := d.servers[id]
-	return s != nil && s.heardAt.After(then)
+	return s == nil || s.heardAt.After(then)
 }
 
 // removePendingTokens removes from the backlog what the engine has not prefilled
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -92,15 +92,17 @@
 		silent      time.Duration // since the start of the attempt
 		began       bool          // events were sent to the caller
 		heard       bool          // the server has responded to another request since
+		removed     bool          // a new configuration no longer has the service
 		want        bool
 	}{
-		{"no other server", 50, sound - time.Millisecond, false, false, false},
-		{"no retry budget", 0, sound - time.Millisecond, false, false, false},
-		{"silent for longer than a sound server", 50, sound + time.Second, false, false, true},
-		{"the same without retry budget", 0, sound + time.Second, false, false, true},
-		{"the server has responded to another request", 0, sound + time.Second, false, true, false},
-		{"the response has begun", 50, time.Hour, true, false, false},
-		{"the same without retry budget", 0, time.Hour, true, false, false},
+		{"no other server", 50, sound - time.Millisecond, false, false, false, false},
+		{"no retry budget", 0, sound - time.Millisecond, false, false, false, false},
+		{"silent for longer than a sound server", 50, sound + time.Second, false, false, false, true},
+		{"the same without retry budget", 0, sound + time.Second, false, false, false, true},
+		{"the server has responded to another request", 0, sound + time.Second, false, true, false, false},
+		{"the response has begun", 50, time.Hour, true, false, false, false},
+		{"the same without retry budget", 0, time.Hour, true, false, false, false},
+		{"the service was removed", 50, sound + time.Second, false, false, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -118,6 +120,9 @@
 					assert.Equal(t, d.Admit(now, another).Action, dispatch.Send)
 					d.RecordOutcome(time.Now(), another, dispatch.Completed)
 				}
+				if c.removed {
+					d.SetServers(time.Now(), nil)
+				}
 				time.Sleep(c.silent)
 				assert.Equal(t, h.tryReplace(), c.want)
 			})
