Close idle connections a second after their last response while stopping

During a planned stop a caller that sent its next request right after a response could lose its connection without an answer.

Cause: a response that began before the stop cannot announce the close of its connection. Once new requests were refused, such a connection was closed within 100 ms of its last response, which is when callers use it again. Later, after the listener was closed, it was closed at once.

Before, TestRequestAfterOpenResponseIsRefusedDuringShutdown failed: 'unexpected EOF: request 1 got no answer'. After: it passes with -race.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -28,6 +28,11 @@
 	overLimitIdle = 2 * time.Second
 	// idleCheckInterval is the interval of the check for idle connections.
 	idleCheckInterval = time.Second
+	// drainIdle is the idle time after which connections are closed while the host
+	// stops. A response that began before the stop could not announce the close, and
+	// callers often use its connection again at once. They are told with the next
+	// response then.
+	drainIdle = time.Second
 	// drainCheckInterval replaces idleCheckInterval while the host stops.
 	drainCheckInterval = 100 * time.Millisecond
 )
@@ -115,7 +120,7 @@
 			return
 		case <-ticker.C:
 		}
-		s.closeIdle(0)
+		s.closeIdle(drainIdle)
 		if s.OpenCount() > 0 {
 			empty = time.Now()
 		}
