--- /dev/null
+++ b/pkg/quarantine/evidence.go
@@ -0,0 +1,243 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// suspicion is the evidence against one suspect.
+type suspicion struct {
+	losses   []*loss
+	episodes []time.Time // losses at different times
+	answered bool        // servers answered it before
+	// explainedBy holds the quarantined requests that explain some of the losses.
+	explainedBy map[uint64]bool
+}
+
+// begunSince returns how many answers began since the loss, to requests with parts if
+// those were lost, else without, at hosts that have reported it or a later one.
+func (t *Tracker) begunSince(first *loss) int {
+	begun, reported := 0, map[uint64]bool{}
+	for _, l := range t.sortedLosses() {
+		if l.at.Before(first.at) || l.hasParts() != first.hasParts() {
+			continue
+		}
+		for host, r := range l.reports {
+			if reported[host] {
+				begun += r.begun
+			}
+			reported[host] = true
+		}
+	}
+	if reported[t.self] {
+		begun += *t.begunOf(first.hasParts())
+	}
+	return begun
+}
+
+// requestsLost returns the least number of requests of which one was lost in each of
+// the losses, up to lossesToQuarantine: more than that may be repeats. It takes the
+// request that was lost most often first.
+func (t *Tracker) requestsLost(s *suspicion) int {
+	left, counts := slices.Clone(s.losses), map[int]int{}
+	for n := range lossesToQuarantine {
+		clear(counts)
+		best := 0
+		for _, l := range left {
+			for _, request := range t.repeats[l] {
+				counts[request]++
+				if counts[request] > counts[best] || counts[request] == counts[best] && request > best {
+					best = request
+				}
+			}
+		}
+		if counts[best] <= 1 {
+			return min(n+len(left), lossesToQuarantine)
+		}
+		left = slices.DeleteFunc(left, func(l *loss) bool { return slices.Contains(t.repeats[l], best) })
+	}
+	return lossesToQuarantine
+}
+
+// indexRepeats returns, for each loss, the numbers of the requests that are suspects of
+// it and of another one.
+func (t *Tracker) indexRepeats(losses []*loss) map[*loss][]int {
+	counts := map[uint64]int{}
+	for _, l := range losses {
+		for request := range l.suspects {
+			if IsRequest(request) && t.isSuspectOf(request, l) {
+				counts[request]++
+			}
+		}
+	}
+	requests := slices.DeleteFunc(slices.Sorted(maps.Keys(counts)), func(request uint64) bool { return counts[request] < 2 })
+	numbers := make(map[uint64]int, len(requests))
+	for i, request := range requests {
+		numbers[request] = i + 1
+	}
+	out := make(map[*loss][]int, len(losses))
+	for _, l := range losses {
+		for request := range l.suspects {
+			if number := numbers[request]; number > 0 && t.isSuspectOf(request, l) {
+				out[l] = append(out[l], number)
+			}
+		}
+	}
+	return out
+}
+
+// isSuspectOf reports whether a request or part was lost in the loss and was not
+// cleared since.
+func (t *Tracker) isSuspectOf(suspect uint64, l *loss) bool {
+	_, lost := l.suspects[suspect]
+	return lost && l.at.After(t.innocentUntil(suspect))
+}
+
+// suspicionsOf returns the evidence against each request, or each part, from the losses
+// that no quarantined suspect explains. The losses that a request explains count
+// against a part as one: the part may still be what the request crashes on.
+func (t *Tracker) suspicionsOf(now time.Time, losses []*loss, requests bool) map[uint64]*suspicion {
+	out := map[uint64]*suspicion{}
+	for _, l := range losses {
+		explained := t.isExplained(l)
+		if now.Sub(l.at) > lossRetention || explained && (requests || !IsRequest(l.explainedBy)) {
+			continue
+		}
+		for suspect := range l.suspects {
+			if IsRequest(suspect) != requests {
+				continue
+			}
+			if v := t.verdicts[suspect]; v != nil && v.State == Quarantined || !l.at.After(t.innocentUntil(suspect)) {
+				continue
+			}
+			s := out[suspect]
+			if s == nil {
+				s = &suspicion{answered: !t.clearedAt(suspect).IsZero()}
+				out[suspect] = s
+			}
+			if !explained || s.isFirstOf(l.explainedBy) {
+				s.add(l, suspect)
+			}
+		}
+	}
+	return out
+}
+
+// isFirstOf reports whether no loss that the request explains was counted before.
+func (s *suspicion) isFirstOf(request uint64) bool {
+	if s.explainedBy[request] {
+		return false
+	}
+	if s.explainedBy == nil {
+		s.explainedBy = map[uint64]bool{}
+	}
+	s.explainedBy[request] = true
+	return true
+}
+
+// add adds a loss to the evidence. Losses come in order of time.
+func (s *suspicion) add(l *loss, suspect uint64) {
+	s.losses = append(s.losses, l)
+	if n := len(s.episodes); n == 0 || l.isApartFrom(s.episodes[n-1], suspect, s.answered) {
+		s.episodes = append(s.episodes, l.at)
+	}
+}
+
+// isApartFrom reports whether the loss says more about the suspect than one at the
+// earlier time. A copy of a request was sent after the earlier loss; or some time has
+// passed and no server ever answered the request: callers send a batch of equal requests
+// that wait together.
+func (l *loss) isApartFrom(earlier time.Time, suspect uint64, answered bool) bool {
+	gap := l.at.Sub(earlier)
+	if IsRequest(suspect) {
+		return gap > 0 && l.suspects[suspect] <= gap || gap >= requestEpisodeGap && !answered
+	}
+	return gap >= episodeGap || l.started.After(earlier)
+}
+
+// compare orders evidence by its strength. Suspects that no server answered come
+// first.
+func (s *suspicion) compare(o *suspicion) int {
+	if s.answered != o.answered {
+		if o.answered {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(len(s.episodes), len(o.episodes)), cmp.Compare(len(s.losses), len(o.losses)))
+}
+
+// isExplained reports whether a quarantined suspect was lost in the loss. The
+// explanation stays when the quarantine lapses. Of several suspects a request is the
+// explanation, and of equal kinds the greater one, so that all hosts agree.
+func (t *Tracker) isExplained(l *loss) bool {
+	if l.explained || t.active == 0 {
+		return l.explained
+	}
+	has := func(suspect uint64) bool { _, lost := l.suspects[suspect]; return lost }
+	for suspect := range l.suspects {
+		if v := t.verdicts[suspect]; v != nil && suspect >= l.explainedBy && t.applies(v, has) {
+			l.explained, l.explainedBy = true, suspect
+		}
+	}
+	return l.explained
+}
+
+// innocentUntil returns the time up to which losses do not count against a suspect:
+// when it was last cleared or released.
+func (t *Tracker) innocentUntil(suspect uint64) time.Time {
+	at := t.clearedAt(suspect)
+	if v := t.verdicts[suspect]; v != nil && v.State != Quarantined && v.Since.After(at) {
+		return v.Since
+	}
+	return at
+}
+
+// lossesNeeded returns the number of losses at different times that quarantine a
+// suspect.
+func (t *Tracker) lossesNeeded(suspect uint64, s *suspicion) int {
+	if v := t.verdicts[suspect]; v != nil && v.State == Lapsed {
+		return 1
+	}
+	if IsRequest(suspect) || len(s.episodes) < lossesToQuarantine {
+		return lossesToQuarantine
+	}
+	return min(max(t.lossesBeyondChance(suspect, s), lossesToQuarantine), maxLossesNeeded)
+}
+
+// lossesBeyondChance returns the number of losses at different times that happen to a
+// suspect by chance with maxFalseRate. All its requests since the first of them were
+// lost; with the share of requests that are lost for other reasons, this is how
+// unlikely that is.
+func (t *Tracker) lossesBeyondChance(suspect uint64, s *suspicion) int {
+	share := t.lostShare(suspect, s)
+	return int(math.Ceil(math.Log(maxFalseRate)/math.Log(share) - 1e-6))
+}
+
+// lostShare returns the share of the requests of the fleet that were lost together
+// with a server in losses without the suspect, from some time before its first loss.
+// Requests with parts and those without are counted apart.
+func (t *Tracker) lostShare(suspect uint64, s *suspicion) float64 {
+	since := s.episodes[0].Add(-hazardLead)
+	if earliest := s.episodes[len(s.episodes)-1].Add(-hazardWindow); since.Before(earliest) {
+		since = earliest
+	}
+	parts := s.losses[0].hasParts()
+	lost, begun := priorLost, *t.begunOf(parts)+priorRequests-priorLost
+	for _, l := range t.losses {
+		if l.at.Before(since) || l.hasParts() != parts {
+			continue
+		}
+		_, suspected := l.suspects[suspect]
+		for _, r := range l.reports {
+			begun += r.begun
+			if !suspected {
+				lost += r.requests
+			}
+		}
+	}
+	return float64(lost) / float64(lost+begun)
+}
