--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
@@ -46,6 +48,7 @@
 	defer e.cancel(nil)
 	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { e.cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
+	x.attemptStartedAt = e.startedAt
 	h := x.newHedge(e)
 	inactivityTimeout := startInactivityTimer(x.inactivityTimeout(), &inactivityTimer{mayAbandon: h.tryReplace, keep: h.keepFirst, abandon: func() { e.cancel(errServerInactive) }})
 	defer func() { h.close(inactivityTimeout.stop()) }()
@@ -57,10 +60,11 @@
 	}
 	defer resp.Body.Close()
 	reply := x.s.config.Dialect.ReadHead(resp)
-	if reply.RequestID == x.in.ID && !reply.Misdirected {
+	a, bad := x.rejectHead(resp, reply, x.headSent, slices.Contains(x.sentTo, v.Address))
+	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
 		x.s.applyServerHints(v, reply)
 	}
-	if a, bad := x.rejectHead(resp, reply); bad {
+	if bad {
 		return x.finishAttempt(v, a)
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
@@ -110,6 +114,9 @@
 	if a.outcome == dispatch.ConnectionLost {
 		x.recordLostConnection(v)
 	}
+	if a.sent {
+		x.sentTo = append(x.sentTo, v.Address)
+	}
 	x.s.recordOutcome(x.dispatchReq, a.outcome)
 	return a
 }
@@ -133,14 +140,26 @@
 	return a
 }
 
+// refusalStatuses are the statuses with which a server can state that it did not
+// execute a request.
+var refusalStatuses = []int{
+	http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
-// compressed, or states that the request was not executed.
-func (x *proxiedRequest) rejectHead(resp *http.Response, reply ResponseMetadata) (attemptResult, bool) {
+// compressed, states that the request was not executed, or does not continue the
+// stream that the caller receives (began). sentBefore is set if the request was sent
+// to the address before: then a refusal may be a copy of an earlier one.
+func (x *proxiedRequest) rejectHead(resp *http.Response, reply ResponseMetadata, began, sentBefore bool) (attemptResult, bool) {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	switch {
 	case reply.RequestID != x.in.ID:
 		a.outcome = dispatch.InvalidResponse
+	case !proxy.IsFinalStatus(resp.StatusCode):
+		a.outcome = dispatch.InvalidResponse
+	case (reply.Misdirected || reply.NotExecuted) && (sentBefore || !slices.Contains(refusalStatuses, resp.StatusCode)):
+		a.outcome = dispatch.InvalidResponse
 	case reply.Misdirected:
 		a.outcome = dispatch.Misdirected
 	case reply.NotExecuted:
@@ -149,12 +168,22 @@
 		a.outcome = dispatch.InvalidResponse
 	case resp.Header.Get("Content-Encoding") != "":
 		a.outcome = dispatch.InvalidResponse
+	case began && resp.StatusCode >= http.StatusInternalServerError:
+		a.outcome = dispatch.ServerError
+	case began && (resp.StatusCode != http.StatusOK || mediaType(resp.Header) != mediaType(x.w.Header())):
+		a.outcome = dispatch.InvalidResponse
 	default:
 		return a, false
 	}
 	return a, true
 }
 
+// mediaType returns the Content-Type without its parameters, in lower case.
+func mediaType(h http.Header) string {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
 // forwardBuffered reads the complete response before it forwards it, so that a
 // failure before the end can be retried.
 func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response, inactivity *inactivityTimer) attemptResult {
@@ -174,9 +203,7 @@
 		return a
 	}
 	a.outcome, a.done = dispatch.Completed, true
-	if resp.StatusCode/100 == 2 {
-		x.reportAnswerBegan(time.Now())
-	}
+	x.reportAnswerBegan(time.Now(), resp.StatusCode/100 == 2)
 	x.writeBuffered(h)
 	return a
 }
@@ -203,6 +230,9 @@
 
 // writeBuffered sends a buffered response to the caller.
 func (x *proxiedRequest) writeBuffered(h *bufferedResponse) {
+	if x.headSent {
+		x.abort(closeTruncated) // it would become part of the stream
+	}
 	out := x.w.Header()
 	for name, values := range h.header {
 		out[name] = values
@@ -227,7 +257,7 @@
 func (x *proxiedRequest) forwardStream(ctx context.Context, resp *http.Response, inactivity *inactivityTimer, h *hedge) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	x.sseParser.buffer = x.sseParser.buffer[:0]
-	resumed := x.headSent
+	resumed, nextID := x.headSent, x.headSent
 	buf := make([]byte, readBufferBytes)
 	x.s.openStreams.Add(1)
 	defer x.s.openStreams.Add(-1)
@@ -244,18 +274,18 @@
 					a.outcome, a.err = dispatch.ResponseTimeout, errServerInactive
 					return a
 				}
-				if resumed && !isNextID(x.sseParser.lastID, firstID(events)) {
+				if nextID && !isNextID(x.sseParser.lastID, firstID(events)) || resumed && !idsIncrease(x.sseParser.lastID, events) {
 					a.outcome = dispatch.InvalidResponse
 					return a
 				}
-				resumed = false
+				nextID = false
 				inactivity.pause()
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
 				}
 				if time.Since(x.firstEventAt) > beginTime {
-					x.reportAnswerBegan(x.firstEventAt)
+					x.reportAnswerBegan(x.firstEventAt, true)
 				}
 				x.coalesceEvents(ctx)
 				h.forwarded(x.sseParser.lastID)
@@ -341,9 +371,14 @@
 		a.outcome = dispatch.ConnectionLost
 		return a
 	}
+	if x.headSent && x.sseParser.count == x.eventsBefore {
+		// The first server had not ended the stream, so something is missing.
+		a.outcome = dispatch.InvalidResponse
+		return a
+	}
 	x.writeStreamHead(resp)
 	if x.sseParser.count > x.eventsBefore {
-		x.reportAnswerBegan(x.firstEventAt)
+		x.reportAnswerBegan(x.firstEventAt, true)
 	}
 	a.outcome, a.done = dispatch.Completed, true
 	return a
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -31,12 +31,13 @@
 	cancel      context.CancelCauseFunc
 	decision    dispatch.Decision
 	dispatchReq *dispatch.Request
+	startedAt   time.Time
 	arrival     proxy.UnreadMonitor
 	resp        *http.Response // nil until it was sent
 }
 
 func (x *proxiedRequest) newExchange(v dispatch.Decision, r *dispatch.Request) *serverExchange {
-	e := &serverExchange{decision: v, dispatchReq: r}
+	e := &serverExchange{decision: v, dispatchReq: r, startedAt: time.Now()}
 	e.ctx, e.cancel = context.WithCancelCause(x.callerCtx)
 	return e
 }
@@ -81,27 +82,29 @@
 // first one keeps the request until the second has begun to answer, so a silent
 // server costs no caller its response if no other server takes the request.
 type hedge struct {
-	x         *proxiedRequest
-	first     *serverExchange
-	startedAt time.Time
-	mayRepeat bool // the route allows another attempt
+	x          *proxiedRequest
+	first      *serverExchange
+	startedAt  time.Time
+	mayRepeat  bool     // the route allows another attempt
+	sentBefore []string // addresses of earlier attempts and of the first server
 
-	mu          sync.Mutex
-	began       bool   // bytes of the response were sent to the caller
-	lastEventID string // of the last event sent to the caller
-	closed      bool
-	running     chan struct{} // closed when tryReplace returns, nil if it does not run
-	second      *serverExchange
-	sent        int // second attempts that may have reached a server, without the one that was taken over
-	unsent      int
-	mayHaveRun  bool
-	outcomes    []string
+	mu           sync.Mutex
+	began        bool   // bytes of the response were sent to the caller
+	lastEventID  string // of the last event sent to the caller
+	closed       bool
+	running      chan struct{} // closed when tryReplace returns, nil if it does not run
+	second       *serverExchange
+	sent         int      // second attempts that may have reached a server, without the one that was taken over
+	secondSentTo []string // addresses of the second attempts that may have reached a server
+	unsent       int
+	mayHaveRun   bool
+	outcomes     []string
 }
 
 func (x *proxiedRequest) newHedge(first *serverExchange) *hedge {
 	return &hedge{
 		x: x, first: first, startedAt: time.Now(), began: x.headSent, lastEventID: x.sseParser.lastID,
-		mayRepeat: x.route.RetryPolicy != routing.AtMostOnce && !x.isTrial,
+		mayRepeat: x.route.RetryPolicy != routing.AtMostOnce && !x.isTrial, sentBefore: append(slices.Clone(x.sentTo), first.decision.Address),
 	}
 }
 
@@ -147,11 +150,11 @@
 		return !began && time.Since(h.startedAt) > soundSilence && !h.x.s.heardSince(h.first.decision.Server, h.startedAt)
 	}
 	h.second, h.running = second, make(chan struct{})
-	running := h.running
+	running, sentBefore := h.running, slices.Contains(slices.Concat(h.sentBefore, h.secondSentTo), second.decision.Address)
 	h.mu.Unlock()
 	defer close(running)
 
-	a := h.x.awaitBegin(second, began, lastEventID)
+	a := h.x.awaitBegin(second, began, sentBefore, lastEventID)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
@@ -162,7 +165,7 @@
 	case context.Cause(second.ctx) == errAttemptEnded:
 		a.outcome = dispatch.NotSent
 	case a.outcome == dispatch.ConnectionLost:
-		h.x.addLostConnection(second.decision, false)
+		h.x.addLostConnection(second.decision, second.startedAt, false)
 	}
 	h.drop(a)
 	return false
@@ -177,6 +180,7 @@
 	h.second = nil
 	if a.sent {
 		h.sent++
+		h.secondSentTo = append(h.secondSentTo, second.decision.Address)
 	} else {
 		h.unsent++
 		h.x.s.refundRetry(h.x.dispatchReq.Service)
@@ -214,6 +218,7 @@
 	}
 	h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
 	h.x.sentAttempts += h.sent
+	h.x.sentTo = append(h.x.sentTo, h.secondSentTo...)
 	h.x.mayHaveRun = h.x.mayHaveRun || h.mayHaveRun
 	h.x.outcomes = append(h.x.outcomes, h.outcomes...)
 }
@@ -224,7 +229,7 @@
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	now := time.Now()
-	if action, _ := x.s.quarantine.Check(now, x.sharedParts); action != quarantine.Allow {
+	if action, _ := x.s.quarantine.Check(now, x.suspects); action != quarantine.Allow {
 		return nil
 	}
 	if !x.s.retryBudget.canSpend(x.dispatchReq.Service) {
@@ -244,17 +249,17 @@
 // awaitBegin sends the request to a second server and waits until it has begun to
 // answer: with the next event of a stream, or with the head of another response.
 // The result is done then.
-func (x *proxiedRequest) awaitBegin(e *serverExchange, began bool, lastEventID string) attemptResult {
+func (x *proxiedRequest) awaitBegin(e *serverExchange, began, sentBefore bool, lastEventID string) attemptResult {
 	resp, sent, err := x.s.transport.SendRequest(e.ctx, x.buildRequest(e.decision, lastEventID, ""), &e.arrival, x.in.Body)
 	if err != nil {
 		return x.classifySendError(e.ctx, err, sent)
 	}
 	e.resp = resp
 	reply := x.s.config.Dialect.ReadHead(resp)
-	if reply.RequestID == x.in.ID && !reply.Misdirected {
+	a, bad := x.rejectHead(resp, reply, began, sentBefore)
+	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
 		x.s.applyServerHints(e.decision, reply)
 	}
-	a, bad := x.rejectHead(resp, reply)
 	if bad {
 		return a
 	}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -12,6 +12,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
@@ -53,13 +54,16 @@
 	in          *Request
 	route       *routing.Route
 	dispatchReq *dispatch.Request
-	sharedParts []uint64 // parts of the prompt that other requests may have too
-	deadline    time.Time
-	callerCtx   context.Context
+	// suspects holds the parts of the prompt that other requests may have too, and last
+	// the request itself.
+	suspects  []uint64
+	deadline  time.Time
+	callerCtx context.Context
 
 	decision          dispatch.Decision
 	slotReservation   string            // reservation id at the server of the decision, "" if none
 	sentAttempts      int               // attempts that may have reached a server
+	sentTo            []string          // addresses of these attempts
 	mayHaveRun        bool              // a server may have executed it, so no response may claim that it was not executed
 	lastErrorResponse *bufferedResponse // last 5xx response, sent to the caller if no attempt succeeds
 	unsentAttempts    int               // attempts that failed before any byte was sent
@@ -68,6 +72,7 @@
 	isTrial           bool              // tests whether a quarantined part still crashes servers
 	beganReported     bool              // the begin of the answer cleared the parts of the prompt
 	eventsBefore      int               // events forwarded by earlier attempts
+	attemptStartedAt  time.Time         // of the current attempt
 	firstEventAt      time.Time         // first event of the current attempt
 	headSent          bool              // status and headers were sent to the caller
 	status            int
@@ -155,9 +160,10 @@
 	}
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
-		x.sharedParts = sharedParts(p.Parts)
+		x.suspects = sharedParts(p.Parts)
 		x.dispatchReq.OutputTokens = expectedOutputTokens(p)
 	}
+	x.suspects = append(x.suspects, quarantine.RequestSuspect(quarantine.Fingerprint(in.dest.workspace, in.Method, routing.NormalizeHost(in.Host), in.Target, in.Body)))
 	return x
 }
 
@@ -380,6 +386,9 @@
 }
 
 func (x *proxiedRequest) respondError(e *result.Error) {
+	if x.headSent {
+		x.abort(closeTruncated) // the error would become part of the stream
+	}
 	x.status = e.Code.Status()
 	writeError(x.w, e)
 }
@@ -451,7 +460,8 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial, "parts": hexIDs(x.sharedParts),
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial,
+		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
 }
 
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -77,6 +77,7 @@
 	HeadWritten   bool // the head was written to the sink
 	IsStream      bool // the response is a server-sent event stream
 	PartialEvent  bool // the last event that the caller received is incomplete
+	Lost          bool // the connection broke after a byte can have reached the server
 	Status        int  // HTTP status of the server's response, 0 if there was none
 	BytesWritten  int64
 	ResumeCount   int
@@ -217,6 +218,9 @@
 	if err := f.checkRequestID(); err != nil {
 		return err
 	}
+	if !IsFinalStatus(f.resp.StatusCode) {
+		return result.New(result.StreamBroken, "the server answered with status %d", f.resp.StatusCode)
+	}
 	f.report.IsStream = isEventStream(f.resp.Header)
 	if f.resp.StatusCode >= http.StatusInternalServerError && f.r.InterceptServerError {
 		return result.New(result.ServerError, "the server answered with status %d", f.resp.StatusCode)
@@ -234,6 +238,12 @@
 	return result.New(result.IdentityMismatch, "the server's response carries request id %q", got)
 }
 
+// IsFinalStatus reports whether a status can be that of a complete response. net/http
+// reads any three digits, but panics when it writes some of them.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
+
 func isEventStream(h http.Header) bool {
 	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
 	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
@@ -367,6 +377,8 @@
 // buffered rest. A stream with status 200 needs its end marker.
 func (f *forwarder) handleEOF() error {
 	if f.report.IsStream && f.resp.StatusCode == http.StatusOK && !f.scanner.SawEndMarker() {
+		// Without a length or chunks, the end of a server looks like that of a response.
+		f.report.Lost = !IsFramed(f.resp)
 		return result.New(result.StreamBroken, "the stream ended without its end marker")
 	}
 	return f.flushBuffered()
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -46,32 +46,38 @@
 	now, next := start, uint64(1)
 	for server := range uint64(3 * MaxLosses) {
 		now = now.Add(300 * time.Millisecond)
-		parts := make([]uint64, 2*MaxSuspects)
+		parts, requests := make([]uint64, 2*MaxParts), make([]Sent, 2*MaxRequests)
 		for i := range parts {
 			parts[i] = next
 			next++
 		}
-		a.AddLoss(now, Server{server, 1}, now, parts, 100)
+		for i := range requests {
+			requests[i] = Sent{Request: RequestSuspect(next), At: now}
+			next++
+		}
+		a.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Parts: parts, Requests: requests, Lost: 100})
 		for range 20 {
-			a.AnswerBegan(now, now, []uint64{next, next + 1})
+			a.AnswerBegan(now, now, now, []uint64{next, next + 1, RequestSuspect(next)})
 			next += 2
 		}
 		a.decide(now, next, Quarantined, "test")
 		m := a.Message(now, true)
 		assert.Assert(t, len(m.Losses) <= MaxLossesPerMessage && len(m.Cleared) <= MaxClearedPerMessage && len(m.Verdicts) <= MaxVerdictsPerMessage)
 		for _, l := range m.Losses {
-			assert.Assert(t, len(l.Parts) <= MaxSuspectsPerMessage)
+			assert.Assert(t, len(l.Parts) <= MaxPartsPerMessage && len(l.Requests) <= MaxRequestsPerMessage)
 		}
 		b.Merge(now, m, false)
 		assert.Assert(t, len(b.Summary(true).Losses) <= MaxLossesPerMessage)
-		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Requests: -1, Begun: math.MaxInt}}}, true)
+		b.Merge(now, Message{Losses: []Loss{{Server: Server{server, 2}, At: now, Reporter: next, Parts: parts, Requests: requests, Lost: -1, Begun: math.MaxInt}}}, true)
 	}
 	for _, tracker := range []*Tracker{a, b} {
 		assert.Assert(t, len(tracker.losses) <= MaxLosses)
-		assert.Assert(t, len(tracker.suspects) <= MaxLosses*MaxSuspects)
+		assert.Assert(t, len(tracker.suspects) <= MaxLosses*(MaxParts+MaxRequests))
 		assert.Assert(t, len(tracker.verdicts) <= MaxVerdicts)
 		assert.Assert(t, len(tracker.summaryNews.losses) <= maxPendingMessages)
-		assert.Assert(t, len(tracker.cleared.newer) <= maxCleared && len(tracker.cleared.older) <= maxCleared)
+		for _, table := range []clearedTable{tracker.clearedParts, tracker.clearedRequests} {
+			assert.Assert(t, len(table.newer) <= table.limit && len(table.older) <= table.limit)
+		}
 	}
 	now = now.Add(lossRetention + maxTerm + lapseTime + time.Second)
 	a.Poll(now)
@@ -97,14 +103,17 @@
 }
 
 // Guards against a host that wakes from a suspension clearing parts with answers
-// that began before it.
+// that began before it, and against it reporting losses while what servers answer it
+// clears nothing (soak seed 13: sound prompts refused).
 func TestAnswersReadAfterSuspensionClearNothing(t *testing.T) {
 	tracker := New(1)
 	tracker.decide(start, 5, Quarantined, "test")
 	now := start.Add(3 * time.Second)
 	tracker.MarkSuspended(now)
-	tracker.AnswerBegan(now, now, []uint64{5})
+	tracker.AnswerBegan(now.Add(time.Minute), now.Add(-time.Millisecond), now.Add(time.Second), []uint64{5})
 	assert.Equal(t, tracker.verdicts[5].State, Quarantined)
+	tracker.AnswerBegan(now.Add(2*time.Millisecond), now, now.Add(time.Millisecond), []uint64{5})
+	assert.Equal(t, tracker.verdicts[5].State, Released)
 }
 
 // Guards against a time of day that jumped at a core host ending a quarantine in the
@@ -112,7 +121,7 @@
 func TestStoredAgeDoesNotEndQuarantine(t *testing.T) {
 	const part = 5
 	now := start.Add(2 * time.Hour)
-	stored := []Verdict{{Part: part, Generation: 1, State: Quarantined, Since: now.Add(-time.Hour), Term: firstTerm}}
+	stored := []Verdict{{Suspect: part, Generation: 1, State: Quarantined, Since: now.Add(-time.Hour), Term: firstTerm}}
 	for _, known := range []bool{false, true} {
 		tracker := New(1)
 		if known {
@@ -129,10 +138,10 @@
 func TestSecondLossOfAPartEndsRetries(t *testing.T) {
 	tracker := New(1)
 	assert.Assert(t, !tracker.SuspectsAgain(start, []uint64{1, 2}))
-	tracker.AddLoss(start, Server{1, 1}, start, []uint64{1, 2}, 2)
+	addLoss(tracker, start, Server{1, 1}, []uint64{1, 2}, 2)
 	assert.Assert(t, tracker.SuspectsAgain(start, []uint64{2}))
 	now := start.Add(time.Second)
-	tracker.AnswerBegan(now, now, []uint64{2})
+	tracker.AnswerBegan(now, now, now, []uint64{2})
 	assert.Assert(t, !tracker.SuspectsAgain(now, []uint64{2}), "the part was cleared")
 	assert.Assert(t, tracker.SuspectsAgain(now, []uint64{1, 2}))
 }
@@ -146,7 +155,7 @@
 		tracker, now := New(1), start
 		for i := range uint64(lossesToQuarantine) {
 			now = now.Add(time.Second)
-			tracker.AddLoss(now, Server{i, 1}, now, both, 2)
+			addLoss(tracker, now, Server{i, 1}, both, 2)
 		}
 		now = now.Add(settleTime)
 		tracker.Poll(now)
@@ -163,18 +172,18 @@
 	check(tracker, now, Allow, sound)
 	check(tracker, now, Allow, deadly)
 
-	tracker.AnswerBegan(now, now, []uint64{sound})
+	tracker.AnswerBegan(now, now, now, []uint64{sound})
 	check(tracker, now, Allow, sound)
 	check(tracker, now, Refuse, deadly)
 
 	// One loss of a sound request, or a loss of which another host reports the deadly
 	// part later, separates nothing.
 	tracker, now = tied()
-	tracker.AddLoss(now, Server{8, 1}, now, []uint64{sound}, 1)
+	addLoss(tracker, now, Server{8, 1}, []uint64{sound}, 1)
 	tracker.Poll(now)
 	tracker.Merge(now, Message{Losses: []Loss{{Server: Server{8, 1}, At: now, Reporter: 2, Parts: []uint64{deadly}}}}, false)
 	now = now.Add(time.Second)
-	tracker.AddLoss(now, Server{9, 1}, now, []uint64{sound}, 1)
+	addLoss(tracker, now, Server{9, 1}, []uint64{sound}, 1)
 	tracker.Poll(now.Add(settleTime))
 	check(tracker, now, Allow, sound)
 	check(tracker, now, Allow, deadly)
@@ -182,7 +191,7 @@
 	tracker, now = tied()
 	for i := range uint64(lossesToSeparate) {
 		now = now.Add(time.Second)
-		tracker.AddLoss(now, Server{10 + i, 1}, now, []uint64{deadly}, 1)
+		addLoss(tracker, now, Server{10 + i, 1}, []uint64{deadly}, 1)
 		tracker.Poll(now.Add(settleTime))
 	}
 	check(tracker, now, Allow, sound)
@@ -191,7 +200,7 @@
 
 	// A host that knows the sound part to be cleared refuses the deadly one alone.
 	tracker, now = tied()
-	tracker.Merge(now, Message{Verdicts: []Verdict{{Part: deadly, Generation: 1, State: Quarantined, Since: now.Add(-time.Second), Term: firstTerm}}}, false)
+	tracker.Merge(now, Message{Verdicts: []Verdict{{Suspect: deadly, Generation: 1, State: Quarantined, Since: now.Add(-time.Second), Term: firstTerm}}}, false)
 	check(tracker, now, Allow, sound)
 	check(tracker, now, Refuse, deadly)
 }
@@ -207,7 +216,7 @@
 		if i == 0 {
 			parts = parts[:1]
 		}
-		tracker.AddLoss(now, Server{i, 1}, now, parts, 2)
+		addLoss(tracker, now, Server{i, 1}, parts, 2)
 	}
 	now = now.Add(settleTime)
 	tracker.Poll(now)
@@ -215,7 +224,7 @@
 	now = now.Add(firstTerm + lapseTime + time.Second)
 	tracker.Poll(now)
 	assert.Equal(t, tracker.verdicts[deadly].State, Lapsed)
-	tracker.AddLoss(now, Server{99, 1}, now, []uint64{3}, 1) // has the evidence evaluated
+	addLoss(tracker, now, Server{99, 1}, []uint64{3}, 1) // has the evidence evaluated
 	tracker.Poll(now.Add(time.Second))
 	assert.Assert(t, tracker.verdicts[sound] == nil)
 }
@@ -237,7 +246,7 @@
 				parts[3] = uint64(i % 5000)
 				tracker.Check(now, parts)
 				tracker.Begin(now, parts)
-				tracker.AnswerBegan(now, now, parts)
+				tracker.AnswerBegan(now, now, now, parts)
 			}
 		})
 	}
@@ -249,11 +258,11 @@
 	now := start
 	for i := range uint64(MaxLosses) {
 		now = now.Add(100 * time.Millisecond)
-		parts := make([]uint64, MaxSuspectsPerMessage)
+		parts := make([]uint64, MaxPartsPerMessage)
 		for j := range parts {
 			parts[j] = i*uint64(len(parts)) + uint64(j)
 		}
-		tracker.AddLoss(now, Server{i, 1}, now, parts, 10)
+		addLoss(tracker, now, Server{i, 1}, parts, 10)
 	}
 	for b.Loop() {
 		tracker.evaluate(now)
--- a/pkg/router/announce.go
+++ b/pkg/router/announce.go
@@ -22,6 +22,7 @@
 	r.counters.announcements.Inc(1)
 	if err := r.announce(req); err != nil {
 		r.counters.announcementsRefused.Inc(1)
+		r.log.Warnf("announcement from %s refused: %v", req.RemoteAddr, err)
 		writeError(w, err)
 		return
 	}
@@ -43,7 +44,9 @@
 	if err := r.checkNameConflict(now, a); err != nil {
 		return err
 	}
-	r.routeAnnouncement(a, r.servers.update(now, a))
+	broadcast := r.servers.update(now, a)
+	r.noteAnnouncement(now, a)
+	r.routeAnnouncement(a, broadcast)
 	return nil
 }
 
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -109,7 +109,7 @@
 }
 
 // HandleMessages implements peer.Handler. It ignores all messages of other data
-// centres except summaries, loans, loan returns and totals.
+// centres except summaries, loans, loan returns, totals and quarantine news.
 func (r *Router) HandleMessages(from pool.RouterID, items []*apiv1.Envelope) {
 	local := from.DataCentre == r.self.DataCentre
 	for _, e := range items {
@@ -136,6 +136,8 @@
 		r.applyIfOwner(l.To, func(now time.Time, o *pool.Owner) { o.HandleLoanReturn(now, l) })
 	case *apiv1.Envelope_Totals:
 		r.receiveTotals(item.Totals)
+	case *apiv1.Envelope_Quarantine:
+		r.receiveQuarantineNews(from, item.Quarantine)
 	default:
 		return false
 	}
@@ -174,7 +176,7 @@
 	case *apiv1.Envelope_HeldGrants:
 		r.receiveHeldGrants(peer.ShardFromProto(item.HeldGrants.Shard), from, peer.HeldGrantsFromProto(from, item.HeldGrants.Grants))
 	case *apiv1.Envelope_Announcement:
-		r.receiveAnnouncement(item.Announcement.Json)
+		r.receiveAnnouncement(from, item.Announcement.Json)
 	case *apiv1.Envelope_DataCentreMark:
 		r.receiveMark(item.DataCentreMark)
 	case *apiv1.Envelope_Handover:
@@ -233,12 +235,17 @@
 
 // receiveAnnouncement stores an announcement that another router has forwarded.
 // If this router owns the pool, its owner receives it too.
-func (r *Router) receiveAnnouncement(text []byte) {
+func (r *Router) receiveAnnouncement(from pool.RouterID, text []byte) {
 	a, err := backend.Decode(bytes.NewReader(text))
 	now := time.Now()
-	if err != nil || r.checkNameConflict(now, a) != nil {
+	if conflict := r.checkNameConflict(now, a); err == nil && conflict != nil {
+		err = conflict
+	}
+	if err != nil {
+		r.log.Warnf("announcement of server %.64q from router %s ignored: %v", a.Name, from.Name, err)
 		return
 	}
 	r.servers.update(now, a)
+	r.noteAnnouncement(now, a)
 	r.applyIfOwner(r.shardOf(a.Pool), func(now time.Time, o *pool.Owner) { o.HandleAnnouncement(now, a) })
 }
