Answer pipelined requests before a connection is closed

What callers saw: requests that were sent before the response to the last one got no answer when that response closed the connection: during a planned stop, with too many connections, on a host whose processor is used up.

Cause: the host decided to close before it looked whether more requests had arrived; net/http drops what it has read beyond the current request.

Change: the connection of a caller counts what was read beyond a request.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -39,8 +40,14 @@
 	begun      bool // bytes of the next request have arrived
 	early      bool // net/http has read a byte of the next request while a request runs
 	closing    bool // the wait for a request was ended
+	read       int  // bytes of the current request that were read from the socket, and any after it
+	headEnd    int  // of these, the bytes of its head, 0 if that is not known
+	pipelined  bool // the caller has sent a request before it had the response to the last one
 }
 
+// endOfHead separates the head of a request from its body.
+var endOfHead = []byte("\r\n\r\n")
+
 // Read implements net.Conn. A request that arrives when the wait for it ends is read.
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.beforeRead(len(p))
@@ -52,11 +59,40 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.early = len(p) == 1 // only the check for a closed connection reads single bytes
+		c.markRead(p[:n])
 		c.markBegun()
 	}
 	return n, err
 }
 
+// markRead counts the bytes of a request. The caller must hold mu.
+func (c *callerConn) markRead(p []byte) {
+	if c.early {
+		c.pipelined = true
+		return
+	}
+	if i := bytes.Index(p, endOfHead); i >= 0 && c.headEnd == 0 {
+		c.headEnd = c.read + i + len(endOfHead)
+	}
+	c.read += len(p)
+}
+
+// hasPipelined reports whether the caller sends requests before it has the response to
+// the last one, as far as that is known. The body of the current request has that many
+// bytes, -1 if it is not known.
+func (c *callerConn) hasPipelined(bodyBytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.read == 0 || c.headEnd > 0 && bodyBytes >= 0 && int64(c.read-c.headEnd) > bodyBytes {
+		c.pipelined = true
+	}
+	if !c.pipelined {
+		state, err := netpeek.Peek(c.TCPConn)
+		c.pipelined = err == nil && state.UnreadData
+	}
+	return c.pipelined
+}
+
 // beforeRead detects bytes of the next request that were read with the request before:
 // then net/http reads into the rest of its buffer.
 func (c *callerConn) beforeRead(size int) {
@@ -112,6 +148,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.deadlines = idle, 0
+	if idle {
+		c.read, c.headEnd = 0, 0
+		if c.early {
+			c.read = 1
+		}
+	}
 	c.begun, c.early = idle && c.early, false
 }
 
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -212,6 +212,15 @@
 	return true
 }
 
+// Pipelined reports whether the caller of the request with this context sends requests
+// before it has the response to the last one. A response that closes the connection would
+// leave them without an answer. The body of the request has that many bytes, -1 if it is
+// not known.
+func Pipelined(ctx context.Context, bodyBytes int64) bool {
+	c, ok := ctx.Value(connContextKey{}).(*callerConn)
+	return ok && c.hasPipelined(bodyBytes)
+}
+
 // Disconnected reports whether the caller has closed the connection of the
 // request with this context. A busy host can read a request after its caller
 // has left.
