Begin one second attempt at a time

Cause: an event of the first server restarts its inactivity timer, also while tryReplace waits for a second server. The timer fires again at the next silence, and the next run overwrites the exchange in progress, whose outcome is then never recorded.

Evidence: a third attempt of two was sent, and a place at a server stayed taken for as long as the host ran.

Change: tryReplace begins nothing while a second attempt is in progress.

Before: "a third attempt of two was sent", "2 places are taken after the end of the second attempt, 1 by the first".

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -131,10 +131,11 @@
 
 // tryReplace reports whether the silent first server may be given up: a second one
 // has begun to answer, or nothing can be lost because the caller has received
-// nothing and the server has sent nothing to anyone for longer than a sound one.
+// nothing and the server has sent nothing to anyone for longer than a sound one. It
+// may run several times at once: each event of the first server restarts the timer.
 func (h *hedge) tryReplace() bool {
 	h.mu.Lock()
-	if h.closed || h.first.arrival.HasUnread() {
+	if h.closed || h.second != nil || h.first.arrival.HasUnread() {
 		h.mu.Unlock()
 		return false
 	}
