End a second attempt as soon as the first server goes on

Cause: a second attempt was ended only when it had begun to answer, or with the request. The first server could go on meanwhile.

Evidence: both servers worked on a stream for as long as the second one sent nothing. At the next silence of the first server the answer of the second was taken over, although it continued what the caller had when the attempt began, and the stream was cut.

Change: a complete event of the first server cancels the second attempt, also before it was sent, and a cancelled attempt is never taken over. A second attempt that begins while an event is written is cancelled after the write, so one that goes on always continues what the caller has.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -274,6 +274,7 @@
 					a.outcome, a.err = dispatch.ResponseTimeout, errServerInactive
 					return a
 				}
+				h.progressed()
 				if nextID && !isNextID(x.sseParser.lastID, firstID(events)) || resumed && !idsIncrease(x.sseParser.lastID, events) {
 					a.outcome = dispatch.InvalidResponse
 					return a
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -108,11 +108,27 @@
 	}
 }
 
-// forwarded records what the caller has received.
+// progressed ends a second attempt in progress, because the first server has gone on.
+func (h *hedge) progressed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancelSecond()
+}
+
+// forwarded records what the caller has received. It ends a second attempt that began
+// since progressed and continues what the caller had before.
 func (h *hedge) forwarded(lastEventID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.began, h.lastEventID = true, lastEventID
+	h.cancelSecond()
+}
+
+// cancelSecond cancels a second attempt in progress. The caller must hold mu.
+func (h *hedge) cancelSecond() {
+	if h.second != nil {
+		h.second.cancel(errAttemptEnded)
+	}
 }
 
 // hasBegun reports whether events were sent to the caller.
@@ -159,7 +175,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case a.done && !h.closed:
+	case a.done && !h.closed && context.Cause(second.ctx) == nil:
 		return true
 	case a.sent && (a.done || context.Cause(second.ctx) == errAttemptEnded):
 		a.outcome = dispatch.CallerDisconnected
@@ -205,8 +221,8 @@
 	h.mu.Lock()
 	h.closed = true
 	running := h.running
-	if h.second != nil && !abandoned {
-		h.second.cancel(errAttemptEnded)
+	if !abandoned {
+		h.cancelSecond()
 	}
 	h.mu.Unlock()
 	if running != nil {
