Keep the second attempt when the first server fails

Cause: the end of the first attempt cancelled the second one, which had used the last attempt of the route.

Evidence: a server that was silent and then broke off while a second one was at work cost the caller its answer, or cut the stream, although the second server answered in time.

Change: a request whose first server fails waits for the second attempt in progress, until its deadline or the end of a planned stop, and takes it over. It does not wait if the request is suspected of ending servers; then the second attempt is cancelled, as before. The work of the second server counts for the workspace if the loss of the first has taken it back.

TestSecondAnswerIsChargedToShare fails without the last change.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -265,6 +265,23 @@
 	assert.Equal(t, d.shares.usageOf("w").served.sum, charged)
 }
 
+// Guards against an answer that no workspace is charged for: the first server was lost
+// while a second one was at work, which then answered.
+func TestSecondAnswerIsChargedToShare(t *testing.T) {
+	d := newFleet(1, 2)[0]
+	r := newRequest(start, "w", 10_000, time.Second)
+	first := d.Admit(start, r)
+	charged := d.shares.usageOf("w").served.sum
+	now := start.Add(300 * time.Millisecond)
+	second, v := d.Hedge(now, r, first.Server)
+	assert.Equal(t, v.Action, Send)
+	d.RecordOutcome(now, r, ConnectionLost)
+	d.EndHedge(now, second, r)
+	assert.Equal(t, d.shares.usageOf("w").served.sum, charged)
+	d.RecordOutcome(now, second, Completed)
+	assert.Equal(t, d.shares.usageOf("w").served.sum, charged)
+}
+
 func TestMaxMinShare(t *testing.T) {
 	for _, c := range []struct {
 		demands  []float64
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -179,8 +179,20 @@
 	return &second, v
 }
 
-// EndHedge makes a request that Hedge returned the only attempt.
-func (r *Request) EndHedge() { r.isHedge = false }
+// EndHedge makes the request second that Hedge returned for first the only attempt. It
+// counts the work for the workspace if the outcome of first has taken it back.
+func (d *Dispatcher) EndHedge(now time.Time, second, first *Request) {
+	second.isHedge, second.usageCounted = false, first.usageCounted
+	d.countUsage(now, second)
+}
+
+// countUsage counts the work of a request for its workspace, once.
+func (d *Dispatcher) countUsage(now time.Time, r *Request) {
+	if !r.usageCounted {
+		r.usageCounted = true
+		d.shares.recordServed(now, r.Workspace, serviceTokens(r))
+	}
+}
 
 // fairShare updates and returns the fair share of a workspace in shareWindow,
 // in service tokens.
@@ -299,10 +311,7 @@
 	if d.isCold(now, s) {
 		s.coldSentAt = append(s.coldSentAt, now)
 	}
-	if !r.usageCounted {
-		r.usageCounted = true
-		d.shares.recordServed(now, r.Workspace, serviceTokens(r))
-	}
+	d.countUsage(now, r)
 	v.Action, v.Reason = Send, ReasonSent
 	v.Server, v.StartMS, v.Address, v.FetchFrom = s.info.ID, s.info.StartMS, s.info.Address, r.fetchFrom
 	v.UncachedTokens, v.AnnouncementAge = r.uncachedTokens, now.Sub(s.info.Heard)
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -44,7 +44,6 @@
 func (x *proxiedRequest) attempt(v dispatch.Decision) attemptResult {
 	x.eventsBefore = x.sseParser.count
 	e := x.takeExchange(v)
-	ctx := e.ctx
 	defer e.cancel(nil)
 	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { e.cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
@@ -53,10 +52,15 @@
 	inactivityTimeout := startInactivityTimer(x.inactivityTimeout(), &inactivityTimer{mayAbandon: h.tryReplace, keep: h.keepFirst, abandon: func() { e.cancel(errServerInactive) }})
 	defer func() { h.close(inactivityTimeout.stop()) }()
 	defer x.endWithHost(e, h)()
+	return h.awaitSecond(x.finishAttempt(v, x.exchange(e, h, inactivityTimeout)))
+}
 
+// exchange sends the request to the server of e and forwards the response.
+func (x *proxiedRequest) exchange(e *serverExchange, h *hedge, inactivityTimeout *inactivityTimer) attemptResult {
+	ctx, v := e.ctx, e.decision
 	resp, sent, err := e.send(x)
 	if err != nil {
-		return x.finishAttempt(v, x.classifySendError(ctx, err, sent))
+		return x.classifySendError(ctx, err, sent)
 	}
 	defer resp.Body.Close()
 	reply := x.s.config.Dialect.ReadHead(resp)
@@ -65,12 +69,12 @@
 		x.s.applyServerHints(v, reply)
 	}
 	if bad {
-		return x.finishAttempt(v, a)
+		return a
 	}
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
-		return x.finishAttempt(v, x.forwardStream(ctx, resp, inactivityTimeout, h))
+		return x.forwardStream(ctx, resp, inactivityTimeout, h)
 	}
-	return x.finishAttempt(v, x.forwardBuffered(ctx, resp, inactivityTimeout))
+	return x.forwardBuffered(ctx, resp, inactivityTimeout)
 }
 
 // inactivityTimeout returns how long a server may send nothing before the request
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -57,8 +57,8 @@
 func (x *proxiedRequest) takeOver(e *serverExchange) dispatch.Decision {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
+	x.s.dispatcher.EndHedge(time.Now(), e.dispatchReq, x.dispatchReq)
 	x.dispatchReq = e.dispatchReq
-	x.dispatchReq.EndHedge()
 	return e.decision
 }
 
@@ -92,6 +92,8 @@
 	began        bool   // bytes of the response were sent to the caller
 	lastEventID  string // of the last event sent to the caller
 	closed       bool
+	firstEnded   bool          // the first server has failed while the second attempt is in progress
+	ready        bool          // the second server has begun to answer
 	running      chan struct{} // closed when tryReplace returns, nil if it does not run
 	second       *serverExchange
 	sent         int      // second attempts that may have reached a server, without the one that was taken over
@@ -151,7 +153,7 @@
 // may run several times at once: each event of the first server restarts the timer.
 func (h *hedge) tryReplace() bool {
 	h.mu.Lock()
-	if h.closed || h.second != nil || h.first.arrival.HasUnread() {
+	if h.closed || h.firstEnded || h.second != nil || h.first.arrival.HasUnread() {
 		h.mu.Unlock()
 		return false
 	}
@@ -176,6 +178,7 @@
 	defer h.mu.Unlock()
 	switch {
 	case a.done && !h.closed && context.Cause(second.ctx) == nil:
+		h.ready = true
 		return true
 	case a.sent && (a.done || context.Cause(second.ctx) == errAttemptEnded):
 		a.outcome = dispatch.CallerDisconnected
@@ -194,7 +197,7 @@
 	if second == nil {
 		return
 	}
-	h.second = nil
+	h.second, h.ready = nil, false
 	if a.sent {
 		h.sent++
 		h.secondSentTo = append(h.secondSentTo, second.decision.Address)
@@ -211,16 +214,44 @@
 func (h *hedge) keepFirst() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
+	if !h.firstEnded {
+		h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
+	}
+}
+
+// awaitSecond waits for a second attempt in progress after the first one has failed
+// with the result a, until the deadline or the end of the grace period of a planned
+// stop. It returns a with the error that ended the wait.
+func (h *hedge) awaitSecond(a attemptResult) attemptResult {
+	if a.done || h.x.suspectedAgain(a) {
+		return a
+	}
+	h.mu.Lock()
+	running := h.running
+	h.firstEnded = h.second != nil && context.Cause(h.second.ctx) == nil
+	waits := h.firstEnded
+	h.mu.Unlock()
+	if !waits {
+		return a
+	}
+	select {
+	case <-running:
+	case <-h.first.ctx.Done():
+		if cause := context.Cause(h.first.ctx); errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errHostStopping) {
+			a.err = cause
+		}
+	}
+	return a
 }
 
 // close ends a second attempt in progress and waits for it. It adds the results to
 // the request, which takes over a second attempt that has begun to answer if the
-// first was given up for it.
+// first was given up for it or has failed.
 func (h *hedge) close(abandoned bool) {
 	h.mu.Lock()
 	h.closed = true
 	running := h.running
+	abandoned = abandoned || h.firstEnded && h.ready
 	if !abandoned {
 		h.cancelSecond()
 	}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -214,7 +214,7 @@
 			return
 		}
 		x.recordFailure(a)
-		if !x.canRetry(a) || x.suspectedAgain(a) {
+		if !x.canRetry(a) || x.replacement == nil && x.suspectedAgain(a) {
 			x.respondFailed(a)
 			return
 		}
