Answer requests whose head arrives while a host stops

Cause: once the listener is closed, http.Server.Shutdown closes each connection that net/http takes for idle, also one on which a part of the head of a request has arrived. The state that the connection keeps for this was used only until then.

Evidence: a caller whose head arrived in parts got no answer in the last 0.6 s of the grace period.

Change: the host closes its listener by itself and closes connections through the tracker, which knows whether a request has begun to arrive.

Before: "the second request got no answer: unexpected EOF".

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -14,7 +14,23 @@
 // Listener returns a listener whose connections tell the tracker whether a request
 // has begun to arrive. net/http reports a connection as idle until it has read the
 // whole head of the next request.
-func (s *ConnTracker) Listener(l net.Listener) net.Listener { return &listener{l} }
+// StopAccepting closes it.
+func (s *ConnTracker) Listener(l net.Listener) net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
+	return &listener{l}
+}
+
+// StopAccepting closes the listener. Serve of the http.Server returns an error that
+// wraps net.ErrClosed then, and the open connections are still served.
+func (s *ConnTracker) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close() // no more connections are accepted in any case
+	}
+}
 
 type listener struct{ net.Listener }
 
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -33,8 +33,10 @@
 	// callers often use its connection again at once. They are told with the next
 	// response then.
 	drainIdle = time.Second
-	// drainCheckInterval replaces idleCheckInterval while the host stops.
+	// drainCheckInterval replaces idleCheckInterval while the host stops, and
+	// closeCheckInterval in the last part of the grace period, of a few hundred ms.
 	drainCheckInterval = 100 * time.Millisecond
+	closeCheckInterval = 50 * time.Millisecond
 )
 
 // pastDeadline is a read deadline that ends a blocked read at once.
@@ -50,9 +52,10 @@
 	log     *logrus.Entry
 	maxOpen int // open connections above which OverLimit reports true, 0 for no bound
 
-	mu   sync.Mutex // guards the fields below; not held during system calls on sockets
-	open int
-	idle map[net.Conn]time.Time // start of the idle time
+	mu       sync.Mutex // guards the fields below; not held during system calls on sockets
+	listener net.Listener
+	open     int
+	idle     map[net.Conn]time.Time // start of the idle time
 	// closing holds idle connections on which closeIfIdle has ended the wait
 	// for a request. A request that was read before that is still served.
 	closing map[net.Conn]bool
@@ -127,6 +130,22 @@
 	}
 }
 
+// WaitClosed closes connections as soon as they are idle, until none is open or ctx
+// ends, and returns the error of ctx then. Unlike Shutdown of an http.Server it leaves
+// open those on which a part of a request has arrived.
+func (s *ConnTracker) WaitClosed(ctx context.Context) error {
+	ticker := time.NewTicker(closeCheckInterval)
+	defer ticker.Stop()
+	for s.closeIdle(0); s.OpenCount() > 0; s.closeIdle(0) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // OpenCount returns the number of open connections.
 func (s *ConnTracker) OpenCount() int {
 	s.mu.Lock()
