Answer requests with an incomplete body when a router stops

Cause: the end of the context of a request does not end a read of its body, so the handler was still in it when the connections were closed.

Evidence: a caller that had sent half of its body got no answer.

Change: the end of the context ends the read, and the request is refused with status 503, not run.

Before: "the request got no answer: unexpected EOF".

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -200,7 +200,8 @@
 }
 
 // readBody reads the whole body. It fails if the body is too large or too slow,
-// or if the bodies of all open requests would exceed their memory limit.
+// if the bodies of all open requests would exceed their memory limit, or if the
+// router stops before the body is complete.
 func (r *Router) readBody(q *request) (release func(), refusal *result.Error) {
 	limits := &r.cfg.Limits
 	if q.req.ContentLength > limits.BodyBytes {
@@ -218,7 +219,10 @@
 	if q.req.ContentLength > 0 {
 		buf.Grow(int(q.req.ContentLength) + bytes.MinRead)
 	}
+	ctx := q.req.Context()
+	stop := context.AfterFunc(ctx, q.endBodyRead)
 	_, err := buf.ReadFrom(http.MaxBytesReader(q.w, q.req.Body, limits.BodyBytes))
+	stop()
 	if err == nil {
 		q.setBodyReadTimeout(0)
 	} else {
@@ -235,6 +239,8 @@
 	switch {
 	case errors.As(err, &maxBytesErr):
 		return release, bodyTooLargeError(limits.BodyBytes)
+	case err != nil && errors.Is(context.Cause(ctx), proxy.ErrStopping):
+		return release, result.New(result.ShuttingDown, "the router stops before the request body was complete")
 	case err != nil && err != io.EOF:
 		return release, result.Wrap(result.InvalidRequest, err, "the request body could not be read")
 	}
@@ -253,6 +259,12 @@
 	_ = http.NewResponseController(q.w).SetReadDeadline(deadline)
 }
 
+// endBodyRead ends a read of the body at once.
+func (q *request) endBodyRead() {
+	// Fails only for response recorders in tests, which have no deadlines.
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0))
+}
+
 func bodyTooLargeError(limit int64) *result.Error {
 	return result.New(result.TooLarge, "the body is larger than %d bytes", limit)
 }
