Ask a third server when two are silent

Cause: nothing ended the wait for a second server that is silent as well.

Evidence: a request with a third attempt left waited for two silent servers until its deadline and got status 504.

Change: when the second server has sent nothing for as long as the first, a third one is assigned; then the second attempt is cancelled and the third begins. Without a third server, a retry in the budget or another attempt of the route the second attempt stays. The first server keeps the request in any case, and if it has failed, a request that is suspected of ending servers is not sent again.

Before: "504 != 200: the server did not respond before the request deadline", with both forms of the test.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -85,7 +85,20 @@
 	if last || x.route.RetryPolicy == routing.AtMostOnce {
 		return time.Until(x.deadline) + time.Second
 	}
-	return max(time.Duration(inactivityFactor*float64(x.dispatchReq.Objective)), minInactivityTimeout)
+	return x.silenceLimit(false)
+}
+
+// silenceLimit returns how long a server may send nothing before another one is asked,
+// before the first event or response (began false) or between events.
+func (x *proxiedRequest) silenceLimit(began bool) time.Duration {
+	if !began {
+		return max(time.Duration(inactivityFactor*float64(x.dispatchReq.Objective)), minInactivityTimeout)
+	}
+	pause := x.route.MaxEventGap
+	if pause == 0 {
+		pause = defaultEventPause
+	}
+	return stallFactor * pause
 }
 
 // buildRequest returns the request to send to the server of the decision. It resumes
@@ -397,9 +410,5 @@
 	if last || x.route.RetryPolicy != routing.Resumable {
 		return time.Until(x.deadline) + time.Second
 	}
-	pause := x.route.MaxEventGap
-	if pause == 0 {
-		pause = defaultEventPause
-	}
-	return stallFactor * pause
+	return x.silenceLimit(true)
 }
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -96,8 +96,10 @@
 	ready        bool          // the second server has begun to answer
 	running      chan struct{} // closed when tryReplace returns, nil if it does not run
 	second       *serverExchange
-	sent         int      // second attempts that may have reached a server, without the one that was taken over
-	secondSentTo []string // addresses of the second attempts that may have reached a server
+	silence      *time.Timer     // runs replaceSecond
+	next         *serverExchange // takes the place of the second attempt when that has ended, nil if none
+	sent         int             // second attempts that may have reached a server, without the one that was taken over
+	secondSentTo []string        // addresses of the second attempts that may have reached a server
 	unsent       int
 	mayHaveRun   bool
 	outcomes     []string
@@ -128,8 +130,10 @@
 
 // cancelSecond cancels a second attempt in progress. The caller must hold mu.
 func (h *hedge) cancelSecond() {
-	if h.second != nil {
-		h.second.cancel(errAttemptEnded)
+	for _, e := range []*serverExchange{h.second, h.next} {
+		if e != nil {
+			e.cancel(errAttemptEnded)
+		}
 	}
 }
 
@@ -162,16 +166,34 @@
 		h.x.sentAttempts+h.sent+1 < h.x.route.MaxAttempts && h.unsent < maxUnsentAttempts
 	var second *serverExchange
 	if mayHedge {
-		second = h.x.beginHedge(h.first)
+		second = h.x.beginHedge(h.first, h.first.decision.Address)
 	}
 	if second == nil {
 		h.mu.Unlock()
 		return !began && time.Since(h.startedAt) > soundSilence && !h.x.s.heardSince(h.first.decision.Server, h.startedAt)
 	}
 	h.second, h.running = second, make(chan struct{})
-	running, sentBefore := h.running, slices.Contains(slices.Concat(h.sentBefore, h.secondSentTo), second.decision.Address)
+	running := h.running
 	h.mu.Unlock()
 	defer close(running)
+	for second != nil {
+		var ready bool
+		if ready, second = h.runSecond(second, began, lastEventID); ready {
+			return true
+		}
+	}
+	return false
+}
+
+// runSecond reports whether the second server has begun to answer. If not, it returns
+// the exchange that takes its place, nil if there is none.
+func (h *hedge) runSecond(second *serverExchange, began bool, lastEventID string) (ready bool, next *serverExchange) {
+	h.mu.Lock()
+	sentBefore := slices.Contains(slices.Concat(h.sentBefore, h.secondSentTo), second.decision.Address)
+	silence := time.AfterFunc(h.x.silenceLimit(began), func() { h.replaceSecond(second) })
+	h.silence = silence
+	h.mu.Unlock()
+	defer silence.Stop()
 
 	a := h.x.awaitBegin(second, began, sentBefore, lastEventID)
 	h.mu.Lock()
@@ -179,7 +201,7 @@
 	switch {
 	case a.done && !h.closed && context.Cause(second.ctx) == nil:
 		h.ready = true
-		return true
+		return true, nil
 	case a.sent && (a.done || context.Cause(second.ctx) == errAttemptEnded):
 		a.outcome = dispatch.CallerDisconnected
 	case context.Cause(second.ctx) == errAttemptEnded:
@@ -188,7 +210,30 @@
 		h.x.addLostConnection(second.decision, second.startedAt, false)
 	}
 	h.drop(a)
-	return false
+	h.second, h.next = h.next, nil
+	if h.second != nil && (h.closed || context.Cause(h.second.ctx) != nil) {
+		h.drop(attemptResult{outcome: dispatch.NotSent})
+	}
+	return false, h.second
+}
+
+// replaceSecond runs when the second server has sent nothing for too long. It ends that
+// attempt if the route allows a third one and a third server has a place for it.
+func (h *hedge) replaceSecond(second *serverExchange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || h.ready || h.second != second || context.Cause(second.ctx) != nil {
+		return
+	}
+	mayRepeat := h.x.sentAttempts+h.sent+2 < h.x.route.MaxAttempts && !(h.firstEnded && h.x.s.suspectsAgain(h.x.suspects))
+	if mayRepeat && !second.arrival.HasUnread() {
+		h.next = h.x.beginHedge(second, h.first.decision.Address)
+	}
+	if h.next == nil {
+		h.silence.Reset(inactivityRecheckInterval)
+		return
+	}
+	second.cancel(errAttemptEnded)
 }
 
 // drop ends the second attempt with the result a. The caller must hold mu.
@@ -271,9 +316,9 @@
 	h.x.outcomes = append(h.x.outcomes, h.outcomes...)
 }
 
-// beginHedge returns an exchange with a second server, nil if there is none or no
-// retry budget.
-func (x *proxiedRequest) beginHedge(first *serverExchange) *serverExchange {
+// beginHedge returns an exchange with another server than that of running, nil if there
+// is none or no retry budget. It fetches nothing from the address of the first server.
+func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string) *serverExchange {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	now := time.Now()
@@ -283,12 +328,12 @@
 	if !x.s.retryBudget.canSpend(x.dispatchReq.Service) {
 		return nil
 	}
-	r, v := x.s.dispatcher.Hedge(now, first.dispatchReq, first.decision.Server)
+	r, v := x.s.dispatcher.Hedge(now, running.dispatchReq, running.decision.Server)
 	if r == nil {
 		return nil
 	}
 	x.s.retryBudget.spend(x.dispatchReq.Service)
-	if v.FetchFrom == first.decision.Address {
+	if v.FetchFrom == firstAddress {
 		v.FetchFrom = "" // the silent server would delay the fetch
 	}
 	return x.newExchange(v, r)
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -115,9 +115,14 @@
 	if a.outcome != dispatch.ConnectionLost || x.answerBegan() {
 		return false
 	}
-	x.s.mu.Lock()
-	defer x.s.mu.Unlock()
-	return x.s.quarantine.SuspectsAgain(time.Now(), x.suspects)
+	return x.s.suspectsAgain(x.suspects)
+}
+
+// suspectsAgain reports whether requests with one of the suspects were lost before.
+func (s *Server) suspectsAgain(suspects []uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.SuspectsAgain(time.Now(), suspects)
 }
 
 // answerBegan reports whether the server of the current attempt began the answer
