Wait for the third server when the first one fails

Cause: while a silent second attempt is being replaced, its context has ended, so a request whose first server failed just then took it for no longer in progress and cancelled the third attempt as well. Found by reading; the window is the time of a cancellation.

Change: the wait looks at the attempt that comes next.

The window itself has no test.

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -273,7 +273,11 @@
 	}
 	h.mu.Lock()
 	running := h.running
-	h.firstEnded = h.second != nil && context.Cause(h.second.ctx) == nil
+	last := h.second
+	if h.next != nil {
+		last = h.next
+	}
+	h.firstEnded = last != nil && context.Cause(last.ctx) == nil
 	waits := h.firstEnded
 	h.mu.Unlock()
 	if !waits {
