Keep quarantines whatever verdicts other hosts send, and judge fast

- a verdict of another host that changed the companions of a lapsed one made the count of restricted suspects wrong, and at 0 every quarantined request passed: the join counts the verdict anew;
- a sound part that was refused only with another one was restricted alone after the lapse: a lapse keeps the companions;
- a verdict with the largest accepted generation could not be released elsewhere: the bound is relative to the known generation;

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -146,6 +146,10 @@
 	http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
 }
 
+// unreadStatuses are the statuses that a server may send before it runs the request, so
+// that they do not show that the request is sound.
+var unreadStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests}
+
 // rejectHead reports whether a response head rules out forwarding the response:
 // it does not belong to this request, was not produced by a backend server, is
 // compressed, states that the request was not executed, or does not continue the
@@ -203,7 +207,9 @@
 		return a
 	}
 	a.outcome, a.done = dispatch.Completed, true
-	x.reportAnswerBegan(time.Now(), resp.StatusCode/100 == 2)
+	if !slices.Contains(unreadStatuses, resp.StatusCode) {
+		x.reportAnswerBegan(time.Now(), resp.StatusCode/100 == 2)
+	}
 	x.writeBuffered(h)
 	return a
 }
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -38,33 +38,16 @@
 	return begun
 }
 
-// requestsLost returns the least number of requests of which one was lost in each of
-// the losses, up to lossesToQuarantine: more than that may be repeats. It takes the
-// request that was lost most often first.
-func (t *Tracker) requestsLost(s *suspicion) int {
-	left, counts := slices.Clone(s.losses), map[int]int{}
-	for n := range lossesToQuarantine {
-		clear(counts)
-		best := 0
-		for _, l := range left {
-			for _, request := range t.repeats[l] {
-				counts[request]++
-				if counts[request] > counts[best] || counts[request] == counts[best] && request > best {
-					best = request
-				}
-			}
-		}
-		if counts[best] <= 1 {
-			return min(n+len(left), lossesToQuarantine)
-		}
-		left = slices.DeleteFunc(left, func(l *loss) bool { return slices.Contains(t.repeats[l], best) })
-	}
-	return lossesToQuarantine
+// repeatIndex holds the requests that were lost in several losses, as numbers from 1.
+type repeatIndex struct {
+	requests map[*loss][]int
+	order    map[*loss]uint64 // number of the loss
+	counts   []int            // by request, scratch space
+	least    map[uint64]int   // results of requestsLost, by a hash of the losses
 }
 
-// indexRepeats returns, for each loss, the numbers of the requests that are suspects of
-// it and of another one.
-func (t *Tracker) indexRepeats(losses []*loss) map[*loss][]int {
+// indexRepeats returns the requests that are suspects of a loss and of another one.
+func (t *Tracker) indexRepeats(losses []*loss) *repeatIndex {
 	counts := map[uint64]int{}
 	for _, l := range losses {
 		for request := range l.suspects {
@@ -78,15 +61,53 @@
 	for i, request := range requests {
 		numbers[request] = i + 1
 	}
-	out := make(map[*loss][]int, len(losses))
-	for _, l := range losses {
+	x := &repeatIndex{requests: map[*loss][]int{}, order: map[*loss]uint64{}, counts: make([]int, len(requests)+1), least: map[uint64]int{}}
+	for i, l := range losses {
+		x.order[l] = uint64(i)
 		for request := range l.suspects {
 			if number := numbers[request]; number > 0 && t.isSuspectOf(request, l) {
-				out[l] = append(out[l], number)
+				x.requests[l] = append(x.requests[l], number)
 			}
 		}
 	}
-	return out
+	return x
+}
+
+// requestsLost returns the least number of requests of which one was lost in each of
+// the losses, up to lossesToQuarantine: more than that may be repeats. Many parts have
+// the same losses, so each set of losses is looked at once.
+func (x *repeatIndex) requestsLost(losses []*loss) int {
+	key := uint64(len(losses))
+	for _, l := range losses {
+		key = mix(key, x.order[l])
+	}
+	least, known := x.least[key]
+	if !known {
+		least = x.countRequests(slices.Clone(losses))
+		x.least[key] = least
+	}
+	return least
+}
+
+// countRequests takes the request that was lost most often first.
+func (x *repeatIndex) countRequests(left []*loss) int {
+	for n := range lossesToQuarantine {
+		clear(x.counts)
+		best := 0
+		for _, l := range left {
+			for _, request := range x.requests[l] {
+				x.counts[request]++
+				if x.counts[request] > x.counts[best] || x.counts[request] == x.counts[best] && request > best {
+					best = request
+				}
+			}
+		}
+		if x.counts[best] <= 1 {
+			return min(n+len(left), lossesToQuarantine)
+		}
+		left = slices.DeleteFunc(left, func(l *loss) bool { return slices.Contains(x.requests[l], best) })
+	}
+	return lossesToQuarantine
 }
 
 // isSuspectOf reports whether a request or part was lost in the loss and was not
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -14,7 +14,8 @@
 	for part, v := range t.verdicts {
 		switch {
 		case v.State == Quarantined && now.Sub(v.nextTrialAt()) > lapseTime:
-			t.decide(now, part, Lapsed, "no trial")
+			companions := v.Companions
+			t.decide(now, part, Lapsed, "no trial", func(next *Verdict) { next.Companions = companions })
 		case v.State != Quarantined && now.Sub(v.Since) > verdictRetention:
 			t.forget(v)
 		}
@@ -113,7 +114,7 @@
 	if s.answered && t.begunSince(s.losses[0]) < answersToSuspect {
 		return false
 	}
-	return IsRequest(suspect) || t.requestsLost(s) >= lossesToQuarantine
+	return IsRequest(suspect) || t.repeats.requestsLost(s.losses) >= lossesToQuarantine
 }
 
 // settleTime is the delay between the last loss and the decision. Without other hosts
--- a/pkg/quarantine/limits_test.go
+++ b/pkg/quarantine/limits_test.go
@@ -177,3 +177,53 @@
 	tracker.evaluate(now.Add(settleTime))
 	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
 }
+
+// Guards against a verdict with the largest generation that is accepted, which no other host can end.
+func TestVerdictWithTheLargestAcceptedGenerationCanBeReleased(t *testing.T) {
+	a, b, now := New(1), New(2), start
+	odd := Message{Verdicts: []Verdict{{Suspect: poll, Generation: maxGenerationStep, State: Quarantined, Since: now, Term: firstTerm}}}
+	a.Merge(now, odd, false)
+	b.Merge(now, odd, false)
+	now = now.Add(time.Second)
+	a.Release(now, poll)
+	for range 3 {
+		b.Merge(now, a.Message(now, true), false)
+		a.Merge(now, b.Message(now, true), false)
+	}
+	action, _ := b.Check(now, []uint64{poll})
+	assert.Equal(t, action, Allow)
+}
+
+// Guards against a sound part being restricted alone after the lapse of a quarantine that refused it only with another part.
+func TestCompanionIsFreeAfterALapse(t *testing.T) {
+	const deadly, sound = 1, 2
+	tracker, now := New(1), start
+	for i := range uint64(6) {
+		now = now.Add(time.Second)
+		addLoss(tracker, now, Server{i, 1}, []uint64{deadly, sound}, 1)
+	}
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	assert.Equal(t, tracker.verdicts[sound].State, Quarantined)
+	now = now.Add(firstTerm + lapseTime + time.Second)
+	tracker.Poll(now)
+	assert.Equal(t, tracker.verdicts[sound].State, Lapsed)
+	for range 3 {
+		action, _ := tracker.Begin(now, []uint64{sound, RequestSuspect(99)})
+		assert.Check(t, action == Allow, "%v", action)
+	}
+}
+
+// Guards against a verdict of another host that changes the companions of a known one switching all quarantines off.
+func TestChangeOfCompanionsKeepsOtherQuarantines(t *testing.T) {
+	tracker, now := New(1), start
+	tracker.decide(now, poll, Quarantined, "test")
+	lapsed := Verdict{Suspect: 5, Generation: 1, State: Lapsed, Since: now, Term: firstTerm, Companions: []uint64{6}}
+	tracker.Merge(now, Message{Verdicts: []Verdict{lapsed}}, false)
+	lapsed.Companions = nil
+	tracker.Merge(now, Message{Verdicts: []Verdict{lapsed}}, false)
+	now = now.Add(time.Second)
+	tracker.Merge(now, Message{Verdicts: []Verdict{{Suspect: 5, Generation: 2, State: Released, Since: now, Term: firstTerm}}}, false)
+	action, _ := tracker.Check(now, []uint64{poll})
+	assert.Equal(t, action, Refuse)
+}
--- a/pkg/quarantine/message.go
+++ b/pkg/quarantine/message.go
@@ -248,13 +248,19 @@
 
 // mergeVerdict merges a verdict of another host.
 func (t *Tracker) mergeVerdict(now time.Time, in Verdict, fromSummary bool) {
-	if in.Generation == 0 || in.Generation > maxGeneration || in.State > Quarantined || in.Since.After(now) {
+	if in.Generation == 0 || in.State > Quarantined || in.Since.After(now) {
 		return
 	}
 	in.Term = min(max(in.Term, weakFirstTerm), maxTerm)
 	in.Companions = in.Companions[:min(len(in.Companions), MaxCompanions)]
 	current := t.verdicts[in.Suspect]
+	known := uint64(0)
+	if current != nil {
+		known = uint64(current.Generation)
+	}
 	switch {
+	case uint64(in.Generation) > known+maxGenerationStep:
+		return // no later one may be possible
 	case current == nil:
 		if in.State != Quarantined && now.Sub(in.Since) > verdictRetention || in.State == Quarantined && now.Sub(in.Since) > in.Term+lapseTime+verdictRetention {
 			return
@@ -274,6 +280,8 @@
 
 // joinVerdict merges two equal decisions of different hosts.
 func (t *Tracker) joinVerdict(v *verdict, in Verdict) {
+	t.count(v, -1)
+	defer t.count(v, 1)
 	if in.Since.Before(v.Since) {
 		v.Since = in.Since
 	}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -27,7 +27,7 @@
 	evaluateAt         time.Time // next evaluation of the evidence, zero if none is due
 	resumedAt          time.Time // end of the last suspension of this host
 
-	repeats map[*loss][]int // requests of several losses, during an evaluation
+	repeats *repeatIndex // during an evaluation
 
 	digestNews  news // for hosts that get the messages of this host
 	summaryNews news // for other data centres, if this host speaks for its own
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -109,8 +109,9 @@
 	priorRequests = 48
 	// maxCount bounds the counts in messages.
 	maxCount = 1 << 20
-	// maxGeneration bounds the generations in messages, so that a later one is possible.
-	maxGeneration = 1 << 30
+	// maxGenerationStep bounds the generation of a verdict of another host by that of the
+	// known one, so that a later one is possible.
+	maxGenerationStep = 1 << 30
 )
 
 // Server identifies one start of a backend server.
