--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -57,8 +57,8 @@
 func (x *proxiedRequest) takeOver(e *serverExchange) dispatch.Decision {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
+	x.s.dispatcher.EndHedge(time.Now(), e.dispatchReq, x.dispatchReq)
 	x.dispatchReq = e.dispatchReq
-	x.dispatchReq.EndHedge()
 	return e.decision
 }
 
@@ -92,10 +92,14 @@
 	began        bool   // bytes of the response were sent to the caller
 	lastEventID  string // of the last event sent to the caller
 	closed       bool
+	firstEnded   bool          // the first server has failed while the second attempt is in progress
+	ready        bool          // the second server has begun to answer
 	running      chan struct{} // closed when tryReplace returns, nil if it does not run
 	second       *serverExchange
-	sent         int      // second attempts that may have reached a server, without the one that was taken over
-	secondSentTo []string // addresses of the second attempts that may have reached a server
+	silence      *time.Timer     // runs replaceSecond
+	next         *serverExchange // takes the place of the second attempt when that has ended, nil if none
+	sent         int             // second attempts that may have reached a server, without the one that was taken over
+	secondSentTo []string        // addresses of the second attempts that may have reached a server
 	unsent       int
 	mayHaveRun   bool
 	outcomes     []string
@@ -108,11 +112,29 @@
 	}
 }
 
-// forwarded records what the caller has received.
+// progressed ends a second attempt in progress, because the first server has gone on.
+func (h *hedge) progressed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancelSecond()
+}
+
+// forwarded records what the caller has received. It ends a second attempt that began
+// since progressed and continues what the caller had before.
 func (h *hedge) forwarded(lastEventID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.began, h.lastEventID = true, lastEventID
+	h.cancelSecond()
+}
+
+// cancelSecond cancels a second attempt in progress. The caller must hold mu.
+func (h *hedge) cancelSecond() {
+	for _, e := range []*serverExchange{h.second, h.next} {
+		if e != nil {
+			e.cancel(errAttemptEnded)
+		}
+	}
 }
 
 // hasBegun reports whether events were sent to the caller.
@@ -131,10 +153,11 @@
 
 // tryReplace reports whether the silent first server may be given up: a second one
 // has begun to answer, or nothing can be lost because the caller has received
-// nothing and the server has sent nothing to anyone for longer than a sound one.
+// nothing and the server has sent nothing to anyone for longer than a sound one. It
+// may run several times at once: each event of the first server restarts the timer.
 func (h *hedge) tryReplace() bool {
 	h.mu.Lock()
-	if h.closed || h.first.arrival.HasUnread() {
+	if h.closed || h.firstEnded || h.second != nil || h.first.arrival.HasUnread() {
 		h.mu.Unlock()
 		return false
 	}
@@ -143,23 +166,42 @@
 		h.x.sentAttempts+h.sent+1 < h.x.route.MaxAttempts && h.unsent < maxUnsentAttempts
 	var second *serverExchange
 	if mayHedge {
-		second = h.x.beginHedge(h.first)
+		second = h.x.beginHedge(h.first, h.first.decision.Address)
 	}
 	if second == nil {
 		h.mu.Unlock()
 		return !began && time.Since(h.startedAt) > soundSilence && !h.x.s.heardSince(h.first.decision.Server, h.startedAt)
 	}
 	h.second, h.running = second, make(chan struct{})
-	running, sentBefore := h.running, slices.Contains(slices.Concat(h.sentBefore, h.secondSentTo), second.decision.Address)
+	running := h.running
 	h.mu.Unlock()
 	defer close(running)
+	for second != nil {
+		var ready bool
+		if ready, second = h.runSecond(second, began, lastEventID); ready {
+			return true
+		}
+	}
+	return false
+}
+
+// runSecond reports whether the second server has begun to answer. If not, it returns
+// the exchange that takes its place, nil if there is none.
+func (h *hedge) runSecond(second *serverExchange, began bool, lastEventID string) (ready bool, next *serverExchange) {
+	h.mu.Lock()
+	sentBefore := slices.Contains(slices.Concat(h.sentBefore, h.secondSentTo), second.decision.Address)
+	silence := time.AfterFunc(h.x.silenceLimit(began), func() { h.replaceSecond(second) })
+	h.silence = silence
+	h.mu.Unlock()
+	defer silence.Stop()
 
 	a := h.x.awaitBegin(second, began, sentBefore, lastEventID)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case a.done && !h.closed:
-		return true
+	case a.done && !h.closed && context.Cause(second.ctx) == nil:
+		h.ready = true
+		return true, nil
 	case a.sent && (a.done || context.Cause(second.ctx) == errAttemptEnded):
 		a.outcome = dispatch.CallerDisconnected
 	case context.Cause(second.ctx) == errAttemptEnded:
@@ -168,7 +210,30 @@
 		h.x.addLostConnection(second.decision, second.startedAt, false)
 	}
 	h.drop(a)
-	return false
+	h.second, h.next = h.next, nil
+	if h.second != nil && (h.closed || context.Cause(h.second.ctx) != nil) {
+		h.drop(attemptResult{outcome: dispatch.NotSent})
+	}
+	return false, h.second
+}
+
+// replaceSecond runs when the second server has sent nothing for too long. It ends that
+// attempt if the route allows a third one and a third server has a place for it.
+func (h *hedge) replaceSecond(second *serverExchange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || h.ready || h.second != second || context.Cause(second.ctx) != nil {
+		return
+	}
+	mayRepeat := h.x.sentAttempts+h.sent+2 < h.x.route.MaxAttempts && !(h.firstEnded && h.x.s.suspectsAgain(h.x.suspects))
+	if mayRepeat && !second.arrival.HasUnread() {
+		h.next = h.x.beginHedge(second, h.first.decision.Address)
+	}
+	if h.next == nil {
+		h.silence.Reset(inactivityRecheckInterval)
+		return
+	}
+	second.cancel(errAttemptEnded)
 }
 
 // drop ends the second attempt with the result a. The caller must hold mu.
@@ -177,7 +242,7 @@
 	if second == nil {
 		return
 	}
-	h.second = nil
+	h.second, h.ready = nil, false
 	if a.sent {
 		h.sent++
 		h.secondSentTo = append(h.secondSentTo, second.decision.Address)
@@ -194,18 +259,46 @@
 func (h *hedge) keepFirst() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
+	if !h.firstEnded {
+		h.drop(attemptResult{sent: true, outcome: dispatch.CallerDisconnected})
+	}
+}
+
+// awaitSecond waits for a second attempt in progress after the first one has failed
+// with the result a, until the deadline or the end of the grace period of a planned
+// stop. It returns a with the error that ended the wait.
+func (h *hedge) awaitSecond(a attemptResult) attemptResult {
+	if a.done || h.x.suspectedAgain(a) {
+		return a
+	}
+	h.mu.Lock()
+	running := h.running
+	h.firstEnded = h.second != nil && context.Cause(h.second.ctx) == nil
+	waits := h.firstEnded
+	h.mu.Unlock()
+	if !waits {
+		return a
+	}
+	select {
+	case <-running:
+	case <-h.first.ctx.Done():
+		if cause := context.Cause(h.first.ctx); errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errHostStopping) {
+			a.err = cause
+		}
+	}
+	return a
 }
 
 // close ends a second attempt in progress and waits for it. It adds the results to
 // the request, which takes over a second attempt that has begun to answer if the
-// first was given up for it.
+// first was given up for it or has failed.
 func (h *hedge) close(abandoned bool) {
 	h.mu.Lock()
 	h.closed = true
 	running := h.running
-	if h.second != nil && !abandoned {
-		h.second.cancel(errAttemptEnded)
+	abandoned = abandoned || h.firstEnded && h.ready
+	if !abandoned {
+		h.cancelSecond()
 	}
 	h.mu.Unlock()
 	if running != nil {
@@ -223,9 +316,9 @@
 	h.x.outcomes = append(h.x.outcomes, h.outcomes...)
 }
 
-// beginHedge returns an exchange with a second server, nil if there is none or no
-// retry budget.
-func (x *proxiedRequest) beginHedge(first *serverExchange) *serverExchange {
+// beginHedge returns an exchange with another server than that of running, nil if there
+// is none or no retry budget. It fetches nothing from the address of the first server.
+func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string) *serverExchange {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	now := time.Now()
@@ -235,12 +328,12 @@
 	if !x.s.retryBudget.canSpend(x.dispatchReq.Service) {
 		return nil
 	}
-	r, v := x.s.dispatcher.Hedge(now, first.dispatchReq, first.decision.Server)
+	r, v := x.s.dispatcher.Hedge(now, running.dispatchReq, running.decision.Server)
 	if r == nil {
 		return nil
 	}
 	x.s.retryBudget.spend(x.dispatchReq.Service)
-	if v.FetchFrom == first.decision.Address {
+	if v.FetchFrom == firstAddress {
 		v.FetchFrom = "" // the silent server would delay the fetch
 	}
 	return x.newExchange(v, r)
