Count a crash whose earlier one is reported late

Cause: a loss that another host reports is dated at its receipt less its age, thus late by what the message took. A copy of a request that was sent in between seemed sent before that loss, so the third crash didn't count, and without a fourth there was no verdict.

The new test repeats it: a report 20 ms late, then the third crash 15 ms after the second.

Change: of a request that no server ever answered, copies sent up to reportDelay (50 ms) before the earlier loss count as sent after it. Requests that were answered are judged as before.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -170,11 +170,16 @@
 // isApartFrom reports whether the loss says more about the suspect than one at the
 // earlier time. A copy of a request was sent after the earlier loss; or some time has
 // passed and no server ever answered the request: callers send a batch of equal requests
-// that wait together.
+// that wait together. The time of a loss that another host reports is late by the time
+// that its message took, so that a copy may seem to be sent before it.
 func (l *loss) isApartFrom(earlier time.Time, suspect uint64, answered bool) bool {
 	gap := l.at.Sub(earlier)
 	if IsRequest(suspect) {
-		return gap > 0 && l.suspects[suspect] <= gap || gap >= requestEpisodeGap && !answered
+		sentBefore := l.suspects[suspect]
+		if answered {
+			return gap > 0 && sentBefore <= gap
+		}
+		return gap > 0 && sentBefore <= gap+reportDelay || gap >= requestEpisodeGap
 	}
 	return gap >= episodeGap || l.started.After(earlier)
 }
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -216,6 +216,32 @@
 	}
 }
 
+// Guards against a third crash that does not count because the message about the second
+// one took longer than the caller to ask again.
+func TestLateReportOfALossDoesNotHideTheNextCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		late time.Duration
+		want Action
+	}{"in time": {0, Refuse}, "after the next request was sent": {20 * time.Millisecond, Refuse}, "after the next crash": {40 * time.Millisecond, Refuse}} {
+		tracker, now := New(1), start
+		lose := func(server, reporter uint64, at time.Time, late time.Duration) {
+			l := Loss{Server: Server{server, 1}, Reporter: reporter, At: at.Add(late), Lost: 1, Requests: []Sent{{poll, at.Add(late - 10*time.Millisecond)}}}
+			if reporter == 1 {
+				tracker.AddLoss(l.At, l)
+			} else {
+				tracker.Merge(l.At, Message{Losses: []Loss{l}}, false)
+			}
+		}
+		lose(1, 1, now, 0)
+		lose(2, 2, now.Add(15*time.Millisecond), c.late)
+		lose(3, 1, now.Add(30*time.Millisecond), 0)
+		now = now.Add(100*time.Millisecond + settleTime)
+		tracker.Poll(now)
+		action, _ := tracker.Check(now, []uint64{poll})
+		assert.Equal(t, action, c.want, name)
+	}
+}
+
 // Guards against parts that are quarantined for the crashes of one request, and against
 // a deadly part that is never found because few requests with it are repeated.
 func TestPartIsQuarantinedOnlyForSeveralRequests(t *testing.T) {
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -68,6 +68,9 @@
 	// servers of a rack are lost within some 10 ms; a copy that was sent after the
 	// loss before counts at once.
 	requestEpisodeGap = 50 * time.Millisecond
+	// reportDelay is what a message about a loss may take between hosts, also when
+	// they are busy.
+	reportDelay = 50 * time.Millisecond
 	// settleTime is the delay between the last loss and the decision. It covers
 	// the exchange between hosts, which tell that a part was cleared elsewhere.
 	settleTime = 400 * time.Millisecond
