Share the crashes of the simulated fleet between tests

Cause: three ways in which servers end were written out in two tests. Change: methods of the simulated fleet; what the tests do is the same.

--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -363,6 +363,28 @@
 	assert.Assert(t, f.hosts[2].tracker.verdicts[firstDeadly] != nil)
 }
 
+func (f *simulatedFleet) endOneEachSecond(elapsed time.Duration) {
+	if elapsed%time.Second == 0 {
+		f.end(f.servers[f.random.IntN(len(f.servers))])
+	}
+}
+
+func (f *simulatedFleet) endRackEach5s(elapsed time.Duration) {
+	if elapsed%(5*time.Second) == 0 {
+		for _, s := range f.servers[:4] {
+			f.end(s)
+		}
+	}
+}
+
+func (f *simulatedFleet) endAllEach10s(elapsed time.Duration) {
+	if elapsed%(10*time.Second) == 0 {
+		for _, s := range f.servers {
+			f.end(s)
+		}
+	}
+}
+
 // Guards against sound requests being refused because servers end for other
 // reasons: single ones, racks, all of them, and with parts that are new.
 func TestOtherCrashesQuarantineNothing(t *testing.T) {
@@ -370,25 +392,9 @@
 		name string
 		each func(f *simulatedFleet, elapsed time.Duration)
 	}{
-		{"one each second", func(f *simulatedFleet, elapsed time.Duration) {
-			if elapsed%time.Second == 0 {
-				f.end(f.servers[f.random.IntN(len(f.servers))])
-			}
-		}},
-		{"a rack each 5 s", func(f *simulatedFleet, elapsed time.Duration) {
-			if elapsed%(5*time.Second) == 0 {
-				for _, s := range f.servers[:4] {
-					f.end(s)
-				}
-			}
-		}},
-		{"all servers each 10 s", func(f *simulatedFleet, elapsed time.Duration) {
-			if elapsed%(10*time.Second) == 0 {
-				for _, s := range f.servers {
-					f.end(s)
-				}
-			}
-		}},
+		{"one each second", (*simulatedFleet).endOneEachSecond},
+		{"a rack each 5 s", (*simulatedFleet).endRackEach5s},
+		{"all servers each 10 s", (*simulatedFleet).endAllEach10s},
 		{"a release, one server each 300 ms", func(f *simulatedFleet, elapsed time.Duration) {
 			if elapsed%(300*time.Millisecond) == 0 && elapsed < 12*time.Second {
 				f.end(f.servers[int(elapsed/(300*time.Millisecond))%len(f.servers)])
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -108,25 +108,9 @@
 		name string
 		each func(f *simulatedFleet, elapsed time.Duration)
 	}{
-		{"one each second", func(f *simulatedFleet, elapsed time.Duration) {
-			if elapsed%time.Second == 0 {
-				f.end(f.servers[f.random.IntN(len(f.servers))])
-			}
-		}},
-		{"a rack each 5 s", func(f *simulatedFleet, elapsed time.Duration) {
-			if elapsed%(5*time.Second) == 0 {
-				for _, s := range f.servers[:4] {
-					f.end(s)
-				}
-			}
-		}},
-		{"all servers each 10 s", func(f *simulatedFleet, elapsed time.Duration) {
-			if elapsed%(10*time.Second) == 0 {
-				for _, s := range f.servers {
-					f.end(s)
-				}
-			}
-		}},
+		{"one each second", (*simulatedFleet).endOneEachSecond},
+		{"a rack each 5 s", (*simulatedFleet).endRackEach5s},
+		{"all servers each 10 s", (*simulatedFleet).endAllEach10s},
 		{"a deadly part", func(f *simulatedFleet, _ time.Duration) {
 			if f.deadly[firstDeadly] == nil {
 				f.deadly[firstDeadly] = &deadlySuspect{}
