--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -13,8 +13,7 @@
 
 // Listener returns a listener whose connections tell the tracker whether a request
 // has begun to arrive. net/http reports a connection as idle until it has read the
-// whole head of the next request.
-// StopAccepting closes it.
+// whole head of the next request. StopAccepting closes the listener.
 func (s *ConnTracker) Listener(l net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
