Give each test process loopback addresses of its own

Callers saw nothing, tests only. Cause: the fleets of the tests listened on fixed loopback addresses, and a free port that was found could be taken by another test process, or by an outgoing connection, before the host listened on it.

The checks of the tests are unchanged.

--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/internal/testport"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/cli"
 	"jackdawtrack.example/jackdawtrack/pkg/control"
@@ -89,7 +90,7 @@
 }
 
 func (c *cluster) listen(id uint64) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.IP(int(id))+":0") // outgoing connections take no port of it while the host is down
 	assert.NilError(c.t, err)
 	c.addresses[id] = l.Addr().String()
 	c.folders[id] = filepath.Join(c.t.TempDir(), "data")
--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -112,7 +112,7 @@
 	return c
 }
 
-func (c *testCore) address(n int) string { return fmt.Sprintf("127.0.7.%d:%d", n, c.port) }
+func (c *testCore) address(n int) string { return fmt.Sprintf("%s:%d", testport.IP(n), c.port) }
 
 func (c *testCore) hostNumber(address string) int {
 	for n := 1; n < 10; n++ {
