Abort an attempt whose repeated Begin did not start it

Callers saw a key that stays in use: each later attempt was refused with still_running until the session of the router ended.

Cause: a client of control repeats Begin when the outcome of a call is unknown. The repetition can be answered as still running, the owner can abort, and the first call can arrive after that and make the answered attempt the owner. A call that was answered by its repetition counted as finished.

The history checks at its end that every key is free or done.

Tests: TestDelayedBeginOfAnsweredAttemptLeavesKeyFree, TestRepeatedBeginIsAbortedUnlessItStarted.

--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -31,6 +31,7 @@
 	leader     uint64
 	random     *rand.Rand // nil disables faults
 	faultCount int
+	delayNext  bool // the next proposal is delayed
 }
 
 // member is one control host of a group.
@@ -140,6 +141,11 @@
 		g.leader = m.id%uint64(len(g.members)) + 1
 		return nil, errOutcomeUnknown
 	}
+	if g.delayNext {
+		g.delayNext = false
+		g.delayed = append(g.delayed, data)
+		return nil, errOutcomeUnknown
+	}
 	if g.random == nil {
 		return g.append(m, data), nil
 	}
@@ -172,6 +178,16 @@
 	return g.append(m, data), nil
 }
 
+// endFaults appends the delayed commands and injects no further faults.
+func (g *cluster) endFaults() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, data := range g.delayed {
+		g.append(g.members[g.leader], data)
+	}
+	g.delayed, g.random = nil, nil
+}
+
 func (m *member) ReadBarrier(ctx context.Context) error {
 	m.cluster.mu.Lock()
 	defer m.cluster.mu.Unlock()
--- a/pkg/control/linearizability_test.go
+++ b/pkg/control/linearizability_test.go
@@ -57,8 +57,9 @@
 }
 
 // runWithFaults runs clients concurrently against three servers with injected
-// faults.
-func runWithFaults(t *testing.T, clients int, run func(g *cluster, client int, c *controlclient.Client, random *rand.Rand)) {
+// faults. Then it appends the commands that are still delayed, ends the faults
+// and calls after.
+func runWithFaults(t *testing.T, clients int, run func(g *cluster, client int, c *controlclient.Client, random *rand.Rand), after func(g *cluster)) {
 	for _, seed := range historySeeds {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -76,6 +77,8 @@
 				}
 				wait.Wait()
 				assert.Assert(t, g.faultCount > clients, "only %d faults", g.faultCount)
+				g.endFaults()
+				after(g)
 			})
 		})
 	}
@@ -145,7 +148,7 @@
 			h.record(client, callTime, in, out, out.known)
 			revision = max(revision, out.revision)
 		}
-	})
+	}, func(*cluster) {})
 	for _, h := range histories {
 		h.check(t, operatorModel)
 	}
@@ -259,8 +262,8 @@
 func (r *keyedCaller) request(key string, attempt uint64, random *rand.Rand) {
 	in := beginRequest("w", key, "a", r.name, 1, attempt)
 	call := keyedCall{key: key, attempt: fmt.Sprintf("%s-%d", r.name, attempt)}
-	out := r.callOnce(call, "begin", in)
-	if !out.known || (out.state == apiv1.BeginState_BEGIN_STARTED && random.IntN(3) == 0) {
+	out, repeated := r.callOnce(call, "begin", in)
+	if !out.known || (repeated && out.state != apiv1.BeginState_BEGIN_STARTED) || (out.state == apiv1.BeginState_BEGIN_STARTED && random.IntN(3) == 0) {
 		r.callUntilKnown(call, "abort", in) // aborted before the dispatch
 		return
 	}
@@ -272,21 +275,23 @@
 }
 
 func (r *keyedCaller) callUntilKnown(op keyedCall, method string, in *apiv1.BeginRequest) {
-	for !r.callOnce(op, method, in).known {
+	for {
+		if out, _ := r.callOnce(op, method, in); out.known {
+			return
+		}
 	}
 }
 
-func (r *keyedCaller) callOnce(op keyedCall, method string, in *apiv1.BeginRequest) keyedOutcome {
+func (r *keyedCaller) callOnce(op keyedCall, method string, in *apiv1.BeginRequest) (out keyedOutcome, repeated bool) {
 	ctx, cancel := timeoutContext(100 * time.Millisecond)
 	defer cancel()
 	op.method = method
 	callTime := r.history.callTime()
-	out := keyedOutcome{}
 	var err error
 	switch method {
 	case "begin":
 		var b *apiv1.BeginResponse
-		b, err = r.client.Begin(ctx, in)
+		b, repeated, err = r.client.Begin(ctx, in)
 		out.state, out.answer = b.GetState(), string(b.GetAnswer().GetBody())
 	case "finish":
 		_, err = r.client.Finish(ctx, &apiv1.FinishRequest{Begin: in, Answer: &apiv1.StoredAnswer{Status: 200, Body: []byte(op.attempt)}})
@@ -295,12 +300,19 @@
 	}
 	out.known = err == nil
 	r.history.record(r.index, callTime, op, out, out.known)
-	return out
+	if out.known && repeated && out.state != apiv1.BeginState_BEGIN_STARTED {
+		// An earlier call may take effect later.
+		r.history.record(r.index, callTime, op, keyedOutcome{}, false)
+	}
+	return out, repeated
 }
 
-// Guards against a keyed request that is dispatched twice (I7), and against a
-// history of keyed requests that is not linearizable, under lost responses,
-// duplicates, reordering and changes of leader (F10).
+const keysOfHistory = 6
+
+// Guards against a keyed request that is dispatched twice (I7), against a
+// history of keyed requests that is not linearizable, and against a key that
+// stays in use without a request, under lost responses, duplicates, reordering
+// and changes of leader (F10).
 func TestKeyedRequestHistoryIsLinearizable(t *testing.T) {
 	var mu sync.Mutex
 	histories := map[*cluster]*history{}
@@ -316,9 +328,19 @@
 			dispatched[g][key]++
 		}}
 		mu.Unlock()
-		for attempt := range uint64(12) {
+		for attempt := range uint64(2 * keysOfHistory) {
 			r.request(fmt.Sprintf("k%d", attempt/2), attempt, random)
 		}
+	}, func(g *cluster) {
+		c := g.client("last", 1, 2, 3)
+		defer c.Close()
+		ctx, cancel := timeoutContext(time.Minute)
+		defer cancel()
+		for i := range keysOfHistory {
+			out, _, err := c.Begin(ctx, beginRequest("w", fmt.Sprintf("k%d", i), "a", "last", 1, uint64(i)))
+			assert.NilError(t, err)
+			assert.Assert(t, out.State == apiv1.BeginState_BEGIN_STARTED || out.State == apiv1.BeginState_BEGIN_DONE, "key k%d: %v", i, out.State)
+		}
 	})
 	total := 0
 	for g, h := range histories {
--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -214,7 +214,7 @@
 		defer expiredClient.Close()
 		defer renewingClient.Close()
 		beginState := func(c *controlclient.Client, in *apiv1.BeginRequest) apiv1.BeginState {
-			out, err := c.Begin(ctx, in)
+			out, _, err := c.Begin(ctx, in)
 			assert.NilError(t, err)
 			return out.GetState()
 		}
@@ -276,11 +276,11 @@
 		defer c.Close()
 		ctx, cancel := timeoutContext(72 * time.Hour)
 		defer cancel()
-		_, err := c.Begin(ctx, beginRequest("w", "k", "a", "r1", 1, 1))
+		_, _, err := c.Begin(ctx, beginRequest("w", "k", "a", "r1", 1, 1))
 		assert.NilError(t, err)
 		time.Sleep(48 * time.Hour)       // no commands are committed
 		for attempt := range uint64(2) { // the first call advances the clock
-			out, err := c.Begin(ctx, beginRequest("w", "k", "a", "r2", 1, attempt))
+			out, _, err := c.Begin(ctx, beginRequest("w", "k", "a", "r2", 1, attempt))
 			assert.NilError(t, err)
 			assert.Equal(t, out.GetState(), apiv1.BeginState_BEGIN_RUNNING)
 		}
@@ -320,3 +320,34 @@
 		assert.Equal(t, code, result.InvalidRequest, "same fencing number for another holder")
 	})
 }
+
+// Guards against a key that stays in use because a Begin that was answered by
+// its repetition takes effect after the owner has aborted.
+func TestDelayedBeginOfAnsweredAttemptLeavesKeyFree(t *testing.T) {
+	runInCluster(t, func(t *testing.T, g *cluster) {
+		owner, late, last := g.client("owner", 2, 3, 1), g.client("late", 1), g.client("last", 1)
+		defer owner.Close()
+		defer late.Close()
+		defer last.Close()
+		first := beginRequest("w", "k", "a", "owner", 1, 1)
+		_, repeated, err := owner.Begin(t.Context(), first)
+		assert.NilError(t, err)
+		assert.Assert(t, !repeated, "a host that does not lead passes nothing on")
+		g.mu.Lock()
+		g.delayNext = true
+		g.mu.Unlock()
+		answered := beginRequest("w", "k", "a", "late", 1, 1)
+		out, repeated, err := late.Begin(t.Context(), answered)
+		assert.NilError(t, err)
+		assert.Equal(t, out.State, apiv1.BeginState_BEGIN_RUNNING)
+		assert.Assert(t, repeated, "the caller cannot know that it has to abort")
+		_, err = late.Abort(t.Context(), &apiv1.AbortRequest{Begin: answered})
+		assert.NilError(t, err)
+		_, err = owner.Abort(t.Context(), &apiv1.AbortRequest{Begin: first})
+		assert.NilError(t, err)
+		g.endFaults()
+		out, _, err = last.Begin(t.Context(), beginRequest("w", "k", "a", "last", 1, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, out.State, apiv1.BeginState_BEGIN_STARTED)
+	})
+}
--- a/pkg/controlclient/call.go
+++ b/pkg/controlclient/call.go
@@ -37,6 +37,13 @@
 // is final or ctx ends. All methods may be repeated: commands carry an id,
 // keyed requests an attempt number.
 func callWithFailover[Req, Res any](ctx context.Context, c *Client, in Req, m rpcMethod[Req, Res]) (Res, error) {
+	out, _, err := callReportingLate(ctx, c, in, m)
+	return out, err
+}
+
+// callReportingLate is callWithFailover. mayBeLate reports that an earlier call
+// may still take effect after the response.
+func callReportingLate[Req, Res any](ctx context.Context, c *Client, in Req, m rpcMethod[Req, Res]) (out Res, mayBeLate bool, err error) {
 	var zero Res
 	backoff := retryBackoffMin
 	for {
@@ -44,15 +51,18 @@
 		out, leader, err := callHost(ctx, c, address, in, m)
 		if err == nil {
 			c.recordSuccess(address)
-			return out, nil
+			return out, mayBeLate, nil
 		}
 		if isFinal(err) {
-			return zero, err
+			return zero, mayBeLate, err
 		}
 		c.recordFailure(address, leader)
+		if code, _ := result.CodeOf(err); code != result.NotLeader {
+			mayBeLate = true // a host that does not lead passes nothing on
+		}
 		select {
 		case <-ctx.Done():
-			return zero, withResultCode(err)
+			return zero, mayBeLate, withResultCode(err)
 		case <-time.After(backoff/2 + rand.N(backoff)):
 		}
 		backoff = min(2*backoff, retryBackoffMax)
--- a/pkg/controlclient/client.go
+++ b/pkg/controlclient/client.go
@@ -90,8 +90,11 @@
 
 // Begin records a keyed request before its dispatch. After an error the outcome
 // is unknown: the caller must not dispatch the request and should call Abort.
-func (c *Client) Begin(ctx context.Context, in *apiv1.BeginRequest) (*apiv1.BeginResponse, error) {
-	return callWithFailover(ctx, c, in, apiv1.ControlClient.Begin)
+// repeated reports that an earlier call had no known outcome. It may still take
+// effect after the response, so the caller should also call Abort unless the
+// state is BEGIN_STARTED.
+func (c *Client) Begin(ctx context.Context, in *apiv1.BeginRequest) (out *apiv1.BeginResponse, repeated bool, err error) {
+	return callReportingLate(ctx, c, in, apiv1.ControlClient.Begin)
 }
 
 // Finish stores the answer of a keyed request.
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -262,7 +262,7 @@
 	ctx := testContext(t)
 	firstClient, secondClient := c.client("r1"), c.client("r2")
 	begin := func(client *controlclient.Client, in *apiv1.BeginRequest) *apiv1.BeginResponse {
-		out, err := client.Begin(ctx, in)
+		out, _, err := client.Begin(ctx, in)
 		assert.NilError(t, err)
 		return out
 	}
@@ -270,7 +270,7 @@
 	c.heldProposal.Store(&key)
 	beginStates := make(chan apiv1.BeginState, 1)
 	go func() {
-		out, err := firstClient.Begin(ctx, keyedBeginRequest("r1", 1))
+		out, _, err := firstClient.Begin(ctx, keyedBeginRequest("r1", 1))
 		assert.Check(t, err)
 		beginStates <- out.GetState()
 	}()
--- a/pkg/router/failure_test.go
+++ b/pkg/router/failure_test.go
@@ -198,12 +198,14 @@
 // fakeRecords simulates control. The first Abort fails.
 type fakeRecords struct {
 	begin    func() (*apiv1.BeginResponse, error)
+	repeated bool // of each Begin
 	aborts   atomic.Int64
 	finishes chan *apiv1.FinishRequest
 }
 
-func (f *fakeRecords) Begin(context.Context, *apiv1.BeginRequest) (*apiv1.BeginResponse, error) {
-	return f.begin()
+func (f *fakeRecords) Begin(context.Context, *apiv1.BeginRequest) (*apiv1.BeginResponse, bool, error) {
+	out, err := f.begin()
+	return out, f.repeated, err
 }
 
 func (f *fakeRecords) Finish(_ context.Context, in *apiv1.FinishRequest) (*apiv1.FinishResponse, error) {
@@ -274,6 +276,43 @@
 	}
 }
 
+// Guards against a key that stays in use because an earlier call of an answered
+// Begin takes effect late, and against the abort of an attempt that runs.
+func TestRepeatedBeginIsAbortedUnlessItStarted(t *testing.T) {
+	for state, code := range map[apiv1.BeginState]result.Code{
+		apiv1.BeginState_BEGIN_STARTED:     result.OK,
+		apiv1.BeginState_BEGIN_RUNNING:     result.StillRunning,
+		apiv1.BeginState_BEGIN_DONE:        result.StoredAnswer,
+		apiv1.BeginState_BEGIN_UNKNOWN:     result.OutcomeUnknown,
+		apiv1.BeginState_BEGIN_CONFLICT:    result.KeyConflict,
+		apiv1.BeginState_BEGIN_FULL:        result.KeyTableFull,
+		apiv1.BeginState_BEGIN_UNSPECIFIED: result.ControlUnavailable,
+	} {
+		for _, repeated := range []bool{false, true} {
+			records := &fakeRecords{repeated: repeated, finishes: make(chan *apiv1.FinishRequest, 2), begin: func() (*apiv1.BeginResponse, error) {
+				return &apiv1.BeginResponse{State: state, Answer: &apiv1.StoredAnswer{Status: 200}}, nil
+			}}
+			tr := newTestRouter(t, func(_ *Config, p *Dependencies) { p.Records = records })
+			s := newRawServer(t, respondOK)
+			tr.announceRawServer(t, "s1", s, backend.Abilities{})
+			resp, body := do(t, tr.request(t, http.MethodPost, "/services/p/x", "order", "{}", proxy.HeaderIdempotencyKey, "k1"))
+			assert.Equal(t, resp.Header.Get(headerResult), fmt.Sprint(uint32(code)), body)
+			started := 0
+			if state == apiv1.BeginState_BEGIN_STARTED {
+				started = 1
+				tr.waitFor(t, "the record of the end", func() bool { return len(records.finishes) == 1 })
+			}
+			tr.router.recordWrites.Wait()
+			assert.Equal(t, s.count.Load(), int64(started), "%s", state)
+			aborts := int64(0)
+			if repeated && started == 0 {
+				aborts = 2 // the first one fails
+			}
+			assert.Equal(t, records.aborts.Load(), aborts, "%s, repeated %v", state, repeated)
+		}
+	}
+}
+
 // TestBrokenKeyedRequestIsUnknown checks that a request whose response broke
 // off is not recorded as done.
 func TestBrokenKeyedRequestIsUnknown(t *testing.T) {
--- a/pkg/router/keyed.go
+++ b/pkg/router/keyed.go
@@ -54,11 +54,16 @@
 	}
 	ctx, cancel := context.WithTimeout(q.context(), beginTimeout)
 	defer cancel()
-	resp, err := r.records.Begin(ctx, record)
+	resp, repeated, err := r.records.Begin(ctx, record)
 	if err != nil {
 		r.abortRecord(record)
 		return nil, r.handleControlUnavailable(q, err)
 	}
+	if repeated && resp.State != apiv1.BeginState_BEGIN_STARTED {
+		// An earlier call can arrive late and make this attempt the owner of a
+		// record that it would never finish.
+		r.abortRecord(record)
+	}
 	return record, r.answerUnlessStarted(q, resp)
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -28,11 +28,12 @@
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 )
 
-// Records stores keyed requests in the control log. After an error of Begin the
-// state of the record is unknown: the request is not dispatched under this
-// record, and Abort is repeated until it succeeds.
+// Records stores keyed requests in the control log. After an error of Begin, and
+// after a repeated Begin that did not start the request, the state of the record
+// is unknown: the request is not dispatched under this record, and Abort is
+// repeated until it succeeds.
 type Records interface {
-	Begin(ctx context.Context, in *apiv1.BeginRequest) (*apiv1.BeginResponse, error)
+	Begin(ctx context.Context, in *apiv1.BeginRequest) (out *apiv1.BeginResponse, repeated bool, err error)
 	Finish(ctx context.Context, in *apiv1.FinishRequest) (*apiv1.FinishResponse, error)
 	Abort(ctx context.Context, in *apiv1.AbortRequest) (*apiv1.AbortResponse, error)
 }
