End a call of a closed control client at once

Callers of a closed client of control waited until their context ended. Cause: the refusal of a closed client has the code of a host that shuts down, and for that code another host is tried.

Change: the refusal has a cause of its own, which ends the call.

--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -351,3 +351,21 @@
 		assert.Equal(t, out.State, apiv1.BeginState_BEGIN_STARTED)
 	})
 }
+
+// Guards against a call that is repeated until its context ends although its client was
+// closed.
+func TestCallOfClosedClientEndsAtOnce(t *testing.T) {
+	runInCluster(t, func(t *testing.T, g *cluster) {
+		c := g.client("r1", 1, 2, 3)
+		g.setPartitioned(1, true)
+		begun := time.Now()
+		time.AfterFunc(time.Second, c.Close)
+		ctx, cancel := timeoutContext(time.Hour)
+		defer cancel()
+		_, err := c.Abort(ctx, &apiv1.AbortRequest{Begin: beginRequest("w", "k", "a", "r1", 1, 1)})
+		assert.ErrorContains(t, err, "closed")
+		code, _ := result.CodeOf(err)
+		assert.Equal(t, code, result.ShuttingDown)
+		assert.Assert(t, time.Since(begun) < time.Minute, "%s", time.Since(begun))
+	})
+}
--- a/pkg/controlclient/call.go
+++ b/pkg/controlclient/call.go
@@ -53,7 +53,7 @@
 			c.recordSuccess(address)
 			return out, mayBeLate, nil
 		}
-		if isFinal(err) {
+		if isFinal(err) || errors.Is(err, errClosed) {
 			return zero, mayBeLate, err
 		}
 		c.recordFailure(address, leader)
--- a/pkg/controlclient/dial.go
+++ b/pkg/controlclient/dial.go
@@ -1,6 +1,7 @@
 package controlclient
 
 import (
+	"errors"
 	"time"
 
 	"google.golang.org/grpc"
@@ -66,12 +67,16 @@
 	return grpc.NewClient("passthrough:///"+address, append(options, extra...)...)
 }
 
+// errClosed is the cause of ShuttingDown from a closed client. A host that shuts
+// down returns the same code, but another one may answer.
+var errClosed = errors.New("the control client is closed")
+
 // conn returns the shared connection to an address.
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return nil, result.New(result.ShuttingDown, "the control client is closed")
+		return nil, result.Wrap(result.ShuttingDown, errClosed, "no call to %s", address)
 	}
 	if conn, ok := c.conns[address]; ok {
 		return conn, nil
