Write the log in pieces that a pipe takes whole

Requests that were handled looked lost: their lines were missing. Cause: the log was written in pieces of up to 16 KB, and a pipe takes writes of over 4 KB in parts, which mixed them with those of other processes.

Test: TestLinesOfABurstAreWrittenInPiecesThatAPipeTakesWhole.

Change: pieces of at most 4 KB that end with a line, also at the close. A line of over 4 KB is still written in one piece.

--- a/pkg/logging/nonblocking.go
+++ b/pkg/logging/nonblocking.go
@@ -12,8 +12,10 @@
 const (
 	// maxQueuedLines limits the lines queued for a slow output, about 1 MB.
 	maxQueuedLines = 2048
-	// writeBufferBytes is the size of the buffer in front of the output.
-	writeBufferBytes = 16 << 10
+	// writeBufferBytes is the size of the buffer in front of the output. It is PIPE_BUF, the
+	// longest write that a pipe takes in one piece: of longer ones, lines were mixed with
+	// those of other processes and lost.
+	writeBufferBytes = 4 << 10
 	// dropReportInterval is how often the number of dropped lines is logged.
 	dropReportInterval = 5 * time.Second
 )
@@ -67,24 +69,34 @@
 		}
 		select {
 		case line := <-b.queue:
-			if out.Available() < len(line) {
-				_ = out.Flush() // never split a line over two writes
-			}
-			_, _ = out.Write(line)
+			writeLine(out, line)
 		case <-ticker.C:
 			if n := b.dropped.Swap(0); n > 0 {
 				logrus.WithField("lines", n).Warn("log lines were dropped")
 			}
 		case <-b.stop:
-			for len(b.queue) > 0 {
-				_, _ = out.Write(<-b.queue)
-			}
+			b.writeQueued(out)
 			_ = out.Flush()
 			return
 		}
 	}
 }
 
+func (b *NonBlockingWriter) writeQueued(out *bufio.Writer) {
+	for len(b.queue) > 0 {
+		writeLine(out, <-b.queue)
+	}
+}
+
+// writeLine writes a line without splitting it over two writes. A failure of the log output
+// cannot be logged.
+func writeLine(out *bufio.Writer, line []byte) {
+	if out.Available() < len(line) {
+		_ = out.Flush()
+	}
+	_, _ = out.Write(line)
+}
+
 // SetupJSON configures the standard logger to write JSON lines to out.
 func SetupJSON(level logrus.Level, out io.Writer) {
 	logrus.SetLevel(level)
--- a/pkg/logging/nonblocking_test.go
+++ b/pkg/logging/nonblocking_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -36,3 +37,36 @@
 	assert.NilError(t, b.Close())
 	assert.Equal(t, out.out.String(), strings.Repeat(line, lines-int(dropped)))
 }
+
+// recordedWrites keeps each write by itself. Like blockedWriter it blocks until release is
+// closed.
+type recordedWrites struct {
+	release chan struct{}
+	writes  []string
+}
+
+func (r *recordedWrites) Write(p []byte) (int, error) {
+	<-r.release
+	r.writes = append(r.writes, string(p))
+	return len(p), nil
+}
+
+// Guards against lines that are lost in bursts, when a pipe takes a long write in parts.
+func TestLinesOfABurstAreWrittenInPiecesThatAPipeTakesWhole(t *testing.T) {
+	const pipeBuffer = 4096 // PIPE_BUF of pipe(7)
+	out := &recordedWrites{release: make(chan struct{})}
+	b := NewNonBlockingWriter(out)
+	var lines []string
+	for i := range maxQueuedLines / 2 {
+		lines = append(lines, fmt.Sprintf("%d %s\n", i, strings.Repeat("x", 200+7*i%1000)))
+		_, err := b.Write([]byte(lines[i]))
+		assert.NilError(t, err)
+	}
+	close(out.release)
+	assert.NilError(t, b.Close())
+	for _, w := range out.writes {
+		assert.Assert(t, len(w) <= pipeBuffer, "a write of %d bytes", len(w))
+		assert.Assert(t, strings.HasSuffix(w, "\n"), "a write ends within a line")
+	}
+	assert.Equal(t, strings.Join(out.writes, ""), strings.Join(lines, ""))
+}
