Count the log lines that are dropped before the end

Operators were not told of lines that were dropped in the last 5 s of a process. Cause: dropped lines are reported every 5 s and were not reported at the close. Evidence: found by a review from reading; TestDroppedLinesAreReportedAtClose.

Change: the close reports them after it has emptied the queue.

--- a/pkg/logging/nonblocking.go
+++ b/pkg/logging/nonblocking.go
@@ -71,10 +71,10 @@
 		case line := <-b.queue:
 			writeLine(out, line)
 		case <-ticker.C:
-			if n := b.dropped.Swap(0); n > 0 {
-				logrus.WithField("lines", n).Warn("log lines were dropped")
-			}
+			b.reportDropped()
 		case <-b.stop:
+			b.writeQueued(out)
+			b.reportDropped() // the queue has room for it now
 			b.writeQueued(out)
 			_ = out.Flush()
 			return
@@ -82,6 +82,13 @@
 	}
 }
 
+// reportDropped logs how many lines were dropped since the last report.
+func (b *NonBlockingWriter) reportDropped() {
+	if n := b.dropped.Swap(0); n > 0 {
+		logrus.WithField("lines", n).Warn("log lines were dropped")
+	}
+}
+
 func (b *NonBlockingWriter) writeQueued(out *bufio.Writer) {
 	for len(b.queue) > 0 {
 		writeLine(out, <-b.queue)
--- a/pkg/logging/nonblocking_test.go
+++ b/pkg/logging/nonblocking_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 )
 
@@ -70,3 +72,21 @@
 	}
 	assert.Equal(t, strings.Join(out.writes, ""), strings.Join(lines, ""))
 }
+
+// Guards against dropped lines that nothing reports, because the process ends before the
+// next report.
+func TestDroppedLinesAreReportedAtClose(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	b := NewNonBlockingWriter(out)
+	for range 2 * maxQueuedLines {
+		_, err := b.Write([]byte("x\n"))
+		assert.NilError(t, err)
+	}
+	dropped := b.DroppedLines()
+	assert.Assert(t, dropped > 0)
+	logrus.SetOutput(b)
+	defer logrus.SetOutput(os.Stderr)
+	close(out.release)
+	assert.NilError(t, b.Close())
+	assert.Assert(t, strings.Contains(out.out.String(), fmt.Sprintf("lines=%d", dropped)), "no line on %d dropped lines", dropped)
+}
