Record connections that end without a handled request

Operators could not see why a connection of a caller ended when no handler had seen its last request: net/http closes late and invalid heads and unused connections without a record, and failures to accept left none either.

Change: pkg/callers counts the reason of each such end in callers.closed.* and logs it at a limited rate, and counts callers.accept_errors. No decision changes.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener = l
-	return &listener{l}
+	return &listener{l, s.closes}
 }
 
 // StopAccepting closes the listener. Serve of the http.Server returns an error that
@@ -31,13 +32,19 @@
 	}
 }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	closes *closeRecorder
+}
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		l.closes.recordAcceptError(err)
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp}, err
+		return &callerConn{TCPConn: tcp, openedAt: time.Now()}, err
 	}
 	return c, err
 }
@@ -58,6 +65,11 @@
 	read       int  // bytes of the current request that were read from the socket, and any after it
 	headEnd    int  // of these, the bytes of its head, 0 if that is not known
 	pipelined  bool // the caller has sent a request before it had the response to the last one
+
+	openedAt time.Time
+	state    http.ConnState // that net/http has reported last
+	handled  bool           // a handler has the current request
+	readErr  error          // of the last read of the current request
 }
 
 // endOfHead separates the head of a request from its body.
@@ -70,9 +82,10 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.continueWait() {
 		n, err = c.TCPConn.Read(p)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readErr = err
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.early = len(p) == 1 // only the check for a closed connection reads single bytes
 		c.markRead(p[:n])
 		c.markBegun()
--- a/pkg/callers/conn_test.go
+++ b/pkg/callers/conn_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
@@ -18,7 +19,7 @@
 // startTracked starts a server with a tracker and returns a connection to it, and the
 // server's end of that connection.
 func startTracked(t *testing.T) (s *ConnTracker, caller net.Conn, host func() *callerConn) {
-	s = NewConnTracker(0, 0)
+	s = NewConnTracker(0, 0, metrics.NewRegistry())
 	var end atomic.Pointer[callerConn]
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }),
@@ -121,6 +122,7 @@
 	_, err := in.ReadByte()
 	assert.Equal(t, err, io.EOF)
 	waitFor(t, "the end of the connection", func() bool { return s.OpenCount() == 0 })
+	assert.DeepEqual(t, s.counts(), map[string]int64{})
 }
 
 func peekUnread(t *testing.T, c net.Conn) bool {
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
@@ -50,6 +52,7 @@
 // ConnTracker is safe for concurrent use.
 type ConnTracker struct {
 	log     *logrus.Entry
+	closes  *closeRecorder
 	maxOpen int // open connections above which OverLimit reports true, 0 for no bound
 
 	mu       sync.Mutex // guards the fields below; not held during system calls on sockets
@@ -62,18 +65,25 @@
 }
 
 // NewConnTracker returns a ConnTracker for a host with this file limit and this
-// memory in MB, each 0 if unknown.
-func NewConnTracker(files int, memoryMB int64) *ConnTracker {
+// memory in MB, each 0 if unknown. It counts in registry why connections end that no
+// handler has seen.
+func NewConnTracker(files int, memoryMB int64, registry metrics.Registry) *ConnTracker {
 	maxOpen := int(maxFileShare * float64(files))
 	if memoryMB > 0 {
 		maxOpen = min(maxOpen, connsPerMegabyte*int(memoryMB))
 	}
-	return &ConnTracker{log: logging.ForComponent("callers"), maxOpen: maxOpen, idle: map[net.Conn]time.Time{}, closing: map[net.Conn]bool{}}
+	log := logging.ForComponent("callers")
+	return &ConnTracker{log: log, closes: newCloseRecorder(log, registry), maxOpen: maxOpen, idle: map[net.Conn]time.Time{}, closing: map[net.Conn]bool{}}
 }
 
 // OnStateChange counts open connections and records which are idle since when.
 // It is the ConnState hook of an http.Server.
 func (s *ConnTracker) OnStateChange(c net.Conn, state http.ConnState) {
+	if tracked, ok := transport(c).(*callerConn); ok {
+		if reason, bytes := tracked.observe(state, isTLS(c)); reason != "" {
+			defer s.closes.record(tracked, reason, bytes) // after mu is released
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.idle, c)
@@ -193,6 +203,15 @@
 	}
 }
 
+// transport returns the TCP connection below a TLS connection, and any other connection
+// as it is.
+func transport(c net.Conn) net.Conn {
+	if t, ok := c.(*tls.Conn); ok {
+		return t.NetConn()
+	}
+	return c
+}
+
 // idleConns returns the connections that are idle for longer than the limit that
 // applies, and that limit: overLimitIdle while too many are open.
 func (s *ConnTracker) idleConns(limit time.Duration) ([]net.Conn, time.Duration) {
--- a/pkg/callers/conns_test.go
+++ b/pkg/callers/conns_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
@@ -38,7 +39,7 @@
 // after its arrival, and net/http detects the closed connection even later.
 func TestLeftDetectsClosedConnection(t *testing.T) {
 	caller, c := connect(t)
-	ctx := NewConnTracker(1, 0).ContextWithConn(t.Context(), c)
+	ctx := NewConnTracker(1, 0, metrics.NewRegistry()).ContextWithConn(t.Context(), c)
 	assert.Assert(t, !Disconnected(ctx))
 	assert.NilError(t, caller.Close())
 	limit := time.Now().Add(waitLimit)
@@ -53,7 +54,7 @@
 // not be closed while that request is unread.
 func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
 	caller, c := connect(t)
-	s := NewConnTracker(1, 0)
+	s := NewConnTracker(1, 0, metrics.NewRegistry())
 	s.OnStateChange(c, http.StateNew)
 	s.OnStateChange(c, http.StateIdle)
 	p, err := netpeek.Peek(c)
@@ -80,7 +81,7 @@
 // Guards against a lost request (reported as LOST on a large deployment) when
 // the check for idle connections runs while the request is read.
 func TestRequestDuringIdleCheckIsAnswered(t *testing.T) {
-	s := NewConnTracker(0, 0)
+	s := NewConnTracker(0, 0, metrics.NewRegistry())
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	requests := 0
 	server.Config.ConnContext = s.ContextWithConn
--- /dev/null
+++ b/pkg/callers/record.go
@@ -0,0 +1,153 @@
+package callers
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// recordLogRate and recordLogBurst bound the log lines on closed connections.
+	recordLogRate  = 5 // lines per second
+	recordLogBurst = 50
+
+	acceptErrorMetric = "callers.accept_errors"
+)
+
+// closeReason states why a connection ended although no handler has seen its last
+// request.
+type closeReason string
+
+const (
+	// closeUnused means that nothing was received on the connection.
+	closeUnused closeReason = "unused"
+	// closeHeadTimeout means that the head was incomplete when its time was over.
+	closeHeadTimeout closeReason = "head_timeout"
+	// closeHeadAbandoned means that the caller has left before the head was complete.
+	closeHeadAbandoned closeReason = "head_abandoned"
+	// closeHeadInvalid means that net/http has refused the head with an error status.
+	closeHeadInvalid closeReason = "head_invalid"
+	// closeHandshake means that a TLS connection ended before its first request.
+	closeHandshake closeReason = "handshake"
+	// closeHostStopped means that the process has closed the connection because it stops.
+	closeHostStopped closeReason = "host_stopped"
+)
+
+// closeMetric returns the counter of a reason.
+func closeMetric(reason closeReason) string { return "callers.closed." + string(reason) }
+
+// closeRecorder counts and logs connections that end without a handler.
+type closeRecorder struct {
+	log        *logrus.Entry
+	registry   metrics.Registry
+	logLimiter *rate.Limiter
+	unlogged   atomic.Int64
+	ending     atomic.Bool // the process closes what is open
+}
+
+func newCloseRecorder(log *logrus.Entry, registry metrics.Registry) *closeRecorder {
+	return &closeRecorder{log: log, registry: registry, logLimiter: rate.NewLimiter(recordLogRate, recordLogBurst)}
+}
+
+// Handler returns a handler that tells the tracker which requests were handed over. It
+// must be around the handler of the http.Server.
+func (s *ConnTracker) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connContextKey{}).(net.Conn); ok {
+			if tracked, ok := transport(c).(*callerConn); ok {
+				tracked.setHandled()
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// End records that the process closes all connections from now on.
+func (s *ConnTracker) End() { s.closes.ending.Store(true) }
+
+// record counts and logs the end of a connection, if no handler has seen its last
+// request. Lines are rate limited.
+func (r *closeRecorder) record(c *callerConn, reason closeReason, bytes int) {
+	if r.ending.Load() && reason == closeHeadInvalid {
+		reason = closeHostStopped // an http.Server that is closed drops what it reads
+	}
+	metrics.GetOrRegisterCounter(closeMetric(reason), r.registry).Inc(1)
+	if !r.logLimiter.Allow() {
+		r.unlogged.Add(1)
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"reason": string(reason), "caller": c.RemoteAddr().String(), "bytes": bytes,
+		"age_ms": time.Since(c.openedAt).Milliseconds(), "unlogged": r.unlogged.Swap(0),
+	}).Info("connection ended without a handled request")
+}
+
+// recordAcceptError counts and logs that a connection could not be accepted.
+func (r *closeRecorder) recordAcceptError(err error) {
+	metrics.GetOrRegisterCounter(acceptErrorMetric, r.registry).Inc(1)
+	if r.logLimiter.Allow() {
+		r.log.WithError(err).Warn("connection could not be accepted")
+		return
+	}
+	r.unlogged.Add(1)
+}
+
+// setHandled records that a handler has the current request.
+func (c *callerConn) setHandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
+// observe follows the state that net/http reports. For the end of the connection it
+// returns the reason to record, empty if a handler has answered the last request.
+func (c *callerConn) observe(state http.ConnState, isTLS bool) (reason closeReason, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.state
+	c.state = state
+	switch state {
+	case http.StateIdle:
+		c.handled, c.readErr = false, nil // net/http ends reads beside a handler with a deadline
+	case http.StateClosed:
+		return c.reasonOfEnd(last, isTLS), c.read
+	}
+	return "", 0
+}
+
+// reasonOfEnd returns why the connection ended. The caller must hold mu.
+func (c *callerConn) reasonOfEnd(last http.ConnState, isTLS bool) closeReason {
+	// On a TLS connection bytes also arrive without a request.
+	received := last == http.StateActive || !isTLS && (c.read > 0 || c.begun)
+	switch {
+	case c.handled, last == http.StateIdle && !received:
+		return ""
+	case errors.Is(c.readErr, net.ErrClosed):
+		return closeHostStopped
+	case last == http.StateNew && isTLS:
+		return closeHandshake
+	case !received:
+		return closeUnused
+	case errors.Is(c.readErr, os.ErrDeadlineExceeded):
+		return closeHeadTimeout
+	case errors.Is(c.readErr, io.EOF), errors.Is(c.readErr, syscall.ECONNRESET):
+		return closeHeadAbandoned
+	}
+	return closeHeadInvalid
+}
+
+// isTLS reports whether the connection is encrypted.
+func isTLS(c net.Conn) bool {
+	_, ok := c.(*tls.Conn)
+	return ok
+}
