Serve the queue of a listener before it is closed

Callers saw a reset before the first byte at a planned stop of an edge host. Cause: the kernel establishes connections before the process accepts them, their callers may have sent whole requests, and the kernel resets what is queued or in a handshake when the listener is closed.

Change: a listener that stops ignores new handshakes by a socket filter for 1 ms, accepts what is queued and is closed then. A filter that cannot be set is counted and logged (TestFailureToIgnoreHandshakesIsRecorded).

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -12,43 +12,6 @@
 	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
 )
 
-// Listener returns a listener whose connections tell the tracker whether a request
-// has begun to arrive. net/http reports a connection as idle until it has read the
-// whole head of the next request. StopAccepting closes the listener.
-func (s *ConnTracker) Listener(l net.Listener) net.Listener {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listener = l
-	return &listener{l, s.closes}
-}
-
-// StopAccepting closes the listener. Serve of the http.Server returns an error that
-// wraps net.ErrClosed then, and the open connections are still served.
-func (s *ConnTracker) StopAccepting() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close() // no more connections are accepted in any case
-	}
-}
-
-type listener struct {
-	net.Listener
-	closes *closeRecorder
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil && !errors.Is(err, net.ErrClosed) {
-		l.closes.recordAcceptError(err)
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp, openedAt: time.Now()}, err
-	}
-	return c, err
-}
-
 // callerConn is the connection of a caller. It embeds a TCP connection, so net/http
 // finds CloseWrite, with which it closes without a reset.
 type callerConn struct {
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -56,7 +56,7 @@
 	maxOpen int // open connections above which OverLimit reports true, 0 for no bound
 
 	mu       sync.Mutex // guards the fields below; not held during system calls on sockets
-	listener net.Listener
+	listener *listener
 	open     int
 	idle     map[net.Conn]time.Time // start of the idle time
 	// closing holds idle connections on which closeIfIdle has ended the wait
@@ -140,13 +140,14 @@
 	}
 }
 
-// WaitClosed closes connections as soon as they are idle, until none is open or ctx
-// ends, and returns the error of ctx then. Unlike Shutdown of an http.Server it leaves
-// open those on which a part of a request has arrived.
-func (s *ConnTracker) WaitClosed(ctx context.Context) error {
+// WaitClosed closes connections that are idle for longer than limit, until none is open
+// or ctx ends, and returns the error of ctx then. Shutdown of an http.Server instead
+// closes connections on which a part of a request has arrived, and drops requests that
+// it reads later.
+func (s *ConnTracker) WaitClosed(ctx context.Context, limit time.Duration) error {
 	ticker := time.NewTicker(closeCheckInterval)
 	defer ticker.Stop()
-	for s.closeIdle(0); s.OpenCount() > 0; s.closeIdle(0) {
+	for s.closeIdle(limit); s.OpenCount() > 0; s.closeIdle(limit) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- /dev/null
+++ b/pkg/callers/listener.go
@@ -0,0 +1,170 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// handshakeTime is how long a listener that is stopped waits for handshakes in progress.
+// It covers a round trip within a data centre, where the callers or their load balancers
+// are. It is short because a caller that asks for a connection meanwhile is not answered,
+// and its kernel asks again after a second only.
+const handshakeTime = time.Millisecond
+
+// Listen opens a TCP listener for callers. Multipath TCP, the default of the net package,
+// has no socket filters, which StopAccepting needs.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(ctx, "tcp", address)
+}
+
+// Listener returns a listener whose connections tell the tracker whether a request
+// has begun to arrive. net/http reports a connection as idle until it has read the
+// whole head of the next request. StopAccepting closes the listener.
+func (s *ConnTracker) Listener(l net.Listener) net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = &listener{Listener: l, closes: s.closes, ended: make(chan struct{})}
+	return s.listener
+}
+
+// StopAccepting closes the listener once every connection that the kernel has
+// established is accepted, or when ctx ends: the kernel resets the ones that wait in the
+// queue of a closed listener, and their callers may have sent whole requests. Serve of
+// the http.Server returns an error that wraps net.ErrClosed then, and the open
+// connections are still served. A connection that is requested meanwhile is refused when
+// the kernel of its caller repeats its request, usually after a second.
+func (s *ConnTracker) StopAccepting(ctx context.Context) {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if l.served.Load() {
+		l.stop()
+		select {
+		case <-l.ended:
+		case <-ctx.Done():
+		}
+	}
+	_ = l.Close() // no more connections are accepted in any case
+}
+
+// listener is a listener that can be stopped without losing connections.
+type listener struct {
+	net.Listener
+	closes   *closeRecorder
+	served   atomic.Bool // Accept was called
+	stopping atomic.Bool
+	endOnce  sync.Once
+	ended    chan struct{} // closed when Accept has returned an error that is not temporary
+}
+
+// tcpListener has the methods of *net.TCPListener that listener needs.
+type tcpListener interface {
+	syscall.Conn
+	SetDeadline(time.Time) error
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	l.served.Store(true)
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+		case l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			if l.hasQueued() {
+				l.extendDeadline()
+				continue
+			}
+			l.end()
+			return nil, net.ErrClosed
+		case errors.Is(err, net.ErrClosed):
+			l.end()
+		default:
+			l.closes.recordAcceptError(err)
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			return &callerConn{TCPConn: tcp, openedAt: time.Now()}, err
+		}
+		return c, err
+	}
+}
+
+func (l *listener) end() { l.endOnce.Do(func() { close(l.ended) }) }
+
+// stop refuses new handshakes and ends Accept when the queue is empty.
+func (l *listener) stop() {
+	if l.stopping.Swap(true) {
+		return
+	}
+	if tcp, ok := l.Listener.(tcpListener); ok {
+		if err := ignoreHandshakes(tcp); err != nil {
+			l.closes.recordFilterError(err) // a connection that is opened at the moment of the close is reset
+		}
+	}
+	l.extendDeadline()
+}
+
+// extendDeadline lets Accept wait for handshakeTime. A listener without deadlines is
+// closed at once.
+func (l *listener) extendDeadline() {
+	if tcp, ok := l.Listener.(tcpListener); ok && tcp.SetDeadline(time.Now().Add(handshakeTime)) == nil {
+		return
+	}
+	_ = l.Close() // as the listener cannot be stopped
+}
+
+// hasQueued reports whether a connection waits to be accepted.
+func (l *listener) hasQueued() (queued bool) {
+	tcp, ok := l.Listener.(tcpListener)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, 0)
+		queued = err == nil && n == 1 && poll[0].Revents&unix.POLLIN != 0
+	})
+	return queued && err == nil
+}
+
+const (
+	tcpFlagsOffset = 13   // in the TCP header
+	tcpFlagSYN     = 0x02 // begins a handshake
+)
+
+// ignoreHandshakes makes the kernel ignore requests for new connections. Handshakes in
+// progress are completed.
+func ignoreHandshakes(l syscall.Conn) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	program := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpFlagSYN, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},          // drop
+		{Code: unix.BPF_RET | unix.BPF_K, K: ^uint32(0)}, // accept
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+	})
+	return errors.Join(err, optionErr)
+}
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -22,6 +22,7 @@
 	recordLogBurst = 50
 
 	acceptErrorMetric = "callers.accept_errors"
+	filterErrorMetric = "callers.filter_errors"
 )
 
 // closeReason states why a connection ended although no handler has seen its last
@@ -102,6 +103,12 @@
 	r.unlogged.Add(1)
 }
 
+// recordFilterError counts and logs that a listener that stops still takes new connections.
+func (r *closeRecorder) recordFilterError(err error) {
+	metrics.GetOrRegisterCounter(filterErrorMetric, r.registry).Inc(1)
+	r.log.WithError(err).Warn("socket filter could not be set, connections may be reset at the stop")
+}
+
 // setHandled records that a handler has the current request.
 func (c *callerConn) setHandled() {
 	c.mu.Lock()
--- a/pkg/callers/record_test.go
+++ b/pkg/callers/record_test.go
@@ -41,7 +41,7 @@
 		},
 		ConnContext: s.ContextWithConn, ReadHeaderTimeout: headTimeout, IdleTimeout: waitLimit, MaxHeaderBytes: 1,
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	out.address = l.Addr().String()
 	go func() { _ = out.server.Serve(s.Listener(l)) }()
