Answer the requests that arrive while a router or core host stops

Callers of a router that stops got no answer to requests that it read after the notice, or whose connections were in the queue of the listener; servers and operators got none to calls whose heads arrived while a router or a core host stopped. Cause: Shutdown of an http.Server drops what it reads, and the kernel resets what is queued.

Change: routers track the connections of all HTTP listeners, with TLS too, and core hosts those of the control listener; neither calls Shutdown. Calls of servers and operators get up to a second from a router. TestShutdownUnderLoad is stricter: its callers are connected before the stop, all must be answered, and no connection may end without a handled request.

What remains: with TLS, a request whose head is read in part counts as idle at a stop, as before.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -30,11 +30,11 @@
 	overLimitIdle = 2 * time.Second
 	// idleCheckInterval is the interval of the check for idle connections.
 	idleCheckInterval = time.Second
-	// drainIdle is the idle time after which connections are closed while the host
+	// DrainIdle is the idle time after which connections are closed while the host
 	// stops. A response that began before the stop could not announce the close, and
 	// callers often use its connection again at once. They are told with the next
 	// response then.
-	drainIdle = time.Second
+	DrainIdle = time.Second
 	// drainCheckInterval replaces idleCheckInterval while the host stops, and
 	// closeCheckInterval in the last part of the grace period, of a few hundred ms.
 	drainCheckInterval = 100 * time.Millisecond
@@ -133,7 +133,7 @@
 			return
 		case <-ticker.C:
 		}
-		s.closeIdle(drainIdle)
+		s.closeIdle(DrainIdle)
 		if s.OpenCount() > 0 {
 			empty = time.Now()
 		}
@@ -187,7 +187,7 @@
 	var cause error
 	candidates, limit := s.idleConns(limit)
 	for _, c := range candidates {
-		peeked, err := netpeek.Peek(c)
+		peeked, err := netpeek.Peek(transport(c))
 		switch {
 		case err != nil:
 			failed, cause = failed+1, err
--- a/pkg/router/listen.go
+++ b/pkg/router/listen.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -103,7 +104,7 @@
 	return http.TimeoutHandler(bounded, c.Limits.HeaderTimeout.AsDuration(), "")
 }
 
-// serveListener serves until the server is closed or shut down.
+// serveListener serves until the server or the listener is closed.
 func serveListener(s *http.Server, l net.Listener) error {
 	var err error
 	if s.TLSConfig != nil {
@@ -111,7 +112,7 @@
 	} else {
 		err = s.Serve(l)
 	}
-	if err == http.ErrServerClosed {
+	if err == http.ErrServerClosed || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/pkg/router/pair_test.go
+++ b/pkg/router/pair_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
@@ -230,7 +233,7 @@
 }
 
 // TestShutdownUnderLoad checks that a graceful shutdown interrupts no stream
-// (I9) and that a hard stop ends it at once.
+// (I9) and that a hard stop ends it at once, with an answer.
 func TestShutdownUnderLoad(t *testing.T) {
 	t.Parallel()
 	for _, hardStop := range []bool{false, true} {
@@ -241,27 +244,50 @@
 		go func() { ended <- s.Run(graceful, hardCtx) }()
 		tr.startStandin(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p", TokenInterval: settings.Duration(10 * time.Millisecond)})
 		const streams = 8
-		var callers sync.WaitGroup
-		var mu sync.Mutex
-		completed := 0
-		for range streams {
-			callers.Go(func() {
-				_, body := tryDo(tr.request(t, http.MethodPost, chatPath, "chat", chatBody(60)))
-				mu.Lock()
-				defer mu.Unlock()
-				if strings.HasSuffix(body, "data: [DONE]\n\n") && !strings.Contains(body, "event: error") {
-					completed++
-				}
-			})
+		conns := make([]net.Conn, streams)
+		dial := func(conns []net.Conn) {
+			for i := range conns {
+				conns[i] = tr.dialCallers(t)
+			}
+		}
+		answers := make(chan streamAnswer, streams)
+		send := func(conns []net.Conn) {
+			for _, c := range conns {
+				req := tr.request(t, http.MethodPost, chatPath, "chat", chatBody(60))
+				assert.NilError(t, req.Write(c))
+				go func() { answers <- readStream(c, req) }()
+			}
+		}
+		sentBefore, sentInNotice := streams/2, 3*streams/4 // the others are sent when the listener is closed
+		if hardStop {
+			sentBefore = streams // afterwards nothing is read
 		}
+		dial(conns[:sentBefore])
+		send(conns[:sentBefore])
 		tr.waitFor(t, "streams run", func() bool { _, held := s.router.askTable.counts(); return held > 0 })
+		// One that is opened after the notice is refused, one that is unused for
+		// DrainIdle is closed.
+		dial(conns[sentBefore:])
 		stop()
 		tr.waitFor(t, "the router reports not ready", func() bool { return !s.router.Ready() })
 		if hardStop {
 			abort()
+		} else {
+			send(conns[sentBefore:sentInNotice])
+			tr.waitForClosedListener(t)
+			send(conns[sentInNotice:])
+		}
+		completed := 0
+		for range streams {
+			a := <-answers
+			switch {
+			case a.completed():
+				completed++
+			case !hardStop || !a.failed():
+				t.Errorf("hard stop %v: a stream did not complete: status %d, body %q, error %v", hardStop, a.status, a.body, a.err)
+			}
 		}
 		err := <-ended
-		callers.Wait()
 		abort()
 		if hardStop {
 			assert.ErrorIs(t, err, errHardStop)
@@ -270,7 +296,45 @@
 		}
 		assert.NilError(t, err)
 		assert.Equal(t, completed, streams)
+		s.router.metrics.Each(func(name string, metric any) {
+			if counter, ok := metric.(metrics.Counter); ok && (strings.HasPrefix(name, "callers.closed.") || name == "responses.aborted") {
+				assert.Check(t, counter.Count() == 0, "%s: %d", name, counter.Count())
+			}
+		})
+	}
+}
+
+// streamAnswer is what a caller got for a stream, status 0 without an answer.
+type streamAnswer struct {
+	status int
+	body   string
+	err    error
+}
+
+func readStream(c net.Conn, req *http.Request) streamAnswer {
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	if err != nil {
+		return streamAnswer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return streamAnswer{resp.StatusCode, string(body), err}
+}
+
+// completed reports whether the stream arrived whole.
+func (a streamAnswer) completed() bool {
+	return a.err == nil && a.status == http.StatusOK && strings.HasSuffix(a.body, "data: [DONE]\n\n") && !strings.Contains(a.body, "event: error")
+}
+
+// failed reports whether the caller was told that the stream was refused or has failed.
+func (a streamAnswer) failed() bool {
+	switch a.status {
+	case http.StatusServiceUnavailable, http.StatusBadGateway:
+		return a.err == nil
+	case http.StatusOK:
+		return a.err == nil && strings.Contains(a.body, "event: error")
 	}
+	return false
 }
 
 // newService returns a service on free ports with the test configuration.
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/callers"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/controlclient"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
@@ -42,7 +43,8 @@
 	httpServers     []*http.Server  // callers, announce, admin
 	requests        context.Context // of all requests of callers
 	endRequests     context.CancelCauseFunc
-	listeners       []net.Listener // callers, announce, admin, peers
+	listeners       []net.Listener         // callers, announce, admin, peers
+	conns           []*callers.ConnTracker // of the httpServers
 }
 
 // NewService creates a router and opens its listeners. The caller must call
@@ -157,7 +159,7 @@
 		if err != nil {
 			return err
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := callers.Listen(context.Background(), l.address)
 		if err != nil {
 			return settingsError("cannot listen on %s: %v", l.address, err)
 		}
@@ -165,7 +167,7 @@
 		s.httpServers = append(s.httpServers, server)
 		s.listeners = append(s.listeners, listener)
 	}
-	s.httpServers[0].BaseContext = func(net.Listener) context.Context { return s.requests }
+	s.trackConns()
 	listener, err := listen(s.cfg.Listen.Peers)
 	if err != nil {
 		return err
@@ -175,6 +177,18 @@
 	return s.newGRPCServer()
 }
 
+// trackConns makes a stop see the requests in progress on all HTTP listeners.
+func (s *Service) trackConns() {
+	s.httpServers[0].BaseContext = func(net.Listener) context.Context { return s.requests }
+	for i, server := range s.httpServers {
+		conns := callers.NewConnTracker(0, 0, s.router.metrics)
+		server.Handler = conns.Handler(server.Handler)
+		server.ConnState, server.ConnContext = conns.OnStateChange, conns.ContextWithConn
+		s.listeners[i] = conns.Listener(s.listeners[i])
+		s.conns = append(s.conns, conns)
+	}
+}
+
 func (s *Service) newGRPCServer() error {
 	options := controlclient.ServerOptions()
 	tlsConfig, err := s.cfg.TLS.Peers.config()
@@ -272,7 +286,7 @@
 	}
 	drainCtx, cancel := context.WithTimeout(hardStop, s.cfg.Drain.Longest.AsDuration())
 	defer cancel()
-	err := s.httpServers[0].Shutdown(drainCtx)
+	err := s.closeCallers(drainCtx, callers.DrainIdle)
 	if err == nil {
 		err = s.router.WaitIdle(drainCtx)
 	}
@@ -303,6 +317,7 @@
 
 func (s *Service) close() {
 	s.answerOpen()
+	s.answerOperators()
 	if s.members != nil {
 		s.members.node.Close()
 	}
