Record aborted responses and panics of routers

Operators saw nothing of a response that a router cut after its begin, or of a handler that panicked: the caller got a closed connection and there was no line.

Change: the line response aborted with its reason, at a limited rate, the line request handler panicked with its stack, and the counters responses.aborted and requests.panic. What callers get is unchanged.

--- /dev/null
+++ b/pkg/router/abort.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+)
+
+const (
+	// abortLogRate and abortLogBurst bound the log lines on aborted responses.
+	abortLogRate  = 5 // lines per second
+	abortLogBurst = 50
+
+	abortedMetric = "responses.aborted"
+	panicMetric   = "requests.panic"
+)
+
+func newAbortLogLimiter() *rate.Limiter { return rate.NewLimiter(abortLogRate, abortLogBurst) }
+
+// abort closes the connection of a caller whose response has begun and cannot go on, so
+// that it does not look complete, and records the reason. It does not return.
+func (r *Router) abort(q *request, report proxy.Report, e *result.Error) {
+	metrics.GetOrRegisterCounter(abortedMetric, r.metrics).Inc(1)
+	if r.abortLogLimiter.Allow() {
+		r.log.WithFields(logrus.Fields{"id": q.id, "code": uint32(e.Code), "reason": e.Message, "bytes": report.BytesWritten}).Info("response aborted")
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// recordPanics returns a handler that counts and logs panics of next, except
+// http.ErrAbortHandler. net/http closes the connection.
+func (r *Router) recordPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if cause != http.ErrAbortHandler {
+				metrics.GetOrRegisterCounter(panicMetric, r.metrics).Inc(1)
+				r.log.WithFields(logrus.Fields{"id": w.Header().Get(proxy.HeaderRequestID), "cause": cause, "stack": string(debug.Stack())}).Error("request handler panicked")
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, req)
+	})
+}
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"net/http"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
@@ -45,7 +44,7 @@
 	case report.IsStream && err.Code != result.CallerLeft:
 		_, _ = sink.Write(proxy.ErrorEvent(err, report.PartialEvent))
 	default:
-		panic(http.ErrAbortHandler)
+		r.abort(q, report, err)
 	}
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/burn"
@@ -68,22 +69,23 @@
 	peers     Peers
 	log       *logrus.Entry
 
-	poolConfig   pool.Config
-	ledger       *fairshare.Ledger
-	transport    *proxy.Transport
-	servers      *serverTable
-	askTable     *askTable
-	replays      replayLog
-	quarantine   *quarantineState
-	shardBuffers shardBuffers
-	marks        *marks
-	placer       *placer // nil if placement is off
-	decisionLog  *decisionLog
-	budget       *retryBudget
-	burn         *burn.Recorder
-	rateLimiters *workspaceRateLimiters
-	metrics      metrics.Registry
-	counters     counters
+	poolConfig      pool.Config
+	ledger          *fairshare.Ledger
+	transport       *proxy.Transport
+	servers         *serverTable
+	askTable        *askTable
+	replays         replayLog
+	quarantine      *quarantineState
+	shardBuffers    shardBuffers
+	marks           *marks
+	placer          *placer // nil if placement is off
+	decisionLog     *decisionLog
+	budget          *retryBudget
+	burn            *burn.Recorder
+	rateLimiters    *workspaceRateLimiters
+	abortLogLimiter *rate.Limiter
+	metrics         metrics.Registry
+	counters        counters
 
 	startedAt       time.Time
 	requestIDPrefix string
@@ -147,6 +149,7 @@
 		decisionLog:     newDecisionLog(),
 		budget:          newRetryBudget(),
 		rateLimiters:    newWorkspaceRateLimiters(),
+		abortLogLimiter: newAbortLogLimiter(),
 		metrics:         metrics.NewRegistry(),
 		startedAt:       time.Now(),
 		requestIDPrefix: self.Name + "-" + strconv.FormatUint(self.Incarnation, 36) + "-",
@@ -170,7 +173,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", r.serveChat)
 	mux.HandleFunc("/services/{service}/", r.serveService)
 	mux.HandleFunc("/", r.serveUnknown)
-	return mux
+	return r.recordPanics(mux)
 }
 
 // Run does the periodic work until ctx ends: timers of owners, reconciliation,
