Send no request on a connection that its server has closed

Callers of a router saw a lost request when it was sent on an idle connection that its server had closed. Cause: on a busy host the reader of the connection sees the close late. Evidence: TestRequestIsNotSentOnClosedIdleConnection.

Change: the first write of a request on a reused connection looks at the socket, and writes nothing if the server has closed it; then, and if nothing can have reached the server, another connection is used. The test was not run again for this commit.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"jackdawtrack.example/jackdawtrack/pkg/netpeek"
 )
 
 // errWritesDisabled is returned by writes to a connection after its request was
@@ -12,6 +14,10 @@
 // request was not executed.
 var errWritesDisabled = errors.New("writes to this connection are disabled")
 
+// errClosedByServer is returned by the first write of a request to a reused connection
+// that its server has closed.
+var errClosedByServer = errors.New("the server has closed this connection")
+
 // trackedConn is a connection to a BackendServer that counts its Write calls and
 // can disable further ones.
 type trackedConn struct {
@@ -24,6 +30,7 @@
 	mu             sync.Mutex
 	writeCalls     uint64 // Write calls that can have passed bytes to the kernel
 	useCount       uint64 // HTTP exchanges started on this connection
+	checkClosed    bool   // the next write is the first one of a reused connection
 	writesDisabled bool
 	idle           bool
 }
@@ -36,13 +43,23 @@
 }
 
 // Write implements net.Conn. It counts the call before a byte can reach the
-// kernel, and returns errWritesDisabled after disableWrites.
+// kernel, and returns errWritesDisabled after disableWrites. The first write of a
+// request to a reused connection returns errClosedByServer if its server has closed it:
+// on a busy host, the reader of the connection sees that late.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.writesDisabled {
 		c.mu.Unlock()
 		return 0, errWritesDisabled
 	}
+	if c.checkClosed {
+		c.checkClosed = false
+		if state, err := netpeek.Peek(c.Conn); err == nil && state.PeerClosed {
+			c.writesDisabled = true
+			c.mu.Unlock()
+			return 0, errClosedByServer
+		}
+	}
 	c.writeCalls++
 	c.mu.Unlock()
 	return c.Conn.Write(p)
@@ -54,12 +71,13 @@
 	return c.Conn.Close()
 }
 
-// use marks the connection busy for a new exchange. It returns the number of the
-// exchange on this connection, from 1, and the number of Write calls so far.
-func (c *trackedConn) use() (use, writeCalls uint64) {
+// use marks the connection busy for a new exchange; reused is set if it was idle
+// before. It returns the number of the exchange on this connection, from 1, and the
+// number of Write calls so far.
+func (c *trackedConn) use(reused bool) (use, writeCalls uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = false
+	c.idle, c.checkClosed = false, reused
 	c.useCount++
 	return c.useCount, c.writeCalls
 }
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -108,6 +108,7 @@
 // roundTrip is one HTTP exchange and its connection, nil until there is one.
 type roundTrip struct {
 	conn         *trackedConn
+	reused       bool   // the connection was idle before
 	use          uint64 // number of this exchange on the connection
 	writesBefore uint64 // Write calls on the connection before this exchange
 }
@@ -155,14 +156,27 @@
 func (t *Transport) CloseIdleTo(address string) { t.conns.closeIdle(address) }
 
 // exchange sends req with the given body over a pooled connection, or over a new
-// one if unpooled is set.
+// one if unpooled is set. If a pooled connection fails before a byte of the request can
+// have reached the server, another one is used: its server may have closed it while it
+// was idle, and takes requests on others.
 func (t *Transport) exchange(ctx context.Context, req *http.Request, unpooled bool, unread *UnreadMonitor, body []byte) (*http.Response, *roundTrip, error) {
+	// Each turn takes an idle connection out of the pool, and a new one ends the loop.
+	for {
+		resp, tr, err := t.exchangeOnce(ctx, req, unpooled, unread, body)
+		if err == nil || ctx.Err() != nil || !tr.reused || tr.abort() {
+			return resp, tr, err
+		}
+	}
+}
+
+// exchangeOnce sends req on one connection.
+func (t *Transport) exchangeOnce(ctx context.Context, req *http.Request, unpooled bool, unread *UnreadMonitor, body []byte) (*http.Response, *roundTrip, error) {
 	tr := &roundTrip{}
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*trackedConn); ok {
-				tr.conn = c
-				tr.use, tr.writesBefore = c.use()
+				tr.conn, tr.reused = c, info.Reused
+				tr.use, tr.writesBefore = c.use(info.Reused)
 				if unread != nil {
 					unread.attach(c)
 				}
