Reset connections of HTTP/1.0 callers whose response is cut

Callers with HTTP/1.0 took an interrupted response for a whole one, a stream on an edge host or a plain response in chunks on a router. Cause: they get no chunks, so the end of the connection is the end of the response, and the fleet closed it without a reset.

Change: such connections are reset.

--- a/pkg/router/abort.go
+++ b/pkg/router/abort.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"crypto/tls"
+	"net"
 	"net/http"
 	"runtime/debug"
 
@@ -24,15 +26,32 @@
 func newAbortLogLimiter() *rate.Limiter { return rate.NewLimiter(abortLogRate, abortLogBurst) }
 
 // abort closes the connection of a caller whose response has begun and cannot go on, so
-// that it does not look complete, and records the reason. It does not return.
+// that it does not look complete, and records the reason. It does not return. To a
+// caller with HTTP/1.0, which gets no chunks, the end of the connection is that of the
+// response, so it is reset.
 func (r *Router) abort(q *request, report proxy.Report, e *result.Error) {
 	metrics.GetOrRegisterCounter(abortedMetric, r.metrics).Inc(1)
 	if r.abortLogLimiter.Allow() {
 		r.log.WithFields(logrus.Fields{"id": q.id, "code": uint32(e.Code), "reason": e.Message, "bytes": report.BytesWritten}).Info("response aborted")
 	}
+	if !q.req.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(q.w).Hijack(); err == nil {
+			resetConnection(conn)
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
 
+func resetConnection(conn net.Conn) {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn() // closing the TLS connection would announce an orderly end
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails on a closed connection only
+	}
+	_ = conn.Close()
+}
+
 // recordPanics returns a handler that counts and logs panics of next, except
 // http.ErrAbortHandler. net/http closes the connection.
 func (r *Router) recordPanics(next http.Handler) http.Handler {
