Send no request too late in a planned stop

Callers of an edge host that stops got 502 at the end of the grace period for requests that were sent to a server late, callers of a router that stops 504, also for requests that may run once. Cause: an edge host looked once, when the head had arrived, whether new requests are refused. A request whose body came slowly, that waited for a server or was repeated was sent later without a second look, and the time it may take was not compared with what was left. A router refused nothing and sent what came on open connections until drain.longest.

TestLateRequestIsNotSentDuringShutdown (platform, pkg/router) showed the order at the server before.

Change: the decision is taken again right before each attempt, for waiting requests and for incomplete bodies, once new requests are refused (edge host) or the listener is closed (router). A request that may run once is sent if its deadline (edge host) or the longest duration of its class (router) lies before open requests are answered, others if their server is expected to end by then. What does not fit is refused at once as not run, with Retry-After. Tests: TestQueuedRequestIsRefusedWhenItIsTooLate and TestNoAttemptBeginsTooLate (pkg/edge), TestWaitingRequestIsRefusedWhenItIsTooLate and TestLatestStart (pkg/router).

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -92,13 +92,21 @@
 // before the first event or response (began false) or between events.
 func (x *proxiedRequest) silenceLimit(began bool) time.Duration {
 	if !began {
-		return max(time.Duration(inactivityFactor*float64(x.dispatchReq.Objective)), minInactivityTimeout)
+		return silenceLimitBeforeBegin(x.dispatchReq.Objective)
 	}
-	pause := x.route.MaxEventGap
-	if pause == 0 {
-		pause = defaultEventPause
+	return stallFactor * eventPause(x.route)
+}
+
+func silenceLimitBeforeBegin(objective time.Duration) time.Duration {
+	return max(time.Duration(inactivityFactor*float64(objective)), minInactivityTimeout)
+}
+
+// eventPause returns the longest pause between events of a stream of the route.
+func eventPause(route *routing.Route) time.Duration {
+	if route.MaxEventGap == 0 {
+		return defaultEventPause
 	}
-	return stallFactor * pause
+	return route.MaxEventGap
 }
 
 // buildRequest returns the request to send to the server of the decision. It resumes
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -166,7 +166,7 @@
 		h.x.sentAttempts+h.sent+1 < h.x.route.MaxAttempts && h.unsent < maxUnsentAttempts
 	var second *serverExchange
 	if mayHedge {
-		second = h.x.beginHedge(h.first, h.first.decision.Address)
+		second = h.x.beginHedge(h.first, h.first.decision.Address, began)
 	}
 	if second == nil {
 		h.mu.Unlock()
@@ -227,7 +227,7 @@
 	}
 	mayRepeat := h.x.sentAttempts+h.sent+2 < h.x.route.MaxAttempts && !(h.firstEnded && h.x.s.suspectsAgain(h.x.suspects))
 	if mayRepeat && !second.arrival.HasUnread() {
-		h.next = h.x.beginHedge(second, h.first.decision.Address)
+		h.next = h.x.beginHedge(second, h.first.decision.Address, h.began)
 	}
 	if h.next == nil {
 		h.silence.Reset(inactivityRecheckInterval)
@@ -322,11 +322,12 @@
 
 // beginHedge returns an exchange with another server than that of running, nil if there
 // is none or no retry budget. It fetches nothing from the address of the first server.
-func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string) *serverExchange {
+// began states that events were forwarded, so the release of the stream must be known.
+func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string, began bool) *serverExchange {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	now := time.Now()
-	if action, _ := x.s.quarantine.Check(now, x.suspects); action != quarantine.Allow {
+	if action, _ := x.s.quarantine.Check(now, x.suspects); action != quarantine.Allow || !began && x.s.isTooLate(x.in) {
 		return nil
 	}
 	if !x.s.retryBudget.canSpend(x.dispatchReq.Service) {
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -153,10 +153,7 @@
 	x := &proxiedRequest{s: s, w: w, in: in, route: route, callerCtx: ctx, deadline: in.Deadline()}
 	x.dispatchReq = &dispatch.Request{
 		ID: in.ID, Workspace: in.dest.workspace, Service: route.ChooseService(in.ID), Arrived: in.Arrived, AgeAtArrival: in.dest.attemptAge,
-		Objective: route.Objective, Deadline: x.deadline,
-	}
-	if x.dispatchReq.Objective == 0 {
-		x.dispatchReq.Objective = in.timeout()
+		Objective: in.objective(), Deadline: x.deadline,
 	}
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
@@ -195,7 +192,7 @@
 			break
 		}
 		x.decision = v
-		if x.replacement == nil && x.dropQuarantined() {
+		if x.dropLate() || x.replacement == nil && x.dropQuarantined() {
 			return
 		}
 		if x.slotReservation = ""; v.ReserveSlot && !x.reserve(v) {
@@ -214,7 +211,7 @@
 			return
 		}
 		x.recordFailure(a)
-		if !x.canRetry(a) || x.replacement == nil && x.suspectedAgain(a) {
+		if !x.canRetry(a) || x.replacement == nil && (!x.headSent && x.s.isTooLate(x.in) || x.suspectedAgain(a)) {
 			x.respondFailed(a)
 			return
 		}
@@ -260,6 +257,8 @@
 	}
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
+	sending, release := x.s.SendingContext(x.in)
+	defer release()
 	var err error
 	select {
 	case v = <-waiting:
@@ -268,6 +267,8 @@
 		err = context.Canceled
 	case <-timer.C:
 		err = errDeadlinePassed
+	case <-sending.Done():
+		err = errHostStopping
 	case <-x.s.stopping.answer.Done():
 		err = errHostStopping
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -82,6 +82,7 @@
 	table         atomic.Pointer[routing.Table]
 	draining      atomic.Bool
 	stopping      stopping
+	answerAt      atomic.Pointer[time.Time] // when stopping.answer ends, nil before RefuseLate
 	overloadState overloadState
 	ctx           context.Context
 	stop          context.CancelFunc
--- a/pkg/edge/stopping.go
+++ b/pkg/edge/stopping.go
@@ -16,12 +16,13 @@
 
 // stopping holds the steps of a planned stop, each a context that ends with its step.
 type stopping struct {
-	answer, cut       context.Context
-	endAnswer, endCut context.CancelFunc
+	sending, answer, cut          context.Context
+	endSending, endAnswer, endCut context.CancelFunc
 }
 
 func newStopping() stopping {
 	var s stopping
+	s.sending, s.endSending = context.WithCancel(context.Background())
 	s.answer, s.endAnswer = context.WithCancel(context.Background())
 	s.cut, s.endCut = context.WithCancel(context.Background())
 	return s
@@ -35,9 +36,6 @@
 // CutOpen aborts all responses that have begun.
 func (s *Server) CutOpen() { s.stopping.endCut() }
 
-// Stopping returns a context that ends when AnswerOpen is called.
-func (s *Server) Stopping() context.Context { return s.stopping.answer }
-
 // Open returns the number of requests in progress, and of streams among them that are
 // being forwarded.
 func (s *Server) Open() (requests, streams int64) {
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -41,6 +41,14 @@
 	return in.dest.route.Timeout
 }
 
+// objective returns the target time to the answer or to the first event.
+func (in *Request) objective() time.Duration {
+	if in.dest.route.Objective == 0 {
+		return in.timeout()
+	}
+	return in.dest.route.Objective
+}
+
 // Deadline returns when the final response to an admitted request is due.
 func (in *Request) Deadline() time.Time { return in.Arrived.Add(in.timeout() - responseMargin) }
 
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -219,11 +219,12 @@
 	if q.req.ContentLength > 0 {
 		buf.Grow(int(q.req.ContentLength) + bytes.MinRead)
 	}
-	ctx := q.req.Context()
+	ctx, releaseCtx := r.sendingContext(q)
+	defer releaseCtx()
 	stop := context.AfterFunc(ctx, q.endBodyRead)
 	_, err := buf.ReadFrom(http.MaxBytesReader(q.w, q.req.Body, limits.BodyBytes))
-	stop()
-	if err == nil {
+	stopped := !stop()
+	if err == nil && !stopped {
 		q.setBodyReadTimeout(0)
 	} else {
 		// Otherwise net/http would read the rest of the body before it sends
@@ -239,8 +240,8 @@
 	switch {
 	case errors.As(err, &maxBytesErr):
 		return release, bodyTooLargeError(limits.BodyBytes)
-	case err != nil && errors.Is(context.Cause(ctx), proxy.ErrStopping):
-		return release, result.New(result.ShuttingDown, "the router stops before the request body was complete")
+	case (err != nil || stopped) && errors.Is(context.Cause(ctx), proxy.ErrStopping):
+		return release, result.New(result.ShuttingDown, "the router stops before the request body was complete").WithRetryAfter(lateRetryAfter)
 	case err != nil && err != io.EOF:
 		return release, result.Wrap(result.InvalidRequest, err, "the request body could not be read")
 	}
--- a/pkg/router/asks.go
+++ b/pkg/router/asks.go
@@ -203,7 +203,7 @@
 		return got.grant, got.refusal
 	case <-ctx.Done():
 		if errors.Is(context.Cause(ctx), proxy.ErrStopping) {
-			return r.abandonAsk(w, result.New(result.ShuttingDown, "the router is shutting down"))
+			return r.abandonAsk(w, result.New(result.ShuttingDown, "the router is shutting down").WithRetryAfter(lateRetryAfter))
 		}
 		return r.abandonAsk(w, result.Wrap(result.CallerLeftWaiting, context.Cause(ctx), "the caller closed the connection"))
 	case <-r.closing:
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -63,7 +63,9 @@
 	for n := 1; ; n++ {
 		attempt := Attempt{Owner: r.ownerName(shard)}
 		askedAt := time.Now()
-		grant, refusal := r.acquireGrant(q.context(), shard, q.newAsk(r.self, avoid))
+		ctx, release := r.sendingContext(q)
+		grant, refusal := r.acquireGrant(ctx, shard, q.newAsk(r.self, avoid))
+		release()
 		waited := time.Since(askedAt)
 		r.counters.waitTime.Update(waited)
 		attempt.WaitMS = milliseconds(waited)
@@ -76,7 +78,11 @@
 			}
 			return lastReport, r.explainNoServer(refusal)
 		}
-		if err := r.beginAttempt(q); err != nil {
+		err := r.refuseLate(q)
+		if err == nil {
+			err = r.beginAttempt(q)
+		}
+		if err != nil {
 			r.settle(shard, pool.Settle{GrantID: grant.GrantID, Epoch: grant.Epoch, Outcome: pool.OutcomeUnused})
 			attempt.Server, attempt.Result = grant.Server, err.Error()
 			q.decision.Attempts = append(q.decision.Attempts, attempt)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -98,6 +98,9 @@
 	ready               atomic.Bool
 	closing             chan struct{} // closed when waiting requests must be refused
 	closingOnce         sync.Once
+	drainEnd            atomic.Pointer[time.Time] // when running requests are cut, nil before RefuseLate
+	sending             context.Context           // ends with RefuseLate
+	endSending          context.CancelFunc
 	recordWrites        sync.WaitGroup // updates of keyed requests in control
 
 	ownedMu sync.RWMutex
@@ -164,6 +167,7 @@
 	r.askTable.lastRequestID = self.Incarnation
 	r.counters = newCounters(r.metrics)
 	r.ready.Store(true)
+	r.sending, r.endSending = context.WithCancel(context.Background())
 	return r
 }
 
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -284,6 +284,7 @@
 	if err := sleepContext(hardStop, s.cfg.Drain.Notice.AsDuration()); err != nil {
 		return err
 	}
+	s.router.RefuseLate(time.Now().Add(s.cfg.Drain.Longest.AsDuration()))
 	drainCtx, cancel := context.WithTimeout(hardStop, s.cfg.Drain.Longest.AsDuration())
 	defer cancel()
 	err := s.closeCallers(drainCtx, callers.DrainIdle)
