Watch the server of a caller that leaves

A request that ends servers was not found if its caller left before the crash, so it went on ending servers. Cause: an edge host closes the connection when the caller leaves, so it does not see that the server ends 50 ms later, and no other host has a request there.

Change: if the caller leaves before the answer began, the address of the process is checked for 250 ms, and the request counts as lost if the process has ended within that time (pkg/losses/watch.go).

A review names as a risk that a server which callers leave is connected to about each 250 ms.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -139,6 +139,9 @@
 	if a.outcome == dispatch.ConnectionLost {
 		x.recordLostConnection(v)
 	}
+	if a.outcome == dispatch.CallerDisconnected && a.sent && !x.answerBegan() {
+		x.watchServer(v)
+	}
 	if a.sent {
 		x.sentTo = append(x.sentTo, v.Address)
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -100,6 +100,7 @@
 	reservations      reserveLatency
 	responses         *responseMemory
 	losses            losses.Collector
+	left              losses.Watch
 	quarantine        *quarantine.Tracker
 	storedVerdicts    map[uint64]uint32 // by suspect: generation that the core hosts have stored
 	// quarantinedRequests describes refused requests.
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -54,3 +54,33 @@
 		"begun": l.Begun, "not_begun": l.NotBegun, "parts": quarantine.FormatList(slices.Sorted(maps.Keys(l.Parts))), "requests": quarantine.FormatList(requests),
 	}).Info("connections to a server lost")
 }
+
+// watchServer records an attempt whose caller left before the answer began, and has the
+// server checked.
+func (x *proxiedRequest) watchServer(v dispatch.Decision) {
+	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
+	if x.s.left.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: x.attemptStartedAt}) {
+		go x.s.checkLeft(server)
+	}
+}
+
+// checkLeft checks a server process until it has ended or the requests whose callers left
+// are old. If it has ended, they are lost with it.
+func (s *Server) checkLeft(server losses.Process) {
+	for again := true; again && s.ctx.Err() == nil; {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-time.After(losses.WatchTime - losses.CollectTime):
+		}
+		began := time.Now().Add(losses.CollectTime)
+		ended := losses.HasEnded(s.ctx, server.Address, connectTimeout)
+		var lost []losses.Request
+		lost, again = s.left.Take(began, server, ended)
+		for _, r := range lost {
+			if l := s.losses.Add(time.Now(), server, r); l != nil {
+				go s.checkLoss(l)
+			}
+		}
+	}
+}
