State the software version of servers in announcements

Callers got streams joined from two software versions, because servers of several versions may serve one service and no part of the fleet knew that.

Change: pkg/release is the identity of a service and its version; announcements, the registry and the logs of edge hosts carry it. No decision uses it yet.

--- a/pkg/edge/fleet_view.go
+++ b/pkg/edge/fleet_view.go
@@ -83,7 +83,7 @@
 			servers = true
 			v.log.WithFields(logrus.Fields{
 				"server": entry.ID, "service": entry.Service, "address": entry.Address, "state": entry.State.String(),
-				"sequence": entry.Sequence, "born_ms": entry.StartMS, "cold_ms": m.GetColdMs(), "age_ms": m.GetAgeMs(),
+				"sequence": entry.Sequence, "born_ms": entry.StartMS, "version": entry.Release.String(), "cold_ms": m.GetColdMs(), "age_ms": m.GetAgeMs(),
 			}).Info("server announcement changed")
 		case registry.Renewed:
 			servers = servers || now.Sub(v.serversUpdatedAt) > renewalUpdateInterval
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
 
 // State is the announced state of a backend server.
@@ -64,6 +65,7 @@
 	Slots         int
 	State         State
 	Sequence      uint64
+	Release       release.ID
 	StartMS       int64     // start time of the server process by its own clock, Unix milliseconds; 0 if not stated
 	ColdUntil     time.Time // end of the cold start, by the local clock
 	Heard         time.Time // time of the last announcement, by the local clock
@@ -92,7 +94,7 @@
 const (
 	Stale    Change = iota // not newer than the known announcement, ignored
 	Renewed                // only the time, the sequence number or the receiving host is new
-	Modified               // the state, address, service, data centre, slots, start or cold time changed
+	Modified               // the state, address, service, data centre, slots, release, start or cold time changed
 )
 
 // Registry holds one entry for each server id. It is not safe for concurrent
@@ -151,7 +153,7 @@
 // count.
 func (e *Entry) differsFrom(newer *Entry) bool {
 	if newer.State != e.State || newer.StartMS != e.StartMS || newer.Address != e.Address ||
-		newer.Service != e.Service || newer.DataCentre != e.DataCentre || newer.Slots != e.Slots {
+		newer.Service != e.Service || newer.DataCentre != e.DataCentre || newer.Slots != e.Slots || newer.Release != e.Release {
 		return true
 	}
 	cold := max(newer.ColdUntil.Sub(newer.Heard), 0) - max(e.ColdUntil.Sub(newer.Heard), 0)
@@ -345,6 +347,7 @@
 		ColdMs:  max(e.ColdUntil.Sub(now).Milliseconds(), 0),
 		AgeMs:   max(now.Sub(e.Heard).Milliseconds(), 0),
 		Vouched: e.Vouched,
+		Release: uint64(e.Release),
 	}
 }
 
@@ -356,5 +359,6 @@
 		Slots: int(m.GetSlots()), State: State(m.GetState()), Sequence: m.GetSequence(), StartMS: m.GetBornMs(),
 		ColdUntil: now.Add(clampMS(m.GetColdMs(), 2*MaxColdTime)),
 		Heard:     now.Add(-DurationOfAge(m.GetAgeMs())),
+		Release:   release.ID(m.GetRelease()),
 	}
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -138,6 +140,7 @@
 func TestOfferSeparatesChangesFromRenewals(t *testing.T) {
 	known := newEntry("a", "x", 1, 1, Ready)
 	known.HeardDirectly, known.ColdUntil, known.Slots, known.DataCentre = true, start, 6, "z"
+	known.Release = release.Of("s", "v1")
 	for _, c := range []struct {
 		name   string
 		change func(e *Entry)
@@ -149,6 +152,8 @@
 		{"cold time", func(e *Entry) { e.ColdUntil = e.Heard.Add(time.Second) }, Modified},
 		{"slots", func(e *Entry) { e.Slots = 7 }, Modified},
 		{"data centre", func(e *Entry) { e.DataCentre = "y" }, Modified},
+		{"release", func(e *Entry) { e.Release = release.Of("s", "v2") }, Modified},
+		{"release no longer stated", func(e *Entry) { e.Release = release.Unknown }, Modified},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := New()
@@ -182,3 +187,34 @@
 	got, _ = r.Get("b")
 	assert.Assert(t, !got.Vouched)
 }
+
+// Guards against a stream that goes on at a server of another release: a server may come
+// back under its id with another version, and hosts learn of it from each other.
+func TestReleaseBelongsToAProcess(t *testing.T) {
+	v1, v2 := release.Of("s", "v1"), release.Of("s", "v2")
+	with := func(e Entry, id release.ID) Entry { e.Release = id; return e }
+	for _, c := range []struct {
+		name  string
+		later Entry
+		want  release.ID
+	}{
+		{"late announcement", with(newEntry("a", "x", 5, 1, Ready), v2), v1},
+		{"draining", with(newEntry("a", "x", 5, 3, Draining), v1), v1},
+		{"withdrawal", newEntry("a", "", 5, 0, Gone), v1},
+		{"withdrawal of an earlier start", newEntry("a", "", 4, 0, Gone), v1},
+		{"later start", with(newEntry("a", "x", 6, 1, Ready), v2), v2},
+		{"later start without a version", newEntry("a", "x", 6, 1, Ready), release.Unknown},
+		{"same start time", with(newEntry("a", "x", 5, 3, Ready), v2), v2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, other := New(), New()
+			r.Merge(with(newEntry("a", "x", 5, 2, Ready), v1))
+			r.Merge(c.later)
+			e, _ := r.Get("a")
+			assert.Equal(t, e.Release, c.want)
+			other.Merge(FromProto(e.ToProto(start), start))
+			e, _ = other.Get("a")
+			assert.Equal(t, e.Release, c.want)
+		})
+	}
+}
