--- a/pkg/feed/client.go
+++ b/pkg/feed/client.go
@@ -88,6 +88,15 @@
 	Heartbeat() *apiv1.FleetWatcher
 }
 
+// ConnectionUser is implemented by a Handler that makes calls of its own to the core
+// hosts.
+type ConnectionUser interface {
+	// UseConnection is called in a goroutine of its own for each connection to the core
+	// host at the address, after the first event was received. ctx ends with the
+	// connection.
+	UseConnection(ctx context.Context, address string, conn *grpc.ClientConn)
+}
+
 // Client keeps the streams to all core hosts. It is safe for concurrent use.
 type Client struct {
 	self       *apiv1.FleetWatcher
@@ -223,6 +232,7 @@
 		silenceTimer.Reset(StreamIdleTimeout)
 		if !received {
 			c.log.WithField("core", address).Info("stream from core host started")
+			go c.useConnection(ctx, address, conn)
 		}
 		received = true
 		if err := c.deliver(address, e); err != nil {
@@ -231,6 +241,19 @@
 	}
 }
 
+// useConnection lets the handler use the connection if it is a ConnectionUser. A panic
+// ends this use only.
+func (c *Client) useConnection(ctx context.Context, address string, conn *grpc.ClientConn) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.WithFields(logrus.Fields{"core": address, "cause": p, "stack": string(debug.Stack())}).Error("user of the connection panicked")
+		}
+	}()
+	if u, ok := c.handler.(ConnectionUser); ok {
+		u.UseConnection(ctx, address, conn)
+	}
+}
+
 // errHandlerPanicked ends a stream after its handler has panicked. The next stream
 // begins with the complete state of the core host, so no event is lost.
 var errHandlerPanicked = errors.New("fleet event handler panicked")
--- a/pkg/feed/client_test.go
+++ b/pkg/feed/client_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -33,6 +35,78 @@
 	assert.NilError(t, c.deliver("core", &apiv1.FleetEvent{}))
 }
 
+// watchServer is a core host that sends one event on each stream. ends is closed to end
+// the streams.
+type watchServer struct {
+	apiv1.UnimplementedFleetServer
+	ends chan struct{}
+}
+
+func (s *watchServer) Watch(stream grpc.BidiStreamingServer[apiv1.FleetWatcher, apiv1.FleetEvent]) error {
+	if err := stream.Send(&apiv1.FleetEvent{}); err != nil {
+		return err
+	}
+	select {
+	case <-stream.Context().Done():
+	case <-s.ends:
+	}
+	return nil
+}
+
+func (s *watchServer) Read(context.Context, *apiv1.FleetReadRequest) (*apiv1.FleetState, error) {
+	return &apiv1.FleetState{Revision: 7}, nil
+}
+
+// connectionUser calls the core host on each connection and panics afterwards.
+type connectionUser struct {
+	ignoringHandler
+	address chan string
+	ended   chan struct{}
+}
+
+func (u *connectionUser) UseConnection(ctx context.Context, address string, conn *grpc.ClientConn) {
+	state, err := apiv1.NewFleetClient(conn).Read(ctx, &apiv1.FleetReadRequest{})
+	if err != nil || state.GetRevision() != 7 {
+		return
+	}
+	u.address <- address
+	<-ctx.Done()
+	u.ended <- struct{}{}
+	panic("fault")
+}
+
+// ignoringHandler is a Handler that ignores what it receives.
+type ignoringHandler struct{}
+
+func (ignoringHandler) HandleEvent(string, *apiv1.FleetEvent) {}
+func (ignoringHandler) HandleDisconnect(string, error)        {}
+
+// Guards against a handler that gets no connection, keeps one that has ended, or ends
+// the process by a panic.
+func TestHandlerUsesEachConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer()
+	core := &watchServer{ends: make(chan struct{})}
+	apiv1.RegisterFleetServer(server, core)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	u := &connectionUser{address: make(chan string), ended: make(chan struct{})}
+	New(ctx, &apiv1.FleetWatcher{}, "", nil, u).SetSeeds([]string{listener.Addr().String()})
+	for range 2 {
+		select {
+		case got := <-u.address:
+			assert.Equal(t, got, listener.Addr().String())
+		case <-ctx.Done():
+			t.Fatal("no connection")
+		}
+		core.ends <- struct{}{}
+		<-u.ended
+	}
+}
+
 // mergingHandler merges events as hosts do.
 type mergingHandler struct {
 	servers  *registry.Registry
