Agree on the releases in service and on routes that moved

For streams joined from two software versions: without a record, the release of a stream is known only if the service has had no other one, and the route no other service, within the time in which a caller may come back.

Change: the agreed state of the core hosts lists the releases of each service on which streams may have begun, at most 8, and the routes to streams whose requests moved to other services, at most 64; more count as all.

--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -1,7 +1,8 @@
 // Package fleet implements the replicated state that core hosts provide to edge
 // hosts: the configuration as an opaque, versioned document, which data centres
-// operators have taken out of service, and the verdicts on prompt parts that crash
-// servers.
+// operators have taken out of service, the verdicts on prompt parts that crash
+// servers, the releases of each service on which streams may have begun, and the
+// routes that led to other services lately.
 package fleet
 
 import (
@@ -22,9 +23,12 @@
 	mu       sync.Mutex // guards all fields
 	revision uint64     // log index of the last change
 	document *apiv1.FleetDocument
+	services map[string]uint64                   // servicesByPlace of document
 	marks    map[string]*apiv1.FleetMark         // by data centre
 	verdicts map[uint64]*apiv1.QuarantineVerdict // by prompt part, at most MaxVerdicts
-	changed  chan struct{}                       // closed at the next change
+	releases releaseSets
+	routes   *apiv1.RouteChanges // never modified, because views share it
+	changed  chan struct{}       // closed at the next change
 }
 
 // MaxVerdicts bounds the stored verdicts.
@@ -32,7 +36,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{marks: map[string]*apiv1.FleetMark{}, verdicts: map[uint64]*apiv1.QuarantineVerdict{}, changed: make(chan struct{})}
+	return &State{marks: map[string]*apiv1.FleetMark{}, verdicts: map[uint64]*apiv1.QuarantineVerdict{}, releases: newReleaseSets(nil), routes: &apiv1.RouteChanges{}, changed: make(chan struct{})}
 }
 
 // EncodeCommand encodes a command for the replicated log.
@@ -50,7 +54,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if d := c.GetDocument(); d != nil && d.GetVersion() > s.document.GetVersion() {
-		s.document = d
+		services := servicesByPlace(d)
+		s.routes = routeChangesAfter(index, s.routes, s.document == nil, s.services, services)
+		s.document, s.services = d, services
 		s.recordChange(index)
 	}
 	if m := c.GetMark(); m != nil && s.marks[m.GetDataCentre()].GetOut() != m.GetOut() {
@@ -63,6 +69,13 @@
 		s.removeExcessVerdict()
 		s.recordChange(index)
 	}
+	if r := c.GetReleases(); r != nil && s.releases.apply(index, r) {
+		s.recordChange(index)
+	}
+	if oldest := OldestRouteChange(s.routes); oldest > 0 && oldest <= c.GetSettledRoutes() {
+		s.routes = settledRouteChanges(s.routes, c.GetSettledRoutes())
+		s.recordChange(index)
+	}
 	return &apiv1.FleetSubmitted{Version: s.document.GetVersion()}
 }
 
@@ -109,7 +122,7 @@
 func (s *State) View(above uint64) (*apiv1.FleetState, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := &apiv1.FleetState{Revision: s.revision, Marks: s.sortedMarks(), Verdicts: s.sortedVerdicts()}
+	v := &apiv1.FleetState{Revision: s.revision, Marks: s.sortedMarks(), Verdicts: s.sortedVerdicts(), Releases: s.releases.sorted, RouteChanges: s.routes}
 	if s.document.GetVersion() > above {
 		v.Document = s.document
 	}
@@ -157,7 +170,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.document = v.GetDocument()
+	s.document, s.services = v.GetDocument(), servicesByPlace(v.GetDocument())
 	s.marks = map[string]*apiv1.FleetMark{}
 	for _, m := range v.GetMarks() {
 		s.marks[m.GetDataCentre()] = m
@@ -166,6 +179,8 @@
 	for _, v := range v.GetVerdicts() {
 		s.verdicts[v.GetSuspect()] = v
 	}
+	s.releases = newReleaseSets(v.GetReleases())
+	s.routes = restoredRouteChanges(v)
 	s.recordChange(v.GetRevision())
 	return nil
 }
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -85,6 +85,21 @@
 // NeedsKey reports whether a request of the route needs a key.
 func (t *Table) NeedsKey(r *Route) bool { return t.keysRequired && !r.Public }
 
+// Place returns the host and path prefix of the route. A request matches the route if
+// its place, which ends with a slash, begins the host and path of the request and no
+// longer one does.
+func (r *Route) Place() string { return NormalizeHost(r.Host) + r.PathPrefix }
+
+// Services returns the services that get requests of the route.
+func (r *Route) Services() (out []string) {
+	for _, t := range r.Targets {
+		if t.Weight > 0 {
+			out = append(out, t.Service)
+		}
+	}
+	return out
+}
+
 // ChooseService selects the target of a request by weight and returns its
 // service. The result depends only on the route and the request ID, so that all
 // hosts select the same one.
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -80,3 +80,11 @@
 	assert.Equal(t, count["c"], 0)
 	assert.Assert(t, count["b"] > 800 && count["b"] < 1200, "%v", count)
 }
+
+// Guards against routes that count as other ones, or services that get no requests and
+// count as those of a route, when a caller takes up a stream.
+func TestPlaceAndServices(t *testing.T) {
+	r := Route{Host: "A.example:80", PathPrefix: "/x/", Targets: []Target{{"s", 1}, {"unused", 0}, {"t", 2}}}
+	assert.Equal(t, r.Place(), "a.example/x/")
+	assert.DeepEqual(t, r.Services(), []string{"s", "t"})
+}
