Keep records of streams and the history at core hosts

For streams joined from two software versions: callers come back to hosts that do not know what began their streams.

Change: core hosts store the records of all edge hosts in memory and answer queries; without a record they answer a release only if the history in the log, confirmed by a majority at that moment, lists one. The leader adds releases that servers announce and removes those unseen for long. A configuration states the services of its routes to streams. A new process of a server makes the records of the streams before its announcement doubtful, however it is heard of.

Records, history and doubts share the host, so they are one commit.

Core hosts must be upgraded before edge hosts.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -65,25 +65,29 @@
 type Host struct {
 	apiv1.UnimplementedFleetServer
 
-	config   Config
-	log      *logrus.Entry
-	state    *fleet.State
-	replica  *replica.Replica
-	server   *grpc.Server
-	listener net.Listener
-	feed     *feed.Client
-	clients  clients
-	cancel   context.CancelFunc
-	ctx      context.Context
+	config        Config
+	log           *logrus.Entry
+	state         *fleet.State
+	replica       *replica.Replica
+	server        *grpc.Server
+	listener      net.Listener
+	feed          *feed.Client
+	clients       clients
+	streams       *streamRecords
+	cancel        context.CancelFunc
+	ctx           context.Context
+	confirmations confirmations
 
 	mu              sync.Mutex
 	servers         *registry.Registry
 	edges           map[string]*edge
-	coreDataCentres map[string]string // data centres of core hosts, by address
-	urgentChange    chan struct{}     // closed on a change that is sent at once
-	edgeRevision    uint64            // revision of the last change of an edge host
-	verdictSubmits  map[uint64]bool   // prompt parts whose verdict is being stored
-	vouched         *feed.Liveness    // servers and edge hosts that other core hosts vouch for
+	coreDataCentres map[string]string       // data centres of core hosts, by address
+	urgentChange    chan struct{}           // closed on a change that is sent at once
+	edgeRevision    uint64                  // revision of the last change of an edge host
+	verdictSubmits  map[uint64]bool         // prompt parts whose verdict is being stored
+	releaseSubmits  map[serviceRelease]bool // releases for which a change is being stored
+	sightings       sightings
+	vouched         *feed.Liveness // servers and edge hosts that other core hosts vouch for
 	// oldestHeard is the earliest of the times at which the servers that this host
 	// vouches for were last heard, zero if it vouches for none.
 	oldestHeard time.Time
@@ -123,7 +127,10 @@
 		config: c, log: logging.ForComponent("core"), state: fleet.NewState(), servers: registry.New(),
 		clients: clients{dial: c.Dial}, edges: map[string]*edge{}, coreDataCentres: map[string]string{}, urgentChange: make(chan struct{}),
 		vouched: feed.NewLiveness(), verdictSubmits: map[uint64]bool{},
+		releaseSubmits: map[serviceRelease]bool{}, sightings: sightings{},
 	}
+	h.confirmations.confirm = h.confirmHistory
+	h.streams = newStreamRecords(h.log, c.Registry, maxStreamRecords)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	if h.listener, err = net.Listen("tcp", c.Address); err != nil {
 		return nil, result.Wrap(result.InvalidSettings, err, "cannot listen on address %s", c.Address)
@@ -142,6 +149,7 @@
 	go h.manageMembership(h.ctx)
 	go h.runPeriodically(cleanupInterval, h.removeExpired)
 	go h.runPeriodically(flushInterval, h.releaseSilentServers)
+	go h.maintainReleases()
 	return h, nil
 }
 
@@ -212,11 +220,24 @@
 // host, and streams it at once if it changes the server.
 func (h *Host) HandleAnnouncement(e registry.Entry) registry.Change {
 	e.HeardDirectly = true
+	change := h.mergeAnnouncement(e)
+	if change == registry.Modified && e.State != registry.Gone && e.Service != "" {
+		h.addRelease(serviceRelease{e.Service, e.Release})
+	}
+	return change
+}
+
+func (h *Host) mergeAnnouncement(e registry.Entry) registry.Change {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	before, known := h.servers.Get(e.ID)
 	change := h.servers.Merge(e)
+	if change != registry.Stale {
+		h.seeRelease(now, &e)
+	}
 	if change == registry.Modified {
+		h.noticeRestart(now, before, e.ID)
 		h.notifyWatchers()
 		h.log.WithFields(logrus.Fields{
 			"server": e.ID, "service": e.Service, "address": e.Address, "state": e.State.String(), "before": before.State.String(),
@@ -232,8 +253,11 @@
 func (h *Host) HandleWithdrawal(id string, bornMS int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	known := h.servers.Withdraw(id, bornMS, time.Now())
+	now := time.Now()
+	before, _ := h.servers.Get(id)
+	known := h.servers.Withdraw(id, bornMS, now)
 	if known {
+		h.noticeRestart(now, before, id)
 		h.notifyWatchers()
 	}
 	h.log.WithFields(logrus.Fields{"server": id, "known": known, "born_ms": bornMS}).Info("server withdrew")
@@ -278,6 +302,7 @@
 // retention time.
 func (h *Host) removeExpired(now time.Time) {
 	h.servers.RemoveExpired(now)
+	h.streams.removeExpired(now)
 	for name, e := range h.edges {
 		if e.openStreams == 0 && now.Sub(e.seen) > edgeRetention {
 			delete(h.edges, name)
@@ -309,7 +334,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range e.GetServers() {
-		h.servers.Merge(registry.FromProto(m, now))
+		e := registry.FromProto(m, now)
+		before, _ := h.servers.Get(e.ID)
+		if h.servers.Merge(e) != registry.Stale {
+			h.seeRelease(now, &e)
+			h.noticeRestart(now, before, e.ID)
+		}
 	}
 	for _, m := range e.GetEdges() {
 		h.seen(m, now)
--- a/pkg/core/power_test.go
+++ b/pkg/core/power_test.go
@@ -55,7 +55,7 @@
 		operators.Go(func() {
 			for ctx.Err() == nil {
 				v := version.Add(1)
-				if c.hosts[n].SubmitDocument(ctx, v, fmt.Append(nil, "document ", v)) == nil {
+				if c.hosts[n].SubmitDocument(ctx, &apiv1.FleetDocument{Version: v, Data: fmt.Append(nil, "document ", v)}) == nil {
 					storeMax(&c.acked, v)
 					failPower()
 					return
--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -166,7 +166,7 @@
 	c.version++
 	ctx, cancel := context.WithTimeout(c.t.Context(), operatorTimeout)
 	defer cancel()
-	return c.hosts[n].SubmitDocument(ctx, c.version, []byte(fmt.Sprint("document ", c.version))) == nil
+	return c.hosts[n].SubmitDocument(ctx, &apiv1.FleetDocument{Version: c.version, Data: fmt.Append(nil, "document ", c.version)}) == nil
 }
 
 // submitUntilAgreed submits new versions to the hosts in turn until one is
--- a/pkg/core/submit.go
+++ b/pkg/core/submit.go
@@ -27,12 +27,13 @@
 
 // SubmitDocument commits a version of the configuration. A version that is not
 // higher than the committed one succeeds and changes nothing. It returns TooLarge, or
-// NoQuorum if ctx ends first; the document may then still be committed.
-func (h *Host) SubmitDocument(ctx context.Context, version uint64, data []byte) error {
-	if h.state.Version() >= version {
+// NoQuorum if ctx ends first; the document may then still be committed. The caller must
+// not modify the document.
+func (h *Host) SubmitDocument(ctx context.Context, d *apiv1.FleetDocument) error {
+	if h.state.Version() >= d.GetVersion() {
 		return nil // a version at least as high is already committed
 	}
-	return h.submit(ctx, &apiv1.FleetCommand{Document: &apiv1.FleetDocument{Version: version, Data: data}})
+	return h.submit(ctx, &apiv1.FleetCommand{Document: d})
 }
 
 // SubmitDataCentreMark commits a mark that takes a data centre out of service,
--- a/pkg/core/watch_test.go
+++ b/pkg/core/watch_test.go
@@ -5,17 +5,24 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/feed"
+	"jackdawtrack.example/jackdawtrack/pkg/fleet"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 )
 
+// testRecords is the limit on the stream records of a test host.
+const testRecords = 1024
+
 func newTestHost() *Host {
+	log := logging.ForComponent("test")
 	return &Host{
-		log: logging.ForComponent("test"), servers: registry.New(), edges: map[string]*edge{}, coreDataCentres: map[string]string{},
+		log: log, state: fleet.NewState(), streams: newStreamRecords(log, metrics.NewRegistry(), testRecords), releaseSubmits: map[serviceRelease]bool{}, sightings: sightings{},
+		servers: registry.New(), edges: map[string]*edge{}, coreDataCentres: map[string]string{},
 		urgentChange: make(chan struct{}), vouched: feed.NewLiveness(),
 	}
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -71,6 +71,7 @@
 	Heard         time.Time // time of the last announcement, by the local clock
 	HeardDirectly bool      // the last announcement was received directly from the server
 	Leaving       bool      // a response of this server process stated that it is shutting down
+	BeforeHeard   time.Time // time of the last announcement of the process before, by the local clock; zero if none was known
 	Vouched       bool      // received directly within livenessTimeout: this host reports the server as alive
 
 	modified     uint64        // value of Registry.lastChange at the last change other than to times
@@ -136,6 +137,10 @@
 		return Modified
 	}
 	e.Leaving = current.Leaving && current.sameStart(&e)
+	e.BeforeHeard = current.BeforeHeard
+	if e.StartMS != current.StartMS || e.Release != current.Release {
+		e.BeforeHeard = current.Heard
+	}
 	e.sourceChange = current.sourceChange
 	if current.HeardDirectly && !e.HeardDirectly {
 		e.sourceChange = r.lastChange + 1
