Choose servers by the release that began a stream

Callers got streams that went on at another software version after a failure or beside a silent server, and servers could be told to fetch kept prompt parts from a server of another version.

Change: a request can be bound to a release; then only its servers count for the choice, for waiting and for the reason of a refusal, also for second attempts. New streams can be bound to recorded releases. Where few servers have a release, new streams leave its last places to streams that need it, and these go ahead. Prompt parts are fetched within a release only, and a server that returns with another release counts as one without kept parts.

Edge hosts state the releases of servers but bind no request yet.

--- a/pkg/dispatch/backoff.go
+++ b/pkg/dispatch/backoff.go
@@ -23,15 +23,15 @@
 // inBackoff reports whether the server asked for a backoff that has not ended.
 func (s *server) inBackoff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
-// remainingBackoff returns the time until the first available server of a
-// service ends its backoff, or 0 if one of them is not in backoff.
-func (d *Dispatcher) remainingBackoff(now time.Time, service string) time.Duration {
-	svc := d.services[service]
+// remainingBackoff returns the time until the first available server that the request
+// may use ends its backoff, or 0 if one of them is not in backoff.
+func (d *Dispatcher) remainingBackoff(now time.Time, r *Request) time.Duration {
+	svc := d.services[r.Service]
 	if svc == nil {
 		return 0
 	}
 	shortest := time.Duration(0)
-	for _, s := range svc.servers {
+	for _, s := range svc.serversOf(r) {
 		if !s.info.Ready || !s.downSince.IsZero() {
 			continue
 		}
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -18,7 +18,7 @@
 	c := candidates{lowestCost: math.Inf(1), lowestOnTimeCost: math.Inf(1), lowestLateCost: math.Inf(1)}
 	d.findPrefixHolders(now, r, svc)
 	jitterSeed := d.selfHash ^ uint64(now.UnixMilli()/jitterInterval.Milliseconds())
-	for _, s := range svc.servers {
+	for _, s := range svc.serversOf(r) {
 		if !d.isEligible(now, r, s) {
 			continue
 		}
@@ -28,10 +28,10 @@
 		if cost < c.lowestCost {
 			c.cheapest, c.lowestCost = s, cost
 		}
-		if cost < c.lowestOnTimeCost && s.hasBacklogRoom(uncached, maxOnTimeBacklog) {
+		if cost < c.lowestOnTimeCost && s.hasBacklogRoom(uncached, maxOnTimeBacklog) && (!r.leavesPlaces(s) || s.hasLateRoom(uncached)) {
 			c.cheapestOnTime, c.lowestOnTimeCost = s, cost
 		}
-		if cost < c.lowestLateCost && s.hasBacklogRoom(uncached, maxLateBacklog) && s.hasLateSlots() {
+		if cost < c.lowestLateCost && s.hasLateRoom(uncached) {
 			c.cheapestLate, c.lowestLateCost = s, cost
 		}
 	}
@@ -106,7 +106,7 @@
 // isEligible reports whether the server may get the request.
 func (d *Dispatcher) isEligible(now time.Time, r *Request, s *server) bool {
 	switch {
-	case !s.info.Ready || s.misdirected || slices.Contains(r.ExcludedServers, s.info.ID):
+	case !r.fits(s) || !s.info.Ready || s.misdirected || slices.Contains(r.ExcludedServers, s.info.ID):
 		return false
 	case !s.downSince.IsZero() || now.Before(s.fullUntil) || now.Before(s.noSlotUntil) || s.inBackoff(now):
 		return false
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -21,7 +21,7 @@
 func engineInfo(i int, dataCentre string) ServerInfo {
 	return ServerInfo{
 		ID: fmt.Sprintf("engine-%d", i), Service: "models", Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: dataCentre,
-		Slots: engineSlots, KVTokens: engineKV, Ready: true, StartMS: 1, Heard: start, FetchTokensPerSecond: 800_000,
+		Slots: engineSlots, KVTokens: engineKV, Release: v1, Ready: true, StartMS: 1, Heard: start, FetchTokensPerSecond: 800_000,
 	}
 }
 
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
 
 // assumeColdTime is how long servers count as cold after this host was
@@ -38,6 +40,10 @@
 type service struct {
 	servers []*server
 	latency time.Duration // mean answer time of the plain servers
+
+	byRelease            map[release.ID][]*server
+	readyByRelease       map[release.ID]int
+	ready, readyRecorded int // servers announced as ready, and those of them whose release is recorded
 }
 
 // New returns a Dispatcher without servers for the named edge host.
@@ -117,6 +123,7 @@
 			}
 			return 1
 		})
+		svc.countReleases()
 	}
 	if engines > 0 {
 		d.shares.readyFraction = float64(readyEngines) / float64(engines)
@@ -238,7 +245,7 @@
 func (d *Dispatcher) decide(now time.Time, r *Request) Decision {
 	v := Decision{Action: Wait, QueueLength: len(d.queue), FairShare: d.fairShare(now), ServedTokens: d.shares.usageOf(r.Workspace).served.sum}
 	svc := d.services[r.Service]
-	if svc == nil || len(svc.servers) == 0 {
+	if svc == nil || len(svc.servers) == 0 || d.isReleaseGone(r) {
 		return d.refuse(now, r, v, ReasonNoServer)
 	}
 	if !svc.servers[0].isEngine() {
@@ -251,7 +258,7 @@
 	candidates := d.evaluateServers(now, r, svc)
 	if candidates.cheapest == nil {
 		v.Class = Late
-		if anyAvailableWithin(now, svc, d.remainingWait(now, r, Late)) {
+		if anyAvailableWithin(now, svc.serversOf(r), d.remainingWait(now, r, Late)) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
@@ -261,7 +268,7 @@
 	v.PredictedLatency = candidates.cheapest.prefillTime(uncached) + candidates.cheapest.firstEventDelay + fetchTime(candidates.cheapest, fetch)
 	v.Class = classifyLatency(now, r, v)
 	best := candidates.cheapestOnTime
-	if v.Class == Late {
+	if v.Class == Late && !d.needsScarceRelease(r) {
 		best = candidates.cheapestLate
 	}
 	if best == nil {
@@ -288,10 +295,11 @@
 	return OnTime
 }
 
-// anyAvailableWithin reports whether a server of the service accepts requests
-// within the given time.
-func anyAvailableWithin(now time.Time, svc *service, wait time.Duration) bool {
-	return slices.ContainsFunc(svc.servers, func(s *server) bool {
+// anyAvailableWithin reports whether one of the servers accepts requests within the
+// given time. A server whose release is not recorded counts, because that takes less
+// time than most requests may wait.
+func anyAvailableWithin(now time.Time, servers []*server, wait time.Duration) bool {
+	return slices.ContainsFunc(servers, func(s *server) bool {
 		return s.info.Ready && s.downSince.IsZero() && s.backoffUntil.Sub(now) <= wait
 	})
 }
@@ -313,7 +321,8 @@
 	}
 	d.countUsage(now, r)
 	v.Action, v.Reason = Send, ReasonSent
-	v.Server, v.StartMS, v.Address, v.FetchFrom = s.info.ID, s.info.StartMS, s.info.Address, r.fetchFrom
+	v.Server, v.StartMS, v.Release = s.info.ID, s.info.StartMS, s.info.Release
+	v.Address, v.FetchFrom = s.info.Address, r.fetchFrom
 	v.UncachedTokens, v.AnnouncementAge = r.uncachedTokens, now.Sub(s.info.Heard)
 	return v
 }
--- a/pkg/dispatch/fetch.go
+++ b/pkg/dispatch/fetch.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/release"
+)
 
 // fetchTimeWeight is the weight of fetch time in the cost of a server. Moving
 // KV cache occupies two engines and the network between them.
@@ -20,26 +24,27 @@
 	tokens        int
 }
 
-// findPrefixHolders finds the engine of each data centre that caches the
-// longest prefix of the prompt, and the prefix that each engine caches itself.
-// It is called once per decision, so that the cost of a decision does not grow
-// with the square of the number of engines.
+// findPrefixHolders finds the engine of each data centre and release that caches the
+// longest prefix of the prompt, and the prefix that each engine caches itself. Engines
+// of unknown release hold nothing that another one could use. It is called once per
+// decision, so that the cost of a decision does not grow with the square of the number
+// of engines.
 func (d *Dispatcher) findPrefixHolders(now time.Time, r *Request, svc *service) {
 	r.prefixHolders = r.prefixHolders[:0]
-	for _, s := range svc.servers {
+	for _, s := range svc.serversOf(r) {
 		var prefilled int
 		s.cachedTokens, prefilled = s.cachedParts.prefixTokens(now, r.Parts)
-		if prefilled > 0 && s.info.Ready && !s.misdirected && s.downSince.IsZero() {
+		if prefilled > 0 && s.info.Release != release.Unknown && s.info.Ready && !s.misdirected && s.downSince.IsZero() {
 			r.addPrefixHolder(prefixHolder{s, prefilled})
 		}
 	}
 }
 
-// addPrefixHolder keeps the engine if it caches the longest prefix in its data
-// centre so far.
+// addPrefixHolder keeps the engine if it caches the longest prefix of its release in its
+// data centre so far.
 func (r *Request) addPrefixHolder(h prefixHolder) {
 	for i := range r.prefixHolders {
-		if r.prefixHolders[i].server.info.DataCentre == h.server.info.DataCentre {
+		if other := &r.prefixHolders[i].server.info; other.DataCentre == h.server.info.DataCentre && other.Release == h.server.info.Release {
 			if h.tokens > r.prefixHolders[i].tokens {
 				r.prefixHolders[i] = h
 			}
@@ -60,14 +65,14 @@
 	return r.PromptTokens - s.cachedTokens - f.tokens, f
 }
 
-// bestFetch selects the engine that caches the longest prefix, and of equal
-// ones that of the same data centre: a fetch between data centres takes twice
+// bestFetch selects the engine of the same release that caches the longest prefix, and
+// of equal ones that of the same data centre: a fetch between data centres takes twice
 // as long.
 func (r *Request) bestFetch(s *server) fetch {
 	best := fetch{}
 	for _, h := range r.prefixHolders {
 		extraTokens := h.tokens - s.cachedTokens
-		if h.server == s || extraTokens < minFetchTokens {
+		if h.server == s || h.server.info.Release != s.info.Release || extraTokens < minFetchTokens {
 			continue
 		}
 		sameDataCentre := h.server.info.DataCentre == s.info.DataCentre
--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -14,12 +14,16 @@
 func (d *Dispatcher) decidePlain(now time.Time, r *Request, svc *service, v Decision) Decision {
 	var best *server
 	bestCost := math.Inf(1)
-	for _, s := range svc.servers {
+	for _, s := range svc.serversOf(r) {
 		if !d.isEligible(now, r, s) {
 			continue
 		}
 		running, _ := s.load()
-		if float64(running) >= maxPlainLoadPerSlot*float64(max(s.info.Slots, 1)) {
+		limit := maxPlainLoadPerSlot * float64(max(s.info.Slots, 1))
+		if r.leavesPlaces(s) {
+			limit *= 1 - lateSpareFraction
+		}
+		if float64(running) >= limit {
 			continue
 		}
 		if c := d.plainCost(now, s); c < bestCost {
@@ -29,7 +33,7 @@
 	if best == nil {
 		v.Class = Late
 		left := time.Duration(maxPlainWaitFraction*float64(r.Objective)) - now.Sub(r.Arrived)
-		if !anyAvailableWithin(now, svc, left) {
+		if !anyAvailableWithin(now, svc.serversOf(r), left) {
 			return d.refuse(now, r, v, ReasonNoServer)
 		}
 		if left < 0 {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
 
 // enqueue queues the request, or refuses it if its predicted queueing time
@@ -18,29 +20,40 @@
 }
 
 // predictedQueueTime predicts the queueing time of the request: the prefill of
-// the requests ahead of it by all engines of the service.
+// the requests ahead of it by all engines that it may use.
 func (d *Dispatcher) predictedQueueTime(r *Request, v Decision) time.Duration {
 	svc := d.services[r.Service]
 	if svc == nil || len(svc.servers) == 0 || !svc.servers[0].isEngine() {
 		return 0
 	}
-	tokens, prefillRate := 0.0, 0.0
+	prefillRate, totalRate := readyPrefillRate(svc.serversOf(r)), readyPrefillRate(svc.servers)
+	if prefillRate == 0 {
+		return 0
+	}
+	seconds := 0.0
 	for _, w := range d.queue {
-		if w.Service == r.Service && w.decision.Class <= v.Class {
-			tokens += float64(w.PromptTokens)
+		switch {
+		case w.Service != r.Service || w.decision.Class > v.Class || !svc.delays(w, r):
+		case w.Release == release.Unknown:
+			seconds += float64(w.PromptTokens) / totalRate
+		default:
+			seconds += float64(w.PromptTokens) / prefillRate
 		}
 	}
-	for _, s := range svc.servers {
+	// Assume that the other edge hosts have queues of the same length and get an
+	// equal part of the engines.
+	return time.Duration(seconds * float64(d.edges) * float64(time.Second))
+}
+
+// readyPrefillRate returns the prefill rate of those servers that are up, in tokens per
+// second.
+func readyPrefillRate(servers []*server) (tokensPerSecond float64) {
+	for _, s := range servers {
 		if s.info.Ready && s.downSince.IsZero() {
-			prefillRate += s.prefillRate
+			tokensPerSecond += s.prefillRate
 		}
 	}
-	if prefillRate == 0 {
-		return 0
-	}
-	// Assume that the other edge hosts have queues of the same length and get an
-	// equal part of the engines.
-	return time.Duration(tokens * float64(d.edges) / prefillRate * float64(time.Second))
+	return tokensPerSecond
 }
 
 // remainingWait returns how much longer a request of the class may be queued.
@@ -67,7 +80,7 @@
 
 // refuse makes the final decision on a request that has not been sent.
 func (d *Dispatcher) refuse(now time.Time, r *Request, v Decision, reason Reason) Decision {
-	v.Action, v.Reason = Refuse, reason
+	v.Action, v.Reason = Refuse, d.releaseReason(r, reason)
 	v.RetryAfter = d.retryAfter(now, r, v)
 	r.queued = false
 	return v
@@ -98,7 +111,7 @@
 		base += time.Duration((v.ServedTokens - v.FairShare) / v.ServedTokens * float64(shareWindow))
 	}
 	stagger := time.Duration(u.retries%maxRetrySteps) * retryStep(r, v)
-	return d.remainingBackoff(now, r.Service) + min(max(base+stagger, minRetryAfter), maxRetryAfter)
+	return d.remainingBackoff(now, r) + min(max(base+stagger, minRetryAfter), maxRetryAfter)
 }
 
 // retryStep returns the time between two retries of a workspace: the time in
@@ -136,11 +149,11 @@
 		return nil
 	}
 	sorted := d.sortedQueue(now)
-	maxDecisions := max(maxPollEvaluations/max(len(d.servers), 1), minPollDecisions)
+	seen := map[release.ID]int{} // requests by the release that they need: those that wait for one do not hold up the others
 	var out []QueuedDecision
-	for i, r := range sorted {
+	for _, r := range sorted {
 		v := r.decision
-		if i < maxDecisions || v.Class == OverShare {
+		if seen[r.Release]++; seen[r.Release] <= d.maxDecisions(r) || v.Class == OverShare || d.isReleaseGone(r) {
 			v = d.decide(now, r)
 		}
 		if v.Action == Wait && d.remainingWait(now, r, v.Class) <= 0 {
@@ -158,8 +171,19 @@
 	return out
 }
 
+// maxDecisions returns how many queued requests that need the same release as r a Poll
+// decides on.
+func (d *Dispatcher) maxDecisions(r *Request) int {
+	servers := len(d.servers)
+	if svc := d.services[r.Service]; svc != nil && r.Release != release.Unknown {
+		servers = len(svc.serversOf(r))
+	}
+	return max(maxPollEvaluations/max(servers, 1), minPollDecisions)
+}
+
 // sortedQueue returns the queue ordered by class and remaining time. Requests
-// of workspaces that have used less of their fair share come first.
+// of workspaces that have used less of their fair share come first, and before them
+// streams whose release has few servers.
 func (d *Dispatcher) sortedQueue(now time.Time) []*Request {
 	fairShare := d.fairShare(now)
 	for _, r := range d.queue {
@@ -168,6 +192,9 @@
 			left += r.Objective.Seconds() / 2 * d.shares.usageOf(r.Workspace).served.sum / fairShare
 		}
 		r.order = float64(r.decision.Class)*classSortStep + left
+		if d.needsScarceRelease(r) {
+			r.order -= scarceAdvance
+		}
 	}
 	order := slices.Clone(d.queue)
 	slices.SortStableFunc(order, func(a, b *Request) int { return cmp.Compare(a.order, b.order) })
@@ -176,3 +203,6 @@
 
 // classSortStep separates the classes in the sort key of the queue, in seconds.
 const classSortStep = 1e6
+
+// scarceAdvance puts Late streams whose release has few servers ahead of OnTime requests.
+const scarceAdvance = 2 * classSortStep
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -49,6 +49,12 @@
 	return time.Duration(min(max(2*targetFreeSlots-freeSlots, 0), 2*targetFreeSlots)) * targetPressure / targetFreeSlots
 }
 
+// hasLateRoom reports whether the engine has room for a Late request with so many tokens
+// to prefill.
+func (s *server) hasLateRoom(tokens int) bool {
+	return s.hasBacklogRoom(tokens, maxLateBacklog) && s.hasLateSlots()
+}
+
 // hasLateSlots reports whether a Late request may take a slot.
 func (s *server) hasLateSlots() bool {
 	running, _ := s.load()
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -50,8 +50,9 @@
 
 // server is the state of a backend server as known to this edge host.
 type server struct {
-	info ServerInfo
-	hash uint64
+	info   ServerInfo
+	hash   uint64
+	scarce bool // few ready servers of the service are of its release
 	prefillModel
 	cachedParts  cachedParts
 	cachedTokens int // cached prefix of the prompt that is being decided on
@@ -108,7 +109,7 @@
 
 // update applies a newer announcement.
 func (s *server) update(info ServerInfo, now time.Time) {
-	if info.StartMS != s.info.StartMS || info.Address != s.info.Address {
+	if info.StartMS != s.info.StartMS || info.Address != s.info.Address || info.Release != s.info.Release {
 		s.resetState(now)
 	}
 	if info.Heard.After(s.downSince) && !s.downSince.IsZero() {
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -48,6 +48,7 @@
 	takenSlots map[string]int           // per engine
 	slotQueues map[string][]sentRequest // per engine, requests that wait for a slot
 	used       map[string]float64       // per engine, in slot seconds
+	onStep     func(elapsed time.Duration)
 }
 
 // sentRequest is a request that was sent to an engine.
@@ -101,6 +102,9 @@
 	for elapsed := time.Duration(0); elapsed < span; elapsed += step {
 		sim.now = start.Add(elapsed)
 		sim.processEvents()
+		if sim.onStep != nil {
+			sim.onStep(elapsed)
+		}
 		for _, l := range workloads {
 			if elapsed >= l.from && elapsed < l.to && sim.random.Float64() < l.perSecond*step.Seconds() {
 				sim.offerRequest(l)
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -11,6 +11,8 @@
 
 import (
 	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
 
 // Part is a segment of a prompt that engines may keep in their prefix cache. A
@@ -35,6 +37,12 @@
 	Objective       time.Duration // maximum time from Arrived to the first event or the answer
 	Deadline        time.Time
 	ExcludedServers []string // ids of servers that must not get the request
+	// Release is the only release whose servers may get the request, because one of
+	// them began the stream; release.Unknown allows all.
+	Release release.ID
+	// RecordedOnly excludes servers whose release the fleet has not recorded. Streams that
+	// a caller may take up begin only at the others.
+	RecordedOnly bool
 
 	// The fields below belong to the Dispatcher.
 	demandCounted  bool // counted in the demand of its workspace
@@ -43,7 +51,7 @@
 	isHedge        bool // second attempt, whose work the first one counts for the workspace
 	usageCounted   bool
 	server         *server
-	prefixHolders  []prefixHolder // per data centre, the engine that caches the longest prefix of the prompt
+	prefixHolders  []prefixHolder // per data centre and release, the engine that caches the longest prefix of the prompt
 	fetchFrom      string
 	addedTokens    int // tokens added to the backlog of the server
 	uncachedTokens int // prompt tokens that the server has to prefill
@@ -76,6 +84,10 @@
 	ReasonOverShare Reason = "workspace is beyond its share and servers are busy"
 	ReasonLate      Reason = "cannot be served in time"
 	ReasonQueueFull Reason = "too many requests wait"
+	// A stream cannot go on at servers of another release.
+	ReasonReleaseGone Reason = "no server of the stream's software version is left"
+	ReasonReleaseFull Reason = "the servers of the stream's software version are full"
+	ReasonNotRecorded Reason = "no software version of the service is recorded yet"
 )
 
 // Decision is the decision on a request, with the inputs that led to it.
@@ -85,6 +97,7 @@
 	Reason      Reason
 	Server      string // id of the server
 	StartMS     int64  // start time of the server, in Unix milliseconds
+	Release     release.ID
 	Address     string
 	FetchFrom   string        // address of the engine from which cached prompt parts are fetched, "" for none
 	RetryAfter  time.Duration // set for a refusal
@@ -145,7 +158,9 @@
 	Address               string
 	DataCentre            string
 	Slots                 int
-	KVTokens              int  // capacity of the KV cache, 0 for plain services
+	KVTokens              int // capacity of the KV cache, 0 for plain services
+	Release               release.ID
+	Recorded              bool // the fleet has recorded that streams may begin at servers of the release
 	Ready                 bool // announced as ready, and its data centre is in service
 	StartMS               int64
 	ColdUntil             time.Time
--- a/pkg/edge/fleet_view.go
+++ b/pkg/edge/fleet_view.go
@@ -222,7 +222,7 @@
 	serverInfo := dispatch.ServerInfo{
 		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: max(e.Slots, 1),
 		Ready:   e.State == registry.Ready && !e.Leaving && !v.fleetState[e.DataCentre].GetOut(),
-		StartMS: e.StartMS, ColdUntil: e.ColdUntil, Heard: e.Heard, ColdRequestsPerSecond: s.ColdRequestsPerSecond, WarmUpTime: s.WarmUpTime,
+		Release: e.Release, StartMS: e.StartMS, ColdUntil: e.ColdUntil, Heard: e.Heard, ColdRequestsPerSecond: s.ColdRequestsPerSecond, WarmUpTime: s.WarmUpTime,
 	}
 	if s.Engine != nil {
 		serverInfo.KVTokens, serverInfo.FetchTokensPerSecond, serverInfo.SupportsReservation = max(s.Engine.KVTokens, 1), s.Engine.FetchTokensPerSecond, s.Engine.SupportsReservation
