Take streams up only at the release that began them

Callers that took a stream up with Last-Event-Id and Resumes, and streams that went on within one answer, got events of two software versions with status 200. Cause: Resumes was read nowhere, and no choice looked at the version.

Change: an edge host records the release with the first event, which waits at most 25 ms for a core host. A resumption is bound to the recorded release, or to the only one of the history; otherwise it is refused as not run with 128 to 131. Streams begin only at recorded releases. A new process of a server makes the streams before its announcement doubtful and ends attempts that go on with them. Request lines have releases, resumes and last_event.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -314,7 +314,13 @@
 					return a
 				}
 				nextID = false
+				if x.sseParser.count == x.eventsBefore && !x.checkRelease(h.first) {
+					a.outcome = dispatch.InvalidResponse
+					return a
+				}
 				inactivity.pause()
+				x.beginStream(h.first.decision)
+				x.recordRelease(h.first.decision.Release)
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
--- a/pkg/edge/fleet_view.go
+++ b/pkg/edge/fleet_view.go
@@ -36,6 +36,7 @@
 	log        *logrus.Entry
 	servers    *registry.Registry
 	fleetState map[string]*apiv1.FleetMark // newest mark by data centre
+	releases   releaseHistory
 	edges      map[string]*knownEdge
 	liveness   *feed.Liveness
 
@@ -58,7 +59,7 @@
 
 func newFleetView(decode ConfigDecoder, log *logrus.Entry) *fleetView {
 	return &fleetView{
-		decode: decode, log: log, servers: registry.New(), fleetState: map[string]*apiv1.FleetMark{},
+		decode: decode, log: log, servers: registry.New(), fleetState: map[string]*apiv1.FleetMark{}, releases: releaseHistory{},
 		edges: map[string]*knownEdge{}, liveness: feed.NewLiveness(), services: map[string]*routing.Service{}, reinstatedAt: map[string]time.Time{},
 	}
 }
@@ -70,6 +71,7 @@
 	v.lastContact = now
 	if s := e.GetState(); s != nil {
 		servers = v.mergeMarks(now, s)
+		servers = v.releases.merge(s.GetReleases(), v.log) || servers
 		v.mergeDocument(now, s.GetDocument())
 	}
 	if v.acceptState(now, e.GetConfirmed()) {
@@ -222,7 +224,7 @@
 	serverInfo := dispatch.ServerInfo{
 		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: max(e.Slots, 1),
 		Ready:   e.State == registry.Ready && !e.Leaving && !v.fleetState[e.DataCentre].GetOut(),
-		Release: e.Release, StartMS: e.StartMS, ColdUntil: e.ColdUntil, Heard: e.Heard, ColdRequestsPerSecond: s.ColdRequestsPerSecond, WarmUpTime: s.WarmUpTime,
+		Release: e.Release, Recorded: v.releases.agreed(e.Service, e.Release), StartMS: e.StartMS, ColdUntil: e.ColdUntil, Heard: e.Heard, ColdRequestsPerSecond: s.ColdRequestsPerSecond, WarmUpTime: s.WarmUpTime,
 	}
 	if s.Engine != nil {
 		serverInfo.KVTokens, serverInfo.FetchTokensPerSecond, serverInfo.SupportsReservation = max(s.Engine.KVTokens, 1), s.Engine.FetchTokensPerSecond, s.Engine.SupportsReservation
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -326,6 +326,9 @@
 func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string, began bool) *serverExchange {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
+	if began && !x.mayGoOnLocked() {
+		return nil
+	}
 	now := time.Now()
 	if action, _ := x.s.quarantine.Check(now, x.suspects); action != quarantine.Allow || !began && x.s.isTooLate(x.in) {
 		return nil
--- a/pkg/edge/response_fuzz_test.go
+++ b/pkg/edge/response_fuzz_test.go
@@ -17,8 +17,11 @@
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/logging"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
+	"jackdawtrack.example/jackdawtrack/pkg/streamrecord/recorder"
 )
 
 const fuzzID = "id-1"
@@ -42,11 +45,12 @@
 
 func newAttemptTest() attemptTest {
 	caller := httptest.NewRecorder()
-	s := &Server{config: Config{Dialect: headerDialect{}}, dispatcher: dispatch.New("edge", "z", start), responses: newResponseMemory(0), quarantine: quarantine.New(1), metrics: newMetrics(metrics.NewRegistry())}
+	s := &Server{config: Config{Dialect: headerDialect{}}, dispatcher: dispatch.New("edge", "z", start), responses: newResponseMemory(0), quarantine: quarantine.New(1), metrics: newMetrics(metrics.NewRegistry()), fleetView: newTestView()}
+	s.streamRecords = recorder.New(logging.ForComponent("test"), s.metrics.registry)
 	x := &proxiedRequest{
 		s: s, w: caller, in: &Request{ID: fuzzID, Arrived: time.Now()}, route: &routing.Route{Stream: true, RetryPolicy: routing.Resumable, MaxAttempts: 2},
 		dispatchReq: &dispatch.Request{ID: fuzzID}, callerCtx: context.Background(), deadline: time.Now().Add(time.Hour),
-		suspects: []uint64{quarantine.RequestSuspect(1)},
+		suspects: []uint64{quarantine.RequestSuspect(1)}, decision: dispatch.Decision{Release: release.Of("s", "v1")},
 	}
 	return attemptTest{x, caller}
 }
--- /dev/null
+++ b/pkg/edge/resumption.go
@@ -0,0 +1,262 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/routing"
+	"jackdawtrack.example/jackdawtrack/pkg/streamrecord"
+)
+
+// A stream goes on only at the release that began it. The host that began it records the
+// release at the core hosts before its caller has the first event. A caller that
+// resumes it at any host gets servers of that release only, or is refused: without a
+// record, the release is known only if the service has had no other one, and the route no
+// other service, within the time in which a caller may come back.
+
+const (
+	// recordTimeout bounds the wait of a first event for its record. A core host of the
+	// same data centre confirms within a few ms. Without a record, the caller can be
+	// refused when it resumes the stream, but never gets a mixed one.
+	recordTimeout = 25 * time.Millisecond
+	// resumptionMargin is how much longer a record is kept than the caller waits for its
+	// answer, for the way to the caller and back.
+	resumptionMargin = 2 * time.Second
+	// restartNoticeTime is how long the begin of a stream is kept, to doubt its release
+	// when another process of its server announces itself.
+	restartNoticeTime = streamrecord.MaxDoubtTime
+	// resumptionRetryAfter is the Retry-After of a resumption that no record supports.
+	resumptionRetryAfter = 300 * time.Millisecond
+)
+
+// Reasons for refusing to resume a stream.
+const (
+	reasonStreamUnknown   dispatch.Reason = "no host knows which release began the stream"
+	reasonReleaseConflict dispatch.Reason = "several releases are recorded for the stream"
+	reasonRecordsUnread   dispatch.Reason = "the records of streams could not be read"
+)
+
+// streamStart is the begin of a stream that its caller may resume. Server.mu guards it.
+type streamStart struct {
+	key      streamrecord.Key
+	expires  time.Time
+	server   string
+	startMS  int64 // start time of the server process that the request was sent to
+	release  release.ID
+	at       time.Time
+	doubtful bool   // another process may have written it
+	abort    func() // ends the attempt that goes on with the stream, nil while the first one writes it
+}
+
+// UseConnection implements feed.ConnectionUser.
+func (s *Server) UseConnection(ctx context.Context, address string, conn *grpc.ClientConn) {
+	s.streamRecords.UseConnection(ctx, address, conn)
+}
+
+// isResumption reports whether the caller continues a stream that an earlier request
+// began.
+func (x *proxiedRequest) isResumption() bool {
+	return x.route.Stream && (x.in.LastEventID != "" || x.in.Resumes != "")
+}
+
+// isResumable reports whether the caller may resume the stream in another request.
+func (x *proxiedRequest) isResumable() bool {
+	return x.route.RetryPolicy == routing.Resumable && !x.isResumption()
+}
+
+// bindRelease binds a resumption to the release that began the stream. If that is not
+// known, it refuses the request and returns false.
+func (x *proxiedRequest) bindRelease() bool {
+	q := streamrecord.Query{Key: streamrecord.KeyOf(x.dispatchReq.Workspace, x.route.Name, x.in.Resumes), Place: x.route.Place()}
+	// Without a record, the service of a route with several ones is not known.
+	if len(x.route.Targets) == 1 && len(q.Place) <= streamrecord.MaxPlaceBytes {
+		q.Service = x.dispatchReq.Service
+	} else {
+		q.Place = ""
+	}
+	id, state := x.s.streamRecords.Find(x.callerCtx, q)
+	metrics.GetOrRegisterCounter("edge.resumptions."+state.String(), x.s.metrics.registry).Inc(1)
+	switch {
+	case state == streamrecord.Conflict:
+		x.refuseResumption(reasonReleaseConflict, result.StreamUnknown)
+	case state == streamrecord.Unconfirmed:
+		x.refuseResumption(reasonRecordsUnread, result.RecordsUnread)
+	case id == release.Unknown:
+		x.refuseResumption(reasonStreamUnknown, result.StreamUnknown)
+	case !x.chooseServiceOf(id):
+		x.refuseResumption(dispatch.ReasonReleaseGone, result.ReleaseGone)
+	default:
+		return true
+	}
+	return false
+}
+
+// chooseServiceOf binds the request to the release, at the service of the route that has
+// had it. It returns false if the route leads to no such service any more.
+func (x *proxiedRequest) chooseServiceOf(id release.ID) bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	for _, lists := range []func(string, release.ID) bool{x.s.fleetView.releases.lists, x.s.fleetView.releases.agreed} {
+		for _, t := range x.route.Targets {
+			if lists(t.Service, id) {
+				x.dispatchReq.Service, x.dispatchReq.Release = t.Service, id
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (x *proxiedRequest) refuseResumption(reason dispatch.Reason, code result.Code) {
+	x.decision.Action, x.decision.Reason = dispatch.Refuse, reason
+	x.respondError(result.New(code, "%s", reason).WithRetryAfter(resumptionRetryAfter))
+}
+
+// checkRelease reports whether the first events of an attempt may be forwarded: the
+// process that the request was sent to is still the newest one of its server, or has
+// the release of the stream, and that release is not in doubt. Once it is, the attempt
+// ends.
+func (x *proxiedRequest) checkRelease(e *serverExchange) bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	bound := x.dispatchReq.Release
+	switch {
+	case bound == release.Unknown:
+		return !x.headSent
+	case x.s.releaseOnArrival(e.decision) != bound || x.headSent && !x.mayGoOnLocked():
+		return false
+	}
+	if x.start != nil {
+		x.start.abort = func() { e.cancel(errReleaseDoubtful) }
+	}
+	return true
+}
+
+// errReleaseDoubtful cancels an attempt that goes on with a stream whose first events
+// another release may have written.
+var errReleaseDoubtful = errors.New("the release that began the stream is in doubt")
+
+// releaseOnArrival returns the release that answers a request which was sent by the
+// decision, release.Unknown if the server has been replaced since by one of another
+// release. Start times are not compared: a process has one release, and those that state
+// no start time look equal. The caller must hold mu.
+func (s *Server) releaseOnArrival(v dispatch.Decision) release.ID {
+	e, ok := s.fleetView.servers.Get(v.Server)
+	if ok && e.Release != v.Release {
+		return release.Unknown
+	}
+	return v.Release
+}
+
+// beginStream binds the stream to the release that began it and records that at the core
+// hosts. It returns before they have stored it if only one release serves.
+func (x *proxiedRequest) beginStream(v dispatch.Decision) {
+	if !x.isResumable() || x.start != nil {
+		return
+	}
+	now := time.Now()
+	st := &streamStart{
+		key: streamrecord.KeyOf(x.dispatchReq.Workspace, x.route.Name, x.in.ID), expires: x.in.Arrived.Add(max(x.in.CallerTimeout, x.route.Timeout) + resumptionMargin),
+		server: v.Server, startMS: v.StartMS, at: now,
+	}
+	x.s.mu.Lock()
+	st.release = x.s.releaseOnArrival(v)
+	x.start, x.dispatchReq.Release = st, st.release
+	x.s.addStreamStart(st)
+	record := st.record()
+	urgent := x.s.fleetView.releases.severalReleases(x.dispatchReq.Service) || len(x.route.Targets) > 1 || st.release == release.Unknown
+	x.s.mu.Unlock()
+	stored := x.s.streamRecords.Record(record, urgent)
+	if !urgent {
+		return
+	}
+	timer := time.NewTimer(recordTimeout)
+	defer timer.Stop()
+	select {
+	case <-stored:
+	case <-x.callerCtx.Done():
+	case <-timer.C:
+		metrics.GetOrRegisterCounter("edge.streams.unrecorded", x.s.metrics.registry).Inc(1)
+	}
+}
+
+// record returns the record of the stream. It names the process that was asked, for the
+// core hosts to doubt the release if this host ends before another process of the server
+// announces itself.
+func (st *streamStart) record() streamrecord.Record {
+	r := streamrecord.Record{Key: st.key, Release: st.release, Expires: st.expires}
+	if st.release != release.Unknown {
+		r.Process = streamrecord.ProcessOf(st.server, st.startMS)
+	}
+	return r
+}
+
+// mayGoOn reports whether a stream whose first events were forwarded may go on at
+// another server: the release that began it is known.
+func (x *proxiedRequest) mayGoOn() bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	return x.mayGoOnLocked()
+}
+
+// mayGoOnLocked is mayGoOn. The caller must hold Server.mu.
+func (x *proxiedRequest) mayGoOnLocked() bool {
+	return x.dispatchReq.Release != release.Unknown && (x.start == nil || !x.start.doubtful)
+}
+
+// addStreamStart keeps the begin of a stream for restartNoticeTime. The caller must
+// hold mu.
+func (s *Server) addStreamStart(st *streamStart) {
+	expired := 0
+	for expired < len(s.streamStarts) && st.at.Sub(s.streamStarts[expired].at) > restartNoticeTime {
+		s.streamStarts[expired] = nil
+		expired++
+	}
+	s.streamStarts = append(s.streamStarts[expired:], st)
+}
+
+// doubtStreams makes the release of the streams unknown that a process of another
+// release may have written: it has replaced the one that their requests were sent to.
+// The caller must hold mu.
+func (s *Server) doubtStreams(now time.Time) {
+	for _, st := range s.streamStarts {
+		e, ok := s.fleetView.servers.Get(st.server)
+		if st.doubtful || !ok || e.Release == st.release {
+			continue
+		}
+		silence := time.Duration(0)
+		if e.StartMS <= st.startMS && !e.BeforeHeard.IsZero() {
+			silence = now.Sub(e.BeforeHeard)
+		}
+		if now.Sub(st.at) > streamrecord.DoubtWindow(silence) {
+			continue
+		}
+		st.doubtful, st.release = true, release.Unknown
+		s.streamRecords.Record(st.record(), true)
+		if st.abort != nil {
+			st.abort()
+		}
+		s.log.WithFields(logrus.Fields{"server": st.server, "born_ms": e.StartMS, "release": e.Release.String()}).Info("release of a stream is in doubt, because its server was restarted")
+	}
+}
+
+// recordRelease records the release of the server that wrote the next events of the
+// response, and counts a response that several releases wrote.
+func (x *proxiedRequest) recordRelease(id release.ID) {
+	if slices.Contains(x.releases, id) {
+		return
+	}
+	x.releases = append(x.releases, id)
+	if len(x.releases) == 2 {
+		metrics.GetOrRegisterCounter("edge.streams.mixed_releases", x.s.metrics.registry).Inc(1)
+	}
+}
--- a/pkg/edge/retry_test.go
+++ b/pkg/edge/retry_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
@@ -35,10 +36,17 @@
 		{"idempotent, head already sent to the caller", routing.Idempotent, ran, proxiedRequest{headSent: true}, false},
 		{"resumable, before an event", routing.Resumable, ran, proxiedRequest{}, true},
 		{"resumable, after an event", routing.Resumable, ran, proxiedRequest{headSent: true, sseParser: sseParser{lastID: "4"}}, true},
+		{"resumable, after an event of an unknown release", routing.Resumable, ran, proxiedRequest{headSent: true, sseParser: sseParser{lastID: "4"}, dispatchReq: &dispatch.Request{}}, false},
+		{"resumable, after an event that another process may have written", routing.Resumable, ran, proxiedRequest{headSent: true, sseParser: sseParser{lastID: "4"}, start: &streamStart{doubtful: true}}, false},
+		{"resumable, not executed after an event that another process may have written", routing.Resumable, attemptResult{sent: true, outcome: dispatch.NotExecuted}, proxiedRequest{headSent: true, sseParser: sseParser{lastID: "4"}, start: &streamStart{doubtful: true}}, false},
 		{"resumable, after an event without id", routing.Resumable, ran, proxiedRequest{headSent: true}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := c.x
+			x.s = &Server{}
+			if x.dispatchReq == nil {
+				x.dispatchReq = &dispatch.Request{Release: release.Of("s", "v1")}
+			}
 			x.route = &routing.Route{RetryPolicy: c.repeat, MaxAttempts: 3}
 			x.callerCtx, x.deadline = context.Background(), time.Now().Add(time.Hour)
 			assert.Equal(t, x.canRetry(c.end), c.want)
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
@@ -77,7 +79,9 @@
 	headSent          bool              // status and headers were sent to the caller
 	status            int
 	sseParser         sseParser
-	releaseFuncs      []func() // return the memory of buffered responses
+	releases          []release.ID // that wrote events of the response, in order
+	start             *streamStart // nil until the first event of a stream that the caller may resume
+	releaseFuncs      []func()     // return the memory of buffered responses
 	outcomes          []string
 	lastError         error           // error of the last failed attempt
 	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
@@ -153,7 +157,7 @@
 	x := &proxiedRequest{s: s, w: w, in: in, route: route, callerCtx: ctx, deadline: in.Deadline()}
 	x.dispatchReq = &dispatch.Request{
 		ID: in.ID, Workspace: in.dest.workspace, Service: route.ChooseService(in.ID), Arrived: in.Arrived, AgeAtArrival: in.dest.attemptAge,
-		Objective: in.objective(), Deadline: x.deadline,
+		Objective: in.objective(), Deadline: x.deadline, RecordedOnly: route.Stream,
 	}
 	if p := in.Prompt; p != nil {
 		x.dispatchReq.Parts, x.dispatchReq.PromptTokens = p.Parts, p.Tokens
@@ -176,7 +180,7 @@
 // run dispatches the request, and retries it as the route and the retry budget
 // allow, until the caller has a response or has left.
 func (x *proxiedRequest) run() {
-	if x.refuseQuarantined() {
+	if x.refuseQuarantined() || x.isResumption() && !x.bindRelease() {
 		return
 	}
 	x.s.creditRetryBudget(x.dispatchReq.Service)
@@ -326,6 +330,9 @@
 	if time.Until(x.deadline) <= 0 || x.callerCtx.Err() != nil || errors.Is(a.err, errHostStopping) {
 		return false
 	}
+	if x.headSent && !x.mayGoOn() {
+		return false
+	}
 	if !a.sent {
 		x.unsentAttempts++
 		return x.unsentAttempts < maxUnsentAttempts
@@ -350,10 +357,14 @@
 	switch v.Reason {
 	case dispatch.ReasonOverShare:
 		code = result.RateLimited
-	case dispatch.ReasonNoServer:
+	case dispatch.ReasonNoServer, dispatch.ReasonNotRecorded:
 		code = result.NoServer
 	case dispatch.ReasonQueueFull:
 		code = result.QueueFull
+	case dispatch.ReasonReleaseGone:
+		code = result.ReleaseGone
+	case dispatch.ReasonReleaseFull:
+		code = result.ReleaseFull
 	}
 	x.respondError(result.New(code, "%s", v.Reason).WithRetryAfter(max(v.RetryAfter, minRetryAfter(v))))
 }
@@ -462,6 +473,7 @@
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial,
+		"resumes": fmt.Sprintf("%.64s", x.in.Resumes), "last_event": fmt.Sprintf("%.64s", x.in.LastEventID), "releases": x.releases,
 		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -23,6 +23,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 	"jackdawtrack.example/jackdawtrack/pkg/shed"
+	"jackdawtrack.example/jackdawtrack/pkg/streamrecord/recorder"
 )
 
 const (
@@ -103,6 +104,8 @@
 	left              losses.Watch
 	quarantine        *quarantine.Tracker
 	storedVerdicts    map[uint64]uint32 // by suspect: generation that the core hosts have stored
+	streamRecords     *recorder.Recorder
+	streamStarts      []*streamStart // of the last restartNoticeTime, oldest first
 	// quarantinedRequests describes refused requests.
 	quarantinedRequests quarantine.Descriptions
 
@@ -128,6 +131,7 @@
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
 		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
+	s.streamRecords = recorder.New(s.log, c.Registry)
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
 	s.refusalLogLimiter = rate.NewLimiter(refusalLogRate, refusalLogBurst)
@@ -204,6 +208,9 @@
 		s.dispatcher.SetServers(now, s.fleetView.serverInfos(now))
 	}
 	s.mergeStoredVerdicts(now, e.GetState().GetVerdicts())
+	if len(e.GetServers()) > 0 {
+		s.doubtStreams(now)
+	}
 	for _, m := range e.GetServers() {
 		startedBefore := func(p losses.Process) bool { return p.StartMS < m.GetBornMs() }
 		for l := s.losses.TakeRestarted(now, m.GetAddress(), startedBefore); l != nil; l = s.losses.TakeRestarted(now, m.GetAddress(), startedBefore) {
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -28,6 +28,7 @@
 	Arrived       time.Time
 	CallerTimeout time.Duration // the caller's own timeout, counted from Arrived; 0 if it states none
 	LastEventID   string        // id of the last event received by the caller, to resume a stream after it
+	Resumes       string        // id of the request that brought the first event of the stream to resume, "" if not stated
 	Prompt        *Prompt       // nil for requests that state no prompt
 
 	dest *destination // route and workspace, set by Admit
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -47,6 +47,10 @@
 	HostBusy            Code = 125
 	PartQuarantined     Code = 126
 	RequestQuarantined  Code = 127
+	StreamUnknown       Code = 128
+	RecordsUnread       Code = 129
+	ReleaseGone         Code = 130
+	ReleaseFull         Code = 131
 
 	OutcomeUnknown   Code = 201
 	StillRunning     Code = 202
