Let recorded resumptions exceed the share by a bound

Cause: new streams have used the share of a large workspace before its resumptions arrive, although a part of their answers was made within it.

Change: a resumption whose stream is recorded may go beyond the share by at most half of it in 4 s on all hosts together, an equal part at each. Tests: TestRecordedResumptionIsNotRefusedForTheShare, TestExcessIsCountedOnce, TestResumptionsGetABoundedExcess, TestRepeatedResumptionsDoNotDisplaceOthers, TestOnlyRecordedStreamsGoOnBeyondTheShare.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -251,7 +251,8 @@
 	if !svc.servers[0].isEngine() {
 		return d.decidePlain(now, r, svc, v)
 	}
-	if !d.shares.withinShare(now, r.Workspace, serviceTokens(r)) {
+	beyondShare := !d.shares.withinShare(now, r.Workspace, serviceTokens(r))
+	if beyondShare && !d.mayExceedShare(now, r) {
 		v.Class = OverShare
 		return v // until engines are idle or the usage in shareWindow has dropped
 	}
@@ -275,6 +276,9 @@
 		return v
 	}
 	v.BacklogTime = best.prefillTime(0)
+	if beyondShare {
+		d.countExcess(now, r)
+	}
 	return d.assign(now, r, best, v)
 }
 
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -95,6 +95,7 @@
 	case !x.chooseServiceOf(id):
 		x.refuseResumption(dispatch.ReasonReleaseGone, result.ReleaseGone)
 	default:
+		x.dispatchReq.RecordedResumption = state == streamrecord.Recorded
 		return true
 	}
 	return false
