Let operators state whether versions of a service differ

For the product path: only operators know that a version will change before it does, and routers keep no records of streams, so one release that servers state proves nothing.

Change: an item service of the configuration states one or several software versions; jackdawctl service set, list and delete. A statement that only a later version knows counts as several. No router uses it yet. Upgrade all control hosts first, see docs/configuration.md.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -14,6 +14,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/datacentre"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/workspace"
 )
 
@@ -44,6 +45,12 @@
 	return subtle.ConstantTimeCompare(hash, workspace.HashKey(key)) == 1
 }
 
+// Service is what operators state of a pool of BackendServers.
+type Service struct {
+	Name     string // of the pool
+	Versions release.Versions
+}
+
 // Catalog is one revision of the configuration. It is immutable, so all methods
 // are safe for concurrent use. Callers must not modify slices inside returned
 // values.
@@ -55,6 +62,7 @@
 	credentials map[string]Credential
 	departures  map[string]struct{}
 	operators   map[string]Operator
+	services    map[string]Service
 }
 
 // Empty returns an empty catalog with revision 0.
@@ -127,6 +135,12 @@
 // Operators returns all operators, sorted by name.
 func (c *Catalog) Operators() []Operator { return sortedByName(c.operators) }
 
+// Versions returns what operators state of the software versions of a service.
+func (c *Catalog) Versions(service string) release.Versions { return c.services[service].Versions }
+
+// Services returns all services of which operators state something, sorted by name.
+func (c *Catalog) Services() []Service { return sortedByName(c.services) }
+
 // WithChanges returns a catalog with the changes applied in order and the given
 // revision. Changes of an unknown kind are skipped, so that routers keep
 // working while control hosts are upgraded first.
@@ -160,6 +174,8 @@
 		c.departures = cloneOrMake(c.departures)
 	case KindOperator:
 		c.operators = cloneOrMake(c.operators)
+	case KindService:
+		c.services = cloneOrMake(c.services)
 	}
 }
 
@@ -177,6 +193,8 @@
 		setOrDelete(c.departures, item.Departure.GetServer(), struct{}{}, ch.GetDelete())
 	case *apiv1.Change_Operator:
 		setOrDelete(c.operators, item.Operator.GetName(), OperatorFromMessage(item.Operator), ch.GetDelete())
+	case *apiv1.Change_Service:
+		setOrDelete(c.services, item.Service.GetName(), ServiceFromMessage(item.Service), ch.GetDelete())
 	}
 }
 
--- a/pkg/catalog/convert.go
+++ b/pkg/catalog/convert.go
@@ -6,6 +6,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/datacentre"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/workspace"
 )
 
@@ -21,11 +22,12 @@
 	KindCredential
 	KindDeparture
 	KindOperator
+	KindService
 )
 
 // String returns the name of the kind as used in messages.
 func (k Kind) String() string {
-	names := [...]string{"unknown item", "class", "workspace", "data centre", "backend credential", "departure", "operator"}
+	names := [...]string{"unknown item", "class", "workspace", "data centre", "backend credential", "departure", "operator", "service"}
 	if k < 0 || int(k) >= len(names) {
 		return names[KindUnknown]
 	}
@@ -47,6 +49,8 @@
 		return KindDeparture, item.Departure.GetServer()
 	case *apiv1.Change_Operator:
 		return KindOperator, item.Operator.GetName()
+	case *apiv1.Change_Service:
+		return KindService, item.Service.GetName()
 	}
 	return KindUnknown, ""
 }
@@ -125,6 +129,31 @@
 	return &apiv1.Operator{Name: o.Name, KeyHash: o.KeyHash}
 }
 
+// ServiceFromMessage converts a message. A statement that only a later version knows
+// counts as the strictest one.
+func ServiceFromMessage(m *apiv1.Service) Service {
+	versions := release.Several
+	switch m.GetSoftwareVersions() {
+	case apiv1.SoftwareVersions_SOFTWARE_VERSIONS_UNSPECIFIED:
+		versions = release.Unstated
+	case apiv1.SoftwareVersions_SOFTWARE_VERSIONS_ONE:
+		versions = release.One
+	}
+	return Service{Name: m.GetName(), Versions: versions}
+}
+
+// ServiceToMessage converts a service.
+func ServiceToMessage(s Service) *apiv1.Service {
+	versions := apiv1.SoftwareVersions_SOFTWARE_VERSIONS_SEVERAL
+	switch s.Versions {
+	case release.Unstated:
+		versions = apiv1.SoftwareVersions_SOFTWARE_VERSIONS_UNSPECIFIED
+	case release.One:
+		versions = apiv1.SoftwareVersions_SOFTWARE_VERSIONS_ONE
+	}
+	return &apiv1.Service{Name: s.Name, SoftwareVersions: versions}
+}
+
 // ClassChange returns the change that sets a class.
 func ClassChange(c class.Class) *apiv1.Change {
 	return &apiv1.Change{Item: &apiv1.Change_Class{Class: ClassToMessage(c)}}
@@ -155,6 +184,11 @@
 	return &apiv1.Change{Item: &apiv1.Change_Operator{Operator: OperatorToMessage(o)}}
 }
 
+// ServiceChange returns the change that sets what operators state of a service.
+func ServiceChange(s Service) *apiv1.Change {
+	return &apiv1.Change{Item: &apiv1.Change_Service{Service: ServiceToMessage(s)}}
+}
+
 // Items returns all items as changes, ordered by kind and name.
 func (c *Catalog) Items() []*apiv1.Change {
 	var out []*apiv1.Change
@@ -163,7 +197,8 @@
 	out = appendChanges(out, c.DataCentres(), DataCentreChange)
 	out = appendChanges(out, c.Credentials(), CredentialChange)
 	out = appendChanges(out, c.Departures(), DepartureChange)
-	return appendChanges(out, c.Operators(), OperatorChange)
+	out = appendChanges(out, c.Operators(), OperatorChange)
+	return appendChanges(out, c.Services(), ServiceChange)
 }
 
 func appendChanges[V any](out []*apiv1.Change, values []V, change func(V) *apiv1.Change) []*apiv1.Change {
@@ -204,6 +239,8 @@
 		return findItem(c.departures, name, func(struct{}) *apiv1.Change { return DepartureChange(name) })
 	case KindOperator:
 		return findItem(c.operators, name, OperatorChange)
+	case KindService:
+		return findItem(c.services, name, ServiceChange)
 	}
 	return nil, false
 }
--- a/pkg/catalog/validate.go
+++ b/pkg/catalog/validate.go
@@ -44,6 +44,8 @@
 		return validateHash(KindCredential, item.BackendCredential.GetName(), item.BackendCredential.GetKeyHash())
 	case *apiv1.Change_Operator:
 		return validateHash(KindOperator, item.Operator.GetName(), item.Operator.GetKeyHash())
+	case *apiv1.Change_Service:
+		return validateService(item.Service)
 	}
 	return nil
 }
@@ -74,6 +76,15 @@
 	return WorkspaceFromMessage(m).Validate()
 }
 
+// validateService refuses a service without a statement: it is deleted instead.
+func validateService(m *apiv1.Service) error {
+	switch m.GetSoftwareVersions() {
+	case apiv1.SoftwareVersions_SOFTWARE_VERSIONS_ONE, apiv1.SoftwareVersions_SOFTWARE_VERSIONS_SEVERAL:
+		return nil
+	}
+	return result.New(result.InvalidCommand, "service %s: software versions %d are neither one nor several", m.GetName(), m.GetSoftwareVersions())
+}
+
 func validateHash(kind Kind, name string, hash []byte) error {
 	if len(hash) != sha256.Size {
 		return result.New(result.InvalidCommand, "%s %s: key hash has %d bytes instead of %d", kind, name, len(hash), sha256.Size)
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -144,6 +144,7 @@
 	c.addOperatorCommands()
 	c.addDataCentreCommands()
 	c.addServerCommands()
+	c.addServiceCommands()
 	c.addMemberCommands()
 	c.setAction(c.app.Command("status", "Show the control hosts and the routers named by --admin."), c.printStatus)
 	c.addWatchCommand()
--- a/pkg/cli/output.go
+++ b/pkg/cli/output.go
@@ -110,6 +110,8 @@
 		return fmt.Sprintf("%s %s: %d keys, %g requests/s", kind, name, len(item.Workspace.GetKeyHashes()), item.Workspace.GetRequestsPerSecond())
 	case *apiv1.Change_DataCentre:
 		return fmt.Sprintf("%s %s: out %v", kind, name, item.DataCentre.GetOut())
+	case *apiv1.Change_Service:
+		return fmt.Sprintf("%s %s: software versions %s", kind, name, catalog.ServiceFromMessage(item.Service).Versions)
 	}
 	return fmt.Sprintf("%s %s exists", kind, name)
 }
