State software versions on the product path and in the stand-in

Change: announcements have software_version; a value that is missing, too long or of another type is no version and does not refuse the server. The stand-in announces it, writes it into each event, states process and release in its answers, and can go on with kept streams as another version after a restart; the load report counts an answer of two versions as a fault. Routers do not use the version yet.

Tests: TestOddSoftwareVersionIsNotStated, TestKeptStreamGoesOnAtTheNextVersion, TestStreamOfTwoVersionsIsAFault.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -73,19 +73,21 @@
 // Announcement is the message that a BackendServer sends every
 // AnnounceInterval and immediately after a change of state.
 type Announcement struct {
-	Name       string    `json:"name"`
-	DataCentre string    `json:"data_centre"`
-	Address    string    `json:"address"` // IP and port
-	Pool       string    `json:"pool"`    // base model or service
-	Kind       Kind      `json:"kind"`
-	Models     []string  `json:"models"`             // models and adapters that it serves
-	Loadable   []string  `json:"loadable,omitempty"` // pools that it can serve after a load order
-	BootID     uint64    `json:"boot_id"`
-	Slots      int       `json:"slots"` // advertised concurrency, 0 if unknown
-	ColdSlots  int       `json:"cold_slots"`
-	State      State     `json:"state"`
-	Abilities  Abilities `json:"abilities"`
-	Load       Load      `json:"load"`
+	Name       string   `json:"name"`
+	DataCentre string   `json:"data_centre"`
+	Address    string   `json:"address"` // IP and port
+	Pool       string   `json:"pool"`    // base model or service
+	Kind       Kind     `json:"kind"`
+	Models     []string `json:"models"`             // models and adapters that it serves
+	Loadable   []string `json:"loadable,omitempty"` // pools that it can serve after a load order
+	BootID     uint64   `json:"boot_id"`
+	// SoftwareVersion is the version of the process that BootID names.
+	SoftwareVersion Version   `json:"software_version,omitempty"`
+	Slots           int       `json:"slots"` // advertised concurrency, 0 if unknown
+	ColdSlots       int       `json:"cold_slots"`
+	State           State     `json:"state"`
+	Abilities       Abilities `json:"abilities"`
+	Load            Load      `json:"load"`
 }
 
 // Decode reads and validates one announcement of at most MaxAnnouncementBytes.
--- a/pkg/backend/backend_test.go
+++ b/pkg/backend/backend_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -67,6 +68,22 @@
 	}
 }
 
+// Guards against a server that is refused for an odd version, and against two odd
+// versions that are taken for one.
+func TestOddSoftwareVersionIsNotStated(t *testing.T) {
+	sound := encode(t, soundAnnouncement())
+	for value, want := range map[string]Version{
+		`"v1.3"`: "v1.3", `""`: "", `null`: "", `5`: "", `true`: "", `["v1"]`: "", `{"a":"v1"}`: "", "\"v\xff\"": "",
+		`"` + strings.Repeat("v", release.MaxVersionBytes) + `"`:   Version(strings.Repeat("v", release.MaxVersionBytes)),
+		`"` + strings.Repeat("v", release.MaxVersionBytes+1) + `"`: "",
+		`" v1.3\t "`: "v1.3", `"v1 3"`: "v1 3", `"  "`: "", `" ` + strings.Repeat("v", release.MaxVersionBytes) + ` "`: Version(strings.Repeat("v", release.MaxVersionBytes)),
+	} {
+		a, err := Decode(strings.NewReader(strings.Replace(sound, `"slots"`, `"software_version":`+value+`,"slots"`, 1)))
+		assert.NilError(t, err, "%.20s", value)
+		assert.Equal(t, a.SoftwareVersion, want, "%.20s", value)
+	}
+}
+
 // Guards against accepted values that overflow when they are added up or converted,
 // and against panics.
 func FuzzDecode(f *testing.F) {
@@ -76,6 +93,9 @@
 	f.Add([]byte(strings.Replace(sound, `"age_ms":100`, `"age_ms":9223372036854775807`, 1)))
 	f.Add([]byte(strings.Replace(sound, "10.0.0.1:80", "[::]:0", 1)))
 	f.Add([]byte("[[[[" + sound))
+	f.Add([]byte(strings.Replace(sound, `"slots"`, `"software_version":"v1","slots"`, 1)))
+	f.Add([]byte(strings.Replace(sound, `"slots"`, `"software_version":[{}],"slots"`, 1)))
+	f.Add([]byte(strings.Replace(sound, `"slots"`, "\"software_version\":\"\xff\",\"slots\"", 1)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		a, err := Decode(strings.NewReader(string(data)))
 		if err != nil {
@@ -84,7 +104,7 @@
 		if a.Load.Running+a.Load.Waiting < 0 || a.Slots < 0 || time.Duration(a.Load.AgeMS)*time.Millisecond < 0 || !isServerAddress(a.Address) {
 			t.Fatalf("accepted %+v", a)
 		}
-		if again, err := Decode(strings.NewReader(encode(t, a))); err != nil || again.Name != a.Name { // routers pass it on
+		if again, err := Decode(strings.NewReader(encode(t, a))); err != nil || again.Name != a.Name || again.SoftwareVersion != a.SoftwareVersion || len(a.SoftwareVersion) > release.MaxVersionBytes { // routers pass it on
 			t.Fatalf("%+v cannot be passed on: %v", a, err)
 		}
 	})
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// Guards against a stream of two software versions that is not found.
+func TestStreamOfTwoVersionsIsAFault(t *testing.T) {
+	event := func(version string) string { return fmt.Sprintf("data: {\"system_fingerprint\":%q}\n\n", version) }
+	for _, tc := range []struct {
+		body   string
+		faults int
+	}{
+		{event("v1") + event("v1") + "data: [DONE]\n\n", 0},
+		{event("v1") + event("v2") + event("v1") + "data: [DONE]\n\n", 1},
+		{event("v1") + event("v2") + "event: error\ndata: {}\n\n", 1},
+	} {
+		e := newTestExperiment(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(tc.body)) }, Stream{Model: "m", Stream: true})
+		e.AllowBroken = true
+		r := newReport(e)
+		a := e.arrival(&e.Streams[0], 0, 0)[0]
+		r.recordResponse(a, e.sendToAvailableRouter(context.Background(), http.DefaultClient, a))
+		assert.Equal(t, len(r.Faults()), tc.faults, tc.body)
+	}
+}
+
 // Guards against missing a request that was executed twice, one that was
 // executed although it was reported as not executed, and a response that no
 // server sent for the request.
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -5,7 +5,9 @@
 	"io"
 	"maps"
 	"net/http"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -90,6 +92,9 @@
 	counts := r.countsOf(a.stream.Class)
 	counts.resultCodes[got.code]++
 	r.recordReportedExecution(a, got)
+	if versions := versionsIn(got.bodyText); len(versions) > 1 {
+		r.addFault("an answer of class %s was written by versions %s", a.stream.Class, strings.Join(versions, ", "))
+	}
 	switch {
 	case got.status == http.StatusOK && got.completeResponse:
 		counts.answered++
@@ -114,6 +119,19 @@
 	}
 }
 
+var versionPattern = regexp.MustCompile(`"system_fingerprint":"([^"]*)"`)
+
+// versionsIn returns the software versions that wrote the events of an answer, each
+// once and sorted.
+func versionsIn(body string) []string {
+	var out []string
+	for _, match := range versionPattern.FindAllStringSubmatch(body, -1) {
+		out = append(out, match[1])
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // recordReportedExecution records whether the fleet reported the request as not
 // executed, for the comparison with the execution file. Requests without a body
 // are skipped because nothing distinguishes them.
--- a/pkg/standin/announce.go
+++ b/pkg/standin/announce.go
@@ -92,7 +92,7 @@
 	return backend.Announcement{
 		Name: s.cfg.Name, DataCentre: s.cfg.DataCentre, Address: s.Address(),
 		Pool: s.pool, Kind: s.cfg.Kind, Models: slices.Clone(s.models), Loadable: s.cfg.Loadable,
-		BootID: s.bootID, Slots: s.cfg.Slots, ColdSlots: s.cfg.ColdSlots, State: s.state,
+		BootID: s.bootID, SoftwareVersion: backend.Version(s.version), Slots: s.cfg.Slots, ColdSlots: s.cfg.ColdSlots, State: s.state,
 		Abilities: backend.Abilities{
 			Resume: engine, Cancel: true, CheckFence: s.cfg.CheckFence, RepeatsID: true, CacheEvents: engine,
 		},
--- a/pkg/standin/chat.go
+++ b/pkg/standin/chat.go
@@ -78,6 +78,8 @@
 	Model   string   `json:"model"`
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage,omitempty"`
+	// SystemFingerprint is the software version that wrote the event or answer.
+	SystemFingerprint string `json:"system_fingerprint,omitempty"`
 }
 
 type choice struct {
@@ -103,27 +105,27 @@
 
 // tokenEvent returns the stream event for one token. The first one carries the
 // role.
-func tokenEvent(id, model, token string, first bool) []byte {
+func tokenEvent(id, model, version, token string, first bool) []byte {
 	m := &message{Content: token + " "}
 	if first {
 		m.Role = "assistant"
 	}
-	return sseEvent(chatCompletion{ID: id, Object: "chat.completion.chunk", Model: model, Choices: []choice{{Delta: m}}})
+	return sseEvent(chatCompletion{ID: id, Object: "chat.completion.chunk", Model: model, SystemFingerprint: version, Choices: []choice{{Delta: m}}})
 }
 
 // finalEvents returns the last events of a stream: finish reason, usage and
 // [DONE].
-func finalEvents(id, model string, u usage) []byte {
+func finalEvents(id, model, version string, u usage) []byte {
 	stop := "stop"
-	end := sseEvent(chatCompletion{ID: id, Object: "chat.completion.chunk", Model: model, Choices: []choice{{Delta: &message{}, FinishReason: &stop}}})
-	end = append(end, sseEvent(chatCompletion{ID: id, Object: "chat.completion.chunk", Model: model, Choices: []choice{}, Usage: &u})...)
+	end := sseEvent(chatCompletion{ID: id, Object: "chat.completion.chunk", Model: model, SystemFingerprint: version, Choices: []choice{{Delta: &message{}, FinishReason: &stop}}})
+	end = append(end, sseEvent(chatCompletion{ID: id, Object: "chat.completion.chunk", Model: model, SystemFingerprint: version, Choices: []choice{}, Usage: &u})...)
 	return append(end, "data: [DONE]\n\n"...)
 }
 
 // completeAnswer returns the response body of a request that does not stream.
-func completeAnswer(id, model string, tokens []string, u usage) []byte {
+func completeAnswer(id, model, version string, tokens []string, u usage) []byte {
 	stop := "stop"
-	text, err := json.Marshal(chatCompletion{ID: id, Object: "chat.completion", Model: model, Usage: &u, Choices: []choice{{
+	text, err := json.Marshal(chatCompletion{ID: id, Object: "chat.completion", Model: model, SystemFingerprint: version, Usage: &u, Choices: []choice{{
 		Message: &message{Role: "assistant", Content: strings.Join(tokens, " ") + " "}, FinishReason: &stop}}})
 	if err != nil {
 		panic(fmt.Sprintf("encode chat completion: %v", err)) // cannot fail: only strings and numbers
--- a/pkg/standin/execution_log.go
+++ b/pkg/standin/execution_log.go
@@ -29,6 +29,7 @@
 	Path           string    `json:"path"`
 	Server         string    `json:"server"`
 	BootID         uint64    `json:"boot_id"`
+	Version        string    `json:"software_version,omitempty"`
 	Start          time.Time `json:"start"`
 	End            time.Time `json:"end"`
 	Cost           uint64    `json:"cost"` // service units
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -28,11 +29,12 @@
 // Fault is the body of POST /v1/faults.
 type Fault struct {
 	Kind    FaultKind `json:"fault"`
-	Count   int       `json:"count"` // affected responses, 0 means 1
-	DelayMS int64     `json:"delay_ms"`
+	Count   int       `json:"count"`            // affected responses, 0 means 1
+	DelayMS int64     `json:"delay_ms"`         // of FaultRestartCold: time in state starting, 0: as in the settings, negative: none
+	Version string    `json:"software_version"` // of the process after FaultRestartCold, empty: as before
 }
 
-// Delay returns the delay of a FaultLate response.
+// Delay returns the delay of a FaultLate response or of a start.
 func (f Fault) Delay() time.Duration { return time.Duration(f.DelayMS) * time.Millisecond }
 
 type faults struct {
@@ -48,14 +50,14 @@
 		return
 	}
 	if !s.setFault(f) {
-		http.Error(w, "unknown kind of fault", http.StatusBadRequest)
+		http.Error(w, "unknown kind of fault or odd version", http.StatusBadRequest)
 		return
 	}
 	s.log.Infof("fault %s set", f.Kind)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// setFault injects a fault and reports whether its kind is known.
+// setFault injects a fault and reports whether it is valid.
 func (s *Server) setFault(f Fault) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -65,7 +67,13 @@
 			s.faults.pending = append(s.faults.pending, f)
 		}
 	case FaultRestartCold:
-		s.restartCold()
+		if !validVersion(f.Version) {
+			return false
+		}
+		if f.Version != "" {
+			s.version = f.Version
+		}
+		s.restartCold(cmp.Or(f.Delay(), s.cfg.StartTime.AsDuration()))
 	case FaultStopAnnounce, FaultStartAnnounce:
 		s.faults.announcementsStopped = f.Kind == FaultStopAnnounce
 	case FaultLeave:
--- a/pkg/standin/request_execution.go
+++ b/pkg/standin/request_execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,9 +22,12 @@
 	record ExecutionRecord
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	pool   string
+	chat   ChatRequest // empty for a plain service
 
 	mu               sync.Mutex
 	body             []byte
+	tokens           int // in body, of a stream
 	done             bool
 	failed           bool
 	changed          chan struct{} // closed and replaced after every change
@@ -43,6 +47,25 @@
 	r.notifyReaders()
 }
 
+// appendToken appends the event of one token of a stream.
+func (r *requestExecution) appendToken(event []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.body = append(r.body, event...)
+	r.tokens++
+	r.notifyReaders()
+}
+
+// next returns an execution that goes on with the stream in another process.
+func (r *requestExecution) next() *requestExecution {
+	out := newRequestExecution(r.record)
+	out.record.Start = time.Now().UTC()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out.chat, out.body, out.tokens = r.chat, slices.Clone(r.body), r.tokens
+	return out
+}
+
 func (r *requestExecution) finish(failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/standin/requests.go
+++ b/pkg/standin/requests.go
@@ -28,10 +28,11 @@
 		return
 	}
 	execution := newRequestExecution(newExecutionRecord(s, r, body))
+	execution.chat = chat
 	if !s.admitOrReject(w, execution) {
 		return
 	}
-	go s.generateAnswer(execution, chat)
+	go s.generateAnswer(execution)
 	s.respondWithFaults(w, r, execution, chat.Stream)
 }
 
@@ -70,9 +71,7 @@
 		http.Error(w, "resume offset is not a non-negative number of bytes", http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	execution, ok := s.executionsByID[r.Header.Get(RequestIDHeader)]
-	s.mu.Unlock()
+	execution, ok := s.findStream(r.Header.Get(RequestIDHeader))
 	if !ok {
 		http.Error(w, "unknown request id", http.StatusNotFound)
 		return
@@ -81,6 +80,38 @@
 	s.sendStream(w, r, execution, offset)
 }
 
+// findStream returns the execution with the id. A stream that an earlier process has
+// stored goes on in this one.
+func (s *Server) findStream(id string) (*requestExecution, bool) {
+	s.mu.Lock()
+	execution, ok := s.executionsByID[id]
+	stored := s.storedStreams[id]
+	delete(s.storedStreams, id)
+	s.mu.Unlock()
+	if ok || stored == nil {
+		return execution, ok
+	}
+	execution = stored.next()
+	if !s.admit(execution) {
+		s.mu.Lock()
+		s.storedStreams[id] = stored
+		s.mu.Unlock()
+		return nil, false
+	}
+	go s.generateAnswer(execution)
+	return execution, true
+}
+
+// setAnswerHeader sets the headers that tell what wrote the answer of an execution.
+func (s *Server) setAnswerHeader(h http.Header, execution *requestExecution) {
+	e := &execution.record
+	h.Set(RequestIDHeader, e.RequestID)
+	h.Set(ProcessHeader, s.cfg.Name+"/"+strconv.FormatUint(e.BootID, 10))
+	if e.Version != "" {
+		h.Set(ReleaseHeader, execution.pool+"/"+e.Version)
+	}
+}
+
 // respondWithFaults sends the response, changed by a queued fault if there is
 // one.
 func (s *Server) respondWithFaults(w http.ResponseWriter, r *http.Request, execution *requestExecution, stream bool) {
@@ -111,14 +142,14 @@
 }
 
 func (s *Server) sendStream(w http.ResponseWriter, r *http.Request, execution *requestExecution, offset int) {
-	w.Header().Set(RequestIDHeader, execution.record.RequestID)
+	s.setAnswerHeader(w.Header(), execution)
 	w.Header().Set("Content-Type", "text/event-stream")
 	execution.streamTo(w, r, offset)
 }
 
 func (s *Server) sendCompleteResponse(w http.ResponseWriter, r *http.Request, execution *requestExecution) {
 	body := execution.waitForBody(r)
-	w.Header().Set(RequestIDHeader, execution.record.RequestID)
+	s.setAnswerHeader(w.Header(), execution)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // the caller may have disconnected
@@ -128,7 +159,7 @@
 // the response.
 func (s *Server) sendPartAndReset(w http.ResponseWriter, r *http.Request, execution *requestExecution, stream bool) {
 	if stream {
-		w.Header().Set(RequestIDHeader, execution.record.RequestID)
+		s.setAnswerHeader(w.Header(), execution)
 		w.Header().Set("Content-Type", "text/event-stream")
 		if part, _, err := execution.waitForBytes(r.Context(), 0); err == nil {
 			_, _ = w.Write(part)
@@ -142,7 +173,8 @@
 
 // generateAnswer executes a chat completion: it waits for a slot, prefills the
 // prompt and generates the tokens.
-func (s *Server) generateAnswer(execution *requestExecution, chat ChatRequest) {
+func (s *Server) generateAnswer(execution *requestExecution) {
+	chat := execution.chat
 	tokens := chat.GeneratedTokens()
 	prompt := chat.Prompt()
 	u := usage{PromptTokens: (len(prompt) + promptBytesPerToken - 1) / promptBytesPerToken}
@@ -155,8 +187,8 @@
 	if !execution.sleep(s.prefillTime(prompt, u.PromptTokens)) {
 		return
 	}
-	id := execution.record.RequestID
-	for i, token := range tokens {
+	id, version := execution.record.RequestID, execution.record.Version
+	for i := execution.tokens; i < len(tokens); i++ {
 		if !execution.sleep(s.tokenInterval()) {
 			return
 		}
@@ -166,14 +198,14 @@
 		}
 		u.CompletionTokens++
 		if chat.Stream {
-			execution.appendBody(tokenEvent(id, chat.Model, token, i == 0))
+			execution.appendToken(tokenEvent(id, chat.Model, version, tokens[i], i == 0))
 		}
 	}
 	u.TotalTokens = u.PromptTokens + u.CompletionTokens
 	if chat.Stream {
-		execution.appendBody(finalEvents(id, chat.Model, u))
+		execution.appendBody(finalEvents(id, chat.Model, version, u))
 	} else {
-		execution.appendBody(completeAnswer(id, chat.Model, tokens, u))
+		execution.appendBody(completeAnswer(id, chat.Model, version, tokens, u))
 	}
 }
 
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -19,6 +19,8 @@
 const (
 	RequestIDHeader    = "Jackdawtrack-Request-Id"
 	ResumeOffsetHeader = "Jackdawtrack-Resume-Offset" // bytes of the response body already received
+	ProcessHeader      = "Jackdawtrack-Process"       // server name, slash, boot id
+	ReleaseHeader      = "Jackdawtrack-Release"       // pool, slash, software version
 )
 
 const (
@@ -40,6 +42,7 @@
 
 	mu                sync.Mutex // guards the fields below
 	bootID            uint64
+	version           string // software version of the process
 	state             backend.State
 	warm              bool
 	completedRequests int // since the last cold start
@@ -49,6 +52,7 @@
 	usedSlots         int
 	executionsByID    map[string]*requestExecution // by request id
 	executionOrder    []string
+	storedStreams     map[string]*requestExecution // unfinished streams of earlier processes
 	cache             *prefixCache
 	pool              string // changes after an order to load another base model
 	models            []string
@@ -75,10 +79,10 @@
 		cfg: cfg, executionLog: executionLog, listener: l,
 		log:                  logging.ForComponent("standin").WithField("server", cfg.Name),
 		announcementRequests: make(chan struct{}, 1),
-		activeExecutions:     map[*requestExecution]struct{}{}, executionsByID: map[string]*requestExecution{},
+		activeExecutions:     map[*requestExecution]struct{}{}, executionsByID: map[string]*requestExecution{}, storedStreams: map[string]*requestExecution{},
 		pool: cfg.Pool, models: slices.Clone(cfg.Models),
 	}
-	s.bootID = uint64(time.Now().UnixNano())
+	s.bootID, s.version = uint64(time.Now().UnixNano()), cfg.SoftwareVersion
 	s.state, s.warm = backend.Ready, cfg.StartWarm
 	s.cache = newPrefixCache(cfg.CacheBlocks, cfg.EventLossEvery)
 	s.http = &http.Server{Handler: s.handler()}
@@ -135,13 +139,13 @@
 	if s.state == backend.Starting {
 		return false
 	}
-	r.record.BootID = s.bootID
+	r.record.BootID, r.record.Version, r.pool = s.bootID, s.version, s.pool
 	s.activeExecutions[r] = struct{}{}
 	s.keepForResume(r)
 	s.totalRequests++
 	if !s.warm && len(s.activeExecutions) > s.coldCapacity() {
 		s.log.Warnf("overloaded while cold: %d running requests, capacity %d", len(s.activeExecutions), s.coldCapacity())
-		s.restartCold()
+		s.restartCold(s.cfg.StartTime.AsDuration())
 	}
 	return true
 }
@@ -167,10 +171,13 @@
 }
 
 // restartCold aborts all running requests and starts the server again, cold and
-// with a new boot id. Its caller holds the server lock.
-func (s *Server) restartCold() {
+// with a new boot id, and is ready after startTime. Its caller holds the server lock.
+func (s *Server) restartCold(startTime time.Duration) {
 	bootID := s.resetToCold()
-	time.AfterFunc(s.cfg.StartTime.AsDuration(), func() { s.finishStart(bootID) })
+	if startTime < 0 {
+		s.state = backend.Ready
+	}
+	time.AfterFunc(startTime, func() { s.finishStart(bootID) })
 	s.requestAnnouncement()
 }
 
@@ -180,6 +187,9 @@
 func (s *Server) resetToCold() uint64 {
 	for r := range s.activeExecutions {
 		r.cancel(errServerFailed)
+		if s.cfg.KeepStreams && r.chat.Stream && len(s.storedStreams) < maxKeptExecutions {
+			s.storedStreams[r.record.RequestID] = r
+		}
 	}
 	s.bootID = max(s.bootID+1, uint64(time.Now().UnixNano()))
 	s.state, s.warm, s.completedRequests = backend.Starting, false, 0
--- a/pkg/standin/settings.go
+++ b/pkg/standin/settings.go
@@ -5,10 +5,12 @@
 package standin
 
 import (
+	"strings"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/settings"
 )
@@ -43,6 +45,8 @@
 	Listen                   settings.Address   `yaml:"listen"` // port 0: assigned by the kernel
 	Kind                     backend.Kind       `yaml:"kind"`
 	Pool                     string             `yaml:"pool"`
+	SoftwareVersion          string             `yaml:"software_version"` // empty: not stated
+	KeepStreams              bool               `yaml:"keep_streams"`     // a process that is started again resumes the streams of the earlier one
 	Models                   []string           `yaml:"models"`
 	Loadable                 []string           `yaml:"loadable"` // pools that it can serve after a load order
 	Announce                 []settings.Address `yaml:"announce"` // routers, tried round-robin until one accepts
@@ -104,6 +108,9 @@
 	if s.Listen == "" {
 		return result.New(result.InvalidSettings, "server %s: listen is required", s.Name)
 	}
+	if !validVersion(s.SoftwareVersion) {
+		return result.New(result.InvalidSettings, "server %s: software_version must have at most %d bytes, printable ASCII without spaces", s.Name, release.MaxVersionBytes)
+	}
 	if s.Slots < 0 || s.ColdSlots < 0 || s.Knee < 0 || s.CacheBlocks < 0 || s.EventLossEvery < 0 {
 		return result.New(result.InvalidSettings, "server %s: slots, cold_slots, knee, cache_blocks and event_loss_every must not be negative", s.Name)
 	}
@@ -120,6 +127,12 @@
 	return nil
 }
 
+// validVersion reports whether a version reaches routers unchanged in a header.
+func validVersion(version string) bool {
+	isOdd := func(c rune) bool { return c <= ' ' || c > '~' }
+	return len(version) <= release.MaxVersionBytes && !strings.ContainsFunc(version, isOdd)
+}
+
 func setDefaultInt(value *int, fallback int) {
 	if *value == 0 {
 		*value = fallback
--- a/pkg/standin/standin_test.go
+++ b/pkg/standin/standin_test.go
@@ -95,6 +95,34 @@
 	assert.Equal(t, lines[0].Cost, uint64(4+4*20)) // "user\nan apron\n" is 14 bytes, 4 tokens
 }
 
+// Guards against a stand-in that does not show which software version wrote an event,
+// or states another one in its answer.
+func TestKeptStreamGoesOnAtTheNextVersion(t *testing.T) {
+	s, executions := startServer(t, ServerSettings{Kind: backend.Engine, StartWarm: true, SoftwareVersion: "v1", KeepStreams: true})
+	client := http.Client{Timeout: testTimeout}
+	r, err := http.NewRequest("POST", "http://"+s.Address()+"/v1/chat/completions", strings.NewReader(chatBody(2000)))
+	assert.NilError(t, err)
+	r.Header.Set(RequestIDHeader, "a")
+	response, err := client.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	first := make([]byte, 100)
+	_, err = io.ReadFull(response.Body, first)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get(ReleaseHeader), "m/v1")
+	assert.Assert(t, s.setFault(Fault{Kind: FaultRestartCold, DelayMS: -1, Version: "v2"}))
+	assert.Assert(t, !s.setFault(Fault{Kind: FaultRestartCold, Version: "v 3"}))
+	waitForExecutions(t, executions, 1)
+	resumed, rest, err := post(t, s, "/v1/chat/completions", "a", "100", "{}")
+	assert.NilError(t, err)
+	assert.Equal(t, resumed.Header.Get(ReleaseHeader), "m/v2")
+	assert.Assert(t, resumed.Header.Get(ProcessHeader) != response.Header.Get(ProcessHeader))
+	assert.Assert(t, strings.Contains(rest, `"system_fingerprint":"v2"`) && strings.HasSuffix(rest, "data: [DONE]\n\n"))
+	assert.Equal(t, strings.Count(string(first)+rest, `"content"`), 2000+1, "tokens were lost or repeated") // the last chunk has an empty content
+	a, _ := s.buildAnnouncement(time.Now())
+	assert.Equal(t, a.SoftwareVersion, backend.Version("v2"))
+}
+
 // Guards against a cold server that tolerates more than its capacity, which would
 // hide a router that overloads it.
 func TestColdServerFailsUnderLoad(t *testing.T) {
