Resume streams on the product path at one release only

Change: a resume is accepted from the process that began the stream or from one that states the same release; what answers do not prove goes by what operators and servers have stated. Otherwise the stream ends with 207. Last-Event-Id is refused with 128 unless the service has one version, or nobody states anything.

Services whose servers state a release while operators state nothing need a statement to take streams up.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -59,11 +59,13 @@
 }
 
 // restartedFleet returns a fleet after all its processes were killed and
-// restarted. The class survivor, set before, exists, and each router answers
-// requests.
-func restartedFleet(t *testing.T) *fleet {
+// restarted. The class survivor, set before with the other commands, exists, and each
+// router answers requests.
+func restartedFleet(t *testing.T, commands ...string) *fleet {
 	f := newFleet(t)
-	f.runCtlUntilSuccess("class", "set", "survivor", "--first-token", "3s")
+	for _, command := range append(commands, "class set survivor --first-token 3s") {
+		f.runCtlUntilSuccess(strings.Fields(command)...)
+	}
 	for _, p := range f.processes() {
 		p.kill()
 	}
@@ -86,8 +88,9 @@
 func noAction() {}
 
 // Guards against truncated or altered responses, requests that are executed
-// twice, and requests that are executed although they were reported as not
-// executed, without faults and with faults of backend servers (F4, F9, F10).
+// twice, requests that are executed although they were reported as not executed, and
+// streams of two software versions, without faults and with faults of backend servers
+// (F4, F9, F10).
 func TestFleetUnderServerFaults(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
@@ -97,6 +100,7 @@
 		{"answers reset", f.setFault("desk-a", standin.FaultReset, 8), noAction, false},
 		{"answers mixed up", f.setFault("desk-a", standin.FaultOutOfOrder, 8), noAction, false},
 		{"server goes cold", f.setFault("engine-a", standin.FaultRestartCold, 1), noAction, true},
+		{"server comes back with another version", f.sendFault("engine-a", standin.Fault{Kind: standin.FaultRestartCold, DelayMS: -1, Version: "v2"}), noAction, true},
 	})
 }
 
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -221,12 +223,12 @@
 	for dc, announce := range map[string]string{"a": fmt.Sprintf("[%q, %q]", addresses[1], addresses[6]), "b": fmt.Sprintf("[%q]", addresses[11])} {
 		// Two servers per plain service, so that a retry finds another server.
 		for _, s := range []string{"engine", "desk", "desk2"} {
-			kind, pool := "service", "desk"
+			kind, pool, more := "service", "desk", ""
 			if s == "engine" {
-				kind, pool = "engine", "model"
+				kind, pool, more = "engine", "model", ", software_version: v1, keep_streams: true"
 			}
-			servers += fmt.Sprintf("  - {name: %s-%s, data_centre: %s, listen: \"127.0.0.1:0\", kind: %s, pool: %s, start_warm: true, announce: %s, credential: %s}\n",
-				s, dc, dc, kind, pool, announce, sharedKey)
+			servers += fmt.Sprintf("  - {name: %s-%s, data_centre: %s, listen: \"127.0.0.1:0\", kind: %s, pool: %s, start_warm: true, announce: %s, credential: %s%s}\n",
+				s, dc, dc, kind, pool, announce, sharedKey, more)
 		}
 	}
 	f.standin = f.process("standin", "jackdawtrack-standin", servers)
@@ -333,14 +335,20 @@
 // setFault returns a function that injects a fault into a stand-in server, whose
 // address it takes from the log.
 func (f *fleet) setFault(server string, kind standin.FaultKind, count int) func() {
+	return f.sendFault(server, standin.Fault{Kind: kind, Count: count})
+}
+
+// sendFault is setFault with all members of a fault.
+func (f *fleet) sendFault(server string, fault standin.Fault) func() {
 	return func() {
 		f.t.Helper()
 		log, err := os.ReadFile(f.standin.log())
 		assert.NilError(f.t, err)
 		line := regexp.MustCompile(`serves \w+ \w+ on ([\d.:]+) server=` + server + `\n`).FindSubmatch(log)
 		assert.Assert(f.t, line != nil, "no address of server %s in the log", server)
-		body := fmt.Sprintf(`{"fault":%q,"count":%d}`, kind, count)
-		response, err := http.Post("http://"+string(line[1])+"/v1/faults", "application/json", strings.NewReader(body))
+		body, err := json.Marshal(fault)
+		assert.NilError(f.t, err)
+		response, err := http.Post("http://"+string(line[1])+"/v1/faults", "application/json", bytes.NewReader(body))
 		assert.NilError(f.t, err)
 		response.Body.Close()
 		assert.Equal(f.t, response.StatusCode, http.StatusNoContent)
--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -73,7 +73,16 @@
 	if f.resp.StatusCode != http.StatusOK || !isEventStream(f.resp.Header) || serverOffset != offset {
 		return result.New(result.StreamBroken, "the server did not resume the stream: status %d, offset %q", f.resp.StatusCode, serverOffset)
 	}
-	return nil
+	return f.checkWriter()
+}
+
+// noteResumeRefusal keeps the error of a resume that was refused because of its
+// writer. It replaces the error of the broken stream, whose other results stay.
+func (f *forwarder) noteResumeRefusal(err error) {
+	var refusal *result.Error
+	if errors.As(err, &refusal) && refusal.Code == result.ReleaseChanged {
+		f.resumeRefusal = refusal
+	}
 }
 
 // finish completes the report after the exchange ended with err, and cancels the
@@ -86,6 +95,9 @@
 		return
 	}
 	f.report.Err, f.report.Outcome = f.classifyError(err)
+	if f.resumeRefusal != nil {
+		f.report.Err = f.resumeRefusal
+	}
 	if f.report.Outcome == pool.OutcomeSilent {
 		f.t.conns.closeIdle(f.r.Address)
 	}
@@ -131,8 +143,8 @@
 // outcomeForCode returns the outcome of a failure with a known result code.
 func outcomeForCode(c result.Code) pool.Outcome {
 	switch c {
-	case result.CallerLeft:
-		return pool.OutcomeCancelled
+	case result.CallerLeft, result.ReleaseChanged:
+		return pool.OutcomeCancelled // the server did nothing wrong
 	case result.ServerError:
 		return pool.OutcomeServerError
 	default:
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -13,6 +13,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -52,6 +53,12 @@
 	Kind      backend.Kind
 	Abilities backend.Abilities
 
+	// TakesUp: the caller asks for the rest of a stream, whose begin is not known here.
+	TakesUp bool
+	// Versions returns what is known of the software versions of the service, after
+	// one of its servers stated the release. nil: the servers may differ.
+	Versions func(stated release.ID) release.Versions
+
 	// PromptTokens is the router's estimate, used when the engine reports no usage.
 	PromptTokens uint64
 	// InterceptServerError ends the exchange before any of a response with
@@ -110,7 +117,9 @@
 	firstByteAt     time.Time
 	lastByteAt      time.Time
 	bytesReceived   int64
-	partialEvent    bool // the last event written to the sink is incomplete
+	partialEvent    bool          // the last event written to the sink is incomplete
+	began           writer        // of the first bytes
+	resumeRefusal   *result.Error // nil unless another writer answered a resume request
 }
 
 // Forward sends the request and streams the response to the sink. It returns
@@ -155,7 +164,8 @@
 		if err == nil || !f.canResume(err) {
 			return err
 		}
-		if f.resume() != nil {
+		if resumeErr := f.resume(); resumeErr != nil {
+			f.noteResumeRefusal(resumeErr)
 			return err
 		}
 	}
@@ -222,9 +232,14 @@
 		return result.New(result.StreamBroken, "the server answered with status %d", f.resp.StatusCode)
 	}
 	f.report.IsStream = isEventStream(f.resp.Header)
+	f.began = writerOf(f.resp.Header)
+	known := f.versions(f.began)
 	if f.resp.StatusCode >= http.StatusInternalServerError && f.r.InterceptServerError {
 		return result.New(result.ServerError, "the server answered with status %d", f.resp.StatusCode)
 	}
+	if f.r.TakesUp && f.report.IsStream && !f.began.canTakeUp(known) {
+		return result.New(result.ReleaseChanged, "it is not known what began the stream, and %s answered", f.began)
+	}
 	return nil
 }
 
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -22,7 +22,7 @@
 
 const (
 	testID     = "r-1"
-	okHead     = "HTTP/1.1 200 OK\r\nJackdawtrack-Request-Id: r-1\r\n"
+	okHead     = "HTTP/1.1 200 OK\r\nJackdawtrack-Request-Id: r-1\r\nJackdawtrack-Process: s1/1\r\n"
 	plainHead  = okHead + "Content-Length: 10\r\n\r\n"
 	streamHead = okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	doneEvent  = "data: [DONE]\n\n"
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -86,5 +86,7 @@
 	out := in.Clone()
 	RemoveHopByHopHeaders(out)
 	out.Del("Content-Length")
+	out.Del(HeaderProcess)
+	out.Del(HeaderRelease)
 	return out
 }
--- a/pkg/proxy/resume_error_test.go
+++ b/pkg/proxy/resume_error_test.go
@@ -17,7 +17,7 @@
 func TestBrokenStreamIsNotContinuedWithAnError(t *testing.T) {
 	const sent = "data: one\n\ndata: tw"
 	const errorText = `{"error":"no room"}` + "\n\n"
-	idHeader, stream := "Jackdawtrack-Request-Id: r-1\r\n", "Content-Type: text/event-stream\r\n"
+	idHeader, stream := "Jackdawtrack-Request-Id: r-1\r\n", "Jackdawtrack-Process: s1/1\r\nContent-Type: text/event-stream\r\n"
 	offset := fmt.Sprintf("%s: %d\r\n", HeaderResumeOffset, len(sent))
 	answer := func(status, header, body string) string {
 		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), header, body)
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -58,6 +58,7 @@
 	ServerSilent     Code = 204
 	CallerLeft       Code = 205
 	IdentityMismatch Code = 206
+	ReleaseChanged   Code = 207
 
 	StoredAnswer   Code = 301
 	ServerError    Code = 302
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -43,6 +43,7 @@
 	{ServerSilent, "server_silent", http.StatusGatewayTimeout, "The backend server made no progress; the request may have run."},
 	{CallerLeft, "caller_left", 499, "The caller left after the request was sent."},
 	{IdentityMismatch, "identity_mismatch", http.StatusBadGateway, "The backend server answered another request; the answer was dropped."},
+	{ReleaseChanged, "release_changed", http.StatusBadGateway, "The stream broke off or was taken up, and what answers now has another software version or does not show that it has the same. Send the request again from its beginning."},
 	{StoredAnswer, "stored_answer", http.StatusOK, "The answer of the first run of this key."},
 	{ServerError, "server_error", http.StatusBadGateway, "The backend server answered with an error."},
 	{AnswerTooLarge, "answer_too_large", http.StatusConflict, "The request ran; its answer was too large to store."},
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -115,6 +115,7 @@
 	InFlight   int     `json:"in_flight,omitempty"`
 	Accounted  bool    `json:"accounted"` // this router owns the shard and knows the limit
 	BootID     uint64  `json:"boot_id"`
+	Version    string  `json:"software_version,omitempty"`
 	CanResume  bool    `json:"can_resume"`
 	RepeatsIDs bool    `json:"repeats_ids"`
 }
@@ -165,6 +166,7 @@
 		Owner:      r.ownerName(r.shardOf(a.Pool)),
 		SeenMS:     milliseconds(now.Sub(srv.seenAt)),
 		BootID:     a.BootID,
+		Version:    string(a.SoftwareVersion),
 		CanResume:  a.Abilities.Resume,
 		RepeatsIDs: a.Abilities.RepeatsID,
 	}
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -120,6 +120,9 @@
 	if err == nil {
 		err = resolvePool(q)
 	}
+	if err == nil {
+		err = r.refuseTakeUp(q)
+	}
 	if err != nil {
 		r.refuse(q, err)
 		return
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -25,6 +28,9 @@
 	sink := newCallerSink(q.w, r.cfg.Limits.WriteTimeout.AsDuration(), record != nil)
 	report, err := r.runAttempts(q, sink)
 	if record != nil {
+		if q.isTakeUp() && report.IsStream {
+			sink.stored, sink.truncated = nil, true // the rest is not the whole answer
+		}
 		r.recordOutcome(record, sink, report, err)
 	}
 	r.finishResponse(q, sink, report, err)
@@ -79,6 +85,9 @@
 			return lastReport, r.explainNoServer(refusal)
 		}
 		err := r.refuseLate(q)
+		if err == nil {
+			err = r.refuseTakeUp(q) // versions can have become known while it waited
+		}
 		if err == nil {
 			err = r.beginAttempt(q)
 		}
@@ -117,16 +126,22 @@
 func (r *Router) dispatch(q *request, sink *callerSink, shard pool.ShardID, g pool.Grant, holdServerError bool) proxy.Report {
 	q.dispatchedAt = time.Now()
 	monitor := &answerMonitor{Sink: sink, r: r, q: q}
+	versions := r.versionsAt(q.poolName, g)
 	report := r.transport.Forward(q.context(), &proxy.Request{
-		ID:                   q.id,
-		Address:              g.Address,
-		Method:               q.req.Method,
-		Path:                 q.serverPath,
-		Header:               proxy.ForwardedHeader(q.req.Header),
-		Body:                 q.body,
-		Class:                q.class,
-		Kind:                 q.kind,
-		Abilities:            g.Abilities,
+		ID:        q.id,
+		Address:   g.Address,
+		Method:    q.req.Method,
+		Path:      q.serverPath,
+		Header:    proxy.ForwardedHeader(q.req.Header),
+		Body:      q.body,
+		Class:     q.class,
+		Kind:      q.kind,
+		Abilities: g.Abilities,
+		TakesUp:   q.isTakeUp(),
+		Versions: func(stated release.ID) release.Versions {
+			r.servers.noteRelease(time.Now(), q.poolName, stated)
+			return versions()
+		},
 		PromptTokens:         uint64(q.chat.PromptUnits),
 		InterceptServerError: holdServerError,
 	}, monitor)
@@ -143,6 +158,14 @@
 		r.counters.firstToken.Update(report.FirstToken)
 	}
 	r.counters.resumes.Inc(int64(report.ResumeCount))
+	if report.Err != nil && report.Err.Code == result.ReleaseChanged {
+		if q.isTakeUp() && !report.HeadWritten {
+			r.counters.takeUpsRefused.Inc(1)
+		} else {
+			r.counters.resumesRefused.Inc(1)
+		}
+		r.log.WithFields(logrus.Fields{"request": q.id, "server": g.Server, "boot_id": g.BootID}).Warnf("stream not resumed: %v", report.Err)
+	}
 	return report
 }
 
@@ -153,6 +176,9 @@
 	if report.HeadWritten || q.context().Err() != nil || r.recentlyRefused(q.poolName) {
 		return false
 	}
+	if q.isTakeUp() && report.Err.Code == result.ReleaseChanged {
+		return false // what the answer stated holds for the other servers too
+	}
 	return r.servers.hasOtherReadyServer(q.poolName, tried) && r.budget.tryWithdraw()
 }
 
--- a/pkg/router/loan_test.go
+++ b/pkg/router/loan_test.go
@@ -34,7 +34,7 @@
 				fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
 				return
 			}
-			head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", proxy.HeaderRequestID, id)
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s9/1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", proxy.HeaderRequestID, id, proxy.HeaderProcess)
 			if r.Header.Get(proxy.HeaderResumeOffset) == fmt.Sprint(cutOffset) {
 				fmt.Fprintf(c, "%s%s: %d\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, proxy.HeaderResumeOffset, cutOffset, len(fullStream)-cutOffset, fullStream[cutOffset:])
 				return
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -224,7 +224,7 @@
 type counters struct {
 	requests, refused, whole, broken, retries, resumes, cancelled metrics.Counter
 	announcements, announcementsRefused                           metrics.Counter
-	serversEnded, quarantined                                     metrics.Counter
+	serversEnded, quarantined, resumesRefused, takeUpsRefused     metrics.Counter
 	waitTime, firstToken                                          metrics.Timer
 }
 
@@ -236,6 +236,8 @@
 		broken:               metrics.NewRegisteredCounter("requests.broken", reg),
 		retries:              metrics.NewRegisteredCounter("requests.retries", reg),
 		resumes:              metrics.NewRegisteredCounter("requests.resumes", reg),
+		resumesRefused:       metrics.NewRegisteredCounter("requests.resumes_refused", reg),
+		takeUpsRefused:       metrics.NewRegisteredCounter("requests.take_ups_refused", reg),
 		cancelled:            metrics.NewRegisteredCounter("requests.cancelled", reg),
 		announcements:        metrics.NewRegisteredCounter("announcements", reg),
 		announcementsRefused: metrics.NewRegisteredCounter("announcements.refused", reg),
--- a/pkg/router/servers.go
+++ b/pkg/router/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
 
 // poolRetention is how long a pool without announcements stays known. Requests
@@ -43,6 +44,8 @@
 	servers map[string]*server
 	pools   map[string]poolInfo
 	models  map[string]string // pool by name of model or adapter
+	// releases is what the servers of each pool stated of their releases.
+	releases map[string]statedReleases
 }
 
 func newServerTable() *serverTable {
@@ -50,6 +53,8 @@
 		servers: make(map[string]*server),
 		pools:   make(map[string]poolInfo),
 		models:  make(map[string]string),
+
+		releases: make(map[string]statedReleases),
 	}
 }
 
@@ -73,6 +78,9 @@
 	}
 	t.servers[a.Name] = s
 	t.pools[a.Pool] = poolInfo{kind: a.Kind, seenAt: now}
+	if id := release.Of(a.Pool, string(a.SoftwareVersion)); id != release.Unknown {
+		t.addRelease(now, a.Pool, id)
+	}
 	for _, m := range a.Models {
 		t.models[m] = a.Pool
 	}
@@ -123,7 +131,7 @@
 
 // sameExceptLoad reports whether two announcements differ at most in their load.
 func sameExceptLoad(a, b backend.Announcement) bool {
-	return a.BootID == b.BootID && a.Address == b.Address && a.Pool == b.Pool && a.Kind == b.Kind &&
+	return a.BootID == b.BootID && a.SoftwareVersion == b.SoftwareVersion && a.Address == b.Address && a.Pool == b.Pool && a.Kind == b.Kind &&
 		a.Abilities == b.Abilities && a.State == b.State && slices.Equal(a.Models, b.Models) && slices.Equal(a.Loadable, b.Loadable)
 }
 
@@ -236,6 +244,11 @@
 			delete(t.pools, name)
 		}
 	}
+	for name, s := range t.releases {
+		if now.Sub(s.lastAt) > statementRetention {
+			delete(t.releases, name)
+		}
+	}
 	for model, name := range t.models {
 		if _, ok := t.pools[name]; !ok {
 			delete(t.models, model)
