Refuse take-ups until a router has heard the servers

A router that has just started, or whose process was suspended, passed take-ups on at a service of which it had heard nothing, although its servers may state several releases. Cause: nothing heard counted as nothing stated.

--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -329,3 +329,18 @@
 	known, live, rank := tr.RouterCounts()
 	assert.DeepEqual(t, []int{known, live, rank}, []int{2, 2, 0})
 }
+
+// Guards against a router whose join stays pending although no other router answers, so
+// that what waits for the join never ends, and against one that waits without others.
+func TestJoinIsPendingUntilTimeout(t *testing.T) {
+	one := router("a", 0)
+	self := pool.RouterID{Name: one.Name, DataCentre: one.DataCentre, Incarnation: one.Incarnation}
+	alone := NewTracker(startTime, self, false)
+	assert.Check(t, !alone.JoinPending(startTime), "without others")
+	tr := NewTracker(startTime, self, true)
+	tr.Update(startTime, []membership.Member{one})
+	assert.Check(t, tr.JoinPending(startTime.Add(JoinTimeout-1)), "no other answered")
+	assert.Check(t, !tr.JoinPending(startTime.Add(JoinTimeout)), "no other answered in time")
+	tr.Update(startTime, []membership.Member{one, router("a", 1)})
+	assert.Check(t, !tr.JoinPending(startTime), "joined")
+}
--- a/pkg/ownership/shared.go
+++ b/pkg/ownership/shared.go
@@ -64,3 +64,11 @@
 	defer s.mu.Unlock()
 	return s.tracker.RouterCounts()
 }
+
+// JoinPending reports whether this router has not joined yet, see
+// Tracker.JoinPending.
+func (s *ConcurrentTracker) JoinPending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.JoinPending(time.Now())
+}
--- a/pkg/ownership/tracker.go
+++ b/pkg/ownership/tracker.go
@@ -136,7 +136,7 @@
 // not grant yet.
 func (t *Tracker) Owner(now time.Time, shard pool.ShardID) (owner pool.RouterID, epoch uint64, ok bool) {
 	s := t.ensureState(now, shard)
-	if s.owner.Name == "" || t.awaitsJoin(now) {
+	if s.owner.Name == "" || t.JoinPending(now) {
 		return pool.RouterID{}, 0, false
 	}
 	if !s.mayGrant && !now.Before(s.startAt) {
@@ -156,9 +156,10 @@
 	return s
 }
 
-// awaitsJoin reports whether this router has not joined yet, so that the routers
-// in its view may not be all.
-func (t *Tracker) awaitsJoin(now time.Time) bool {
+// JoinPending reports whether this router has not joined yet, so that the routers
+// in its view may not be all. After JoinTimeout it counts as alone until it knows
+// another one.
+func (t *Tracker) JoinPending(now time.Time) bool {
 	return t.joinPending && now.Sub(t.startedAt) < JoinTimeout
 }
 
--- a/pkg/router/ownership.go
+++ b/pkg/router/ownership.go
@@ -20,6 +20,10 @@
 	// RouterCounts returns the number of known and of live routers of this data
 	// centre and the rank of this router among the known ones by name.
 	RouterCounts() (known, live, rank int)
+	// JoinPending reports whether LiveRouters may lack routers because this one
+	// has not joined the others yet. It ends when the join has timed out, after
+	// which this router counts as alone.
+	JoinPending() bool
 }
 
 // StaticOwnership chooses owners by rendezvous hashing over a fixed list of
@@ -89,3 +93,6 @@
 	}
 	return known, known, rank
 }
+
+// JoinPending implements Ownership. A fixed list is complete from the start.
+func (s *StaticOwnership) JoinPending() bool { return false }
--- a/pkg/router/pair_test.go
+++ b/pkg/router/pair_test.go
@@ -57,6 +57,8 @@
 	return len(m.all) + m.lost, len(m.all), m.self
 }
 
+func (m *fakeOwners) JoinPending() bool { return false }
+
 func (m *fakeOwners) setOwner(owner int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -34,6 +34,7 @@
 	r.trackDataCentreChanges(now)
 	r.exchangeTotalsIfDue(now)
 	r.exchangeQuarantine(now)
+	r.trackServersHeard(now)
 }
 
 // usedShards returns the shards with asks, grants or recent settles of this
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -96,6 +96,7 @@
 	// came back, in Unix ns. It is 0 if none has.
 	dataCentreChangedAt atomic.Int64
 	ready               atomic.Bool
+	serversHeard        atomic.Bool   // see trackServersHeard
 	closing             chan struct{} // closed when waiting requests must be refused
 	closingOnce         sync.Once
 	drainEnd            atomic.Pointer[time.Time] // when running requests are cut, nil before RefuseLate
@@ -107,6 +108,8 @@
 	owned   map[pool.ShardID]*ownedShard
 
 	// The following fields are used by the goroutine of Run only.
+	allConnectedAt    time.Time // start of a connection to all live routers of the data centre, zero without
+	heardTrackedAt    time.Time // last call of trackServersHeard, zero before the first
 	lastOwners        map[pool.ShardID]shardOwner
 	lastOwnerConfig   ownerConfig
 	totalsSentAt      time.Time // last exchange, a multiple of the exchange interval
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -74,6 +74,7 @@
 	}
 	r := New(cfg, self, deps)
 	r.startedAt = time.Time{} // long enough ago for all servers to have announced themselves
+	r.serversHeard.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); r.Run(ctx) }()
--- a/pkg/router/takeup.go
+++ b/pkg/router/takeup.go
@@ -20,7 +20,7 @@
 }
 
 // refuseTakeUp refuses a request for the rest of a stream if the servers of its pool may
-// differ in version. Routers keep no
+// differ in version, or if this router has not heard yet what they state. Routers keep no
 // records of streams, so the release that began it is not known, and servers do not
 // compare it.
 func (r *Router) refuseTakeUp(q *request) *result.Error {
@@ -28,7 +28,7 @@
 		return nil
 	}
 	known := r.versions(q.poolName)
-	if known == release.One || known == release.Unstated {
+	if known == release.One || known == release.Unstated && r.serversHeard.Load() {
 		return nil
 	}
 	r.counters.takeUpsRefused.Inc(1)
--- a/pkg/router/versions.go
+++ b/pkg/router/versions.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"slices"
 	"time"
 
+	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
@@ -84,11 +86,40 @@
 		return "operators state that servers of " + poolName + " may differ in software version"
 	case r.servers.statedVersions(time.Now(), poolName) == release.Several:
 		return "servers of " + poolName + " state different software versions"
+	case r.servers.statedVersions(time.Now(), poolName) == release.Unstated:
+		return "this router has just started or was suspended and may not have heard what servers of " + poolName + " state"
 	default:
 		return "servers of " + poolName + " state software versions, but operators do not state that there is one only"
 	}
 }
 
+// trackServersHeard notes when this router knows what the servers of its data centre
+// state: for backend.AnnouncementTimeout it has had a connection to each live router,
+// which passes on what it knows and what is new. Before the join it does not know which
+// routers live, and without a configuration it refuses all announcements of servers. Until
+// then, a pool of which nothing is stated may be one of which nothing was heard. A process
+// that was suspended has missed what was stated meanwhile and may have forgotten what was
+// stated before, so it begins again. It must be called by the goroutine of Run only.
+func (r *Router) trackServersHeard(now time.Time) {
+	if !r.heardTrackedAt.IsZero() && now.Sub(r.heardTrackedAt) > backend.AnnouncementTimeout {
+		r.serversHeard.Store(false)
+		r.allConnectedAt = time.Time{}
+	}
+	r.heardTrackedAt = now
+	if r.serversHeard.Load() {
+		return
+	}
+	lacks := func(m pool.RouterID) bool { return m.DataCentre == r.self.DataCentre && !r.connected(m) }
+	if r.catalog.Load() == nil || r.ownership.JoinPending() || slices.ContainsFunc(r.ownership.LiveRouters(), lacks) {
+		r.allConnectedAt = time.Time{}
+		return
+	}
+	if r.allConnectedAt.IsZero() {
+		r.allConnectedAt = now
+	}
+	r.serversHeard.Store(now.Sub(r.allConnectedAt) >= backend.AnnouncementTimeout)
+}
+
 // versionsAt returns versions for a stream that begins now on the server of a grant. A
 // version changes only with the process, so without any statement a process that was
 // replaced meanwhile may have been of another one.
