Weigh only losses that all hosts may have reported

Cause: a decision waited until the loss that made the evidence sufficient was 400 ms old, but then counted later losses as well. On those the report of another host with the deadly part may still be on its way, so a sound part with one more loss was the stronger suspect.

Change: a decision counts only losses that are 400 ms old. Evidence against a request that has not settled still holds back the parts.

Test: TestLossesCountOnceAllHostsMayHaveReportedThem. It failed before: "1 (action) != 0 (Allow)".

--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -37,22 +37,29 @@
 }
 
 // convict quarantines suspects until the evidence that is not explained suffices for
-// no other one. Parts wait while the evidence against a request settles.
+// no other one. Only losses on which the reports of all hosts have arrived count, since
+// a part that is missing from a report yet makes the others the stronger suspects. Parts
+// wait while the evidence against a request settles.
 func (t *Tracker) convict(now time.Time, losses []*loss) {
+	settled := losses
+	if i := slices.IndexFunc(losses, func(l *loss) bool { return now.Before(l.at.Add(t.settleTime())) }); i >= 0 {
+		settled = losses[:i]
+		t.evaluateBy(losses[i].at.Add(t.settleTime()))
+	}
 	for {
-		suspicions := t.suspicionsOf(now, losses, true)
-		requests, settling := t.strongest(now, suspicions)
+		suspicions := t.suspicionsOf(now, settled, true)
+		requests := t.strongest(now, suspicions)
 		for _, request := range requests {
 			t.quarantine(now, request, suspicions[request], nil)
 		}
 		if len(requests) > 0 {
 			continue
 		}
-		if settling {
+		if len(settled) < len(losses) && len(t.sufficient(now, t.suspicionsOf(now, losses, true))) > 0 {
 			return
 		}
-		suspicions = t.suspicionsOf(now, losses, false)
-		parts, _ := t.strongest(now, suspicions)
+		suspicions = t.suspicionsOf(now, settled, false)
+		parts := t.strongest(now, suspicions)
 		for _, part := range parts {
 			t.quarantine(now, part, suspicions[part], parts)
 		}
@@ -63,28 +70,11 @@
 }
 
 // strongest returns the suspects with the strongest sufficient evidence: those of the
-// same losses, which cannot be told apart. It also reports whether some evidence
-// suffices but has not settled.
-func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) (tied []uint64, settling bool) {
-	for suspect, s := range suspicions {
-		if !t.mayBeCause(suspect, s) {
-			if len(s.episodes) >= lossesToQuarantine { // until more answers begin
-				t.evaluateBy(now.Add(settleTime))
-			}
-			continue
-		}
-		needed := t.lossesNeeded(suspect, s)
-		if len(s.episodes) < needed { // the share of lost requests may fall
-			t.evaluateBy(now.Add(settleTime))
-			continue
-		}
-		if due := s.episodes[needed-1].Add(t.settleTime()); now.Before(due) {
-			t.evaluateBy(due)
-			settling = true
-			continue
-		}
+// same losses, which cannot be told apart.
+func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) (tied []uint64) {
+	for _, suspect := range t.sufficient(now, suspicions) {
 		if len(tied) > 0 {
-			order := s.compare(suspicions[tied[0]])
+			order := suspicions[suspect].compare(suspicions[tied[0]])
 			if order < 0 {
 				continue
 			}
@@ -95,11 +85,29 @@
 		tied = append(tied, suspect)
 	}
 	if len(tied) == 0 {
-		return nil, settling
+		return nil
 	}
 	slices.Sort(tied)
 	first := suspicions[tied[0]]
-	return slices.DeleteFunc(tied, func(suspect uint64) bool { return !slices.Equal(suspicions[suspect].losses, first.losses) }), settling
+	return slices.DeleteFunc(tied, func(suspect uint64) bool { return !slices.Equal(suspicions[suspect].losses, first.losses) })
+}
+
+// sufficient returns the suspects whose evidence suffices.
+func (t *Tracker) sufficient(now time.Time, suspicions map[uint64]*suspicion) (out []uint64) {
+	for suspect, s := range suspicions {
+		if !t.mayBeCause(suspect, s) {
+			if len(s.episodes) >= lossesToQuarantine { // until more answers begin
+				t.evaluateBy(now.Add(settleTime))
+			}
+			continue
+		}
+		if len(s.episodes) < t.lossesNeeded(suspect, s) { // the share of lost requests may fall
+			t.evaluateBy(now.Add(settleTime))
+			continue
+		}
+		out = append(out, suspect)
+	}
+	return out
 }
 
 // mayBeCause reports whether the evidence may suffice, now or later. Losses that one
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -205,6 +205,47 @@
 	check(tracker, now, Refuse, deadly)
 }
 
+// lossesOf returns a tracker of one of two hosts with losses of the given parts, one
+// each second beside answers on another part, and the time at which the last one has
+// settled.
+func lossesOf(losses ...[]uint64) (*Tracker, time.Time) {
+	tracker, now := New(1), start
+	tracker.SetHosts([]uint64{1, 2})
+	for i, parts := range losses {
+		now = now.Add(time.Second)
+		for range 100 {
+			tracker.AnswerBegan(now, now, now, []uint64{99})
+		}
+		addLoss(tracker, now, Server{uint64(i), 1}, parts, len(parts))
+		now = now.Add(settleTime)
+		tracker.Poll(now)
+	}
+	return tracker, now
+}
+
+// Guards against a sound part being refused alone by losses on which another host has
+// not reported the deadly part yet.
+func TestLossesCountOnceAllHostsMayHaveReportedThem(t *testing.T) {
+	const sound, deadly = 1, 2
+	both := []uint64{sound, deadly}
+	tracker, now := lossesOf(both, both)
+	lossOf := func(server uint64, after time.Duration) {
+		now = now.Add(after)
+		addLoss(tracker, now, Server{server, 1}, []uint64{sound}, 1)
+		tracker.Poll(now)
+	}
+	lossOf(10, time.Second)
+	tracker.Merge(now, Message{Losses: []Loss{{Server: Server{10, 1}, At: now, Reporter: 2, Parts: []uint64{deadly}}}}, false)
+	lossOf(11, episodeGap)
+	lossOf(12, episodeGap)
+	tracker.Poll(now.Add(10 * time.Millisecond)) // the third loss is settled
+	now = now.Add(20 * time.Millisecond)
+	action, _ := tracker.Check(now, []uint64{sound})
+	assert.Equal(t, action, Allow)
+	action, _ = tracker.Check(now, both)
+	assert.Equal(t, action, Refuse)
+}
+
 // Guards against losses counting against other parts once the quarantine that
 // explains them has lapsed.
 func TestLapsedQuarantineStillExplainsItsLosses(t *testing.T) {
