Refuse parts together if one loss alone tells them apart

Cause: of two suspects with enough evidence the one with one loss more was quarantined alone, and the losses that it explained no longer counted against the other one. Two losses are needed to tell parts apart once they are quarantined; the first decision took one.

Change: suspects that differ by fewer than lossesToSeparate losses at different times are quarantined together, so requests with one of them pass, and the first answer releases the sound one. If such a suspect lacks evidence of its own, the decision waits for the answer or loss that tells them apart, for lossesToSeparate further losses at most.

Tests: TestPartIsNotRefusedForOneLossWithoutAnother (before: "1 (action) != 0 (want)"), TestPartIsRefusedThoughAnotherIsInNearlyAllItsLosses, and TestTrackerMatchesModel, whose model states the new rule. TestLapsedQuarantineStillExplainsItsLosses had a sound part in all but one loss of the deadly one, which is refused with it now; it leaves out two, so that it still has a part that must not be quarantined.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -13,6 +13,7 @@
 	losses   []*loss
 	episodes []time.Time // losses at different times
 	answered bool        // servers answered it before
+	needed   int         // losses at different times that suffice, of a possible cause
 	// explainedBy holds the quarantined requests that explain some of the losses.
 	explainedBy map[uint64]bool
 }
@@ -196,6 +197,29 @@
 	return cmp.Or(cmp.Compare(len(s.episodes), len(o.episodes)), cmp.Compare(len(s.losses), len(o.losses)))
 }
 
+// isLike reports whether the evidence against another suspect that no server answered,
+// or that was answered as well, cannot be told apart: fewer than lossesToSeparate losses
+// at different times have only one of both.
+func (s *suspicion) isLike(o *suspicion, suspect, other uint64) bool {
+	if o.answered && !s.answered || len(o.episodes) < lossesToQuarantine-1 {
+		return false
+	}
+	alone := s.without(o, suspect)
+	return alone < lossesToSeparate && o.without(s, other) < lossesToSeparate && len(s.episodes)-alone >= lossesToQuarantine-1
+}
+
+// without returns the number of losses at different times that the other suspect does
+// not have.
+func (s *suspicion) without(o *suspicion, suspect uint64) int {
+	alone := suspicion{answered: s.answered}
+	for _, l := range s.losses {
+		if !slices.Contains(o.losses, l) {
+			alone.add(l, suspect)
+		}
+	}
+	return len(alone.episodes)
+}
+
 // isExplained reports whether a quarantined suspect was lost in the loss. The
 // explanation stays when the quarantine lapses. Of several suspects a request is the
 // explanation, and of equal kinds the greater one, so that all hosts agree.
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -69,27 +70,22 @@
 	}
 }
 
-// strongest returns the suspects with the strongest sufficient evidence: those of the
-// same losses, which cannot be told apart.
-func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) (tied []uint64) {
-	for _, suspect := range t.sufficient(now, suspicions) {
-		if len(tied) > 0 {
-			order := suspicions[suspect].compare(suspicions[tied[0]])
-			if order < 0 {
-				continue
-			}
-			if order > 0 {
-				tied = tied[:0]
-			}
+// strongest returns the suspects with the strongest sufficient evidence, and with it
+// those whose evidence cannot be told apart from it.
+func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) []uint64 {
+	sufficient := t.sufficient(now, suspicions)
+	slices.SortFunc(sufficient, func(a, b uint64) int {
+		return cmp.Or(suspicions[b].compare(suspicions[a]), cmp.Compare(a, b))
+	})
+	for len(sufficient) > 0 {
+		tied, unsure := rivalsOf(sufficient[0], suspicions, sufficient)
+		if !unsure {
+			return tied
 		}
-		tied = append(tied, suspect)
+		t.evaluateBy(now.Add(settleTime)) // until an answer or a loss tells them apart
+		sufficient = slices.DeleteFunc(sufficient, func(suspect uint64) bool { return slices.Contains(tied, suspect) })
 	}
-	if len(tied) == 0 {
-		return nil
-	}
-	slices.Sort(tied)
-	first := suspicions[tied[0]]
-	return slices.DeleteFunc(tied, func(suspect uint64) bool { return !slices.Equal(suspicions[suspect].losses, first.losses) })
+	return nil
 }
 
 // sufficient returns the suspects whose evidence suffices.
@@ -101,7 +97,7 @@
 			}
 			continue
 		}
-		if len(s.episodes) < t.lossesNeeded(suspect, s) { // the share of lost requests may fall
+		if s.needed = t.lossesNeeded(suspect, s); len(s.episodes) < s.needed { // the share of lost requests may fall
 			t.evaluateBy(now.Add(settleTime))
 			continue
 		}
@@ -110,6 +106,29 @@
 	return out
 }
 
+// rivalsOf returns a suspect and those of the sufficient ones that cannot be told apart
+// from it. It reports unsure if one that cannot be told apart lacks evidence: the report
+// of another host may be late, or one of the losses has another cause. Then a further
+// loss decides, but the suspect gets no more than lossesToSeparate further ones.
+func rivalsOf(suspect uint64, suspicions map[uint64]*suspicion, sufficient []uint64) (rivals []uint64, unsure bool) {
+	s := suspicions[suspect]
+	for _, other := range sufficient {
+		o := suspicions[other]
+		if o.answered == s.answered && slices.Equal(o.losses, s.losses) || !IsRequest(suspect) && s.isLike(o, suspect, other) {
+			rivals = append(rivals, other)
+		}
+	}
+	if IsRequest(suspect) || len(s.episodes) >= s.needed+lossesToSeparate {
+		return rivals, false
+	}
+	for other, o := range suspicions {
+		if !slices.Contains(sufficient, other) && s.isLike(o, suspect, other) {
+			return rivals, true
+		}
+	}
+	return rivals, false
+}
+
 // mayBeCause reports whether the evidence may suffice, now or later. Losses that one
 // request can explain say nothing about its parts.
 func (t *Tracker) mayBeCause(suspect uint64, s *suspicion) bool {
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"testing"
@@ -214,63 +215,113 @@
 	}
 }
 
-// convict quarantines those of the candidates with the strongest evidence.
-func (m *model) convict(now time.Time, candidates, suspects []uint64) bool {
-	var best []uint64
-	var most []int
+// modelSuspicion is the evidence against one candidate.
+type modelSuspicion struct {
+	suspect    uint64
+	losses     []int
+	episodes   []time.Time
+	needed     int
+	sufficient bool
+	answered   bool
+}
+
+// suspicions returns the evidence against the candidates, the strongest first.
+func (m *model) suspicions(now time.Time, candidates, suspects []uint64) (out []modelSuspicion) {
 	for _, p := range candidates {
-		if !m.quarantined[p].IsZero() {
-			continue
-		}
 		losses, episodes := m.evidence(p)
-		if len(episodes) < 3 && !(m.lapsed[p] && len(episodes) > 0) {
+		if !m.quarantined[p].IsZero() || len(losses) == 0 {
 			continue
 		}
-		needed := m.needed(p, losses, episodes)
-		if len(episodes) < needed || now.Before(episodes[needed-1].Add(settleTime)) {
-			continue
+		s := modelSuspicion{suspect: p, losses: losses, episodes: episodes, needed: m.needed(p, losses, episodes), answered: m.answered(p)}
+		s.sufficient = len(episodes) >= 3 || m.lapsed[p]
+		s.sufficient = s.sufficient && len(episodes) >= s.needed && !now.Before(episodes[s.needed-1].Add(settleTime))
+		if !m.lapsed[p] && (!IsRequest(p) && m.fewRequestsMayBeCause(losses, suspects) || s.answered && m.answersSince(losses[0]) < 16) {
+			s.sufficient = false
 		}
-		if !m.lapsed[p] && (!IsRequest(p) && m.fewRequestsMayBeCause(losses, suspects) || m.answered(p) && m.answersSince(losses[0]) < 16) {
-			continue
+		out = append(out, s)
+	}
+	slices.SortStableFunc(out, func(a, b modelSuspicion) int {
+		return cmp.Or(cmp.Compare(toInt(a.answered), toInt(b.answered)), cmp.Compare(len(b.episodes), len(a.episodes)), cmp.Compare(len(b.losses), len(a.losses)))
+	})
+	return out
+}
+
+func toInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// missing returns how many losses at different times a has and b has not.
+func (m *model) missing(a, b modelSuspicion) (n int) {
+	var last time.Time
+	for _, i := range a.losses {
+		if at := m.losses[i].at; !slices.Contains(b.losses, i) && (last.IsZero() || at.Sub(last) >= episodeGap) {
+			n, last = n+1, at
 		}
-		strength := []int{0, len(episodes), len(losses)}
-		if !m.answered(p) {
-			strength[0] = 1
+	}
+	return n
+}
+
+// alike reports whether the evidence against a part cannot be told from that against
+// another one: two losses with both, and fewer than two with either alone.
+func (m *model) alike(a, b modelSuspicion) bool {
+	both := len(a.episodes) - m.missing(a, b)
+	return !IsRequest(a.suspect) && (a.answered || !b.answered) && len(b.episodes) >= 2 && both >= 2 && m.missing(a, b) < 2 && m.missing(b, a) < 2
+}
+
+// convict quarantines those of the candidates with the strongest evidence.
+func (m *model) convict(now time.Time, candidates, suspects []uint64) bool {
+	all := m.suspicions(now, candidates, suspects)
+	passed := map[uint64]bool{}
+	for _, first := range all {
+		if !first.sufficient || passed[first.suspect] {
+			continue
 		}
-		if slices.Compare(strength, most) > 0 {
-			best, most = nil, strength
+		var same []modelSuspicion
+		unsure := false
+		for _, s := range all {
+			switch {
+			case s.sufficient && !passed[s.suspect] && (s.answered == first.answered && slices.Equal(s.losses, first.losses) || m.alike(first, s)):
+				same = append(same, s)
+			case !s.sufficient || passed[s.suspect]:
+				unsure = unsure || m.alike(first, s) && len(first.episodes) < first.needed+2
+			}
 		}
-		if slices.Equal(strength, most) {
-			best = append(best, p)
+		if !unsure {
+			m.quarantine(now, same)
+			return true
 		}
-	}
-	if len(best) == 0 {
-		return false
-	}
-	strongest, episodes := m.evidence(best[0])
-	var same []uint64
-	for _, p := range best {
-		if losses, _ := m.evidence(p); slices.Equal(losses, strongest) {
-			same = append(same, p)
+		for _, s := range same {
+			passed[s.suspect] = true
 		}
 	}
-	for _, p := range same {
+	return false
+}
+
+// quarantine quarantines suspects that cannot be told apart.
+func (m *model) quarantine(now time.Time, same []modelSuspicion) {
+	for _, s := range same {
+		p := s.suspect
 		first := 15 * time.Second
-		if IsRequest(p) && len(episodes) < m.beyondChance(p, strongest, episodes) {
+		if IsRequest(p) && len(s.episodes) < m.beyondChance(p, s.losses, s.episodes) {
 			first = 5 * time.Second
 		}
-		m.quarantined[p], m.lapsed[p] = now, false
-		m.companions[p] = slices.DeleteFunc(slices.Clone(same), func(o uint64) bool { return o == p || IsRequest(p) })
-		m.companions[p] = m.companions[p][:min(len(m.companions[p]), MaxCompanions)]
+		m.quarantined[p], m.lapsed[p], m.companions[p] = now, false, nil
+		for _, o := range same {
+			if o.suspect != p && !IsRequest(p) && len(m.companions[p]) < MaxCompanions {
+				m.companions[p] = append(m.companions[p], o.suspect)
+			}
+		}
 		if m.terms[p] = min(3*m.terms[p], 10*time.Minute); m.terms[p] == 0 {
 			m.terms[p] = first
 		}
-		for _, i := range strongest {
+		for _, i := range s.losses {
 			m.losses[i].explainedBy = p
 		}
 	}
 	m.explain()
-	return true
 }
 
 // explain marks the losses that a quarantined part explains.
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -223,6 +223,44 @@
 	return tracker, now
 }
 
+// Guards against a sound part being refused alone because another host reports the
+// deadly part in one of the losses late, or one of the losses has another cause.
+func TestPartIsNotRefusedForOneLossWithoutAnother(t *testing.T) {
+	const sound, deadly = 1, 2
+	both := []uint64{sound, deadly}
+	check := func(tracker *Tracker, now time.Time, want Action, parts ...uint64) {
+		t.Helper()
+		action, _ := tracker.Check(now, parts)
+		assert.Equal(t, action, want)
+	}
+
+	// The third loss has the deadly part by a late report: both are refused together.
+	tracker, now := lossesOf(both, both, []uint64{sound})
+	check(tracker, now, Allow, sound)
+	tracker.Merge(now, Message{Losses: []Loss{{Server: Server{2, 1}, At: now, Reporter: 2, Parts: []uint64{deadly}}}}, false)
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, both...)
+
+	// The same with the roles exchanged: an answer to the sound part tells them apart.
+	tracker, now = lossesOf(both, both, []uint64{deadly})
+	now = now.Add(10 * time.Millisecond)
+	tracker.AnswerBegan(now, now, now, []uint64{sound})
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, deadly)
+
+	// A loss of the sound part by another cause does not make it the stronger suspect.
+	tracker, now = lossesOf(both, both, []uint64{sound}, both)
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, both...)
+	tracker, now = lossesOf(both, both, both, []uint64{sound})
+	check(tracker, now, Allow, sound)
+	check(tracker, now, Refuse, both...)
+}
+
 // Guards against a sound part being refused alone by losses on which another host has
 // not reported the deadly part yet.
 func TestLossesCountOnceAllHostsMayHaveReportedThem(t *testing.T) {
@@ -246,6 +284,22 @@
 	assert.Equal(t, action, Refuse)
 }
 
+// Guards against a deadly part that is never told apart from a sound one reaching server
+// after server.
+func TestPartIsRefusedThoughAnotherIsInNearlyAllItsLosses(t *testing.T) {
+	const sound, deadly = 1, 2
+	both := []uint64{sound, deadly}
+	tracker, now := lossesOf(both, both, []uint64{deadly}, []uint64{deadly})
+	action, _ := tracker.Check(now, []uint64{deadly})
+	assert.Equal(t, action, Refuse)
+	action, _ = tracker.Check(now, []uint64{sound})
+	assert.Equal(t, action, Allow)
+
+	tracker, now = lossesOf(both, []uint64{deadly}, both, both)
+	action, _ = tracker.Check(now, both)
+	assert.Equal(t, action, Refuse)
+}
+
 // Guards against losses counting against other parts once the quarantine that
 // explains them has lapsed.
 func TestLapsedQuarantineStillExplainsItsLosses(t *testing.T) {
@@ -254,7 +308,7 @@
 	for i := range uint64(lossesToQuarantine + 4) {
 		now = now.Add(time.Second)
 		parts := []uint64{deadly, sound}
-		if i == 0 {
+		if i < lossesToSeparate {
 			parts = parts[:1]
 		}
 		addLoss(tracker, now, Server{i, 1}, parts, 2)
