Limit writes of entry hosts to callers that read nothing

Callers saw nothing; other callers did: a caller that stays connected and reads nothing held its request, its stream and the memory of its response beyond the deadline, for as long as it stayed, and a host refuses further large responses while that memory is used up.

Cause: the deadline of a request ends only the exchange with the server. The handler waits in a write to the caller, which had no time limit.

Lines have closed "the caller reads nothing", and edge.closed.caller_stalled counts.

Before (with the limit set to 100 h): TestCallerThatReadsNothingIsGivenUp: the write still waits for a caller that reads nothing TestRequestOfCallerThatReadsNothingEnds: timed out waiting for the end of the request after 1m0s, with a response and with a stream (timeout 2 s and 12 s) After: both pass. TestSlowCallerKeepsItsResponse reads for two and a half limits and gets all of its response. go test -race of pkg/callers, pkg/edge and platform passed.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -30,6 +30,10 @@
 	headEnd    int  // of these, the bytes of its head, 0 if that is not known
 	pipelined  bool // the caller has sent a request before it had the response to the last one
 
+	writeLimit      time.Duration // how long a blocked write may make no progress, 0 for no limit
+	writeDeadline   time.Time     // that another package has set, zero for none
+	writeExtendedAt time.Time     // when the own write deadline was set
+
 	openedAt time.Time
 	state    http.ConnState // that net/http has reported last
 	handled  bool           // a handler has the current request
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -55,10 +55,11 @@
 	closes  *closeRecorder
 	maxOpen int // open connections above which OverLimit reports true, 0 for no bound
 
-	mu       sync.Mutex // guards the fields below; not held during system calls on sockets
-	listener *listener
-	open     int
-	idle     map[net.Conn]time.Time // start of the idle time
+	mu         sync.Mutex // guards the fields below; not held during system calls on sockets
+	listener   *listener
+	writeLimit time.Duration // see LimitWrites
+	open       int
+	idle       map[net.Conn]time.Time // start of the idle time
 	// closing holds idle connections on which closeIfIdle has ended the wait
 	// for a request. A request that was read before that is still served.
 	closing map[net.Conn]bool
--- a/pkg/callers/listener.go
+++ b/pkg/callers/listener.go
@@ -33,7 +33,7 @@
 func (s *ConnTracker) Listener(l net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = &listener{Listener: l, closes: s.closes, ended: make(chan struct{})}
+	s.listener = &listener{Listener: l, closes: s.closes, writeLimit: s.writeLimit, ended: make(chan struct{})}
 	return s.listener
 }
 
@@ -63,11 +63,12 @@
 // listener is a listener that can be stopped without losing connections.
 type listener struct {
 	net.Listener
-	closes   *closeRecorder
-	served   atomic.Bool // Accept was called
-	stopping atomic.Bool
-	endOnce  sync.Once
-	ended    chan struct{} // closed when Accept has returned an error that is not temporary
+	closes     *closeRecorder
+	writeLimit time.Duration // of the connections
+	served     atomic.Bool   // Accept was called
+	stopping   atomic.Bool
+	endOnce    sync.Once
+	ended      chan struct{} // closed when Accept has returned an error that is not temporary
 }
 
 // tcpListener has the methods of *net.TCPListener that listener needs.
@@ -96,7 +97,7 @@
 			l.closes.recordAcceptError(err)
 		}
 		if tcp, ok := c.(*net.TCPConn); ok {
-			return &callerConn{TCPConn: tcp, openedAt: time.Now()}, err
+			return &callerConn{TCPConn: tcp, writeLimit: l.writeLimit, openedAt: time.Now()}, err
 		}
 		return c, err
 	}
--- a/pkg/edge/abort.go
+++ b/pkg/edge/abort.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"errors"
 	"net/http"
+	"os"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -19,6 +21,8 @@
 	closeCallerConnected closeReason = "the request context ended, the caller is connected"
 	closeTruncated       closeReason = "the response was interrupted after its start"
 	closeHostStopped     closeReason = "the host stops"
+	// closeCallerStalled means that a write to a connected caller has reached its limit.
+	closeCallerStalled closeReason = "the caller reads nothing"
 )
 
 // closeMetrics holds the counter of each reason.
@@ -27,6 +31,7 @@
 	closeCallerConnected: "edge.closed.caller_connected",
 	closeTruncated:       "edge.closed.truncated",
 	closeHostStopped:     "edge.closed.host_stopped",
+	closeCallerStalled:   "edge.closed.caller_stalled",
 }
 
 // abort closes the connection of the caller, so that a truncated response does not
@@ -35,9 +40,21 @@
 	if reason == closeCallerLeft && x.in.Disconnected != nil && !x.in.Disconnected() {
 		reason = closeCallerConnected
 	}
+	x.recordClose(reason)
+	panic(http.ErrAbortHandler)
+}
+
+func (x *proxiedRequest) recordClose(reason closeReason) {
 	x.closeReason = reason
 	metrics.GetOrRegisterCounter(closeMetrics[reason], x.s.metrics.registry).Inc(1)
-	panic(http.ErrAbortHandler)
+}
+
+// recordWriteError records that a response could not be written because the caller reads
+// nothing. net/http closes the connection then.
+func (x *proxiedRequest) recordWriteError(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.recordClose(closeCallerStalled)
+	}
 }
 
 // RecordCut records what is open when the host stops.
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -275,7 +275,8 @@
 	preserveContentType(out)
 	x.status, x.headSent = h.status, true
 	x.w.WriteHeader(h.status)
-	_, _ = x.w.Write(h.body) // fails only if the caller has left
+	_, err := x.w.Write(h.body) // fails only if the caller has left or reads nothing
+	x.recordWriteError(err)
 }
 
 // preserveContentType prevents net/http from sniffing a Content-Type if the
@@ -368,7 +369,7 @@
 }
 
 // forwardEvents writes complete events to the caller and flushes them. It returns
-// false if the write fails, which means that the caller has left.
+// false if the write fails, which means that the caller has left or reads nothing.
 func (x *proxiedRequest) forwardEvents(resp *http.Response, events []byte) bool {
 	if x.sseParser.count == 0 {
 		x.timeToFirst = time.Since(x.in.Arrived)
@@ -382,6 +383,7 @@
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
 	}
+	x.recordWriteError(err)
 	x.sseParser.consume(events)
 	return err == nil
 }
