Refuse requests whose head is late instead of closing without a word

Callers saw a reset: a connection without a request is closed at the head timeout (5 s), and a first request that is on its way then got neither an answer nor a refusal, so it must not be sent again if it may run once only. A head that was incomplete at the timeout got no answer, or status 400 when its last line was incomplete, which reads as the caller's fault.

Cause: the notice (status 408, not run) was sent only on connections that had a request before. net/http closes the others without one.

Change: a read that ends at its deadline while net/http waits for a head sends the notice, unless the connection has TLS. A first request that has arrived, unread, when the time is over is read, as a later one is already. The record of a late head stays head_timeout if more of it comes after the notice.

Tests: TestOnlyIdleConnectionsGetTheNotice stated the old behaviour of a new connection; TestNoticeIsSentOnlyBetweenRequests replaces it and checks all three states with and without TLS. TestUnhandledHeadsAreRecorded expected no answer to a late head and on an unused connection, and expects 408 now.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -34,13 +34,15 @@
 	writeDeadline   time.Time     // that another package has set, zero for none
 	writeExtendedAt time.Time     // when the own write deadline was set
 
-	openedAt time.Time
-	state    http.ConnState // that net/http has reported last
-	handled  bool           // a handler has the current request
-	readErr  error          // of the last read of the current request
+	openedAt  time.Time
+	state     http.ConnState // that net/http has reported last
+	encrypted bool           // TLS is spoken on it
+	handled   bool           // a handler has the current request
+	readErr   error          // of the last read of the current request
 }
 
 // firstBytesTime bounds the time to the fourth byte of a request that arrives when the idle
+// timeout ends, and to the end of the head of a first request that arrives when the head
 // timeout ends. It covers a lost packet.
 const firstBytesTime = time.Second
 
@@ -48,16 +50,17 @@
 var endOfHead = []byte("\r\n\r\n")
 
 // Read implements net.Conn. A request that arrives when the wait for it ends is read. If
-// none arrives, the caller is told before net/http closes the connection.
+// none arrives, or its head is not complete in time, the caller is told before net/http
+// closes the connection.
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.beforeRead(len(p))
 	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsHead() {
 		c.endIdleTime()
 		if c.continueWait() {
 			n, err = c.TCPConn.Read(p)
 		} else {
-			c.refuse()
+			c.announceClose()
 		}
 	}
 	c.mu.Lock()
@@ -121,12 +124,21 @@
 	}
 }
 
-// endIdleTime records that the wait for a request was ended by the idle timeout of net/http,
-// if one has ended while no part of a request had arrived.
+// awaitsHead reports whether net/http reads the head of a request, so that it closes the
+// connection without a word when a read ends at its deadline. On a TLS connection a notice
+// would be no part of the protocol.
+func (c *callerConn) awaitsHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.encrypted && (c.state == http.StateNew || c.state == http.StateIdle)
+}
+
+// endIdleTime records that the wait for a request was ended by a timeout of net/http, if one
+// has ended while no part of a request had arrived.
 func (c *callerConn) endIdleTime() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.begun && !c.closing {
+	if !c.begun && !c.closing {
 		c.closing = true
 		c.deadline = time.Now().Add(firstBytesTime) // net/http sets another one after four bytes
 	}
--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// closeNotice is sent on an idle connection before it is closed. The next request may
-	// already be on its way: without the notice its caller sees a closed connection,
-	// which does not tell whether the request has run. Status 408 says that it has not
-	// (RFC 9110, 15.5.9). A caller without a request closes the connection.
+	// closeNotice is sent on a connection without a complete head before it is closed. The
+	// next request may already be on its way: without the notice its caller sees a closed
+	// connection, which does not tell whether the request has run. Status 408 says that it
+	// has not (RFC 9110, 15.5.9). A caller without a request closes the connection.
 	closeNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n" +
 		"Jackdawtrack-Executed: " + string(result.ExecutedNo) + "\r\n\r\n"
 	// noticeTime bounds the wait for the caller to close the connection after the notice.
@@ -20,22 +20,11 @@
 	noticeTime = 200 * time.Millisecond
 )
 
-// refuse tells the caller that the wait for a request was ended, if it was, and reports
-// whether it has. It runs in Read: http.Server.Close calls Close of all connections one
-// after the other, so a wait there would add up.
-func (c *callerConn) refuse() bool {
-	c.mu.Lock()
-	announce := c.closing && c.idle
-	c.mu.Unlock()
-	if announce {
-		c.announceClose()
-	}
-	return announce
-}
-
 // announceClose sends the notice and reads until the caller has closed the connection,
 // because a connection that is closed with unread bytes is reset, and its caller may lose
-// the notice. What is read was sent before the notice has arrived and is not run.
+// the notice. What is read was sent before the notice has arrived and is not run. It runs in
+// Read: http.Server.Close calls Close of all connections one after the other, so a wait
+// there would add up.
 func (c *callerConn) announceClose() {
 	if c.TCPConn.SetDeadline(time.Now().Add(noticeTime)) != nil {
 		return // closed meanwhile
@@ -46,5 +35,7 @@
 	crossed, _ := io.Copy(io.Discard, c.TCPConn) // ends with the close or the deadline
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crossed = int(crossed)
+	if !c.begun { // otherwise it is the rest of a late head
+		c.crossed = int(crossed)
+	}
 }
--- a/pkg/callers/notice_test.go
+++ b/pkg/callers/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -80,23 +81,93 @@
 	assert.NilError(t, s.WaitClosed(t.Context(), 0))
 }
 
-// Guards against a notice in the middle of a response or before the first request, and
-// against a server that waits for the notice when it is closed.
-func TestOnlyIdleConnectionsGetTheNotice(t *testing.T) {
-	for _, state := range []http.ConnState{http.StateNew, http.StateActive} {
+// Guards against a notice in the middle of a response or of a TLS handshake, and against a
+// server that waits for the notice when it is closed.
+func TestNoticeIsSentOnlyBetweenRequests(t *testing.T) {
+	for _, c := range []struct {
+		state  http.ConnState
+		isTLS  bool
+		notice bool
+	}{
+		{http.StateNew, false, true},
+		{http.StateNew, true, false},
+		{http.StateActive, false, false},
+		{http.StateActive, true, false},
+		{http.StateIdle, false, true},
+		{http.StateIdle, true, false},
+	} {
 		caller, host := connect(t)
 		s := NewConnTracker(0, 0, metrics.NewRegistry())
-		c := &callerConn{TCPConn: host.(*net.TCPConn), openedAt: time.Now()}
-		s.OnStateChange(c, http.StateNew)
-		s.OnStateChange(c, state)
-		s.closeIdle(0)
-		assert.NilError(t, c.SetReadDeadline(pastDeadline))
-		_, err := c.Read(make([]byte, 1))
-		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
-		assert.NilError(t, c.Close())
+		tracked := &callerConn{TCPConn: host.(*net.TCPConn), openedAt: time.Now()}
+		var conn net.Conn = tracked
+		if c.isTLS {
+			conn = tls.Server(tracked, &tls.Config{})
+		}
+		s.OnStateChange(conn, http.StateNew)
+		s.OnStateChange(conn, c.state)
+		assert.NilError(t, tracked.SetReadDeadline(pastDeadline))
+		read := make(chan error, 1)
+		go func() { _, err := tracked.Read(make([]byte, 1)); read <- err }()
+		assert.NilError(t, caller.SetDeadline(time.Now().Add(waitLimit)))
+		if c.notice {
+			checkClosed(t, bufio.NewReader(caller))
+			assert.NilError(t, caller.Close())
+			assert.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
+			continue
+		}
+		assert.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
+		assert.NilError(t, tracked.Close())
 		rest, err := io.ReadAll(caller)
 		assert.NilError(t, err)
-		assert.Equal(t, string(rest), "")
+		assert.Equal(t, string(rest), "", "%v", c)
+	}
+}
+
+// Guards against a first request that ends without an answer because it crosses the close of
+// its connection at the head timeout.
+func TestFirstRequestThatCrossesTheCloseIsRefused(t *testing.T) {
+	s := startRecorded(t, 10*time.Millisecond)
+	caller, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	defer caller.Close()
+	assert.NilError(t, caller.SetDeadline(time.Now().Add(waitLimit)))
+	in := bufio.NewReader(caller)
+	_, err = in.Peek(1) // the host has ended its wait
+	assert.NilError(t, err, "the connection ended without an answer")
+	_, err = io.WriteString(caller, "POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nab")
+	assert.NilError(t, err)
+	checkClosed(t, in)
+	assert.NilError(t, caller.Close())
+	<-s.ended
+	assert.DeepEqual(t, s.counts(), map[string]int64{"crossed": 1})
+}
+
+// Guards against a request that gets no answer because its head is not complete in time.
+func TestLateHeadIsRefused(t *testing.T) {
+	const request = "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	for name, answered := range map[string]int{"first request": 0, "second request": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startRecorded(t, time.Second)
+			caller, err := net.Dial("tcp", s.address)
+			assert.NilError(t, err)
+			defer caller.Close()
+			assert.NilError(t, caller.SetDeadline(time.Now().Add(waitLimit)))
+			in := bufio.NewReader(caller)
+			for range answered {
+				_, err = io.WriteString(caller, request)
+				assert.NilError(t, err)
+				checkResponse(t, in, "/x")
+			}
+			_, err = io.WriteString(caller, request[:20])
+			assert.NilError(t, err)
+			checkClosed(t, in)
+			_, err = io.WriteString(caller, request[20:]) // comes too late
+			assert.NilError(t, err)
+			assert.NilError(t, caller.Close())
+			<-s.ended
+			assert.DeepEqual(t, s.counts(), map[string]int64{"head_timeout": 1})
+		})
 	}
 }
 
@@ -149,13 +220,22 @@
 }
 
 // Guards against a request that is dropped because it has arrived, unread, when the idle
-// timeout of net/http ends, and against one that is cut because a check for idle
-// connections ends the notice of another close.
-func TestRequestThatIsUnreadAtTheIdleTimeoutIsRead(t *testing.T) {
+// timeout or the head timeout of net/http ends, and against one that is cut because a check
+// for idle connections ends the notice of another close.
+func TestRequestThatIsUnreadAtTheTimeoutIsRead(t *testing.T) {
+	for name, states := range map[string][]http.ConnState{
+		"idle timeout": {http.StateNew, http.StateActive, http.StateIdle},
+		"head timeout": {http.StateNew},
+	} {
+		t.Run(name, func(t *testing.T) { readAtTimeout(t, states) })
+	}
+}
+
+func readAtTimeout(t *testing.T, states []http.ConnState) {
 	caller, host := connect(t)
 	s := NewConnTracker(0, 0, metrics.NewRegistry())
 	c := &callerConn{TCPConn: host.(*net.TCPConn), openedAt: time.Now()}
-	for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+	for _, state := range states {
 		s.OnStateChange(c, state)
 	}
 	_, err := io.WriteString(caller, "GET ")
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -125,7 +125,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	last := c.state
-	c.state = state
+	c.state, c.encrypted = state, isTLS
 	switch state {
 	case http.StateIdle:
 		c.handled, c.readErr = false, nil // net/http ends reads beside a handler with a deadline
--- a/pkg/router/unhandled_test.go
+++ b/pkg/router/unhandled_test.go
@@ -21,8 +21,8 @@
 	go func() { ended <- s.Run(graceful, context.Background()) }()
 	for _, c := range []struct{ sent, answer, metric string }{
 		{"hello\r\n\r\n", "HTTP/1.1 400", "callers.closed.head_invalid"},
-		{"GET / HTTP/1.1\r\n", "", "callers.closed.head_timeout"},
-		{"", "", "callers.closed.unused"},
+		{"GET / HTTP/1.1\r\n", "HTTP/1.1 408", "callers.closed.head_timeout"},
+		{"", "HTTP/1.1 408", "callers.closed.unused"},
 	} {
 		conn := tr.dialCallers(t)
 		_, err := io.WriteString(conn, c.sent)
