Let the test of late attempts see the second attempt

TestNoAttemptBeginsTooLate asserts that no second attempt begins beside a silent server when it is too late in a planned stop. The test had no other server of the service, so that there was never one to begin: with the look in beginHedge removed it passed. It has a third server now and also asserts that the second attempt begins while it is not too late.

Seen: without the look, "late_test.go:95: assertion failed: false (second == nil bool) != true (late bool): a second attempt" in all six cases. With it the test passes, before and after.

--- a/pkg/edge/late_test.go
+++ b/pkg/edge/late_test.go
@@ -35,7 +35,7 @@
 func newLateTest(t *testing.T, route routing.Route, prompt *Prompt) (*proxiedRequest, *httptest.ResponseRecorder) {
 	now := time.Now()
 	d := dispatch.New("edge", "z", now)
-	d.SetServers(now, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 1, Ready: true, Heard: now}, {ID: "j", Service: "other", DataCentre: "z", Slots: 9, Ready: true, Heard: now}})
+	d.SetServers(now, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 1, Ready: true, Heard: now}, {ID: "j", Service: "other", DataCentre: "z", Slots: 9, Ready: true, Heard: now}, {ID: "k", Service: "other", DataCentre: "z", Slots: 9, Ready: true, Heard: now}})
 	s := &Server{stopping: newStopping(), dispatcher: d, pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{}, polling: true, retryBudget: newRetryBudget(RetryBudget{Extra: 50}), quarantine: quarantine.New(1)}
 	for {
 		r := &dispatch.Request{ID: "r", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Minute)}
@@ -91,9 +91,10 @@
 						x.s.RefuseLate(time.Now().Add(10 * time.Second))
 						time.Sleep(c.late - time.Millisecond)
 					}
+					second := x.beginHedge(&serverExchange{dispatchReq: x.dispatchReq, decision: v}, "", false)
+					assert.Equal(t, second == nil, late, "a second attempt")
 					assert.Equal(t, x.dropLate(), late)
 					if late {
-						assert.Assert(t, x.beginHedge(&serverExchange{dispatchReq: x.dispatchReq, decision: v}, "", false) == nil)
 						assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 						x.w, x.mayHaveRun = httptest.NewRecorder(), true
 						assert.Assert(t, x.dropLate())
