Test the reset of a TLS connection to a caller with HTTP/1.0

The router closes the connection below TLS, because closing the TLS connection states that nothing is missing. No test saw that. The test of interrupted responses runs with TLS too now. It also fails for any other status than 200: an error status passed before, without anything that was interrupted.

With the code as it is both pass.

--- a/pkg/router/old_caller_test.go
+++ b/pkg/router/old_caller_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -15,26 +17,63 @@
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 )
 
-// Guards against an interrupted response that looks complete to a caller with HTTP/1.0:
-// it gets no chunks, so the end of the connection is the end of the response.
-func TestInterruptedResponseIsResetForOldCallers(t *testing.T) {
-	t.Parallel()
-	tr := newTestRouter(t, nil)
-	server := newRawServer(t, func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n wo", proxy.HeaderRequestID, r.Header.Get(proxy.HeaderRequestID))
-		_ = c.Close()
-	})
-	tr.announceRawServer(t, "s1", server, backend.Abilities{})
-	conn, err := net.Dial("tcp", strings.TrimPrefix(tr.callers.URL, "http://"))
-	assert.NilError(t, err)
-	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /services/p/x HTTP/1.0\r\nHost: a.example\r\nAuthorization: Bearer %s\r\nJackdawtrack-Workspace: w\r\nJackdawtrack-Class: order\r\nContent-Length: 2\r\n\r\n{}", workspaceKey)
-	assert.NilError(t, err)
+// assertInterrupted reads the response to a caller with HTTP/1.0, which must not look
+// complete.
+func assertInterrupted(t *testing.T, conn net.Conn) {
+	t.Helper()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return // the reset came first
 	}
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	body, err := io.ReadAll(resp.Body)
-	assert.Assert(t, resp.StatusCode != http.StatusOK || err != nil, "an interrupted response looks complete: %q", body)
-	assert.Equal(t, server.count.Load(), int64(1))
+	assert.Assert(t, err != nil, "an interrupted response looks complete: %q", body)
+}
+
+// Guards against an interrupted response that looks complete to a caller with HTTP/1.0:
+// it gets no chunks, so the end of the connection is the end of the response. With TLS,
+// an orderly close even states that nothing is missing.
+func TestInterruptedResponseIsResetForOldCallers(t *testing.T) {
+	t.Parallel()
+	for name, encrypted := range map[string]bool{"plain": false, "TLS": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var tr *testRouter
+			var dial func(address string) (net.Conn, error)
+			if encrypted {
+				var s *Service
+				var client *http.Client
+				s, tr, client = newTLSService(t, "http/1.1", func(c *Config) {
+					c.Peers = []PeerConfig{{Name: "rt-2", DataCentre: "south", Address: "127.0.0.1:1"}} // without fixed peers the router owns nothing before it has joined
+				})
+				ctx, stop := context.WithCancel(context.Background())
+				ended := make(chan error, 1)
+				go func() { ended <- s.Run(ctx, ctx) }()
+				t.Cleanup(func() {
+					stop()
+					<-ended
+				})
+				tr.announce.URL = "http://" + tr.announce.Listener.Addr().String()
+				dial = func(address string) (net.Conn, error) {
+					return tls.Dial("tcp", address, client.Transport.(*http.Transport).TLSClientConfig)
+				}
+			} else {
+				tr = newTestRouter(t, nil)
+				dial = func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+			}
+			server := newRawServer(t, func(c net.Conn, r *http.Request) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n wo", proxy.HeaderRequestID, r.Header.Get(proxy.HeaderRequestID))
+				_ = c.Close()
+			})
+			tr.announceRawServer(t, "s1", server, backend.Abilities{})
+			_, address, _ := strings.Cut(tr.callers.URL, "://")
+			conn, err := dial(address)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /services/p/x HTTP/1.0\r\nHost: a.example\r\nAuthorization: Bearer %s\r\nJackdawtrack-Workspace: w\r\nJackdawtrack-Class: order\r\nContent-Length: 2\r\n\r\n{}", workspaceKey)
+			assert.NilError(t, err)
+			assertInterrupted(t, conn)
+			assert.Equal(t, server.count.Load(), int64(1))
+		})
+	}
 }
--- a/pkg/router/stop_tls_test.go
+++ b/pkg/router/stop_tls_test.go
@@ -20,10 +20,10 @@
 )
 
 // newTLSService is newService with TLS for callers, and a client for one protocol.
-func newTLSService(t *testing.T, protocol string) (*Service, *testRouter, *http.Client) {
+func newTLSService(t *testing.T, protocol string, change ...func(*Config)) (*Service, *testRouter, *http.Client) {
 	t.Helper()
 	files := newCertificates(t)
-	s, tr := newService(t, func(c *Config) { c.TLS.Callers = TLSFiles{Certificate: files.Certificate, Key: files.Key} })
+	s, tr := newService(t, append(change, func(c *Config) { c.TLS.Callers = TLSFiles{Certificate: files.Certificate, Key: files.Key} })...)
 	tr.callers.URL = strings.Replace(tr.callers.URL, "http://", "https://", 1)
 	ca, err := loadCA(files.ClientCA)
 	assert.NilError(t, err)
