Reset callers with HTTP/1.0 after a panic of the router's handler too

Callers with HTTP/1.0 saw a complete response if the handler panicked in its middle. Cause: the reset was in abort, which a panic does not pass; net/http closes the connection in order, and for these callers that is the end of the response. The edge host resets in both cases. Change: the reset is where panics end.

Evidence: TestPanickedResponseIsResetForOldCallers, before: "an interrupted response looks complete: "hello"". After: passes, as do the tests of aborted and of interrupted responses. No panic of a router is known.

--- a/pkg/router/abort.go
+++ b/pkg/router/abort.go
@@ -26,22 +26,26 @@
 func newAbortLogLimiter() *rate.Limiter { return rate.NewLimiter(abortLogRate, abortLogBurst) }
 
 // abort closes the connection of a caller whose response has begun and cannot go on, so
-// that it does not look complete, and records the reason. It does not return. To a
-// caller with HTTP/1.0, which gets no chunks, the end of the connection is that of the
-// response, so it is reset.
+// that it does not look complete, and records the reason. It does not return.
 func (r *Router) abort(q *request, report proxy.Report, e *result.Error) {
 	metrics.GetOrRegisterCounter(abortedMetric, r.metrics).Inc(1)
 	if r.abortLogLimiter.Allow() {
 		r.log.WithFields(logrus.Fields{"id": q.id, "code": uint32(e.Code), "reason": e.Message, "bytes": report.BytesWritten}).Info("response aborted")
 	}
-	if !q.req.ProtoAtLeast(1, 1) {
-		if conn, _, err := http.NewResponseController(q.w).Hijack(); err == nil {
-			resetConnection(conn)
-		}
-	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetOldCaller resets the connection of a caller with HTTP/1.0, which gets no chunks:
+// the end of the connection is that of the response.
+func resetOldCaller(w http.ResponseWriter, req *http.Request) {
+	if req.ProtoAtLeast(1, 1) {
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		resetConnection(conn)
+	}
+}
+
 func resetConnection(conn net.Conn) {
 	if t, ok := conn.(*tls.Conn); ok {
 		conn = t.NetConn() // closing the TLS connection would announce an orderly end
@@ -53,7 +57,7 @@
 }
 
 // recordPanics returns a handler that counts and logs panics of next, except
-// http.ErrAbortHandler. net/http closes the connection.
+// http.ErrAbortHandler. net/http closes the connection, or resetOldCaller resets it.
 func (r *Router) recordPanics(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		defer func() {
@@ -65,6 +69,7 @@
 				metrics.GetOrRegisterCounter(panicMetric, r.metrics).Inc(1)
 				r.log.WithFields(logrus.Fields{"id": w.Header().Get(proxy.HeaderRequestID), "cause": cause, "stack": string(debug.Stack())}).Error("request handler panicked")
 			}
+			resetOldCaller(w, req)
 			panic(http.ErrAbortHandler)
 		}()
 		next.ServeHTTP(w, req)
--- a/pkg/router/old_caller_test.go
+++ b/pkg/router/old_caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -77,3 +78,21 @@
 		})
 	}
 }
+
+// Guards against a response that looks complete to a caller with HTTP/1.0 although the
+// handler has panicked in its middle.
+func TestPanickedResponseIsResetForOldCallers(t *testing.T) {
+	tr := newTestRouter(t, nil)
+	server := httptest.NewServer(tr.router.recordPanics(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "hello")
+		_ = http.NewResponseController(w).Flush()
+		panic("fault")
+	})))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	assert.NilError(t, err)
+	assertInterrupted(t, conn)
+}
