Take a stream without framing for complete with its blank line only

On the product path callers got a stream that ended after the line of its end marker, without the blank line after it, as a complete one. Cause: the line was enough at the end of a connection. A response without length and chunks ends with its connection, so this is a server that stopped in the middle of its last event, which callers drop. Change: it counts as broken, so it is resumed if the server can, else it ends with an error event. A stream with a length or chunks is complete when these say so, as before.

Evidence: TestCutResponseIsNeverComplete, which allowed this cut, does not any more. Before: ""...data: [DONE]\n" counts as complete: <nil>", on new and kept connections. After: passes.

--- a/pkg/proxy/cut_response_test.go
+++ b/pkg/proxy/cut_response_test.go
@@ -67,12 +67,8 @@
 					}
 					report, sink := call(raw[:cut])
 					sent := raw[min(cut, len(head)):cut]
-					// A stream is complete with its end marker, without framing with the line of it.
-					marker := doneEvent[:len(doneEvent)-1]
-					if c.framed {
-						marker = doneEvent
-					}
-					whole := cut == len(raw) || !c.framed && cut >= len(head) && !c.stream || c.stream && strings.Contains(sent, marker)
+					// A stream is complete with its end marker and the blank line after it.
+					whole := cut == len(raw) || !c.framed && cut >= len(head) && !c.stream || c.stream && strings.Contains(sent, doneEvent)
 					want := c.want
 					if !c.framed {
 						want = sent
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -389,11 +389,13 @@
 }
 
 // handleEOF checks that a cleanly closed response is complete and writes the
-// buffered rest. A stream with status 200 needs its end marker.
+// buffered rest. A stream with status 200 needs its end marker. Without a length or
+// chunks, the end of a server looks like that of a response, so the marker needs its
+// blank line: without that, callers drop the event.
 func (f *forwarder) handleEOF() error {
-	if f.report.IsStream && f.resp.StatusCode == http.StatusOK && !f.scanner.SawEndMarker() {
-		// Without a length or chunks, the end of a server looks like that of a response.
-		f.report.Lost = !IsFramed(f.resp)
+	framed := IsFramed(f.resp)
+	if f.report.IsStream && f.resp.StatusCode == http.StatusOK && !(framed && f.scanner.SawEndMarker()) {
+		f.report.Lost = !framed
 		return result.New(result.StreamBroken, "the stream ended without its end marker")
 	}
 	return f.flushBuffered()
