Keep requests at a silent server when it is too late for another one

In a planned stop, callers of a request that may be repeated got 502 after 2 s or 2.5 times the objective of silence, although their server could still have answered before the end of the grace period. Cause: the edge host gives up a server that has sent nothing to anyone for 2 s, so that another one can take the request; from RefuseLate on it refuses the other attempt as too late, so what it gives up is lost. This is the class of fault of the loss without an answer: giving up what one has before holding what replaces it. Change: a request that is too late for another server stays at its own one, at most until open requests are answered.

Evidence: TestSilentServerKeepsRequestWhenItIsTooLate, before: "true != false". After: passes, as do the tests of silent and slow servers.

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -153,8 +153,9 @@
 
 // tryReplace reports whether the silent first server may be given up: a second one
 // has begun to answer, or nothing can be lost because the caller has received
-// nothing and the server has sent nothing to anyone for longer than a sound one. It
-// may run several times at once: each event of the first server restarts the timer.
+// nothing and the server has sent nothing to anyone for longer than a sound one. In a
+// planned stop it keeps a request that may not be sent to another one any more. It may
+// run several times at once: each event of the first server restarts the timer.
 func (h *hedge) tryReplace() bool {
 	h.mu.Lock()
 	if h.closed || h.firstEnded || h.second != nil || h.first.arrival.HasUnread() {
@@ -170,7 +171,7 @@
 	}
 	if second == nil {
 		h.mu.Unlock()
-		return !began && time.Since(h.startedAt) > soundSilence && !h.x.s.heardSince(h.first.decision.Server, h.startedAt)
+		return !began && !h.x.s.isTooLate(h.x.in) && time.Since(h.startedAt) > soundSilence && !h.x.s.heardSince(h.first.decision.Server, h.startedAt)
 	}
 	h.second, h.running = second, make(chan struct{})
 	running := h.running
--- a/pkg/edge/late_test.go
+++ b/pkg/edge/late_test.go
@@ -107,3 +107,22 @@
 		})
 	}
 }
+
+// Guards against giving up a request at a silent server in a planned stop, when it is too
+// late to send it to another one: it can only be lost.
+func TestSilentServerKeepsRequestWhenItIsTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, late := range []bool{false, true} {
+			x, _ := newLateTest(t, routing.Route{RetryPolicy: routing.Idempotent, Timeout: time.Minute, Objective: 2 * time.Second}, nil)
+			x.dispatchReq = &dispatch.Request{ID: "first", Service: "other", Arrived: time.Now(), Objective: 2 * time.Second, Deadline: x.deadline}
+			v, _ := x.s.requestDecision(x.dispatchReq)
+			x.s.retryBudget = newRetryBudget(RetryBudget{}) // no second attempt in either case
+			h := x.newHedge(x.newExchange(v, x.dispatchReq))
+			if late {
+				x.s.RefuseLate(time.Now().Add(7 * time.Second))
+			}
+			time.Sleep(soundSilence + time.Second)
+			assert.Equal(t, h.tryReplace(), !late)
+		}
+	})
+}
