Test that a router refuses unsent requests when it becomes too late

Requests that wait for a server, and those with an incomplete body, are refused at their latest moment in a planned stop. No test saw that on the router: with the cancel in sendingContext removed all tests of late requests passed, since a request with a server is refused by another look. The new test fails then: a waiting request is refused after 10 s as "wait_expired". No change of logic.

--- a/pkg/router/late_test.go
+++ b/pkg/router/late_test.go
@@ -1,7 +1,11 @@
 package router
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +14,8 @@
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/settings"
+	"jackdawtrack.example/jackdawtrack/pkg/standin"
 )
 
 // Guards against a request that waits for a server and keeps its place when the router
@@ -51,3 +57,41 @@
 	r.RefuseLate(time.Now())
 	assert.Equal(t, r.refuseLate(q).Code, result.ShuttingDown)
 }
+
+// Guards against requests that wait for a server, or whose bodies are incomplete, and are
+// not refused when it becomes too late for them in a planned stop, but only later.
+func TestUnsentRequestsAreRefusedOnceItIsTooLate(t *testing.T) {
+	t.Parallel()
+	tr := newTestRouter(t, nil)
+	tr.startStandin(t, standin.ServerSettings{Name: "s1", Kind: backend.Engine, Pool: "p", TokenInterval: settings.Duration(100 * time.Millisecond)})
+	const requests = 60
+	refused := make(chan string, requests)
+	for range requests {
+		go func() {
+			if resp, body := tryDo(tr.request(t, http.MethodPost, chatPath, "chat", chatBody(600))); resp != nil && resp.StatusCode != http.StatusOK {
+				refused <- body
+			}
+		}()
+	}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(tr.callers.URL, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /services/p/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer %s\r\nJackdawtrack-Workspace: w\r\nJackdawtrack-Class: order\r\nContent-Length: 8\r\n\r\nhalf", workspaceKey)
+	assert.NilError(t, err)
+	waiting := 0
+	tr.waitFor(t, "open requests", func() bool {
+		var held int
+		waiting, held = tr.router.askTable.counts()
+		return held > 0 && waiting > 0 && waiting+held == requests && tr.router.openRequests.Load() == requests+1
+	})
+	tr.router.RefuseLate(time.Now().Add(time.Minute)) // less than the longest duration
+	entry, _ := result.Lookup(result.ShuttingDown)
+	for range waiting {
+		body := <-refused
+		assert.Assert(t, strings.Contains(body, entry.Name), "refused late: %s", body)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Header.Get(headerRetryAfter) != "")
+}
