Test that a stream of unknown release stays at its silent server

A second attempt that may not continue a stream would take it from a server that may go on, and the stream would be cut. beginHedge refuses it, and no test of pkg/edge saw that: with the condition removed all passed. The new test fails then, with an unknown release and with one in doubt. No change of logic.

--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -13,6 +13,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
@@ -84,6 +85,34 @@
 	}
 }
 
+// Guards against a stream that is taken from its silent server, which may go on, by a
+// second attempt that may not continue it: its release is not known or in doubt.
+func TestStreamOfUnknownReleaseStaysAtItsServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		release  release.ID
+		doubtful bool
+		want     bool
+	}{
+		"known":    {v1, false, true},
+		"in doubt": {v1, true, false},
+		"unknown":  {release.Unknown, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, now := newStreamTest(), time.Now()
+			d := dispatch.New("edge", "z", now)
+			d.SetServers(now, []dispatch.ServerInfo{
+				{ID: "first", Service: "s", DataCentre: "z", Slots: 9, Ready: true, Heard: now, Release: c.release},
+				{ID: "second", Service: "s", DataCentre: "z", Slots: 9, Ready: true, Heard: now, Release: c.release},
+			})
+			x.s.dispatcher, x.s.retryBudget, x.s.quarantine = d, newRetryBudget(RetryBudget{Extra: 50}), quarantine.New(1)
+			x.dispatchReq.Release, x.start.doubtful = c.release, c.doubtful
+			first := x.goOnAt("first")
+			assert.Equal(t, x.beginHedge(first, "", true) != nil, c.want)
+			assert.Assert(t, x.beginHedge(first, "", false) != nil, "nothing was sent to the caller")
+		})
+	}
+}
+
 // Guards against a replaced server that is not noticed because the clock of the new
 // process is behind.
 func TestEarlierStartOfAnotherReleaseIsNoticed(t *testing.T) {
