Reset responses in progress to callers with HTTP/1.0 when a process ends

A caller with HTTP/1.0 that read a stream slowly saw a complete response when a planned stop ended: 4,040,644 bytes of an endless stream and no error, where one with HTTP/1.1 got "unexpected EOF". Cause: its handler waits in a write, so it does not get to its abort, and the close of the server ends the connection in order. For such callers that is the end of the response.

Not covered: a process that is killed, whose kernel closes in order.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -34,6 +34,10 @@
 	writeDeadline   time.Time     // that another package has set, zero for none
 	writeExtendedAt time.Time     // when the own write deadline was set
 
+	// resetOnClose is set while a response to a caller with HTTP/1.0 is in progress: it has
+	// no chunks, so the end of the connection is that of the response.
+	resetOnClose bool
+
 	openedAt  time.Time
 	state     http.ConnState // that net/http has reported last
 	encrypted bool           // TLS is spoken on it
@@ -74,6 +78,23 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	reset := c.resetOnClose
+	c.mu.Unlock()
+	if reset {
+		_ = c.TCPConn.SetLinger(0) // fails on a closed connection only
+	}
+	return c.TCPConn.Close()
+}
+
+func (c *callerConn) setResetOnClose(reset bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetOnClose = reset
+}
+
 // markRead counts the bytes of a request. The caller must hold mu.
 func (c *callerConn) markRead(p []byte) {
 	if c.early {
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -63,13 +63,20 @@
 	return &closeRecorder{log: log, registry: registry, logLimiter: rate.NewLimiter(recordLogRate, recordLogBurst)}
 }
 
-// Handler returns a handler that tells the tracker which requests were handed over. It
-// must be around the handler of the http.Server.
+// Handler returns a handler that tells the tracker which requests were handed over, and
+// which responses are in progress that only the end of the connection ends. It must be
+// around the handler of the http.Server.
 func (s *ConnTracker) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connContextKey{}).(net.Conn); ok {
 			if tracked, ok := transport(c).(*callerConn); ok {
 				tracked.setHandled()
+				if !r.ProtoAtLeast(1, 1) {
+					tracked.setResetOnClose(true)
+					next.ServeHTTP(w, r)
+					tracked.setResetOnClose(false) // not after a panic, which interrupts the response
+					return
+				}
 			}
 		}
 		next.ServeHTTP(w, r)
--- a/pkg/callers/record_test.go
+++ b/pkg/callers/record_test.go
@@ -157,3 +157,46 @@
 	}
 	assert.Equal(t, unlogged, int64(closed-lines))
 }
+
+// Guards against a response in progress that looks complete to a caller with HTTP/1.0
+// because the process ends: it gets no chunks, so the end of the connection is the end
+// of the response. A complete response must not be reset.
+func TestResponseInProgressIsResetForOldCallersAtClose(t *testing.T) {
+	for name, complete := range map[string]bool{"in progress": false, "complete": true} {
+		t.Run(name, func(t *testing.T) {
+			s, begun := NewConnTracker(0, 0, metrics.NewRegistry()), make(chan struct{})
+			server := &http.Server{Handler: s.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, "hello")
+				_ = http.NewResponseController(w).Flush()
+				close(begun)
+				if !complete {
+					<-r.Context().Done()
+				}
+			})), ConnState: s.OnStateChange, ConnContext: s.ContextWithConn}
+			l, err := Listen(t.Context(), "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() { _ = server.Serve(s.Listener(l)) }()
+			defer server.Close()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+			assert.NilError(t, err)
+			<-begun
+			if !complete {
+				assert.NilError(t, server.Close())
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			var body []byte
+			if err == nil {
+				body, err = io.ReadAll(resp.Body)
+			}
+			if complete {
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "hello")
+				return
+			}
+			assert.Assert(t, err != nil, "a response in progress looks complete: %q", body)
+		})
+	}
+}
