Renew the record of a stream with each take-up

Callers saw: where several software versions serve, a stream that broke again in its take-up was refused with 128 stream_unknown, although its version served and its caller named the right attempt.

Cause: a record counted until the deadline of the first attempt and 2 s, at most 60 s, and take-ups did not renew it. A take-up has a deadline of its own, so the second one that runs for as long as the first attempt could comes after the record.

Evidence, on the code before: TestChainOfTakeUpsIsNotRefusedAfterItsFirstDeadline, "take-up 1: the records of streams could not be read".

Change: the first event of a take-up that a record supports puts the record again, with the lifetime of this attempt and the process that goes on with it. The event does not wait for it, and it goes to the core hosts with others within 250 ms, because the record before still counts. A take-up without an event, or by the history alone, renews and records nothing (one test each).

The meters of go-metrics start a goroutine that never ends, so a test in a bubble of synctest hung if it was the first one of its process that made one, as TestUnrecordedStreamsAreCounted run alone: they are made before.

--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -68,9 +68,19 @@
 	return x.route.Stream && (x.in.LastEventID != "" || x.in.Resumes != "")
 }
 
-// isResumable reports whether the caller may resume the stream in another request.
-func (x *proxiedRequest) isResumable() bool {
-	return x.route.RetryPolicy == routing.Resumable && !x.isResumption()
+// recordedID returns the id by which the caller names the stream in a later request: that
+// of the attempt that brought its first event. It is "" if the caller may not resume the
+// stream, or resumes one without a record, whose name nothing proves.
+func (x *proxiedRequest) recordedID() string {
+	switch {
+	case x.route.RetryPolicy != routing.Resumable:
+		return ""
+	case !x.isResumption():
+		return x.in.ID
+	case x.dispatchReq.RecordedResumption:
+		return x.in.Resumes
+	}
+	return ""
 }
 
 // bindRelease binds a resumption to the release that began the stream. If that is not
@@ -159,14 +169,17 @@
 }
 
 // beginStream binds the stream to the release that began it and records that at the core
-// hosts. It returns before they have stored it if only one release serves.
+// hosts. It returns before they have stored it if only one release serves. For a stream
+// that the caller resumes it renews the record, because the caller may come back once
+// more after this answer, and does not wait: the record before still counts.
 func (x *proxiedRequest) beginStream(v dispatch.Decision) {
-	if !x.isResumable() || x.start != nil {
+	id := x.recordedID()
+	if id == "" || x.start != nil {
 		return
 	}
 	now := time.Now()
 	st := &streamStart{
-		key: streamrecord.KeyOf(x.dispatchReq.Workspace, x.route.Name, x.in.ID), expires: x.in.Arrived.Add(max(x.in.CallerTimeout, x.route.Timeout) + resumptionMargin),
+		key: streamrecord.KeyOf(x.dispatchReq.Workspace, x.route.Name, id), expires: x.in.Arrived.Add(max(x.in.CallerTimeout, x.route.Timeout) + resumptionMargin),
 		server: v.Server, startMS: v.StartMS, at: now,
 	}
 	x.s.mu.Lock()
@@ -174,7 +187,7 @@
 	x.start, x.dispatchReq.Release = st, st.release
 	x.s.addStreamStart(st)
 	record := st.record()
-	urgent := x.s.fleetView.releases.severalReleases(x.dispatchReq.Service) || len(x.route.Targets) > 1 || st.release == release.Unknown
+	urgent := !x.isResumption() && (x.s.fleetView.releases.severalReleases(x.dispatchReq.Service) || len(x.route.Targets) > 1 || st.release == release.Unknown)
 	x.s.mu.Unlock()
 	stored := x.s.streamRecords.Record(record, urgent)
 	if !urgent {
--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -23,6 +23,10 @@
 
 var v1, v2 = release.Of("s", "v1"), release.Of("s", "v2")
 
+// All meters share a goroutine that the first one starts and that never ends. In a bubble
+// of synctest, the test would never end either.
+var _ = newMetrics(metrics.NewRegistry())
+
 // newStreamTest returns a request whose first event came from a server that was taken
 // for its process of v1.
 func newStreamTest() *proxiedRequest { return newStreamTestOf(1000) }
--- /dev/null
+++ b/pkg/edge/takeup_chain_test.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
+	"jackdawtrack.example/jackdawtrack/pkg/streamrecord"
+)
+
+// newChainTest is newStreamTest at a service of two releases.
+func newChainTest() *proxiedRequest {
+	x := newStreamTest()
+	x.s.fleetView.releases.merge([]*apiv1.ServiceReleases{{Service: "s", Releases: []uint64{uint64(v1), uint64(v2)}, Revision: 1}}, x.s.log)
+	return x
+}
+
+// takeUp returns a request that resumes the stream of x.
+func (x *proxiedRequest) takeUp(id string) *proxiedRequest {
+	in := *x.in
+	in.ID, in.Resumes, in.LastEventID, in.Arrived = id, x.in.ID, "4", time.Now()
+	return &proxiedRequest{
+		s: x.s, in: &in, w: httptest.NewRecorder(), route: x.route, callerCtx: context.Background(),
+		dispatchReq: &dispatch.Request{Workspace: "w", Service: "s"},
+	}
+}
+
+// Guards against a chain of take-ups that is refused once the deadline of its first
+// attempt has passed, although each one brought events.
+func TestChainOfTakeUpsIsNotRefusedAfterItsFirstDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newChainTest()
+		for i := range 4 {
+			time.Sleep(40 * time.Second) // virtual time
+			y := x.takeUp(fmt.Sprintf("take-up-%d", i))
+			assert.Assert(t, y.bindRelease(), "take-up %d: %s", i, y.decision.Reason)
+			y.beginStream(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1})
+			assert.Equal(t, y.dispatchReq.Release, v1)
+		}
+		assert.Equal(t, x.s.count("edge.resumptions.recorded"), int64(4))
+	})
+}
+
+// Guards against a record that is kept by take-ups without an event, whose callers were
+// told nothing that they could come back with.
+func TestTakeUpWithoutEventDoesNotKeepTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newChainTest()
+		time.Sleep(40 * time.Second) // virtual time
+		assert.Assert(t, x.takeUp("silent").bindRelease())
+		time.Sleep(streamrecord.MaxTTL - 40*time.Second)
+		y := x.takeUp("late")
+		assert.Assert(t, !y.bindRelease())
+		assert.Equal(t, y.w.(*httptest.ResponseRecorder).Code, 503)
+	})
+}
+
+// Guards against a take-up that makes a record of a name which only the history supports:
+// any name would do, and would get what recorded streams get.
+func TestTakeUpByHistoryIsNotRecorded(t *testing.T) {
+	x := newChainTest()
+	x.in.ID = "never-begun"
+	y := x.takeUp("take-up")
+	y.dispatchReq.Release = v1 // as the history says while it lists one release
+	y.beginStream(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1})
+	assert.Assert(t, y.start == nil)
+	id, _ := x.s.streamRecords.Find(t.Context(), streamrecord.Query{Key: streamrecord.KeyOf("w", "r", "never-begun"), Service: "s"})
+	assert.Equal(t, id, release.Unknown)
+}
