End a take-up when its server turns out to be restarted

Callers saw, where a server came back under its id with another version: a take-up that it began to answer before its first announcement ran to its end, joined from two versions, with status 200 and no log line. The same held for a take-up, before the announcement, of a stream that began at this server: its record became a conflict, but the take-up went on.

Cause: only the begin of a stream was kept for the doubt that an announcement raises, and only later attempts of the answer in which it began were ended by it.

Evidence, without the change: TestTakeUpAtRestartedServerEndsWhenThatIsNoticed, "the take-up goes on", for a restart of the server that began the stream and of the one that goes on with it.

Change: the begin of a take-up is kept like that of a stream (its record names the process that goes on). A doubt on a stream also holds for its take-ups at this host. The answer in which a stream began goes on as before (TestDoubtDoesNotEndTheAnswerThatBeganTheStream), since one process writes it.

Until the announcement, about a second, events of both versions still reach the caller; what closes that is the process in the server's answers.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -320,7 +320,7 @@
 					return a
 				}
 				inactivity.pause()
-				x.beginStream(h.first.decision)
+				x.beginStream(h.first)
 				x.recordRelease(h.first.decision.Release)
 				if !x.forwardEvents(resp, events) {
 					a.outcome, a.done = dispatch.CallerDisconnected, true
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -54,7 +54,7 @@
 	release  release.ID
 	at       time.Time
 	doubtful bool   // another process may have written it
-	abort    func() // ends the attempt that goes on with the stream, nil while the first one writes it
+	abort    func() // ends the attempt that goes on with the stream, nil while the one that began it writes it
 }
 
 // UseConnection implements feed.ConnectionUser.
@@ -172,16 +172,19 @@
 // hosts. It returns before they have stored it if only one release serves. For a stream
 // that the caller resumes it renews the record, because the caller may come back once
 // more after this answer, and does not wait: the record before still counts.
-func (x *proxiedRequest) beginStream(v dispatch.Decision) {
+func (x *proxiedRequest) beginStream(e *serverExchange) {
 	id := x.recordedID()
 	if id == "" || x.start != nil {
 		return
 	}
-	now := time.Now()
+	now, v := time.Now(), e.decision
 	st := &streamStart{
 		key: streamrecord.KeyOf(x.dispatchReq.Workspace, x.route.Name, id), expires: x.in.Arrived.Add(max(x.in.CallerTimeout, x.route.Timeout) + resumptionMargin),
 		server: v.Server, startMS: v.StartMS, at: now,
 	}
+	if x.isResumption() { // another process than the one that was asked must not write the rest
+		st.abort = func() { e.cancel(errReleaseDoubtful) }
+	}
 	x.s.mu.Lock()
 	st.release = x.s.releaseOnArrival(v)
 	x.start, x.dispatchReq.Release = st, st.release
@@ -242,6 +245,7 @@
 // release may have written: it has replaced the one that their requests were sent to.
 // The caller must hold mu.
 func (s *Server) doubtStreams(now time.Time) {
+	doubted := map[streamrecord.Key]bool{}
 	for _, st := range s.streamStarts {
 		e, ok := s.fleetView.servers.Get(st.server)
 		if st.doubtful || !ok || e.Release == st.release {
@@ -254,13 +258,28 @@
 		if now.Sub(st.at) > streamrecord.DoubtWindow(silence) {
 			continue
 		}
-		st.doubtful, st.release = true, release.Unknown
-		s.streamRecords.Record(st.record(), true)
-		if st.abort != nil {
-			st.abort()
-		}
+		s.doubt(st)
+		doubted[st.key] = true
 		s.log.WithFields(logrus.Fields{"server": st.server, "born_ms": e.StartMS, "release": e.Release.String()}).Info("release of a stream is in doubt, because its server was restarted")
 	}
+	if len(doubted) == 0 {
+		return
+	}
+	for _, st := range s.streamStarts {
+		if doubted[st.key] && !st.doubtful { // a take-up, or the attempt before it
+			s.doubt(st)
+		}
+	}
+}
+
+// doubt makes the release of the stream unknown and ends the attempt that goes on with
+// it. The caller must hold mu.
+func (s *Server) doubt(st *streamStart) {
+	st.doubtful, st.release = true, release.Unknown
+	s.streamRecords.Record(st.record(), true)
+	if st.abort != nil {
+		st.abort()
+	}
 }
 
 // recordRelease records the release of the server that wrote the next events of the
--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -42,7 +42,7 @@
 		Name: "r", Stream: true, RetryPolicy: routing.Resumable, Targets: []routing.Target{{Service: "s", Weight: 1}},
 	}}
 	x.dispatchReq = &dispatch.Request{Workspace: "w", Service: "s"}
-	x.beginStream(dispatch.Decision{Server: "first", StartMS: startMS, Release: v1})
+	x.beginStream(x.newExchange(dispatch.Decision{Server: "first", StartMS: startMS, Release: v1}, x.dispatchReq))
 	x.headSent = true
 	return x
 }
@@ -195,7 +195,7 @@
 			x.s.fleetView.releases.merge([]*apiv1.ServiceReleases{{Service: "s", Releases: []uint64{uint64(v1), uint64(v2)}[:releases], Revision: 1}}, x.s.log)
 			before, begun := x.s.count("edge.streams.unrecorded"), time.Now()
 			x.start = nil
-			x.beginStream(dispatch.Decision{Server: "first", StartMS: 1000, Release: v1})
+			x.beginStream(x.newExchange(dispatch.Decision{Server: "first", StartMS: 1000, Release: v1}, x.dispatchReq))
 			assert.Equal(t, x.s.count("edge.streams.unrecorded")-before, want, "%d releases", releases)
 			assert.Equal(t, time.Since(begun), time.Duration(want)*recordTimeout)
 		})
--- a/pkg/edge/takeup_chain_test.go
+++ b/pkg/edge/takeup_chain_test.go
@@ -42,7 +42,7 @@
 			time.Sleep(40 * time.Second) // virtual time
 			y := x.takeUp(fmt.Sprintf("take-up-%d", i))
 			assert.Assert(t, y.bindRelease(), "take-up %d: %s", i, y.decision.Reason)
-			y.beginStream(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1})
+			y.beginStream(y.newExchange(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1}, y.dispatchReq))
 			assert.Equal(t, y.dispatchReq.Release, v1)
 		}
 		assert.Equal(t, x.s.count("edge.resumptions.recorded"), int64(4))
@@ -70,8 +70,44 @@
 	x.in.ID = "never-begun"
 	y := x.takeUp("take-up")
 	y.dispatchReq.Release = v1 // as the history says while it lists one release
-	y.beginStream(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1})
+	y.beginStream(y.newExchange(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1}, y.dispatchReq))
 	assert.Assert(t, y.start == nil)
 	id, _ := x.s.streamRecords.Find(t.Context(), streamrecord.Query{Key: streamrecord.KeyOf("w", "r", "never-begun"), Service: "s"})
 	assert.Equal(t, id, release.Unknown)
 }
+
+// Guards against a stream that goes on, joined from two releases, at a server which came
+// back with another one before the take-up and announces itself after its first event.
+// The same holds if the server that began the stream did.
+func TestTakeUpAtRestartedServerEndsWhenThatIsNoticed(t *testing.T) {
+	for _, server := range []string{"first", "second"} {
+		t.Run(server, func(t *testing.T) {
+			x := newChainTest()
+			y := x.takeUp("take-up")
+			assert.Assert(t, y.bindRelease())
+			e := y.newExchange(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1}, y.dispatchReq)
+			assert.Assert(t, y.checkRelease(e))
+			y.beginStream(e)
+			y.headSent = true
+			assert.NilError(t, e.ctx.Err())
+			x.s.announceTest(server, 2000, v2)
+			assert.Check(t, e.ctx.Err() != nil, "the take-up goes on")
+			assert.Check(t, !y.mayGoOn())
+			z := x.takeUp("once-more")
+			assert.Assert(t, !z.bindRelease())
+			assert.Equal(t, z.decision.Reason, reasonReleaseConflict)
+		})
+	}
+}
+
+// Guards against the end of the answer that a stream began in, which one process writes,
+// when its server is replaced.
+func TestDoubtDoesNotEndTheAnswerThatBeganTheStream(t *testing.T) {
+	x := newChainTest()
+	x.start = nil
+	e := x.newExchange(dispatch.Decision{Server: "first", StartMS: 1000, Release: v1}, x.dispatchReq)
+	x.beginStream(e)
+	x.s.announceTest("first", 2000, v2)
+	assert.Assert(t, x.start.doubtful)
+	assert.NilError(t, e.ctx.Err())
+}
