Refuse the rest of an answer on undeclared routes with several versions

Callers saw: on a route that is not declared as one of streams, Last-Event-Id and Resumes were passed to any server, of whatever version. A server that answers there with the rest of a stream, or of another answer that it counts in events, could be of another version than the one that began it.

Cause: requests were looked at as take-ups on declared routes only.

Evidence, without the change: TestRestOfUndeclaredStreamIsNotOfAnotherVersion, "timed out waiting for a refusal after 1m0s", all requests answered by servers of both versions.

Change: such a request is refused at once as not run (128 stream_unknown, counter edge.resumptions.unknown, a log line with the reason) while this host knows several releases of the service, one that fits nothing, or several services of the route. With one version it is passed on as before, and new requests are served in any case; the test covers both.

--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -68,6 +68,32 @@
 	return x.route.Stream && (x.in.LastEventID != "" || x.in.Resumes != "")
 }
 
+// refuseRest refuses a request for the rest of an answer on a route that is not declared
+// as one of streams, and reports whether it did. Nothing is recorded there, so the rest
+// can come from a server of another release as soon as there are several.
+func (x *proxiedRequest) refuseRest() bool {
+	if x.route.Stream || x.in.LastEventID == "" && x.in.Resumes == "" || x.hasSoleRelease() {
+		return false
+	}
+	metrics.GetOrRegisterCounter("edge.resumptions."+streamrecord.Unknown.String(), x.s.metrics.registry).Inc(1)
+	x.refuseResumption(reasonStreamUnknown, result.StreamUnknown)
+	return true
+}
+
+// hasSoleRelease reports whether the route leads to one service, of which this host knows
+// no second release and none that fits nothing. It is no proof: the host may be cut off,
+// and the route may have led elsewhere.
+func (x *proxiedRequest) hasSoleRelease() bool {
+	services := x.route.Services()
+	if len(services) != 1 {
+		return false
+	}
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	releases := &x.s.fleetView.releases
+	return !releases.severalReleases(services[0]) && !releases.lists(services[0], release.Unknown)
+}
+
 // recordedID returns the id by which the caller names the stream in a later request: that
 // of the attempt that brought its first event. It is "" if the caller may not resume the
 // stream, or resumes one without a record, whose name nothing proves.
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -180,7 +180,7 @@
 // run dispatches the request, and retries it as the route and the retry budget
 // allow, until the caller has a response or has left.
 func (x *proxiedRequest) run() {
-	if x.refuseQuarantined() || x.isResumption() && !x.bindRelease() {
+	if x.refuseQuarantined() || x.refuseRest() || x.isResumption() && !x.bindRelease() {
 		return
 	}
 	x.s.creditRetryBudget(x.dispatchReq.Service)
