Keep the record of a stream while it runs for long

Callers saw, by reading: a stream that ran for more than 60 s in one answer and then broke was refused with 128 where several versions serve, because a record lives for 60 s at most and was put once, with the first event.

Evidence, without the renewal: TestStreamThatRunsForLongKeepsItsRecord fails at its take-up after 230 s of virtual time.

Change: while events come, the host puts the record again each 30 s, up to the deadline that the caller stated, in the batch that goes to the core hosts within 250 ms. It names no process: a restart of the server now says nothing of the begin of the stream (covered by the test). Shorter streams send nothing more.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -326,6 +326,7 @@
 					a.outcome, a.done = dispatch.CallerDisconnected, true
 					return a
 				}
+				x.renewRecord(time.Now())
 				if time.Since(x.firstEventAt) > beginTime {
 					x.reportAnswerBegan(x.firstEventAt, true)
 				}
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -34,6 +34,9 @@
 	// restartNoticeTime is how long the begin of a stream is kept, to doubt its release
 	// when another process of its server announces itself.
 	restartNoticeTime = streamrecord.MaxDoubtTime
+	// recordRenewal is the time between the records of a stream that runs for long. One
+	// record counts for twice as long at most.
+	recordRenewal = streamrecord.MaxTTL / 2
 	// resumptionRetryAfter is the Retry-After of a resumption that no record supports.
 	resumptionRetryAfter = 300 * time.Millisecond
 )
@@ -216,6 +219,7 @@
 	x.start, x.dispatchReq.Release = st, st.release
 	x.s.addStreamStart(st)
 	record := st.record()
+	x.recordedAt = now
 	urgent := !x.isResumption() && (x.s.fleetView.releases.severalReleases(x.dispatchReq.Service) || len(x.route.Targets) > 1 || st.release == release.Unknown)
 	x.s.mu.Unlock()
 	stored := x.s.streamRecords.Record(record, urgent)
@@ -232,6 +236,20 @@
 	}
 }
 
+// renewRecord records the stream again if its record may expire while it runs. The
+// process that began it is not named: it was not replaced soon after that.
+func (x *proxiedRequest) renewRecord(now time.Time) {
+	if x.start == nil || now.Sub(x.recordedAt) < recordRenewal {
+		return
+	}
+	x.recordedAt = now
+	x.s.mu.Lock()
+	record := x.start.record()
+	x.s.mu.Unlock()
+	record.Process = streamrecord.NoProcess
+	x.s.streamRecords.Record(record, false)
+}
+
 // record returns the record of the stream. It names the process that was asked, for the
 // core hosts to doubt the release if this host ends before another process of the server
 // announces itself.
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -81,6 +81,7 @@
 	sseParser         sseParser
 	releases          []release.ID // that wrote events of the response, in order
 	start             *streamStart // nil until the first event of a stream that the caller may resume
+	recordedAt        time.Time    // when its record was sent last
 	releaseFuncs      []func()     // return the memory of buffered responses
 	outcomes          []string
 	lastError         error           // error of the last failed attempt
--- a/pkg/edge/takeup_chain_test.go
+++ b/pkg/edge/takeup_chain_test.go
@@ -111,3 +111,23 @@
 	assert.Assert(t, x.start.doubtful)
 	assert.NilError(t, e.ctx.Err())
 }
+
+// Guards against a stream that cannot be resumed because it ran for longer in one answer
+// than a record may live.
+func TestStreamThatRunsForLongKeepsItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newChainTest()
+		x.in.CallerTimeout = 5 * time.Minute
+		x.start = nil
+		x.beginStream(x.newExchange(dispatch.Decision{Server: "first", StartMS: 1000, Release: v1}, x.dispatchReq))
+		for range 200 {
+			time.Sleep(time.Second) // virtual time, one event a second
+			x.renewRecord(time.Now())
+		}
+		x.s.announceTest("first", 2000, v2) // ends the answer, and says nothing of its begin
+		time.Sleep(streamrecord.MaxTTL - recordRenewal)
+		assert.Assert(t, x.takeUp("take-up").bindRelease())
+		time.Sleep(streamrecord.MaxTTL)
+		assert.Assert(t, !x.takeUp("late").bindRelease())
+	})
+}
