Wait until the edge host would ask before a test takes a stream up

Seen once, 2026-12-05 12:49, in go test -race -p 2 of five packages beside load: TestOnlyRecordedStreamsGoOnBeyondTheShare/never-begun, "panic: net/http: abort Handler" in bindRelease, which refused with records_unread.

Cause: the test. It took a stream up as soon as its core host served the call Streams, but the edge host asks a core host only once it has added the link, which it does after the call has begun.

Change: the core host of the test counts as connected with the first message, which is sent after the link is added.

--- a/pkg/edge/resumption_share_test.go
+++ b/pkg/edge/resumption_share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,17 +20,18 @@
 // only release of each service.
 type soleReleaseCore struct {
 	apiv1.UnimplementedFleetServer
-	connected chan struct{}
+	connected chan struct{} // closed with the first message, which the edge host sends once it would ask
+	once      sync.Once
 }
 
 // Streams implements apiv1.FleetServer.
 func (c *soleReleaseCore) Streams(stream grpc.BidiStreamingServer[apiv1.StreamNews, apiv1.StreamNewsReply]) error {
-	close(c.connected)
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return err
 		}
+		c.once.Do(func() { close(c.connected) })
 		reply := &apiv1.StreamNewsReply{Stored: m.GetNumber()}
 		for _, q := range streamrecord.DecodeNews(time.Now(), m).Queries {
 			reply.Answers = append(reply.Answers, streamrecord.Answer{Number: q.Number, State: streamrecord.Sole, Release: v1}.ToProto())
