Leave connections whose callers were told out of the cut ones

Operators saw a line "open connections closed at the end of the grace period" and a stop that ended with an error, although nothing was lost: an idle connection whose notice (status 408) comes in the last 200 ms of the wait is open until its caller closes it, and counted as cut.

Cause: the count was that of open connections.

Change: connections whose callers were told that nothing has run are left out of the count, and a wait that ends with such connections only is no error.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -25,6 +25,7 @@
 	begun      bool // bytes of the next request have arrived
 	early      bool // net/http has read a byte of the next request while a request runs
 	closing    bool // the wait for a request was ended
+	announced  bool // the caller was told that the connection is closed
 	crossed    int  // bytes that were received after the wait for a request was ended
 	read       int  // bytes of the current request that were read from the socket, and any after it
 	headEnd    int  // of these, the bytes of its head, 0 if that is not known
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -58,7 +58,7 @@
 	mu         sync.Mutex // guards the fields below; not held during system calls on sockets
 	listener   *listener
 	writeLimit time.Duration // see LimitWrites
-	open       int
+	open       map[net.Conn]bool
 	idle       map[net.Conn]time.Time // start of the idle time
 	// closing holds idle connections on which closeIfIdle has ended the wait
 	// for a request. A request that was read before that is still served.
@@ -74,7 +74,7 @@
 		maxOpen = min(maxOpen, connsPerMegabyte*int(memoryMB))
 	}
 	log := logging.ForComponent("callers")
-	return &ConnTracker{log: log, closes: newCloseRecorder(log, registry), maxOpen: maxOpen, idle: map[net.Conn]time.Time{}, closing: map[net.Conn]bool{}}
+	return &ConnTracker{log: log, closes: newCloseRecorder(log, registry), maxOpen: maxOpen, open: map[net.Conn]bool{}, idle: map[net.Conn]time.Time{}, closing: map[net.Conn]bool{}}
 }
 
 // OnStateChange counts open connections and records which are idle since when.
@@ -93,7 +93,7 @@
 	}
 	switch state {
 	case http.StateNew:
-		s.open++
+		s.open[c] = true
 	case http.StateActive:
 		if s.closing[c] {
 			delete(s.closing, c)
@@ -102,7 +102,7 @@
 	case http.StateIdle:
 		s.idle[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
-		s.open--
+		delete(s.open, c)
 		delete(s.closing, c)
 	}
 }
@@ -119,7 +119,7 @@
 func (s *ConnTracker) OverLimit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.maxOpen > 0 && s.open > s.maxOpen
+	return s.maxOpen > 0 && len(s.open) > s.maxOpen
 }
 
 // Drain closes idle connections until no connection has been open for the quiet
@@ -142,7 +142,8 @@
 }
 
 // WaitClosed closes connections that are idle for longer than limit, until none is open
-// or ctx ends, and returns the error of ctx then. Shutdown of an http.Server instead
+// or ctx ends, and returns the error of ctx then, unless the callers of all open ones
+// were told that they are closed. Shutdown of an http.Server instead
 // closes connections on which a part of a request has arrived, and drops requests that
 // it reads later.
 func (s *ConnTracker) WaitClosed(ctx context.Context, limit time.Duration) error {
@@ -151,6 +152,9 @@
 	for s.closeIdle(limit); s.OpenCount() > 0; s.closeIdle(limit) {
 		select {
 		case <-ctx.Done():
+			if s.CutCount() == 0 {
+				return nil
+			}
 			return ctx.Err()
 		case <-ticker.C:
 		}
@@ -162,7 +166,21 @@
 func (s *ConnTracker) OpenCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open
+	return len(s.open)
+}
+
+// CutCount returns the number of open connections whose callers were not told that they
+// are closed.
+func (s *ConnTracker) CutCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for c := range s.open {
+		if tracked, ok := c.(*callerConn); !ok || !tracked.isAnnounced() {
+			count++
+		}
+	}
+	return count
 }
 
 // CloseIdleUntil closes connections that are idle for longer than limit
@@ -219,7 +237,7 @@
 func (s *ConnTracker) idleConns(limit time.Duration) ([]net.Conn, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.maxOpen > 0 && s.open > s.maxOpen {
+	if s.maxOpen > 0 && len(s.open) > s.maxOpen {
 		limit = overLimitIdle
 	}
 	var out []net.Conn
--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -32,6 +32,7 @@
 	if _, err := io.WriteString(c.TCPConn, closeNotice); err != nil || c.TCPConn.CloseWrite() != nil {
 		return // the caller has left
 	}
+	c.setAnnounced()
 	crossed, _ := io.Copy(io.Discard, c.TCPConn) // ends with the close or the deadline
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -39,3 +40,15 @@
 		c.crossed = int(crossed)
 	}
 }
+
+func (c *callerConn) setAnnounced() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announced = true
+}
+
+func (c *callerConn) isAnnounced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.announced
+}
--- a/pkg/callers/notice_test.go
+++ b/pkg/callers/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"io"
 	"net"
@@ -81,6 +82,25 @@
 	assert.NilError(t, s.WaitClosed(t.Context(), 0))
 }
 
+// Guards against a stop that counts a connection as cut although its caller was told, because
+// the wait ends before the caller has closed it.
+func TestToldConnectionIsNotCountedAsCut(t *testing.T) {
+	s, caller, _ := startTracked(t)
+	_, err := io.WriteString(caller, "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	assert.NilError(t, err)
+	in := bufio.NewReader(caller)
+	checkResponse(t, in, "/x")
+	waitFor(t, "an idle connection", func() bool { return s.idleCount() == 1 })
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.WaitClosed(ctx, 0) }()
+	checkClosed(t, in)
+	waitFor(t, "the caller to be told", func() bool { return s.CutCount() == 0 })
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
 // Guards against a notice in the middle of a response or of a TLS handshake, and against a
 // server that waits for the notice when it is closed.
 func TestNoticeIsSentOnlyBetweenRequests(t *testing.T) {
--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -57,7 +57,7 @@
 	for _, conns := range s.conns[1:] {
 		open.Go(func() {
 			if err := closeConns(ctx, conns, 0); err != nil {
-				logging.ForComponent("router").Warnf("stopped with %d open connections of servers or operators", conns.OpenCount())
+				logging.ForComponent("router").Warnf("stopped with %d open connections of servers or operators", conns.CutCount())
 			}
 			conns.End()
 		})
