Keep log lines within what a pipe takes in one piece

Change: the longest fields of a line of over 4 KB are shortened and end with how many bytes were left out, in JSON and text. Beliefs are logged with 16 servers a line, so none of them is shortened.

--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -461,9 +461,22 @@
 		s.mu.Lock()
 		r := s.dispatcher.Report(time.Now())
 		s.mu.Unlock()
-		s.log.WithFields(logrus.Fields{
-			"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.FairShare),
-			"waiting": r.QueueLength, "edges": r.EdgeHosts, "unlogged_refusals": s.unloggedRefusals.Swap(0), "servers": r.Servers,
-		}).Info("beliefs")
+		s.logBeliefs(r)
 	})
 }
+
+// serversPerLine bounds the servers of one line, so that it is no longer than a pipe takes
+// in one piece. One has up to 200 bytes.
+const serversPerLine = 16
+
+// logBeliefs logs the dispatcher's view of the servers.
+func (s *Server) logBeliefs(r dispatch.Report) {
+	first := min(len(r.Servers), serversPerLine)
+	s.log.WithFields(logrus.Fields{
+		"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.FairShare),
+		"waiting": r.QueueLength, "edges": r.EdgeHosts, "unlogged_refusals": s.unloggedRefusals.Swap(0), "servers": r.Servers[:first],
+	}).Info("beliefs")
+	for more := range slices.Chunk(r.Servers[first:], serversPerLine) {
+		s.log.WithField("servers", more).Info("beliefs on more servers")
+	}
+}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -24,7 +24,7 @@
 	}
 	logrus.SetLevel(l)
 	logrus.SetOutput(out)
-	logrus.SetFormatter(formatter{})
+	logrus.SetFormatter(limitedFormatter{formatter{}})
 	return nil
 }
 
--- a/pkg/logging/nonblocking.go
+++ b/pkg/logging/nonblocking.go
@@ -12,10 +12,11 @@
 const (
 	// maxQueuedLines limits the lines queued for a slow output, about 1 MB.
 	maxQueuedLines = 2048
-	// writeBufferBytes is the size of the buffer in front of the output. It is PIPE_BUF, the
-	// longest write that a pipe takes in one piece: of longer ones, lines were mixed with
-	// those of other processes and lost.
-	writeBufferBytes = 4 << 10
+	// maxLineBytes bounds a line. It is PIPE_BUF, the longest write that a pipe takes in one
+	// piece: of longer ones, lines were mixed with those of other processes and lost.
+	maxLineBytes = 4 << 10
+	// writeBufferBytes is the size of the buffer in front of the output.
+	writeBufferBytes = maxLineBytes
 	// dropReportInterval is how often the number of dropped lines is logged.
 	dropReportInterval = 5 * time.Second
 )
@@ -108,5 +109,5 @@
 func SetupJSON(level logrus.Level, out io.Writer) {
 	logrus.SetLevel(level)
 	logrus.SetOutput(out)
-	logrus.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	logrus.SetFormatter(limitedFormatter{&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"}})
 }
