Keep responses of slow callers of routers

Callers that read all the time, but slowly, saw a large response end in its middle: the connection is closed write_timeout after a write has begun that the kernel does not take, although the caller goes on reading.

Cause: the deadline is for one write, and the kernel takes more bytes of a write that waits only when a third of its send buffer is free. The buffer grows to several MB, so a caller slower than about 50 KB/s can take longer than the default of 30 s for that.

Change: connections of callers have the write limit of entry hosts, by progress, with write_timeout. Responses with HTTP/2 keep the deadline for one write: there a caller can take bytes of other responses only.

Before: TestSlowCallerGetsItsWholeResponse (150 KB/s, write_timeout 2 s): error is not nil: unexpected EOF: the response was cut After: passed three times with -race, TestCallerThatReadsNothingIsGivenUp and TestSlowCallerTimesOut once.

--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -1,7 +1,9 @@
 package callers
 
 import (
+	"context"
 	"errors"
+	"net"
 	"os"
 	"time"
 )
@@ -65,3 +67,11 @@
 	c.writeDeadline, c.writeExtendedAt = t, time.Time{}
 	return c.TCPConn.SetWriteDeadline(t)
 }
+
+// WritesLimited reports whether the connection of the request with this context has a write
+// limit.
+func WritesLimited(ctx context.Context) bool {
+	c, _ := ctx.Value(connContextKey{}).(net.Conn)
+	tracked, ok := transport(c).(*callerConn)
+	return ok && tracked.writeLimit > 0
+}
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -25,7 +25,7 @@
 	if done {
 		return
 	}
-	sink := newCallerSink(q.w, r.cfg.Limits.WriteTimeout.AsDuration(), record != nil)
+	sink := newCallerSink(q.w, r.writeTimeout(q), record != nil)
 	report, err := r.runAttempts(q, sink)
 	if record != nil {
 		if q.isTakeUp() && report.IsStream {
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -182,6 +182,9 @@
 	s.httpServers[0].BaseContext = func(net.Listener) context.Context { return s.requests }
 	for i, server := range s.httpServers {
 		conns := callers.NewConnTracker(0, 0, s.router.metrics)
+		if i == 0 {
+			conns.LimitWrites(s.cfg.Limits.WriteTimeout.AsDuration())
+		}
 		server.Handler = conns.Handler(server.Handler)
 		server.ConnState, server.ConnContext = conns.OnStateChange, conns.ContextWithConn
 		s.listeners[i] = conns.Listener(s.listeners[i])
--- a/pkg/router/sink.go
+++ b/pkg/router/sink.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"jackdawtrack.example/jackdawtrack/pkg/callers"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
@@ -15,14 +16,13 @@
 	deadlineUpdateInterval = time.Second
 )
 
-// callerSink writes a response to the caller. If the caller reads no byte for
-// the write timeout, the write fails, which limits the time that a slow caller
-// holds a slot.
+// callerSink writes a response to the caller. A write that takes longer than the
+// write timeout fails, which limits the time that a slow caller holds a slot.
 type callerSink struct {
 	w             http.ResponseWriter
 	controller    *http.ResponseController
-	timeout       time.Duration
-	deadlineSetAt time.Time // when the write deadline was last set
+	timeout       time.Duration // 0 if the connection limits its writes
+	deadlineSetAt time.Time     // when the write deadline was last set
 
 	storeAnswer    bool // collect the answer for control
 	stored         []byte
@@ -36,6 +36,15 @@
 	return &callerSink{w: w, controller: http.NewResponseController(w), timeout: timeout, storeAnswer: storeAnswer, remainingBytes: -1}
 }
 
+// writeTimeout returns the timeout of one write of the response. With HTTP/1 the connection
+// limits its writes by progress. With HTTP/2 a caller can take bytes of other responses only.
+func (r *Router) writeTimeout(q *request) time.Duration {
+	if q.req.ProtoMajor == 1 && callers.WritesLimited(q.req.Context()) {
+		return 0
+	}
+	return r.cfg.Limits.WriteTimeout.AsDuration()
+}
+
 // WriteHead implements proxy.Sink.
 func (s *callerSink) WriteHead(status int, header http.Header) error {
 	h := s.w.Header()
@@ -77,7 +86,7 @@
 // extendDeadline sets the write deadline for the next write.
 func (s *callerSink) extendDeadline() {
 	now := time.Now()
-	if now.Sub(s.deadlineSetAt) < deadlineUpdateInterval {
+	if s.timeout == 0 || now.Sub(s.deadlineSetAt) < deadlineUpdateInterval {
 		return
 	}
 	s.deadlineSetAt = now
