Record two ends without an answer that left no reason

- A panic of the handler of a call of a server or an operator (control listener of core hosts, announcements and operators of routers).
The caller sees a closed connection, and net/http logs the panic at debug level, which is off. callers.panics counts it now, with a line and the stack.
The handlers for requests of callers record their panics themselves, as before.
- A write to a caller that fails because this host has closed the connection at the end of a stop had the outcome "caller left" and no reason in closed.
It is "the host stops" now, and counted.

Before: TestPanicOfHandlerIsRecorded: 0 (int64) != 1 TestStreamEndsWhenItsCallerTakesNoMore/the_host_has_closed_it: assertion failed: (x.closeReason edge.closeReason) != the host stops After: both pass.

--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 
 	acceptErrorMetric = "callers.accept_errors"
 	filterErrorMetric = "callers.filter_errors"
+	panicMetric       = "callers.panics"
 )
 
 // closeReason states why a connection ended although no handler has seen its last
@@ -64,25 +66,41 @@
 }
 
 // Handler returns a handler that tells the tracker which requests were handed over, and
-// which responses are in progress that only the end of the connection ends. It must be
-// around the handler of the http.Server.
+// which responses are in progress that only the end of the connection ends. It counts and
+// logs panics of next, except http.ErrAbortHandler. It must be around the handler of the
+// http.Server.
 func (s *ConnTracker) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connContextKey{}).(net.Conn); ok {
-			if tracked, ok := transport(c).(*callerConn); ok {
-				tracked.setHandled()
-				if !r.ProtoAtLeast(1, 1) {
-					tracked.setResetOnClose(true)
-					next.ServeHTTP(w, r)
-					tracked.setResetOnClose(false) // not after a panic, which interrupts the response
-					return
-				}
-			}
+		c, _ := r.Context().Value(connContextKey{}).(net.Conn)
+		tracked, ok := transport(c).(*callerConn)
+		if ok {
+			tracked.setHandled()
 		}
+		defer s.closes.recordPanic(r)
+		if !ok || r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		tracked.setResetOnClose(true)
 		next.ServeHTTP(w, r)
+		tracked.setResetOnClose(false) // not after a panic, which interrupts the response
 	})
 }
 
+// recordPanic is deferred around a handler. net/http closes the connection, and logs a panic
+// together with much that is of no interest.
+func (r *closeRecorder) recordPanic(req *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		metrics.GetOrRegisterCounter(panicMetric, r.registry).Inc(1)
+		r.log.WithFields(logrus.Fields{"method": req.Method, "path": req.URL.Path, "caller": req.RemoteAddr, "cause": cause, "stack": string(debug.Stack())}).Error("handler panicked, its connection is closed")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // End records that the process closes all connections from now on.
 func (s *ConnTracker) End() { s.closes.ending.Store(true) }
 
--- a/pkg/callers/record_test.go
+++ b/pkg/callers/record_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strconv"
 	"strings"
@@ -200,3 +201,19 @@
 		})
 	}
 }
+
+// Guards against a call of a server or an operator that ends without an answer and without a
+// record, because its handler panics.
+func TestPanicOfHandlerIsRecorded(t *testing.T) {
+	for _, c := range []struct {
+		cause any
+		want  int64
+	}{{"fault", 1}, {http.ErrAbortHandler, 0}} {
+		s := NewConnTracker(0, 0, metrics.NewRegistry())
+		server := httptest.NewServer(s.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(c.cause) })))
+		_, err := http.Get(server.URL)
+		assert.Assert(t, err != nil, "the connection was not closed")
+		server.Close()
+		assert.Equal(t, metrics.GetOrRegisterCounter(panicMetric, s.closes.registry).Count(), c.want)
+	}
+}
--- a/pkg/edge/abort.go
+++ b/pkg/edge/abort.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"os"
 
@@ -49,11 +50,15 @@
 	metrics.GetOrRegisterCounter(closeMetrics[reason], x.s.metrics.registry).Inc(1)
 }
 
-// recordWriteError records that a response could not be written because the caller reads
-// nothing. net/http closes the connection then.
+// recordWriteError records that a response could not be written although the caller has not
+// left: it reads nothing, or this host has closed the connection at the end of a stop.
+// net/http closes the connection in the first case.
 func (x *proxiedRequest) recordWriteError(err error) {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.recordClose(closeCallerStalled)
+	case errors.Is(err, net.ErrClosed):
+		x.recordClose(closeHostStopped)
 	}
 }
 
--- a/pkg/edge/caller_write_test.go
+++ b/pkg/edge/caller_write_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 	*httptest.ResponseRecorder
 	writes, flushes int
 	next            chan<- string
+	err             error // of the first write or flush that it does not take
 }
 
 const secondEvent = "id: 2\ndata: two\n\n"
@@ -34,7 +36,7 @@
 // Write implements http.ResponseWriter.
 func (c *brokenCaller) Write(p []byte) (int, error) {
 	if c.writes--; c.writes < 0 {
-		return 0, errCallerConn
+		return 0, c.err
 	}
 	return c.ResponseRecorder.Write(p)
 }
@@ -42,7 +44,7 @@
 // FlushError is called by http.ResponseController.
 func (c *brokenCaller) FlushError() error {
 	if c.flushes--; c.flushes < 0 {
-		return errCallerConn
+		return c.err
 	}
 	c.next <- secondEvent
 	return nil
@@ -77,11 +79,15 @@
 	for name, c := range map[string]struct {
 		writes, flushes int
 		want            string
+		err             error
+		closed          closeReason
 	}{
-		"write of the first event":  {0, 9, ""},
-		"flush of the first event":  {9, 0, first},
-		"write of the second event": {1, 9, first},
-		"flush of the second event": {9, 1, first + secondEvent},
+		"write of the first event":  {0, 9, "", errCallerConn, ""},
+		"flush of the first event":  {9, 0, first, errCallerConn, ""},
+		"write of the second event": {1, 9, first, errCallerConn, ""},
+		"flush of the second event": {9, 1, first + secondEvent, errCallerConn, ""},
+		"the caller reads nothing":  {1, 9, first, os.ErrDeadlineExceeded, closeCallerStalled},
+		"the host has closed it":    {1, 9, first, net.ErrClosed, closeHostStopped},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -98,7 +104,7 @@
 			x.s.log = logrus.NewEntry(&logrus.Logger{Out: io.Discard})
 			x.s.retryBudget = newRetryBudget(RetryBudget{})
 			x.s.ctx = context.Background()
-			caller := &brokenCaller{httptest.NewRecorder(), c.writes, c.flushes, next}
+			caller := &brokenCaller{httptest.NewRecorder(), c.writes, c.flushes, next, c.err}
 			x.w, x.in.Method, x.in.Target, x.in.Header = caller, http.MethodPost, "/", http.Header{}
 			x.deadline = time.Now().Add(connEndTimeout)
 			d := x.decision
@@ -114,6 +120,7 @@
 			}
 			assert.Equal(t, caller.Body.String(), c.want)
 			assert.Equal(t, x.s.openStreams.Load(), int64(0))
+			assert.Equal(t, x.closeReason, c.closed)
 			x.outcomes = append(x.outcomes, a.outcome.String())
 			x.log(1)
 			assert.Equal(t, metrics.GetOrRegisterCounter("edge.requests.caller left", x.s.metrics.registry).Count(), int64(1))
