Test that events of a replaced server do not continue a stream

An attempt that goes on with a stream looks at the release of its server when the first event arrives. With that look removed from forwardStream, all tests of pkg/edge passed, and those of platform on releases and resumptions: the tests of the look call it themselves. The new test sends the events through an attempt. Without the look it fails: the outcome is "whole" instead of an invalid response. No change of logic.

--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,6 +91,34 @@
 	}
 }
 
+// Guards against events of another release in a stream that goes on at a server whose
+// process was replaced while the request was on its way.
+func TestEventsOfAReplacedServerAreNotForwarded(t *testing.T) {
+	for name, replaced := range map[string]bool{"replaced": true, "as before": false} {
+		t.Run(name, func(t *testing.T) {
+			x := newAttemptTest()
+			x.s.log = logging.ForComponent("edge")
+			x.route.MaxAttempts = 3
+			x.s.announceTest("first", 1000, v1)
+			x.s.announceTest("second", 1000, v1)
+			for _, c := range []struct{ server, events string }{{"first", "id: 1\ndata: one\n\nid"}, {"second", "id: 2\ndata: two\n\n"}} {
+				x.decision = dispatch.Decision{Server: c.server, StartMS: 1000, Release: v1}
+				if c.server == "second" && replaced {
+					x.s.announceTest("second", 2000, v2)
+				}
+				resp, err := parseResponse([]byte(rawHead(http.StatusOK, "Id: "+fuzzID, "Seal: s", "Content-Type: text/event-stream") + c.events))
+				assert.NilError(t, err)
+				a, aborted := x.receive(resp)
+				assert.Assert(t, !aborted)
+				if c.server == "second" {
+					assert.Equal(t, a.outcome == dispatch.InvalidResponse, replaced, "%s", a.outcome)
+				}
+			}
+			assert.Equal(t, strings.Contains(x.caller.Body.String(), "two"), !replaced, "%q", x.caller.Body)
+		})
+	}
+}
+
 // Guards against a stream that is taken from its silent server, which may go on, by a
 // second attempt that may not continue it: its release is not known or in doubt.
 func TestStreamOfUnknownReleaseStaysAtItsServer(t *testing.T) {
