Let a suspect wait while a stronger one waits

Cause: a part is refused with those that it cannot be told apart from, or waits if one of them lacks evidence. The deadly part had four losses and waited for such a one; b0 had three, two of them with the deadly part, but as the deadly part had two more, both counted as told apart, and b0 was refused alone. A loss of another cause is all that spoke against it.

Change: a suspect waits if one that lacks evidence, or waits itself, has all but one of its losses; what else that one has lost does not matter. A part whose losses fewer requests explain, because a request was sent again, is no cause and makes none wait.

Tests: TestWeakerSuspectWaitsForTheStrongerOne (before: "1 (action) != 0 (want)"), TestPartOfARetriedRequestHoldsNothingBack (before: "0 (action) != 1 (Refuse)"), TestTrackerMatchesModel with the new rule.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -197,15 +197,15 @@
 	return cmp.Or(cmp.Compare(len(s.episodes), len(o.episodes)), cmp.Compare(len(s.losses), len(o.losses)))
 }
 
-// isLike reports whether the evidence against another suspect that no server answered,
-// or that was answered as well, cannot be told apart: fewer than lossesToSeparate losses
-// at different times have only one of both.
-func (s *suspicion) isLike(o *suspicion, suspect, other uint64) bool {
+// mayBeExplainedBy reports whether another suspect may have caused the losses of this one:
+// it has all but fewer than lossesToSeparate at different times, and two at least. One that
+// servers answered before does not explain the losses of one that they never answered.
+func (s *suspicion) mayBeExplainedBy(o *suspicion, suspect uint64) bool {
 	if o.answered && !s.answered || len(o.episodes) < lossesToQuarantine-1 {
 		return false
 	}
 	alone := s.without(o, suspect)
-	return alone < lossesToSeparate && o.without(s, other) < lossesToSeparate && len(s.episodes)-alone >= lossesToQuarantine-1
+	return alone < lossesToSeparate && len(s.episodes)-alone >= lossesToQuarantine-1
 }
 
 // without returns the number of losses at different times that the other suspect does
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -78,7 +78,7 @@
 		return cmp.Or(suspicions[b].compare(suspicions[a]), cmp.Compare(a, b))
 	})
 	for len(sufficient) > 0 {
-		tied, unsure := rivalsOf(sufficient[0], suspicions, sufficient)
+		tied, unsure := t.rivalsOf(sufficient[0], suspicions, sufficient)
 		if !unsure {
 			return tied
 		}
@@ -107,14 +107,15 @@
 }
 
 // rivalsOf returns a suspect and those of the sufficient ones that cannot be told apart
-// from it. It reports unsure if one that cannot be told apart lacks evidence: the report
-// of another host may be late, or one of the losses has another cause. Then a further
-// loss decides, but the suspect gets no more than lossesToSeparate further ones.
-func rivalsOf(suspect uint64, suspicions map[uint64]*suspicion, sufficient []uint64) (rivals []uint64, unsure bool) {
+// from it. It reports unsure if one that lacks evidence, or is unsure itself, may explain
+// its losses: the report of another host may be late, or one of the losses has another
+// cause. Then a further loss decides, but the suspect gets no more than lossesToSeparate
+// further ones.
+func (t *Tracker) rivalsOf(suspect uint64, suspicions map[uint64]*suspicion, sufficient []uint64) (rivals []uint64, unsure bool) {
 	s := suspicions[suspect]
 	for _, other := range sufficient {
 		o := suspicions[other]
-		if o.answered == s.answered && slices.Equal(o.losses, s.losses) || !IsRequest(suspect) && s.isLike(o, suspect, other) {
+		if o.answered == s.answered && slices.Equal(o.losses, s.losses) || !IsRequest(suspect) && s.mayBeExplainedBy(o, suspect) && o.mayBeExplainedBy(s, other) {
 			rivals = append(rivals, other)
 		}
 	}
@@ -122,7 +123,7 @@
 		return rivals, false
 	}
 	for other, o := range suspicions {
-		if !slices.Contains(sufficient, other) && s.isLike(o, suspect, other) {
+		if !slices.Contains(sufficient, other) && s.mayBeExplainedBy(o, suspect) && t.repeats.requestsLost(o.losses) >= min(len(o.episodes), lossesToQuarantine) {
 			return rivals, true
 		}
 	}
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -133,9 +133,10 @@
 	return slices.ContainsFunc(suspects, func(s uint64) bool { return !IsRequest(s) })
 }
 
-// fewRequestsMayBeCause reports whether fewer than three requests explain the losses,
-// where each loss that none of them was lost in has a request of its own.
-func (m *model) fewRequestsMayBeCause(losses []int, suspects []uint64) bool {
+// requestsLost returns the least number of requests that explain the losses, where each
+// loss that none of them was lost in has a request of its own; 3 stands for more.
+func (m *model) requestsLost(losses []int, suspects []uint64) int {
+	least := 3
 	for _, first := range suspects {
 		for _, second := range suspects {
 			requests := 0
@@ -149,12 +150,10 @@
 					requests++
 				}
 			}
-			if requests < 3 {
-				return true
-			}
+			least = min(least, requests)
 		}
 	}
-	return false
+	return least
 }
 
 // mayBeCause reports whether the request was lost in the loss and not cleared since.
@@ -235,7 +234,7 @@
 		s := modelSuspicion{suspect: p, losses: losses, episodes: episodes, needed: m.needed(p, losses, episodes), answered: m.answered(p)}
 		s.sufficient = len(episodes) >= 3 || m.lapsed[p]
 		s.sufficient = s.sufficient && len(episodes) >= s.needed && !now.Before(episodes[s.needed-1].Add(settleTime))
-		if !m.lapsed[p] && (!IsRequest(p) && m.fewRequestsMayBeCause(losses, suspects) || s.answered && m.answersSince(losses[0]) < 16) {
+		if !m.lapsed[p] && (!IsRequest(p) && m.requestsLost(losses, suspects) < 3 || s.answered && m.answersSince(losses[0]) < 16) {
 			s.sufficient = false
 		}
 		out = append(out, s)
@@ -264,11 +263,11 @@
 	return n
 }
 
-// alike reports whether the evidence against a part cannot be told from that against
-// another one: two losses with both, and fewer than two with either alone.
-func (m *model) alike(a, b modelSuspicion) bool {
-	both := len(a.episodes) - m.missing(a, b)
-	return !IsRequest(a.suspect) && (a.answered || !b.answered) && len(b.episodes) >= 2 && both >= 2 && m.missing(a, b) < 2 && m.missing(b, a) < 2
+// explains reports whether b may have caused the losses of a: two losses with both, and
+// fewer than two with a alone.
+func (m *model) explains(a, b modelSuspicion) bool {
+	alone := m.missing(a, b)
+	return !IsRequest(a.suspect) && (a.answered || !b.answered) && len(b.episodes) >= 2 && len(a.episodes)-alone >= 2 && alone < 2
 }
 
 // convict quarantines those of the candidates with the strongest evidence.
@@ -283,10 +282,11 @@
 		unsure := false
 		for _, s := range all {
 			switch {
-			case s.sufficient && !passed[s.suspect] && (s.answered == first.answered && slices.Equal(s.losses, first.losses) || m.alike(first, s)):
+			case s.sufficient && !passed[s.suspect] && (s.answered == first.answered && slices.Equal(s.losses, first.losses) || m.explains(first, s) && m.explains(s, first)):
 				same = append(same, s)
 			case !s.sufficient || passed[s.suspect]:
-				unsure = unsure || m.alike(first, s) && len(first.episodes) < first.needed+2
+				plausible := IsRequest(s.suspect) || m.requestsLost(s.losses, suspects) >= min(len(s.episodes), 3)
+				unsure = unsure || m.explains(first, s) && plausible && len(first.episodes) < first.needed+2
 			}
 		}
 		if !unsure {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -261,6 +261,58 @@
 	check(tracker, now, Refuse, both...)
 }
 
+// Guards against a sound part being refused because the stronger suspect, which explains
+// all but one of its losses, waits to be told apart from a third one.
+func TestWeakerSuspectWaitsForTheStrongerOne(t *testing.T) {
+	const deadly, sound, rare = 1, 2, 3
+	tracker, now := lossesOf()
+	for i, parts := range [][]uint64{{deadly, rare}, {deadly, rare}, {deadly, sound, rare}, {sound}, {deadly, sound}} {
+		now = now.Add(episodeGap)
+		for range 100 {
+			tracker.AnswerBegan(now, now, now, []uint64{99})
+		}
+		lost := 2
+		if i == 4 {
+			lost = 40 // so that chance may explain the losses of the rare part
+		}
+		addLoss(tracker, now, Server{uint64(i), 1}, parts, lost)
+	}
+	check := func(part uint64, want Action) {
+		t.Helper()
+		now = now.Add(settleTime)
+		tracker.Poll(now)
+		action, _ := tracker.Check(now, []uint64{part})
+		assert.Equal(t, action, want)
+	}
+	check(sound, Allow)
+	check(deadly, Allow)
+	tracker.AnswerBegan(now, now, now, []uint64{rare})
+	check(deadly, Refuse)
+	check(sound, Allow)
+}
+
+// Guards against parts of a request that was lost twice, because it was sent again, holding
+// back the decision on a deadly part.
+func TestPartOfARetriedRequestHoldsNothingBack(t *testing.T) {
+	const deadly, retried = 1, 2
+	tracker, now := lossesOf()
+	for i, parts := range [][]uint64{{deadly, retried}, {deadly, retried}, {deadly, retried}, {deadly}} {
+		now = now.Add(time.Second)
+		for range 100 {
+			tracker.AnswerBegan(now, now, now, []uint64{99})
+		}
+		requests := []Sent{{RequestSuspect(uint64(10 + i)), now}}
+		if i < 2 {
+			requests = append(requests, Sent{RequestSuspect(20), now.Add(-time.Millisecond)})
+		}
+		tracker.AddLoss(now, Loss{Server: Server{uint64(i), 1}, At: now, Parts: parts, Requests: requests, Lost: len(requests)})
+	}
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	action, _ := tracker.Check(now, []uint64{deadly})
+	assert.Equal(t, action, Refuse)
+}
+
 // Guards against a sound part being refused alone by losses on which another host has
 // not reported the deadly part yet.
 func TestLossesCountOnceAllHostsMayHaveReportedThem(t *testing.T) {
