Limit the kernel's buffers of connections to servers and callers

Callers saw: nothing until the host had no memory left. A caller that reads a fast stream and then pauses leaves its bytes in the kernel of the host: in the receive buffer of the server's connection and the send buffer of the caller's. Both grow with the rate of the reader, up to the maxima of the kernel (here 32 and 4 MB), and count as memory of the host but not of the process, so no limit of the process holds them.

A caller that pauses is felt by its server after 64 KB instead of megabytes; the limit on callers that read nothing is as before.

--- a/pkg/callers/listener.go
+++ b/pkg/callers/listener.go
@@ -19,14 +19,30 @@
 // and its kernel asks again after a second only.
 const handshakeTime = time.Millisecond
 
+// kernelBufferBytes is the size of the kernel's send and receive buffers of a
+// connection. Without it they grow to megabytes for callers that read slowly.
+const kernelBufferBytes = 32 << 10
+
 // Listen opens a TCP listener for callers. Multipath TCP, the default of the net package,
 // has no socket filters, which StopAccepting needs.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
+	config := net.ListenConfig{Control: limitKernelBuffers}
 	config.SetMultipathTCP(false)
 	return config.Listen(ctx, "tcp", address)
 }
 
+// limitKernelBuffers limits the buffers of a listening socket, which its connections
+// inherit.
+func limitKernelBuffers(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, kernelBufferBytes),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBufferBytes))
+	})
+	return errors.Join(controlErr, err)
+}
+
 // Listener returns a listener whose connections tell the tracker whether a request
 // has begun to arrive. net/http reports a connection as idle until it has read the
 // whole head of the next request. StopAccepting closes the listener.
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -32,6 +32,9 @@
 	// stay open. Larger reads and writes bypass the buffers.
 	readBufferBytes  = 2 << 10
 	writeBufferBytes = 1 << 10
+	// receiveBufferBytes is the kernel's receive buffer of a connection. Without it the
+	// buffer grows to many megabytes, which stay unread while a caller reads slowly.
+	receiveBufferBytes = 32 << 10
 	// maxCancelResponseBytes bounds what is read of the response to a cancel
 	// request.
 	maxCancelResponseBytes = 4 << 10
@@ -86,6 +89,9 @@
 			if err != nil {
 				return nil, err
 			}
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetReadBuffer(receiveBufferBytes) // fails on a closed connection only, as the request does
+			}
 			return t.conns.add(addr, c), nil
 		},
 		DisableKeepAlives:      unpooled,
