Read buffered responses into blocks that they reserve and reuse

A buffered response that outgrew its buffer was copied into one of twice the size: both were in use, the reservation covered their difference, and the old one stayed until the garbage collector ran. The memory limit of the collector held this below the limit of the host by running all the time.

A body is now a list of blocks of up to 64 KB. Each is reserved before it is taken, nothing is copied, and full blocks are reused through a sync.Pool after the request has ended. A response that fails returns its reservation at once, and no longer holds it while the request is tried elsewhere.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -36,7 +36,16 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte // in blocks
+}
+
+// bodyBytes returns the size of the body.
+func (h *bufferedResponse) bodyBytes() int {
+	total := 0
+	for _, block := range h.body {
+		total += len(block)
+	}
+	return total
 }
 
 // attempt sends the request to the server of the decision and forwards the
@@ -221,10 +230,11 @@
 func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response, inactivity *inactivityTimer) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
 	body, done, err := x.s.responses.read(resp.Body)
-	x.releaseFuncs = append(x.releaseFuncs, done)
 	if err != nil {
+		done()
 		return x.classifyBodyError(ctx, a, err)
 	}
+	x.releaseFuncs = append(x.releaseFuncs, done)
 	inactivity.stop()
 	x.timeToFirst = time.Since(x.in.Arrived)
 	header := resp.Header.Clone()
@@ -271,12 +281,17 @@
 	for name, values := range h.header {
 		out[name] = values
 	}
-	out.Set("Content-Length", strconv.Itoa(len(h.body)))
+	out.Set("Content-Length", strconv.Itoa(h.bodyBytes()))
 	preserveContentType(out)
 	x.status, x.headSent = h.status, true
 	x.w.WriteHeader(h.status)
-	_, err := x.w.Write(h.body) // fails only if the caller has left or reads nothing
-	x.recordWriteError(err)
+	for _, block := range h.body {
+		_, err := x.w.Write(block) // fails only if the caller has left or reads nothing
+		x.recordWriteError(err)
+		if err != nil {
+			return
+		}
+	}
 }
 
 // preserveContentType prevents net/http from sniffing a Content-Type if the
--- a/pkg/edge/response_memory.go
+++ b/pkg/edge/response_memory.go
@@ -18,6 +18,8 @@
 	// freeResponseBytes is the size up to which a response needs no reservation, so
 	// that ordinary responses pass while large ones use up the memory.
 	freeResponseBytes = 64 << 10
+	// maxBlockBytes is the size of the largest blocks of a buffered response.
+	maxBlockBytes = 64 << 10
 	// maxEventBytes bounds one event of a stream; typical events have a few hundred
 	// bytes.
 	maxEventBytes = 64 << 10
@@ -63,37 +65,52 @@
 	m.freeBytes += n
 }
 
-// read reads a complete response body. It fails with errResponseTooLarge,
-// errResponseMemory or a read error. The caller must call releaseMemory when it no
-// longer needs the body, also after an error.
-func (m *responseMemory) read(r io.Reader) (body []byte, releaseMemory func(), err error) {
-	reserved := 0
-	releaseMemory = func() { m.release(reserved) }
-	body = make([]byte, 0, readBufferBytes)
+// largeBlocks holds blocks that no response uses. New ones for each response would fill
+// the heap of a busy host before the garbage collector frees them.
+var largeBlocks = sync.Pool{New: func() any { return new([maxBlockBytes]byte) }}
+
+// read reads a complete response body, as a list of blocks: a buffer that grows would
+// need its old and its new size at once. It fails with errResponseTooLarge,
+// errResponseMemory or a read error. The caller must call releaseMemory once, also after
+// an error, and must not use the body after that: other responses reuse its blocks.
+func (m *responseMemory) read(r io.Reader) (body [][]byte, releaseMemory func(), err error) {
+	size, reserved := 0, 0 // bytes of the full blocks, reserved bytes
+	var large []*[maxBlockBytes]byte
+	releaseMemory = func() {
+		m.release(reserved)
+		for _, b := range large {
+			largeBlocks.Put(b)
+		}
+	}
+	block := make([]byte, 0, readBufferBytes)
 	for {
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := r.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
 		if err == io.EOF {
-			return body, releaseMemory, nil
+			return append(body, block), releaseMemory, nil
 		}
 		if err != nil {
 			return nil, releaseMemory, err
 		}
-		if len(body) < cap(body) {
+		if len(block) < cap(block) {
 			continue
 		}
-		additional := len(body) // the buffer doubles
+		body, size = append(body, block), size+len(block)
+		next := min(size, maxBlockBytes)
 		switch {
-		case len(body) >= m.maxResponseBytes:
+		case size >= m.maxResponseBytes:
 			return nil, releaseMemory, errResponseTooLarge
-		case len(body) < freeResponseBytes:
-		case !m.reserve(additional):
+		case size < freeResponseBytes:
+		case !m.reserve(next):
 			return nil, releaseMemory, errResponseMemory
 		default:
-			reserved += additional
+			reserved += next
+		}
+		if next < maxBlockBytes {
+			block = make([]byte, 0, next)
+			continue
 		}
-		grown := make([]byte, len(body), len(body)+additional)
-		copy(grown, body)
-		body = grown
+		b := largeBlocks.Get().(*[maxBlockBytes]byte)
+		large, block = append(large, b), b[:0]
 	}
 }
--- a/pkg/edge/response_memory_test.go
+++ b/pkg/edge/response_memory_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"runtime"
+	"sync"
 	"testing"
 	"testing/iotest"
 
@@ -32,7 +34,7 @@
 	assert.Assert(t, held <= hostBytes/responseMemoryDivisor)
 	body, releaseMemory, err := m.read(bytes.NewReader(make([]byte, freeResponseBytes/2)))
 	assert.NilError(t, err, "small responses must pass while the memory is exhausted")
-	assert.Equal(t, len(body), freeResponseBytes/2)
+	assert.Equal(t, len(bytes.Join(body, nil)), freeResponseBytes/2)
 	for _, f := range append(releaseFuncs, releaseMemory) {
 		f()
 	}
@@ -51,9 +53,44 @@
 		for _, r := range []io.Reader{bytes.NewReader(want), iotest.HalfReader(bytes.NewReader(want)), iotest.DataErrReader(bytes.NewReader(want))} {
 			got, done, err := m.read(r)
 			assert.NilError(t, err)
-			assert.Assert(t, bytes.Equal(got, want), "%d bytes", size)
+			assert.Assert(t, bytes.Equal(bytes.Join(got, nil), want), "%d bytes", size)
 			done()
 		}
 	}
 	assert.Equal(t, m.freeBytes, defaultResponseMemoryBytes)
 }
+
+// Guards against a buffered response that uses more memory than it reserves: a buffer that
+// doubled was copied, so that the old and the new one were in use at once.
+func TestBufferedResponseUsesNoMoreThanItReserves(t *testing.T) {
+	m := newResponseMemory(160 << 20)
+	total := m.freeBytes
+	source := bytes.NewReader(make([]byte, 3<<20))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, done, err := m.read(source)
+	runtime.ReadMemStats(&after)
+	assert.NilError(t, err)
+	used, reserved := int(after.TotalAlloc-before.TotalAlloc), total-m.freeBytes
+	const otherBytes = 64 << 10 // lists of blocks, other goroutines of the test process
+	assert.Assert(t, used <= reserved+freeResponseBytes+otherBytes, "%d bytes used, %d reserved", used, reserved)
+	done()
+}
+
+// Guards against responses that share a block: a caller would get bytes of another one.
+func TestResponsesShareNoBlock(t *testing.T) {
+	m := newResponseMemory(0)
+	var readers sync.WaitGroup
+	for i := range 16 {
+		readers.Go(func() {
+			want := bytes.Repeat([]byte{byte(i)}, 500_000)
+			for range 20 {
+				body, done, err := m.read(bytes.NewReader(want))
+				assert.Check(t, err == nil && bytes.Equal(bytes.Join(body, nil), want), "response %d: %v", i, err)
+				done()
+			}
+		})
+	}
+	readers.Wait()
+	assert.Equal(t, m.freeBytes, defaultResponseMemoryBytes)
+}
