Confirm the rest of an answer on undeclared routes by a majority

On a route that is not declared as one of streams, a request with Last-Event-Id or Resumes went on when this host knew one release of the service. A host that is cut off, or has stood still, knows one although there are several, so its callers got the rest of an answer from a server of another version. The server was also chosen later, when one of a new version could have joined.

TestRestOfUndeclaredStreamIsRefusedWhileCutOff before:

undeclared_stream_test.go:59: assertion failed: 200 (a.status int) != 503 (http.StatusServiceUnavailable int): hello

What this host knows alone now only refuses. Before it lets a request go on, it asks the core hosts for the revision of the agreed state, which the leader gives after a majority has confirmed it, and waits until it has applied that revision itself. So both the history of releases and the routing table that it looks at include all that was agreed on when the request came. A server of a release that the history lacks yet counts as a second release. The request is bound to the release, so servers that join while it waits, retries and second attempts are of the same one; it waits for servers that are not ready as a new request does. Requests that come while a confirmation runs share the next one (pkg/confirm).

Request lines have found, the state in which the release was found, and found_age_ms, its age at the last attempt; edge.resumptions.* counts these requests too.

--- a/pkg/dispatch/release.go
+++ b/pkg/dispatch/release.go
@@ -66,13 +66,14 @@
 
 // isReleaseGone reports whether the request needs a release of which no server is
 // announced as ready. It does not matter whether servers are down, cold or full: these
-// may take the request later.
+// may take the request later. The only release of a service is not gone while
+// no server is ready, because new requests wait for it too.
 func (d *Dispatcher) isReleaseGone(r *Request) bool {
 	if r.Release == release.Unknown {
 		return false
 	}
 	svc := d.services[r.Service]
-	return svc == nil || svc.readyByRelease[r.Release] == 0
+	return svc == nil || svc.readyByRelease[r.Release] == 0 && !(r.SoleRelease && svc.ready == 0)
 }
 
 // releaseReason returns the reason for refusing the request if its constraint on
@@ -84,7 +85,7 @@
 		return ReasonReleaseGone
 	case reason == ReasonOverShare:
 		return reason
-	case r.Release != release.Unknown:
+	case r.Release != release.Unknown && !r.SoleRelease:
 		return ReasonReleaseFull
 	case r.RecordedOnly && svc != nil && svc.ready > 0 && svc.readyRecorded == 0:
 		return ReasonNotRecorded
--- a/pkg/dispatch/release_test.go
+++ b/pkg/dispatch/release_test.go
@@ -286,3 +286,29 @@
 		assert.Equal(t, decided[0].Decision.Reason, ReasonNotRecorded)
 	}
 }
+
+// Guards against a request for the only release of a service that is refused while its
+// servers start, although a new request waits for them, and against one that goes to a
+// release which joined while it waited.
+func TestRequestOfTheSoleReleaseWaitsAsNewOnesDo(t *testing.T) {
+	for _, plain := range []bool{false, true} {
+		infos := infosOf(plain, v1)
+		infos[0].Ready = false
+		d := New("edge", "a", start)
+		d.SetServers(start, infos)
+		for _, other := range []ServerInfo{{}, infosOf(plain, v1, v2)[1]} {
+			if other.ID != "" {
+				d.SetServers(start, append(infos, other))
+			}
+			r, bound := newRequest(start, "w", 10, time.Second), newRequest(start, "w", 10, time.Second)
+			bound.Release, bound.SoleRelease = v1, true
+			v, got := d.Admit(start, r), d.Admit(start, bound)
+			if other.ID == "" {
+				assert.Check(t, got.Action == v.Action && got.Reason == v.Reason, "plain %t: %d %s, a new request %d %s", plain, got.Action, got.Reason, v.Action, v.Reason)
+				continue
+			}
+			assert.Check(t, v.Action == Send && v.Release == v2, "plain %t", plain)
+			assert.Check(t, got.Action == Refuse && got.Reason == ReasonReleaseGone, "plain %t: %d %s", plain, got.Action, got.Reason)
+		}
+	}
+}
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -40,6 +40,9 @@
 	// Release is the only release whose servers may get the request, because one of
 	// them began the stream; release.Unknown allows all.
 	Release release.ID
+	// SoleRelease is set if Release is the only one of the service, so that a request waits
+	// as long for its servers as a new one does.
+	SoleRelease bool
 	// RecordedOnly excludes servers whose release the fleet has not recorded. Streams that
 	// a caller may take up begin only at the others.
 	RecordedOnly bool
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -57,6 +57,9 @@
 	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { e.cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
 	x.attemptStartedAt = e.startedAt
+	if x.found != "" {
+		x.foundAge = e.startedAt.Sub(x.foundAt)
+	}
 	h := x.newHedge(e)
 	inactivityTimeout := startInactivityTimer(x.inactivityTimeout(), &inactivityTimer{mayAbandon: h.tryReplace, keep: h.keepFirst, abandon: func() { e.cancel(errServerInactive) }})
 	defer func() { h.close(inactivityTimeout.stop()) }()
--- a/pkg/edge/fleet_view.go
+++ b/pkg/edge/fleet_view.go
@@ -40,6 +40,9 @@
 	edges      map[string]*knownEdge
 	liveness   *feed.Liveness
 
+	revision        uint64        // of the newest merged state
+	revisionChanged chan struct{} // closed when revision changes
+
 	stateAccepted    bool // a confirmed state has been received, or the wait for one timed out
 	firstStateAt     time.Time
 	configVersion    uint64
@@ -61,6 +64,7 @@
 	return &fleetView{
 		decode: decode, log: log, servers: registry.New(), fleetState: map[string]*apiv1.FleetMark{}, releases: releaseHistory{},
 		edges: map[string]*knownEdge{}, liveness: feed.NewLiveness(), services: map[string]*routing.Service{}, reinstatedAt: map[string]time.Time{},
+		revisionChanged: make(chan struct{}),
 	}
 }
 
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -46,6 +46,8 @@
 	reasonStreamUnknown   dispatch.Reason = "no host knows which release began the stream"
 	reasonReleaseConflict dispatch.Reason = "several releases are recorded for the stream"
 	reasonRecordsUnread   dispatch.Reason = "the records of streams could not be read"
+	// reasonStateUnconfirmed applies to routes that have no records.
+	reasonStateUnconfirmed dispatch.Reason = "the core hosts did not confirm what this host knows"
 )
 
 // streamStart is the begin of a stream that its caller may resume. Server.mu guards it.
@@ -62,6 +64,8 @@
 
 // UseConnection implements feed.ConnectionUser.
 func (s *Server) UseConnection(ctx context.Context, address string, conn *grpc.ClientConn) {
+	s.cores.add(conn)
+	defer s.cores.remove(conn)
 	s.streamRecords.UseConnection(ctx, address, conn)
 }
 
@@ -71,30 +75,31 @@
 	return x.route.Stream && (x.in.LastEventID != "" || x.in.Resumes != "")
 }
 
-// refuseRest refuses a request for the rest of an answer on a route that is not declared
-// as one of streams, and reports whether it did. Nothing is recorded there, so the rest
-// can come from a server of another release as soon as there are several.
-func (x *proxiedRequest) refuseRest() bool {
-	if x.route.Stream || x.in.LastEventID == "" && x.in.Resumes == "" || x.hasSoleRelease() {
-		return false
+// bindRest binds a request for the rest of an answer on a route that is not declared as
+// one of streams to the only release that can have begun it. If that is not known, it
+// refuses the request and returns false.
+func (x *proxiedRequest) bindRest() bool {
+	if x.route.Stream || x.in.LastEventID == "" && x.in.Resumes == "" {
+		return true
 	}
-	metrics.GetOrRegisterCounter("edge.resumptions."+streamrecord.Unknown.String(), x.s.metrics.registry).Inc(1)
-	x.refuseResumption(reasonStreamUnknown, result.StreamUnknown)
-	return true
+	id, state := x.soleRelease()
+	x.recordFound(state)
+	switch state {
+	case streamrecord.Sole:
+		x.dispatchReq.Release, x.dispatchReq.SoleRelease = id, true
+		return true
+	case streamrecord.Unconfirmed:
+		x.refuseResumption(reasonStateUnconfirmed, result.RecordsUnread)
+	default:
+		x.refuseResumption(reasonStreamUnknown, result.StreamUnknown)
+	}
+	return false
 }
 
-// hasSoleRelease reports whether the route leads to one service, of which this host knows
-// no second release and none that fits nothing. It is no proof: the host may be cut off,
-// and the route may have led elsewhere.
-func (x *proxiedRequest) hasSoleRelease() bool {
-	services := x.route.Services()
-	if len(services) != 1 {
-		return false
-	}
-	x.s.mu.Lock()
-	defer x.s.mu.Unlock()
-	releases := &x.s.fleetView.releases
-	return !releases.severalReleases(services[0]) && !releases.lists(services[0], release.Unknown)
+// recordFound records what was found out about the release of a stream.
+func (x *proxiedRequest) recordFound(state streamrecord.State) {
+	x.found, x.foundAt = state.String(), time.Now()
+	metrics.GetOrRegisterCounter("edge.resumptions."+x.found, x.s.metrics.registry).Inc(1)
 }
 
 // recordedID returns the id by which the caller names the stream in a later request: that
@@ -123,7 +128,7 @@
 		q.Place = ""
 	}
 	id, state := x.s.streamRecords.Find(x.callerCtx, q)
-	metrics.GetOrRegisterCounter("edge.resumptions."+state.String(), x.s.metrics.registry).Inc(1)
+	x.recordFound(state)
 	switch {
 	case state == streamrecord.Conflict:
 		x.refuseResumption(reasonReleaseConflict, result.StreamUnknown)
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -82,7 +82,10 @@
 	releases          []release.ID // that wrote events of the response, in order
 	start             *streamStart // nil until the first event of a stream that the caller may resume
 	recordedAt        time.Time    // when its record was sent last
-	releaseFuncs      []func()     // return the memory of buffered responses
+	found             string       // state in which the release of a stream that the caller takes up was found, "" for other requests
+	foundAt           time.Time
+	foundAge          time.Duration // from foundAt to the start of the last attempt
+	releaseFuncs      []func()      // return the memory of buffered responses
 	outcomes          []string
 	lastError         error           // error of the last failed attempt
 	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
@@ -181,7 +184,7 @@
 // run dispatches the request, and retries it as the route and the retry budget
 // allow, until the caller has a response or has left.
 func (x *proxiedRequest) run() {
-	if x.refuseQuarantined() || x.refuseRest() || x.isResumption() && !x.bindRelease() {
+	if x.refuseQuarantined() || !x.bindRest() || x.isResumption() && !x.bindRelease() {
 		return
 	}
 	x.s.creditRetryBudget(x.dispatchReq.Service)
@@ -474,7 +477,7 @@
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
 		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial,
-		"resumes": fmt.Sprintf("%.64s", x.in.Resumes), "last_event": fmt.Sprintf("%.64s", x.in.LastEventID), "releases": x.releases,
+		"resumes": fmt.Sprintf("%.64s", x.in.Resumes), "last_event": fmt.Sprintf("%.64s", x.in.LastEventID), "releases": x.releases, "found": x.found, "found_age_ms": x.foundAge.Milliseconds(),
 		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
+	"jackdawtrack.example/jackdawtrack/pkg/confirm"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/exchange"
 	"jackdawtrack.example/jackdawtrack/pkg/feed"
@@ -105,6 +106,8 @@
 	quarantine        *quarantine.Tracker
 	storedVerdicts    map[uint64]uint32 // by suspect: generation that the core hosts have stored
 	streamRecords     *recorder.Recorder
+	confirmations     *confirm.Shared[uint64] // of confirmedRevision
+	cores             coreConns
 	streamStarts      []*streamStart // of the last restartNoticeTime, oldest first
 	// quarantinedRequests describes refused requests.
 	quarantinedRequests quarantine.Descriptions
@@ -132,6 +135,7 @@
 		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
 	s.streamRecords = recorder.New(s.log, c.Registry)
+	s.confirmations = confirm.New(s.confirmedRevision)
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
 	s.refusalLogLimiter = rate.NewLimiter(refusalLogRate, refusalLogBurst)
@@ -223,6 +227,7 @@
 		s.table.Store(table)
 		s.metrics.configVersion.Update(int64(s.fleetView.configVersion))
 	}
+	s.fleetView.mergeRevision(e.GetState().GetRevision())
 	return peers, edges
 }
 
