--- a/pkg/replica/metrics.go
+++ b/pkg/replica/metrics.go
@@ -15,6 +15,9 @@
 	elections    metrics.Counter   // elections won by this host
 	snapshots    metrics.Counter   // snapshots taken
 	restored     metrics.Counter   // snapshots restored from another member
+	diskFull     metrics.Gauge     // 1 while the last write failed for lack of space
+	fullWrites   metrics.Counter   // writes of the log that failed for lack of space
+	fullSnaps    metrics.Counter   // own snapshots that failed for lack of space
 	term         metrics.Gauge
 	appliedIndex metrics.Gauge
 }
@@ -29,6 +32,9 @@
 		elections:    metrics.GetOrRegisterCounter("raft.elections", r),
 		snapshots:    metrics.GetOrRegisterCounter("raft.snapshots", r),
 		restored:     metrics.GetOrRegisterCounter("raft.restored", r),
+		diskFull:     metrics.GetOrRegisterGauge("raft.disk_full", r),
+		fullWrites:   metrics.GetOrRegisterCounter("raft.disk_full.writes", r),
+		fullSnaps:    metrics.GetOrRegisterCounter("raft.disk_full.snapshots", r),
 		term:         metrics.GetOrRegisterGauge("raft.term", r),
 		appliedIndex: metrics.GetOrRegisterGauge("raft.applied", r),
 	}
--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -80,18 +80,30 @@
 		return err
 	}
 	w.metrics.sync.UpdateSince(start)
-	w.diskFull = false
+	w.endDiskFull()
 	return nil
 }
 
+// endDiskFull records that a write succeeded.
+func (w *worker) endDiskFull() {
+	if !w.diskFull {
+		return
+	}
+	w.diskFull = false
+	w.metrics.diskFull.Update(0)
+	w.logger.Infof("the disk has space again, the first write failed %s ago", time.Since(w.diskFullSince).Round(time.Millisecond))
+}
+
 // handleDiskFull rolls the node back and rejects the commands whose entries were
 // in no log. The outcome of other pending commands is unknown, because this host
 // steps down and their entries may be in the log of other members.
 func (w *worker) handleDiskFull(cause error) {
 	if !w.diskFull {
 		w.logger.WithError(cause).Error("the disk is full, new commands are rejected")
+		w.diskFull, w.diskFullSince = true, time.Now()
+		w.metrics.diskFull.Update(1)
 	}
-	w.diskFull = true
+	w.metrics.fullWrites.Inc(1)
 	w.node.Rollback()
 	last := w.node.Status().LastIndex
 	for index, p := range w.pendingProposals {
@@ -281,6 +293,7 @@
 	}
 	err = w.log.SaveSnapshot(s)
 	if code, _ := result.CodeOf(err); code == result.DiskFull {
+		w.metrics.fullSnaps.Inc(1)
 		w.logger.WithError(err).Error("the disk is full, the snapshot was not written")
 		return nil
 	}
--- a/pkg/replica/worker.go
+++ b/pkg/replica/worker.go
@@ -33,6 +33,7 @@
 	role                  raft.Role
 	term                  uint64
 	diskFull              bool
+	diskFullSince         time.Time
 	writtenAtSnapshot     int64 // WrittenBytes of the log at the last snapshot
 	cachedSnapshotIndex   uint64
 	cachedSnapshotData    []byte // of the snapshot being sent
