Try a write while the disk counts as full

Operators saw /readyz of a control host fail and a host refuse changes of the membership with disk_full long after its disk had space again.

Cause: the mark of a full disk ended only with the next sync that succeeds, and nothing writes if there is no change. A host that fails to write its own candidacy rolls back to its term; if the leader returns in that term, the host has nothing to write. While the mark was set it also answered DiskFull as a follower, although the leader accepts commands.

A host whose disk counts as full writes its hard state again at most each 500 ms. DiskFull is returned only while no leader is known, and a leader always tries the write.

TestIdleHostNoticesSpaceOnItsDisk failed before: disk_fault_test.go:101: assertion failed: 502 disk_full (result.Code) != 402 not_leader (result.NotLeader result.Code) It passes now; the other tests of full disks pass as before.

--- a/pkg/replica/disk_fault_test.go
+++ b/pkg/replica/disk_fault_test.go
@@ -56,3 +56,54 @@
 	assert.NilError(t, m.ReadBarrier(g.context()))
 	assert.DeepEqual(t, m.machine.list(), want)
 }
+
+// newGroupWithFaultyDisks returns a group that is not started, and its disks by host ID.
+func newGroupWithFaultyDisks(t *testing.T, size uint64) (*group, map[uint64]*waltest.FaultyDisk) {
+	g := newGroup(t, int(size))
+	disks := map[uint64]*waltest.FaultyDisk{}
+	for id := uint64(1); id <= size; id++ {
+		disks[id] = &waltest.FaultyDisk{}
+		g.fs[id] = disks[id]
+	}
+	return g, disks
+}
+
+func (g *group) waitStatus(id uint64, what string, ok func(Status) bool) {
+	g.t.Helper()
+	s, err := g.members[id].WaitForStatus(g.context(), ok)
+	assert.NilError(g.t, err, "%s: %+v", what, s)
+}
+
+// Guards against a host that stays unready and refuses changes with a full disk for good,
+// because it has nothing to write after its disk has space again: it failed to write its
+// own candidacy, and the leader came back in the same term.
+func TestIdleHostNoticesSpaceOnItsDisk(t *testing.T) {
+	const leader, full, behind = 1, 2, 3
+	g, disks := newGroupWithFaultyDisks(t, 3)
+	g.modifyConfig = func(c *Config) {
+		if c.ID == leader {
+			c.ElectionTicks = 10000 // it keeps leading while it is cut off
+		}
+	}
+	g.startAll()
+	g.propose("before", leader)
+	// The host that is behind can become no leader, but gives its vote to the full one.
+	g.net.setIsolated(address(behind), true)
+	g.propose("first", leader)
+	g.waitApplied(g.members[full], g.members[leader].Status().Commit)
+	disks[full].FailWrites.Store(true)
+	g.net.setIsolated(address(leader), true)
+	g.net.setIsolated(address(behind), false)
+	g.waitStatus(full, "no write failed", func(s Status) bool { return s.DiskFull })
+	g.net.setIsolated(address(leader), false)
+	g.waitStatus(full, "the leader is not known", func(s Status) bool { return s.Leader == leader })
+	_, err := g.members[full].Propose(g.context(), []byte("x"))
+	assert.Equal(t, codeOf(err), result.NotLeader)
+	m := g.members[full]
+	assert.Equal(t, m.metrics.diskFull.Value(), int64(1))
+	disks[full].FailWrites.Store(false)
+	g.waitStatus(full, "the disk is still taken for full", func(s Status) bool { return !s.DiskFull })
+	assert.Equal(t, m.metrics.diskFull.Value(), int64(0))
+	assert.Assert(t, m.metrics.fullWrites.Count() > 0)
+	assert.Equal(t, m.Status().Term, g.members[leader].Status().Term)
+}
--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -94,6 +94,27 @@
 	w.logger.Infof("the disk has space again, the first write failed %s ago", time.Since(w.diskFullSince).Round(time.Millisecond))
 }
 
+// probeFullDisk writes the hard state again if the last write failed for lack of space,
+// at most each diskProbeInterval. Without it, a host that has nothing else to write
+// would not notice that its disk has space again. All work of the node must be done, so
+// that its state is the durable one.
+func (w *worker) probeFullDisk() error {
+	if !w.diskFull || time.Since(w.lastDiskProbe) < diskProbeInterval {
+		return nil
+	}
+	w.lastDiskProbe = time.Now()
+	record, err := encodeHardState(w.node.Status().State)
+	if err != nil {
+		return err
+	}
+	w.log.Append(record)
+	err = w.sync()
+	if code, _ := result.CodeOf(err); code == result.DiskFull {
+		return nil
+	}
+	return err
+}
+
 // handleDiskFull rolls the node back and rejects the commands whose entries were
 // in no log. The outcome of other pending commands is unknown, because this host
 // steps down and their entries may be in the log of other members.
@@ -104,6 +125,7 @@
 		w.metrics.diskFull.Update(1)
 	}
 	w.metrics.fullWrites.Inc(1)
+	w.lastDiskProbe = time.Now()
 	w.node.Rollback()
 	last := w.node.Status().LastIndex
 	for index, p := range w.pendingProposals {
--- a/pkg/replica/worker.go
+++ b/pkg/replica/worker.go
@@ -12,6 +12,8 @@
 	maxBatchProposals  = 1024 // proposals in one write
 	maxBatchBytes      = 4 << 20
 	maxSenderAddresses = 64 // cached addresses of message senders
+	// diskProbeInterval is how often a host whose disk is full tries a write.
+	diskProbeInterval = 500 * time.Millisecond
 )
 
 // worker holds the state that only the worker goroutine uses.
@@ -34,7 +36,8 @@
 	term                  uint64
 	diskFull              bool
 	diskFullSince         time.Time
-	writtenAtSnapshot     int64 // WrittenBytes of the log at the last snapshot
+	lastDiskProbe         time.Time // last write that failed or probed a full disk
+	writtenAtSnapshot     int64     // WrittenBytes of the log at the last snapshot
 	cachedSnapshotIndex   uint64
 	cachedSnapshotData    []byte // of the snapshot being sent
 	cachedSnapshotLastUse time.Time
@@ -89,6 +92,9 @@
 		case <-w.stop:
 			return nil
 		case <-ticker.C:
+			if err := w.probeFullDisk(); err != nil {
+				return err
+			}
 			w.node.Tick()
 			w.releaseIdleSnapshotData()
 		case m := <-w.inbox:
@@ -178,19 +184,20 @@
 	w.metrics.batch.Update(int64(len(batch)))
 }
 
-// checkAcceptsProposals returns an error if the disk is full, this host is not
-// the leader or too many proposals are pending.
+// checkAcceptsProposals returns an error if this host is not the leader or too many
+// proposals are pending. It returns DiskFull only if no leader is known, because
+// another one may accept the command.
 func (w *worker) checkAcceptsProposals() error {
 	s := w.node.Status()
 	switch {
-	case w.diskFull:
-		return result.New(result.DiskFull, "the disk of the data folder is full, the command was not accepted")
-	case s.Role != raft.Leader:
-		return w.errNotLeader()
-	case len(w.pendingProposals) > maxPendingProposals:
+	case s.Role == raft.Leader && len(w.pendingProposals) > maxPendingProposals:
 		return result.New(result.NoQuorum, "%d commands are pending, the command was not accepted", len(w.pendingProposals))
+	case s.Role == raft.Leader:
+		return nil
+	case w.diskFull && s.Leader == 0:
+		return result.New(result.DiskFull, "the disk of the data folder is full, the command was not accepted")
 	}
-	return nil
+	return w.errNotLeader()
 }
 
 func (w *worker) errNotLeader() error {
