--- a/pkg/raft/invariants_test.go
+++ b/pkg/raft/invariants_test.go
@@ -21,7 +21,9 @@
 // paper, figure 3).
 func (s *sim) checkSafety(h *host) {
 	n := h.node
-	s.checkLogMatching(n)
+	if s.checks++; s.logCheckInterval == 0 || s.checks%s.logCheckInterval == 0 {
+		s.checkLogMatching(n)
+	}
 	if n.role != Leader {
 		return
 	}
