Go on after a full disk at any operation of the log

Cause: only a write that found no space was taken back. ENOSPC of a sync (delayed allocation), a truncation, a removal, a close or the sync of the folder counted as an error that leaves the content unknown, so the log failed for good and the host's process ended; Open returned sync_failed or folder_locked for it.

A frame that could not be written or synced, and a segment that could not be created, are removed at once or, if the disk does not allow even that, before the next frame: until then each write returns disk_full. The records of a frame whose sync failed and that could not be removed may be found after a power failure. wal.MayBeWritten says so, and the outcome of the commands is unknown then, not refused. Other errors of a sync are final as before.

--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -115,9 +115,10 @@
 	return err
 }
 
-// handleDiskFull rolls the node back and rejects the commands whose entries were
-// in no log. The outcome of other pending commands is unknown, because this host
-// steps down and their entries may be in the log of other members.
+// handleDiskFull rolls the node back and rejects the commands whose entries are in no
+// log. The outcome of other pending commands is unknown, because this host steps down
+// and their entries may be in the log of other members, or in its own after a power
+// failure.
 func (w *worker) handleDiskFull(cause error) {
 	if !w.diskFull {
 		w.logger.WithError(cause).Error("the disk is full, new commands are rejected")
@@ -129,7 +130,7 @@
 	w.node.Rollback()
 	last := w.node.Status().LastIndex
 	for index, p := range w.pendingProposals {
-		if index > last {
+		if index > last && !wal.MayBeWritten(cause) {
 			delete(w.pendingProposals, index)
 			p.done <- outcome{err: result.Wrap(result.DiskFull, cause, "the command was not accepted")}
 		}
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"path/filepath"
 
 	"jackdawtrack.example/jackdawtrack/pkg/result"
@@ -49,6 +51,10 @@
 	segments        []segment
 	unsyncedRecords []Record
 	failure         error // set for good once the content on disk is unknown
+	// undo removes what a write to a full disk has left, nil if nothing is left. No frame
+	// is written before it has succeeded, because replay accepts an unfinished frame only
+	// at the end of the last segment.
+	undo func() error
 }
 
 // segment describes one segment file.
@@ -72,9 +78,18 @@
 // Append buffers records for the next frame. They are durable after Sync.
 func (l *Log) Append(records ...Record) { l.unsyncedRecords = append(l.unsyncedRecords, records...) }
 
-// Sync writes the appended records as one frame and syncs it. After DiskFull or
-// TooLarge none of them is in the log, which remains usable. SyncFailed is
-// permanent: the process must stop, because the content on disk is unknown.
+// errMayBeWritten marks the DiskFull of a frame whose sync failed and that could not be
+// removed yet.
+var errMayBeWritten = errors.New("the records may be in the log after a power failure")
+
+// MayBeWritten reports whether the records of a Sync that returned DiskFull may be found
+// by Open if no later Sync succeeds.
+func MayBeWritten(err error) bool { return errors.Is(err, errMayBeWritten) }
+
+// Sync writes the appended records as one frame and syncs it. After DiskFull the log
+// remains usable and none of the records is in it, unless MayBeWritten reports that
+// Open may find them. After TooLarge none is in the log. SyncFailed is permanent: the
+// process must stop, because the content on disk is unknown.
 func (l *Log) Sync() error {
 	if l.failure != nil {
 		return l.failure
@@ -84,6 +99,9 @@
 	if len(records) == 0 {
 		return nil
 	}
+	if err := l.finishUndo(); err != nil {
+		return err
+	}
 	if l.activeBytes >= l.maxSegmentBytes {
 		if err := l.rotate(); err != nil {
 			return err
@@ -102,10 +120,10 @@
 		return result.New(result.TooLarge, "frame size %d bytes is over the limit", len(frame))
 	}
 	if _, err := l.activeFile.Write(frame); err != nil {
-		return l.rollBackWrite(err)
+		return l.undoWrite(err, l.truncateActive, "segment %d cannot be written", l.number)
 	}
 	if err := l.activeFile.Sync(); err != nil {
-		return l.failPermanently(err, "segment %d cannot be synced", l.number)
+		return l.undoSync(err)
 	}
 	l.sequence++
 	l.activeBytes += int64(len(frame))
@@ -114,18 +132,50 @@
 	return nil
 }
 
-// rollBackWrite removes a partially written frame if the disk is full. Any other
-// write error is permanent.
-func (l *Log) rollBackWrite(cause error) error {
+// undoWrite removes what a write to a full disk has left with undo, at once or before the
+// next frame, and returns DiskFull. Any other cause is permanent.
+func (l *Log) undoWrite(cause error, undo func() error, format string, args ...any) error {
 	if !isDiskFull(cause) {
-		return l.failPermanently(cause, "segment %d cannot be written", l.number)
+		return l.failPermanently(cause, format, args...)
+	}
+	l.undo = undo
+	if err := l.finishUndo(); err != nil && l.failure != nil {
+		return err
+	}
+	return result.Wrap(result.DiskFull, cause, format, args...)
+}
+
+// undoSync removes a complete frame whose sync found the disk full. The earlier frames are
+// durable. The removal must be durable too, otherwise Open may find the frame.
+func (l *Log) undoSync(cause error) error {
+	err := l.undoWrite(cause, func() error {
+		if err := l.truncateActive(); err != nil {
+			return err
+		}
+		return l.activeFile.Sync()
+	}, "segment %d cannot be synced", l.number)
+	if l.undo != nil && l.failure == nil {
+		return result.Wrap(result.DiskFull, errors.Join(cause, errMayBeWritten), "segment %d cannot be synced", l.number)
+	}
+	return err
+}
+
+// finishUndo removes what a write to a full disk has left. It returns DiskFull if the
+// disk is still full.
+func (l *Log) finishUndo() error {
+	if l.undo == nil {
+		return nil
 	}
-	if err := l.activeFile.Truncate(l.activeBytes); err != nil {
-		return l.failPermanently(err, "segment %d cannot be truncated", l.number)
+	if err := l.undo(); err != nil {
+		return l.diskFullOrFail(err, "unfinished write cannot be removed")
 	}
-	return result.Wrap(result.DiskFull, cause, "disk is full, the records were not written")
+	l.undo = nil
+	return nil
 }
 
+// truncateActive removes what follows the synced frames of the active segment.
+func (l *Log) truncateActive() error { return l.activeFile.Truncate(l.activeBytes) }
+
 // failPermanently makes this and every later operation return SyncFailed.
 func (l *Log) failPermanently(cause error, format string, args ...any) error {
 	l.failure = result.Wrap(result.SyncFailed, cause, format, args...)
@@ -166,18 +216,16 @@
 		return l.diskFullOrFail(err, "segment cannot be created")
 	}
 	frame := encodeFrame(checksumSeed(l.identity, number), l.sequence+1, l.header())
-	if _, err := f.Write(frame); err != nil {
+	if err := l.writeSegmentHeader(f, frame); err != nil {
 		f.Close()
-		if removeErr := l.fs.Remove(path); removeErr != nil {
-			return l.failPermanently(removeErr, "unfinished segment cannot be removed")
-		}
-		return l.diskFullOrFail(err, "segment cannot be written")
-	}
-	if err := f.Sync(); err != nil {
-		return l.failPermanently(err, "new segment cannot be synced")
-	}
-	if err := l.fs.SyncDir(l.folder); err != nil {
-		return l.failPermanently(err, "data folder cannot be synced")
+		// The removal must be durable: the frames that follow in the segment before have
+		// the sequence numbers of this one.
+		return l.undoWrite(err, func() error {
+			if err := l.fs.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+				return err
+			}
+			return l.fs.SyncDir(l.folder)
+		}, "segment %d cannot be created", number)
 	}
 	l.activeFile, l.number = f, number
 	l.sequence++
@@ -186,6 +234,17 @@
 	return nil
 }
 
+// writeSegmentHeader writes the first frame of a segment file and makes both durable.
+func (l *Log) writeSegmentHeader(f File, frame []byte) error {
+	if _, err := f.Write(frame); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	return l.fs.SyncDir(l.folder)
+}
+
 // header returns the records of the first frame of a segment.
 func (l *Log) header() []Record {
 	id := binary.LittleEndian.AppendUint64(nil, l.identity)
--- a/pkg/wal/open.go
+++ b/pkg/wal/open.go
@@ -36,13 +36,16 @@
 		o.NewIdentity = randomIdentity
 	}
 	if err := l.fs.MkdirAll(folder); err != nil {
-		return nil, nil, result.Wrap(result.SyncFailed, err, "data folder cannot be created")
+		return nil, nil, l.diskFullOrFail(err, "data folder cannot be created")
 	}
 	lock, err := l.fs.Lock(filepath.Join(folder, lockFileName))
 	if err != nil {
 		if _, ok := result.CodeOf(err); ok {
 			return nil, nil, err
 		}
+		if isDiskFull(err) {
+			return nil, nil, l.diskFullOrFail(err, "data folder cannot be locked")
+		}
 		return nil, nil, result.Wrap(result.FolderLocked, err, "data folder cannot be locked")
 	}
 	l.lock = lock
@@ -127,7 +130,7 @@
 	}
 	// The folder may have been created by Open.
 	if err := l.fs.SyncDir(filepath.Dir(l.folder)); err != nil {
-		return nil, l.failPermanently(err, "parent folder cannot be synced")
+		return nil, l.diskFullOrFail(err, "parent folder cannot be synced")
 	}
 	return &Recovered{Identity: identity}, nil
 }
@@ -187,10 +190,10 @@
 		return nil
 	}
 	if err := f.Truncate(s.bytes); err != nil {
-		return l.failPermanently(err, "segment %d cannot be truncated", s.number)
+		return l.diskFullOrFail(err, fmt.Sprintf("segment %d cannot be truncated", s.number))
 	}
 	if err := f.Sync(); err != nil {
-		return l.failPermanently(err, "segment %d cannot be synced", s.number)
+		return l.diskFullOrFail(err, fmt.Sprintf("segment %d cannot be synced", s.number))
 	}
 	return nil
 }
--- a/pkg/wal/replay.go
+++ b/pkg/wal/replay.go
@@ -64,7 +64,7 @@
 	}
 	path := filepath.Join(l.folder, fmt.Sprintf(segmentFilePattern, s.number))
 	if err := l.fs.Remove(path); err != nil {
-		return l.failPermanently(err, "segment %d cannot be removed", s.number)
+		return l.diskFullOrFail(err, fmt.Sprintf("segment %d cannot be removed", s.number))
 	}
 	return nil
 }
--- a/pkg/wal/snapshot.go
+++ b/pkg/wal/snapshot.go
@@ -57,7 +57,7 @@
 }
 
 // SaveSnapshot writes the snapshot atomically. After DiskFull the log is
-// unchanged. If the snapshot of another host replaces the log, the caller must
+// unchanged and goes on, but Open may find the snapshot. If the snapshot of another host replaces the log, the caller must
 // then append a KindReset record and call Sync; Open does so if a crash came
 // first.
 func (l *Log) SaveSnapshot(s Snapshot) error {
@@ -75,27 +75,37 @@
 	if err != nil {
 		return l.diskFullOrFail(err, "temporary file cannot be created")
 	}
+	if err := writeAndClose(f, content); err != nil {
+		return l.removeTemporary(err, name+" cannot be written")
+	}
+	if err := l.fs.Rename(temporary, filepath.Join(l.folder, name)); err != nil {
+		return l.removeTemporary(err, name+" cannot be renamed")
+	}
+	if err := l.fs.SyncDir(l.folder); err != nil {
+		return l.diskFullOrFail(err, "data folder cannot be synced")
+	}
+	return nil
+}
+
+func writeAndClose(f File, content []byte) error {
 	if _, err := f.Write(content); err != nil {
 		f.Close()
-		if removeErr := l.fs.Remove(temporary); removeErr != nil {
-			return l.failPermanently(removeErr, "temporary file cannot be removed")
-		}
-		return l.diskFullOrFail(err, name+" cannot be written")
+		return err
 	}
 	if err := f.Sync(); err != nil {
 		f.Close()
-		return l.failPermanently(err, "%s cannot be synced", name)
-	}
-	if err := f.Close(); err != nil {
-		return l.failPermanently(err, "%s cannot be closed", name)
+		return err
 	}
-	if err := l.fs.Rename(temporary, filepath.Join(l.folder, name)); err != nil {
-		return l.diskFullOrFail(err, name+" cannot be renamed")
-	}
-	if err := l.fs.SyncDir(l.folder); err != nil {
-		return l.failPermanently(err, "data folder cannot be synced")
+	return f.Close()
+}
+
+// removeTemporary frees the space of the temporary file, which no other file depends on,
+// and returns DiskFull if the disk is full. Any other cause is permanent.
+func (l *Log) removeTemporary(cause error, message string) error {
+	if isDiskFull(cause) {
+		_ = l.fs.Remove(filepath.Join(l.folder, temporaryFileName)) // the next one replaces what is left
 	}
-	return nil
+	return l.diskFullOrFail(cause, message)
 }
 
 // Compact removes the snapshots before index and the segments that hold no entry
@@ -103,35 +113,48 @@
 // segments is removed, because a later segment may replace entries of an earlier
 // one. A removal that a power failure undoes is repeated by a later Compact. A
 // new segment is started first, so that the next Open does not read entries that
-// the snapshot covers; on a full disk the active segment stays in use.
+// the snapshot covers; on a full disk the active segment stays in use, and what cannot
+// be removed stays until a later Compact.
 func (l *Log) Compact(index uint64) error {
 	if l.failure != nil {
 		return l.failure
 	}
 	if l.activeBytes >= minRotateBytes {
-		if err := l.rotate(); err != nil && l.failure != nil {
+		err := l.finishUndo()
+		if err == nil {
+			err = l.rotate()
+		}
+		if err != nil && l.failure != nil {
 			return err
 		}
 	}
+	if err := l.removeBefore(index); err != nil && !isDiskFull(err) {
+		return l.failPermanently(err, "segments and snapshots before %d cannot be removed", index)
+	}
+	return nil
+}
+
+// removeBefore removes the segments and snapshots that the snapshot at index replaces.
+func (l *Log) removeBefore(index uint64) error {
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
 		name := fmt.Sprintf(segmentFilePattern, l.segments[0].number)
 		if err := l.fs.Remove(filepath.Join(l.folder, name)); err != nil {
-			return l.failPermanently(err, "segment cannot be removed")
+			return err
 		}
+		l.segments = l.segments[1:]
 		if err := l.fs.SyncDir(l.folder); err != nil {
-			return l.failPermanently(err, "data folder cannot be synced")
+			return err
 		}
-		l.segments = l.segments[1:]
 	}
 	names, err := l.fs.List(l.folder)
 	if err != nil {
-		return l.failPermanently(err, "data folder cannot be listed")
+		return err
 	}
 	keep := fmt.Sprintf(snapshotFilePattern, index)
 	for _, name := range names {
 		if strings.HasSuffix(name, ".snap") && name < keep {
 			if err := l.fs.Remove(filepath.Join(l.folder, name)); err != nil {
-				return l.failPermanently(err, "snapshot cannot be removed")
+				return err
 			}
 		}
 	}
