Ask other hosts after a refusal for a full disk

Operators and routers got 502 disk_full for a change or a keyed request although another host accepts changes within seconds: the client took the code as one that every other host would return. But the disk of one host is full, and that host gives up the lead.

The client goes on until its deadline. A refused attempt cannot take effect later, so it does not make the outcome unknown; if an earlier attempt did, the error at the deadline is no_quorum, not disk_full, which states that nothing was changed.

TestFullDiskOfOneHostIsNotFinal failed before: call_test.go:52: assertion failed: error is not nil: 502 disk_full: refused

--- a/pkg/controlclient/call.go
+++ b/pkg/controlclient/call.go
@@ -57,11 +57,15 @@
 			return zero, mayBeLate, err
 		}
 		c.recordFailure(address, leader)
-		if code, _ := result.CodeOf(err); code != result.NotLeader {
-			mayBeLate = true // a host that does not lead passes nothing on
+		code, _ := result.CodeOf(err)
+		if code != result.NotLeader && code != result.DiskFull {
+			mayBeLate = true // a host that does not lead or has no space passes nothing on
 		}
 		select {
 		case <-ctx.Done():
+			if code == result.DiskFull && mayBeLate {
+				err = result.Wrap(result.NoQuorum, err, "an earlier attempt may take effect")
+			}
 			return zero, mayBeLate, withResultCode(err)
 		case <-time.After(backoff/2 + rand.N(backoff)):
 		}
@@ -107,10 +111,15 @@
 	return result.Code(n), err == nil
 }
 
-// isFinal reports whether every other host would return the same error.
+// isFinal reports whether every other host would return the same error. A host with a
+// full disk gives up the lead, so another one may accept the call.
 func isFinal(err error) bool {
 	if code, ok := result.CodeOf(err); ok {
-		return code != result.NotLeader && code != result.NoQuorum && code != result.SyncFailed && code != result.ShuttingDown
+		switch code {
+		case result.NotLeader, result.NoQuorum, result.SyncFailed, result.ShuttingDown, result.DiskFull:
+			return false
+		}
+		return true
 	}
 	switch status.Code(err) {
 	case codes.InvalidArgument, codes.Unimplemented, codes.PermissionDenied, codes.Unauthenticated, codes.ResourceExhausted:
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -58,7 +58,7 @@
 	{NotAuthorized, "not_authorized", 0, "The operator credential was refused."},
 	{FenceStale, "fence_stale", 0, "A newer holder has the fencing number."},
 	{LogDamaged, "log_damaged", 0, "A record in the middle of the log is damaged. Replace the control host."},
-	{DiskFull, "disk_full", 0, "The disk of the data folder is full."},
+	{DiskFull, "disk_full", 0, "The disk of the data folder is full. The host gives up the lead."},
 	{FolderLocked, "folder_locked", 0, "Another process uses the data folder."},
 	{InvalidSettings, "invalid_settings", 0, "Correct the settings; the message names file and line."},
 	{SyncFailed, "sync_failed", 0, "A sync of the data folder failed; the process stopped."},
