Keep the leader on a host whose disk is full

Changes and reads at a host with a full disk were refused for as long as it was full, although another host led: each write that failed made the host forget the leader, until the next heartbeat, and a host that had given up the lead never learned of the next one, whose term it cannot write.

Rollback keeps the leader of the last message of a follower. It is a hint only: a host that does not lead refuses what is passed to it.

--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -369,6 +369,32 @@
 	}
 }
 
+// Guards against a host with a full disk that refuses changes and reads although it knows
+// from its messages which host leads: a follower, and one that has just given up the lead.
+func TestHostWithFullDiskPassesCallsOn(t *testing.T) {
+	const calls = 10
+	c, disks := newTestCoreWithFaultyDisks(t)
+	agreed := c.submitUntilAgreed(1)
+	for range 2 {
+		full := c.waitLeader()
+		disks[full].FailWrites.Store(true)
+		agreed = max(agreed, c.submitUntilAgreed(1, 2, 3))
+		accepted, read := 0, 0
+		for range calls {
+			if c.submit(full) {
+				accepted++
+				agreed = c.version
+			}
+			if v, ok := c.read(full); ok {
+				read++
+				assert.Assert(t, v >= agreed, "read version %d, %d was committed", v, agreed)
+			}
+		}
+		assert.Assert(t, accepted > calls/2 && read > calls/2, "host %d: of %d each, %d changes accepted, %d reads answered", full, calls, accepted, read)
+		disks[full].FailWrites.Store(false)
+	}
+}
+
 // eventRecorder is a feed.Handler that records the events of a core host.
 type eventRecorder struct{ events chan *apiv1.FleetEvent }
 
--- a/pkg/raft/full_disk_test.go
+++ b/pkg/raft/full_disk_test.go
@@ -199,3 +199,28 @@
 		}
 	}
 }
+
+// Guards against a host with a full disk that cannot pass calls on, because it forgets the
+// leader with each write that fails: a follower, and one that gave up the lead and cannot
+// write the term of the next leader.
+func TestHostWithFullDiskKnowsTheLeader(t *testing.T) {
+	s, full := newSimWithLeader(t, 3)
+	for range 2 {
+		full.diskFull = true
+		s.propose(full)
+		s.processReady(full, noCrash)
+		s.runRounds(maxRoundsToCommit)
+		l := s.leader()
+		assert.Assert(t, l != nil && l != full)
+		for range maxRoundsToCommit {
+			s.propose(l)
+			s.processReady(l, noCrash)
+			s.runRounds(1)
+			assert.Equal(t, full.node.Status().Leader, l.id)
+		}
+		full.diskFull = false
+		s.runRounds(maxRoundsToCommit)
+		full = l
+	}
+	assert.NilError(t, s.violation)
+}
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -205,8 +205,13 @@
 // Rollback must be called instead of Advance when nothing of the last Ready
 // could be made durable, for example on a full disk, and none of its messages
 // were sent. The node returns to its durable state as a follower. The driver must
-// treat all reads as failed.
+// treat all reads as failed. A follower keeps the leader of its last message, also of a
+// term that is not durable, because it can pass calls on to it.
 func (n *Node) Rollback() {
+	leaderID := uint64(0)
+	if n.role == Follower {
+		leaderID = n.leaderID
+	}
 	if n.logBeforeInstall != nil {
 		n.log, n.snapshot = *n.logBeforeInstall, n.snapshotBeforeInstall
 	}
@@ -216,7 +221,7 @@
 	}
 	n.installingSnapshot, n.logBeforeInstall = nil, nil
 	n.hardState = n.durableHardState
-	n.becomeFollower(n.hardState.Term, 0)
+	n.becomeFollower(n.hardState.Term, leaderID)
 	n.outgoingMessages, n.completedReads = nil, nil
 }
 
