Confirm take-ups at routers by a majority of the control hosts

A router passes a request with Last-Event-Id on where operators state that a service has one version, or where nobody states anything. A router that is cut off from control, or has stood still, kept the statement before without an end, so its callers' streams went on at a server of any version after operators had stated several.

TestTakeUpIsRefusedAtARouterThatIsOutOfStep before, with a control that confirms nothing (the same with one that is silent, and with one that has a newer statement):

confirm_test.go:69: assertion failed: expression is false: resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerResult) == c.code && resp.Header.Get(headerExecuted) == "no": 200 data: after 7 confirm_test.go:71: assertion failed: 1 (int64) != 0 (int64): sent to a server

What a router knows alone now only refuses. Before a take-up goes on, the router asks all control hosts for the first event of a watch after its revision, which the leader confirms by a read barrier that begins after the call, and applies what is new (controlclient.Confirm). It does so when the request comes, so that one that is refused waits for no place, and again when it has a server, because one of a new version can join during the wait (TestTakeUpThatWaitedIsConfirmedAgain). An answer that comes more than 1 s after that is confirmed once more before any of it is sent, for a router that stood still in between (TestOldConfirmationIsRepeatedBeforeTheAnswer). No majority within 300 ms is refused with 129, not run. Take-ups that come together share the confirmations. Routers without control hosts have nothing to ask and work as before.

A take-up that came right after a suspension of the router, before its loop noticed, was judged by what it had heard before. It looks at the age of the last round itself now (TestHeardServersAreDoubtedBeforeTheLoopRuns; before: "the loop has not run since").

The counter requests.take_ups_confirmed counts the confirmations.

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -46,6 +46,7 @@
 	suspects       []uint64 // what servers may crash on, the whole request last
 	isTrial        bool     // tests whether a suspect still crashes servers
 
+	confirmedAt  time.Time // of a take-up, see confirmCatalog; zero before
 	dispatchedAt time.Time // time of the last dispatch to a server, zero before the first
 }
 
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -140,7 +140,7 @@
 		TakesUp:   q.isTakeUp(),
 		Versions: func(stated release.ID) release.Versions {
 			r.servers.noteRelease(time.Now(), q.poolName, stated)
-			return versions()
+			return r.confirmedVersions(q, versions)
 		},
 		PromptTokens:         uint64(q.chat.PromptUnits),
 		InterceptServerError: holdServerError,
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -23,6 +23,7 @@
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/burn"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/confirm"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
 	"jackdawtrack.example/jackdawtrack/pkg/logging"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
@@ -54,6 +55,9 @@
 	Records   Records // nil without control hosts
 	Peers     Peers   // nil without other routers
 	Fences    Fences  // nil turns placement off
+	// Confirm brings Catalog up to everything that was committed before the call, after a
+	// majority of the control hosts has confirmed it. It is nil without control hosts.
+	Confirm func(context.Context) error
 
 	reportInterval time.Duration // set by tests, the constant reportInterval if 0
 }
@@ -96,8 +100,10 @@
 	// came back, in Unix ns. It is 0 if none has.
 	dataCentreChangedAt atomic.Int64
 	ready               atomic.Bool
-	serversHeard        atomic.Bool   // see trackServersHeard
-	closing             chan struct{} // closed when waiting requests must be refused
+	serversHeard        atomic.Bool               // see trackServersHeard
+	heardTrackedAt      atomic.Pointer[time.Time] // last call of trackServersHeard, nil before the first
+	confirmations       *confirm.Shared[struct{}] // of the catalog, nil without control hosts
+	closing             chan struct{}             // closed when waiting requests must be refused
 	closingOnce         sync.Once
 	drainEnd            atomic.Pointer[time.Time] // when running requests are cut, nil before RefuseLate
 	sending             context.Context           // ends with RefuseLate
@@ -109,7 +115,6 @@
 
 	// The following fields are used by the goroutine of Run only.
 	allConnectedAt    time.Time // start of a connection to all live routers of the data centre, zero without
-	heardTrackedAt    time.Time // last call of trackServersHeard, zero before the first
 	lastOwners        map[pool.ShardID]shardOwner
 	lastOwnerConfig   ownerConfig
 	totalsSentAt      time.Time // last exchange, a multiple of the exchange interval
@@ -169,6 +174,7 @@
 	// Request ids of an earlier incarnation must not match grants of this one.
 	r.askTable.lastRequestID = self.Incarnation
 	r.counters = newCounters(r.metrics)
+	r.confirmations = newCatalogConfirmations(deps)
 	r.ready.Store(true)
 	r.sending, r.endSending = context.WithCancel(context.Background())
 	return r
@@ -228,6 +234,7 @@
 	requests, refused, whole, broken, retries, resumes, cancelled metrics.Counter
 	announcements, announcementsRefused                           metrics.Counter
 	serversEnded, quarantined, resumesRefused, takeUpsRefused     metrics.Counter
+	takeUpsConfirmed                                              metrics.Counter
 	waitTime, firstToken                                          metrics.Timer
 }
 
@@ -241,6 +248,7 @@
 		resumes:              metrics.NewRegisteredCounter("requests.resumes", reg),
 		resumesRefused:       metrics.NewRegisteredCounter("requests.resumes_refused", reg),
 		takeUpsRefused:       metrics.NewRegisteredCounter("requests.take_ups_refused", reg),
+		takeUpsConfirmed:     metrics.NewRegisteredCounter("requests.take_ups_confirmed", reg),
 		cancelled:            metrics.NewRegisteredCounter("requests.cancelled", reg),
 		announcements:        metrics.NewRegisteredCounter("announcements", reg),
 		announcementsRefused: metrics.NewRegisteredCounter("announcements.refused", reg),
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -114,6 +114,7 @@
 	}
 	s.control = client
 	deps.Records, deps.Fences = client, client
+	deps.Confirm = func(ctx context.Context) error { return client.Confirm(ctx, s.store) }
 	return nil
 }
 
--- a/pkg/router/versions.go
+++ b/pkg/router/versions.go
@@ -101,11 +101,11 @@
 // that was suspended has missed what was stated meanwhile and may have forgotten what was
 // stated before, so it begins again. It must be called by the goroutine of Run only.
 func (r *Router) trackServersHeard(now time.Time) {
-	if !r.heardTrackedAt.IsZero() && now.Sub(r.heardTrackedAt) > backend.AnnouncementTimeout {
+	if r.wasSuspended(now) {
 		r.serversHeard.Store(false)
 		r.allConnectedAt = time.Time{}
 	}
-	r.heardTrackedAt = now
+	r.heardTrackedAt.Store(&now)
 	if r.serversHeard.Load() {
 		return
 	}
@@ -120,6 +120,19 @@
 	r.serversHeard.Store(now.Sub(r.allConnectedAt) >= backend.AnnouncementTimeout)
 }
 
+// wasSuspended reports whether this process did not run for so long that it has missed
+// what servers stated.
+func (r *Router) wasSuspended(now time.Time) bool {
+	last := r.heardTrackedAt.Load()
+	return last != nil && now.Sub(*last) > backend.AnnouncementTimeout
+}
+
+// hasHeardServers reports whether this router knows what the servers of its data centre
+// state, see trackServersHeard. A request can come before that notices a suspension.
+func (r *Router) hasHeardServers(now time.Time) bool {
+	return r.serversHeard.Load() && !r.wasSuspended(now)
+}
+
 // versionsAt returns versions for a stream that begins now on the server of a grant. A
 // version changes only with the process, so without any statement a process that was
 // replaced meanwhile may have been of another one.
