Count take-ups that go on by the record of one host alone

A take-up goes on by the record of the host that began the stream if no core host answers within 5 ms. Nothing told such a take-up from one that a core host confirmed. The counter edge.streamrecords.own_only does.

--- a/pkg/streamrecord/recorder/find.go
+++ b/pkg/streamrecord/recorder/find.go
@@ -20,6 +20,7 @@
 	waiting map[*link]bool           // core hosts that have not answered
 	unknown bool                     // at least one answered Unknown
 	isLost  bool                     // at least one was lost before its answer
+	isNamed bool                     // at least one has a record of a release
 	isOver  bool
 }
 
@@ -68,6 +69,9 @@
 	for l := range f.waiting {
 		delete(l.open, number)
 	}
+	if a.State == streamrecord.Recorded && !f.isNamed {
+		r.ownOnly.Inc(1)
+	}
 	return a
 }
 
@@ -112,6 +116,7 @@
 	case streamrecord.Conflict:
 		f.finish(a)
 	case streamrecord.Recorded, streamrecord.Sole:
+		f.isNamed = f.isNamed || a.State == streamrecord.Recorded
 		r.setBest(f, a)
 	case streamrecord.Unknown:
 		f.unknown = true
--- a/pkg/streamrecord/recorder/find_test.go
+++ b/pkg/streamrecord/recorder/find_test.go
@@ -139,5 +139,13 @@
 		begun := time.Now()
 		assert.Equal(t, <-states, streamrecord.Recorded)
 		assert.Equal(t, time.Since(begun), conflictTime)
+		assert.Equal(t, r.ownOnly.Count(), int64(1), "no core host has named the release")
+		l.reply(r)
+		go find()
+		synctest.Wait()
+		m = r.nextMessage(time.Now(), l, false)
+		l.reply(r, streamrecord.Answer{Number: m.GetQueries()[0].GetNumber(), State: streamrecord.Recorded, Release: testRecord(1).Release})
+		assert.Equal(t, <-states, streamrecord.Recorded)
+		assert.Equal(t, r.ownOnly.Count(), int64(1), "a core host has the record too")
 	})
 }
--- a/pkg/streamrecord/recorder/link_test.go
+++ b/pkg/streamrecord/recorder/link_test.go
@@ -146,6 +146,7 @@
 	id, state := r.Find(t.Context(), streamrecord.Query{Key: testKey(0), Service: ""})
 	assert.Equal(t, state, streamrecord.Recorded)
 	assert.Equal(t, id, release.ID(1))
+	assert.Equal(t, r.ownOnly.Count(), int64(1))
 	other := testRecord(0)
 	other.Release = 5
 	r.Record(other, false)
--- a/pkg/streamrecord/recorder/recorder.go
+++ b/pkg/streamrecord/recorder/recorder.go
@@ -30,6 +30,7 @@
 	stored      metrics.Counter // records stored by at least one core host
 	dropped     metrics.Counter // records dropped, or no longer waited for, because there were too many
 	unconfirmed metrics.Counter // calls of Find that ended as Unconfirmed
+	ownOnly     metrics.Counter // calls of Find that ended as Recorded by the record of this host alone
 
 	mu         sync.Mutex // guards the fields below and those of the links
 	table      *streamrecord.Table
@@ -53,6 +54,7 @@
 		stored:      metrics.GetOrRegisterCounter("edge.streamrecords.stored", r),
 		dropped:     metrics.GetOrRegisterCounter("edge.streamrecords.dropped", r),
 		unconfirmed: metrics.GetOrRegisterCounter("edge.streamrecords.unconfirmed", r),
+		ownOnly:     metrics.GetOrRegisterCounter("edge.streamrecords.own_only", r),
 		table:       streamrecord.New(maxRecords),
 		links:       map[*link]bool{},
 	}
