Record why a request at a silent server got no second attempt

Cause: request lines had the reason only if an attempt had failed.

Change: lines have second_refusal, and edge.second_refused.* counts the requests by reason. A silence on a route that allows no second attempt is noted too, although no timer asks for one then.

No decision changes.

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -12,7 +12,6 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
-	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
@@ -103,11 +102,13 @@
 	unsent       int
 	mayHaveRun   bool
 	outcomes     []string
+	heardAt      time.Time       // when events were forwarded last, or the start
+	refusal      dispatch.Reason // why the last silence led to no second attempt, "" if it did
 }
 
 func (x *proxiedRequest) newHedge(first *serverExchange) *hedge {
 	return &hedge{
-		x: x, first: first, startedAt: time.Now(), began: x.headSent, lastEventID: x.sseParser.lastID,
+		x: x, first: first, startedAt: time.Now(), heardAt: time.Now(), began: x.headSent, lastEventID: x.sseParser.lastID,
 		mayRepeat: x.route.RetryPolicy != routing.AtMostOnce && !x.isTrial, sentBefore: append(slices.Clone(x.sentTo), first.decision.Address),
 	}
 }
@@ -116,6 +117,7 @@
 func (h *hedge) progressed() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.noteSilence()
 	h.cancelSecond()
 }
 
@@ -124,7 +126,7 @@
 func (h *hedge) forwarded(lastEventID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.began, h.lastEventID = true, lastEventID
+	h.began, h.lastEventID, h.heardAt = true, lastEventID, time.Now()
 	h.cancelSecond()
 }
 
@@ -163,11 +165,9 @@
 		return false
 	}
 	began, lastEventID := h.began, h.lastEventID
-	mayHedge := h.mayRepeat && (!began || h.x.route.RetryPolicy == routing.Resumable && lastEventID != "") &&
-		h.x.sentAttempts+h.sent+1 < h.x.route.MaxAttempts && h.unsent < maxUnsentAttempts
 	var second *serverExchange
-	if mayHedge {
-		second = h.x.beginHedge(h.first, h.first.decision.Address, began)
+	if h.refusal = h.refusalByRoute(began, lastEventID); h.refusal == "" {
+		second, h.refusal = h.x.beginHedge(h.first, h.first.decision.Address, began)
 	}
 	if second == nil {
 		h.mu.Unlock()
@@ -228,7 +228,7 @@
 	}
 	mayRepeat := h.x.sentAttempts+h.sent+2 < h.x.route.MaxAttempts && !(h.firstEnded && h.x.s.suspectsAgain(h.x.suspects))
 	if mayRepeat && !second.arrival.HasUnread() {
-		h.next = h.x.beginHedge(second, h.first.decision.Address, h.began)
+		h.next, h.refusal = h.x.beginHedge(second, h.first.decision.Address, h.began)
 	}
 	if h.next == nil {
 		h.silence.Reset(inactivityRecheckInterval)
@@ -319,33 +319,29 @@
 	h.x.sentTo = append(h.x.sentTo, h.secondSentTo...)
 	h.x.mayHaveRun = h.x.mayHaveRun || h.mayHaveRun
 	h.x.outcomes = append(h.x.outcomes, h.outcomes...)
+	h.noteSilence()
+	h.x.secondRefusal = h.refusal
 }
 
-// beginHedge returns an exchange with another server than that of running, nil if there
-// is none or no retry budget. It fetches nothing from the address of the first server.
+// beginHedge returns an exchange with another server than that of running, nil and the
+// reason if there is none. It fetches nothing from the address of the first server.
 // began states that events were forwarded, so the release of the stream must be known.
-func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string, began bool) *serverExchange {
+func (x *proxiedRequest) beginHedge(running *serverExchange, firstAddress string, began bool) (*serverExchange, dispatch.Reason) {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	if began && !x.mayGoOnLocked() {
-		return nil
-	}
 	now := time.Now()
-	if action, _ := x.s.quarantine.Check(now, x.suspects); action != quarantine.Allow || !began && x.s.isTooLate(x.in) {
-		return nil
-	}
-	if !x.s.retryBudget.canSpend(x.dispatchReq.Service) {
-		return nil
+	if refusal := x.hedgeRefusal(now, began); refusal != "" {
+		return nil, refusal
 	}
 	r, v := x.s.dispatcher.Hedge(now, running.dispatchReq, running.decision.Server)
 	if r == nil {
-		return nil
+		return nil, reasonNoPlace
 	}
 	x.s.retryBudget.spend(x.dispatchReq.Service)
 	if v.FetchFrom == firstAddress {
 		v.FetchFrom = "" // the silent server would delay the fetch
 	}
-	return x.newExchange(v, r)
+	return x.newExchange(v, r), ""
 }
 
 // awaitBegin sends the request to a second server and waits until it has begun to
--- a/pkg/edge/late_test.go
+++ b/pkg/edge/late_test.go
@@ -91,7 +91,7 @@
 						x.s.RefuseLate(time.Now().Add(10 * time.Second))
 						time.Sleep(c.late - time.Millisecond)
 					}
-					second := x.beginHedge(&serverExchange{dispatchReq: x.dispatchReq, decision: v}, "", false)
+					second, _ := x.beginHedge(&serverExchange{dispatchReq: x.dispatchReq, decision: v}, "", false)
 					assert.Equal(t, second == nil, late, "a second attempt")
 					assert.Equal(t, x.dropLate(), late)
 					if late {
--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -141,8 +141,10 @@
 			x.s.dispatcher, x.s.retryBudget, x.s.quarantine = d, newRetryBudget(RetryBudget{Extra: 50}), quarantine.New(1)
 			x.dispatchReq.Release, x.start.doubtful = c.release, c.doubtful
 			first := x.goOnAt("first")
-			assert.Equal(t, x.beginHedge(first, "", true) != nil, c.want)
-			assert.Assert(t, x.beginHedge(first, "", false) != nil, "nothing was sent to the caller")
+			second, _ := x.beginHedge(first, "", true)
+			assert.Equal(t, second != nil, c.want)
+			second, _ = x.beginHedge(first, "", false)
+			assert.Assert(t, second != nil, "nothing was sent to the caller")
 		})
 	}
 }
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -89,6 +89,7 @@
 	outcomes          []string
 	lastError         error           // error of the last failed attempt
 	retryRefusal      dispatch.Reason // why there was no server for another attempt, "" if none was asked for
+	secondRefusal     dispatch.Reason // why a silent server led to no second attempt, "" if none was silent or it did
 	replacement       *serverExchange // attempt that has begun to answer in place of a silent server, nil if none
 	closeReason       closeReason     // "" unless the connection was closed without a complete response
 }
@@ -465,6 +466,7 @@
 		outcome = x.outcomes[len(x.outcomes)-1]
 	}
 	x.s.metrics.recordOutcome(outcome, x.timeToFirst)
+	x.recordSecondRefusal()
 	if outcome == "refused" && !x.s.refusalLogLimiter.Allow() {
 		x.s.unloggedRefusals.Add(1)
 		return
@@ -476,7 +478,7 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "closed": x.closeReason, "trial": x.isTrial,
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "second_refusal": x.secondRefusal, "closed": x.closeReason, "trial": x.isTrial,
 		"resumes": fmt.Sprintf("%.64s", x.in.Resumes), "last_event": fmt.Sprintf("%.64s", x.in.LastEventID), "releases": x.releases, "found": x.found, "found_age_ms": x.foundAge.Milliseconds(),
 		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
