Read on after net/http has refused a head

Callers saw: a reset in place of, or right after, status 400 or 501. A caller that still writes when the reset arrives does not read the answer.

Cause: after these statuses net/http closes the connection at once, and the kernel resets a connection that is closed with unread bytes.

TestRefusalOfHeadIsNotLostToAReset failed before with (400 and 501) read: connection reset by peer: the connection was reset

Change, on both paths: after a refusal of a head the sending side is closed, and what the caller sends is read until it closes, for at most 0.2 s as after the notice of a close. Status 431 and 417 passed before; TLS connections are as before.

--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -1,7 +1,9 @@
 package callers
 
 import (
+	"bytes"
 	"io"
+	"net/http"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/result"
@@ -29,11 +31,11 @@
 	if c.TCPConn.SetDeadline(time.Now().Add(noticeTime)) != nil {
 		return // closed meanwhile
 	}
-	if _, err := io.WriteString(c.TCPConn, closeNotice); err != nil || c.TCPConn.CloseWrite() != nil {
+	if _, err := io.WriteString(c.TCPConn, closeNotice); err != nil {
 		return // the caller has left
 	}
 	c.setAnnounced()
-	crossed, _ := io.Copy(io.Discard, c.TCPConn) // ends with the close or the deadline
+	crossed := c.awaitClose()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.begun { // otherwise it is the rest of a late head
@@ -41,6 +43,27 @@
 	}
 }
 
+// awaitClose ends the sending side and reads until the caller has closed the connection, or
+// the read deadline. It returns the number of bytes.
+func (c *callerConn) awaitClose() int64 {
+	if c.TCPConn.CloseWrite() != nil {
+		return 0 // the caller has left
+	}
+	n, _ := io.Copy(io.Discard, c.TCPConn)
+	return n
+}
+
+// refusesHead records and reports whether p is a response of net/http to a head that no
+// handler gets.
+func (c *callerConn) refusesHead(p []byte) bool {
+	const status = len("HTTP/1.1 ")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refuses := !c.handled && !c.encrypted && c.state == http.StateActive && len(p) > status && bytes.HasPrefix(p, []byte("HTTP/1.")) && p[status] >= '4'
+	c.refused = refuses && c.readErr == nil // otherwise the caller has left
+	return refuses
+}
+
 func (c *callerConn) setAnnounced() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -169,6 +169,8 @@
 		return closeCrossed
 	case c.handled, last == http.StateIdle && !received:
 		return ""
+	case c.refused:
+		return closeHeadInvalid
 	case errors.Is(c.readErr, net.ErrClosed):
 		return closeHostStopped
 	case last == http.StateNew && isTLS:
--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -20,11 +20,21 @@
 	s.writeLimit = limit
 }
 
-// Write implements net.Conn. One deadline for the whole write would cut callers that read
+// Write implements net.Conn. After a refusal of a head, which net/http writes in one piece
+// before it closes the connection, it waits for the caller to close.
+func (c *callerConn) Write(p []byte) (written int, err error) {
+	written, err = c.writeLimited(p)
+	if err == nil && c.refusesHead(p) && c.TCPConn.SetReadDeadline(time.Now().Add(noticeTime)) == nil {
+		c.awaitClose()
+	}
+	return written, err
+}
+
+// writeLimited is Write with the write limit. One deadline for the whole write would cut callers that read
 // all the time, but slowly. A blocked write is begun again because the kernel then takes
 // bytes as soon as any of its buffer is free, and otherwise when a third of it is: the
 // buffer can have several MB.
-func (c *callerConn) Write(p []byte) (written int, err error) {
+func (c *callerConn) writeLimited(p []byte) (written int, err error) {
 	progressAt := time.Now()
 	for c.extendWrite() {
 		n, err := c.TCPConn.Write(p[written:])
