Read the rest of a head that is unread at the head timeout

Callers saw: status 408, or a closed connection, for a request whose whole head had arrived, at a host that stood still for as long as the head timeout had left.

Cause: at the head timeout only a request of which nothing had been read was read on. With a part of the head read, the rest counted as late although it was unread at the socket.

Change, on both paths: if bytes are unread then, the head gets one more second, once. So a caller that sends single bytes cannot hold its connection (TestLateHeadIsReadForABoundedTime). TLS connections are as before.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -25,6 +25,7 @@
 	begun      bool // bytes of the next request have arrived
 	early      bool // net/http has read a byte of the next request while a request runs
 	closing    bool // the wait for a request was ended
+	extended   bool // the time for the head of the next request was extended
 	announced  bool // the caller was told that the connection is closed
 	crossed    int  // bytes that were received after the wait for a request was ended
 	read       int  // bytes of the current request that were read from the socket, and any after it
@@ -48,8 +49,8 @@
 }
 
 // firstBytesTime bounds the time to the fourth byte of a request that arrives when the idle
-// timeout ends, and to the end of the head of a first request that arrives when the head
-// timeout ends. It covers a lost packet.
+// timeout ends, and to the end of a head of which bytes are unread when the head timeout
+// ends. It covers a lost packet.
 const firstBytesTime = time.Second
 
 // endOfHead separates the head of a request from its body.
@@ -63,7 +64,7 @@
 	n, err := c.TCPConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsHead() {
 		c.endIdleTime()
-		if c.continueWait() {
+		if c.continueWait() || c.continueHead() {
 			n, err = c.TCPConn.Read(p)
 		} else {
 			c.announceClose()
@@ -180,6 +181,20 @@
 	return true
 }
 
+// continueHead reports whether bytes of a head that has begun to arrive are unread at its
+// deadline: a host that stands still reads a head late that was sent in time. The head gets
+// firstBytesTime, once, so that a caller cannot hold the connection by single bytes.
+func (c *callerConn) continueHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state, err := netpeek.Peek(c.TCPConn)
+	if !c.begun || c.extended || err != nil || !state.UnreadData {
+		return false
+	}
+	c.extended = true
+	return c.TCPConn.SetReadDeadline(time.Now().Add(firstBytesTime)) == nil
+}
+
 // SetReadDeadline implements net.Conn. net/http sets the deadline of an idle connection,
 // and another one when it has four bytes of the next request.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
@@ -199,7 +214,7 @@
 func (c *callerConn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.deadlines = idle, 0
+	c.idle, c.deadlines, c.extended = idle, 0, false
 	if idle {
 		c.read, c.headEnd = 0, 0
 		if c.early {
