Tell callers with unused connections that a host stops

Callers saw: a reset for the first request on a connection that was opened ahead of time, if it crossed the end of a planned stop. The stop lasted for its whole grace period because of such a connection.

Cause: only connections that had carried a request counted as idle. One without a request was closed at the end without the notice (callers.closed.host_stopped).

TestUnusedConnectionIsToldOfTheStop failed before, for both steps of a stop, with unused_test.go:30: assertion failed: error is not nil: read tcp ...: i/o timeout: the connection ended without an answer

Change, on both paths: a stop closes connections on which nothing has arrived as it closes idle ones, with status 408, when they have been open for longer than the limit for idle ones, at least 0.1 s. Connections with TLS are as before.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -224,6 +224,14 @@
 	c.begun, c.early = idle && c.early, false
 }
 
+// isUnused reports whether nothing has arrived on the connection and the wait for its first
+// request goes on.
+func (c *callerConn) isUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == http.StateNew && !c.begun && !c.closing
+}
+
 // endWait ends the wait for a request, after which net/http closes the connection. It
 // reports false if a request has begun to arrive.
 func (c *callerConn) endWait() bool {
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -39,6 +39,9 @@
 	// closeCheckInterval in the last part of the grace period, of a few hundred ms.
 	drainCheckInterval = 100 * time.Millisecond
 	closeCheckInterval = 50 * time.Millisecond
+	// unusedTime is how long a stop waits at least for the first request on a connection: a
+	// round trip to a distant caller.
+	unusedTime = 100 * time.Millisecond
 )
 
 // pastDeadline is a read deadline that ends a blocked read at once.
@@ -135,6 +138,7 @@
 		case <-ticker.C:
 		}
 		s.closeIdle(DrainIdle)
+		s.closeUnused(DrainIdle)
 		if s.OpenCount() > 0 {
 			empty = time.Now()
 		}
@@ -150,6 +154,7 @@
 	ticker := time.NewTicker(closeCheckInterval)
 	defer ticker.Stop()
 	for s.closeIdle(limit); s.OpenCount() > 0; s.closeIdle(limit) {
+		s.closeUnused(limit)
 		select {
 		case <-ctx.Done():
 			if s.CutCount() == 0 {
@@ -223,6 +228,34 @@
 	}
 }
 
+// closeUnused closes connections on which nothing has arrived for longer than limit, at
+// least unusedTime, since they were opened.
+func (s *ConnTracker) closeUnused(limit time.Duration) {
+	closed := 0
+	for _, c := range s.unusedConns(max(limit, unusedTime)) {
+		if peeked, err := netpeek.Peek(c.TCPConn); err == nil && !peeked.UnreadData && c.endWait() {
+			closed++
+		}
+	}
+	if closed > 0 {
+		s.log.WithField("closed", closed).Info("closed unused connections")
+	}
+}
+
+// unusedConns returns the connections without TLS that have waited for their first request
+// for longer than limit.
+func (s *ConnTracker) unusedConns(limit time.Duration) []*callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*callerConn
+	for c := range s.open {
+		if tracked, ok := c.(*callerConn); ok && time.Since(tracked.openedAt) > limit && tracked.isUnused() {
+			out = append(out, tracked)
+		}
+	}
+	return out
+}
+
 // transport returns the TCP connection below a TLS connection, and any other connection
 // as it is.
 func transport(c net.Conn) net.Conn {
