Record a small response that could not be written

A response of a few KB was recorded as whole although its caller never got it: net/http keeps it in its buffer until the handler has returned, and reports no error of the write after that. The write fails when an earlier response on the connection keeps the kernel's buffers full and the caller reads nothing, or when the host closes the connection at the end of a stop.

Change: an edge host flushes a buffered response. Head and body are still written in one piece, as its length is known.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -290,11 +290,12 @@
 	x.w.WriteHeader(h.status)
 	for _, block := range h.body {
 		_, err := x.w.Write(block) // fails only if the caller has left or reads nothing
-		x.recordWriteError(err)
 		if err != nil {
+			x.recordWriteError(err)
 			return
 		}
 	}
+	x.recordWriteError(http.NewResponseController(x.w).Flush()) // net/http does not report whether it could write what it holds
 }
 
 // preserveContentType prevents net/http from sniffing a Content-Type if the
--- a/pkg/edge/caller_write_test.go
+++ b/pkg/edge/caller_write_test.go
@@ -127,3 +127,23 @@
 		})
 	}
 }
+
+// Guards against a response of a few KB that is recorded as whole although it could not be
+// written: it fits into the buffer of net/http, which an earlier response keeps full.
+func TestSmallResponseThatCannotBeWrittenIsRecorded(t *testing.T) {
+	for name, c := range map[string]struct {
+		err    error
+		closed closeReason
+	}{
+		"written":                  {nil, ""},
+		"the caller reads nothing": {os.ErrDeadlineExceeded, closeCallerStalled},
+		"the host has closed it":   {net.ErrClosed, closeHostStopped},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newAttemptTest().proxiedRequest
+			x.w = &brokenCaller{ResponseRecorder: httptest.NewRecorder(), writes: 1, err: c.err, next: make(chan string, 1)}
+			x.writeBuffered(&bufferedResponse{status: http.StatusOK, header: http.Header{}, body: [][]byte{[]byte("hello")}})
+			assert.Equal(t, x.closeReason, c.closed)
+		})
+	}
+}
