Record a small response of a router that could not be written

As on edge hosts: the last write of a response stays in the buffer of net/http until the handler has returned, and an error of it is not reported. The request was recorded as whole.

TestSmallResponseThatCannotBeWrittenIsRecorded failed before with unwritten_test.go:50: assertion failed: 0 ok (result.Code) != 205 caller_left (c.code result.Code)

Change: the rest is flushed before the request is recorded, after the server has its place back and a keyed request is recorded, whose answer is stored whole. A failure counts as caller_left and as an aborted response.

--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -40,6 +40,9 @@
 // error follows the header of the response, a stream ends with an error event,
 // and for any other response the connection is closed.
 func (r *Router) finishResponse(q *request, sink *callerSink, report proxy.Report, err *result.Error) {
+	if err == nil {
+		err = sink.flushRest()
+	}
 	r.countOutcome(report, err)
 	r.recordDecision(q, err)
 	r.recordBurn(time.Now(), q, report, err)
--- a/pkg/router/sink.go
+++ b/pkg/router/sink.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -65,8 +66,8 @@
 }
 
 // Write implements proxy.Sink. The last write of a response of known length is
-// not flushed: it is sent when the handler returns, so that a short response
-// shares a packet with its header.
+// not flushed: flushRest sends it once the server has its place back and the result of a
+// keyed request is recorded.
 func (s *callerSink) Write(p []byte) (int, error) {
 	s.extendDeadline()
 	n, err := s.w.Write(p)
@@ -83,6 +84,16 @@
 	return n, s.controller.Flush()
 }
 
+// flushRest sends what Write has left to the end of the handler, which reports no error. It
+// returns CallerLeft if that fails.
+func (s *callerSink) flushRest() *result.Error {
+	s.extendDeadline()
+	if err := s.controller.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return result.Wrap(result.CallerLeft, err, "writing the response to the caller failed")
+	}
+	return nil
+}
+
 // extendDeadline sets the write deadline for the next write.
 func (s *callerSink) extendDeadline() {
 	now := time.Now()
