Test slow HTTP/2 callers of a router

One write has at most 4 KB, the size of a read from the server, and each extends the deadline, so a caller that reads 4 KB per write_timeout is not cut: TestSlowHTTP2CallerGetsItsWholeResponse passes on the code before.

--- a/pkg/router/slow_caller_test.go
+++ b/pkg/router/slow_caller_test.go
@@ -82,3 +82,48 @@
 	assert.Assert(t, err != nil, "the response looks complete")
 	assert.NilError(t, conn.Close())
 }
+
+// Guards against a response over HTTP/2 that is cut although its caller reads all the time,
+// because one write takes longer than the write timeout.
+func TestSlowHTTP2CallerGetsItsWholeResponse(t *testing.T) {
+	t.Parallel()
+	const writeTimeout, pause = time.Second, 200 * time.Millisecond
+	const size, window, step, steps = 1 << 20, 64 << 10, 2 << 10, 5 * writeTimeout / pause
+	s, tr, client := newTLSService(t, "h2", func(c *Config) { c.Limits.WriteTimeout = settings.Duration(writeTimeout) })
+	client.Transport.(*http.Transport).HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: window, MaxReceiveBufferPerConnection: window}
+	_, announce, _, _ := s.Addresses()
+	tr.announce.URL = "http://" + announce
+	graceful, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(graceful, context.Background()) }()
+	t.Cleanup(func() { stop(); assert.NilError(t, <-ended) })
+	server := newRawServer(t, func(c net.Conn, r *http.Request) {
+		size := size
+		if r.URL.Path == "/ready" {
+			size = 1
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", proxy.HeaderRequestID, r.Header.Get(proxy.HeaderRequestID), size)
+		_, _ = c.Write(make([]byte, size))
+	})
+	tr.waitFor(t, "a response", func() bool {
+		tr.announceRawServer(t, "s1", server, backend.Abilities{})
+		resp, err := client.Do(tr.request(t, http.MethodPost, "/services/p/ready", "order", "{}"))
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	resp, err := client.Do(tr.request(t, http.MethodPost, "/services/p/x", "order", "{}"))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.ProtoMajor, 2)
+	for range steps {
+		time.Sleep(pause) // the pace of the caller
+		_, err := io.CopyN(io.Discard, resp.Body, step)
+		assert.NilError(t, err)
+	}
+	rest, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err, "the response was cut")
+	assert.Equal(t, int64(steps)*step+rest, int64(size))
+}
