--- a/pkg/core/recovery_test.go
+++ b/pkg/core/recovery_test.go
@@ -377,7 +377,7 @@
 	agreed := c.submitUntilAgreed(1)
 	for range 2 {
 		full := c.waitLeader()
-		disks[full].FailWrites.Store(true)
+		disks[full].Full.Store(true)
 		agreed = max(agreed, c.submitUntilAgreed(1, 2, 3))
 		accepted, read := 0, 0
 		for range calls {
@@ -391,7 +391,7 @@
 			}
 		}
 		assert.Assert(t, accepted > calls/2 && read > calls/2, "host %d: of %d each, %d changes accepted, %d reads answered", full, calls, accepted, read)
-		disks[full].FailWrites.Store(false)
+		disks[full].Full.Store(false)
 	}
 }
 
