Fill the disk of leaders in the test of linearizable histories

Leaders were cut off and their disks stalled; now the disk of every third one is full until there is another leader.

--- a/pkg/replica/linearizability_test.go
+++ b/pkg/replica/linearizability_test.go
@@ -111,7 +111,7 @@
 }
 
 // Reads must not be stale, and commands must not be lost or applied twice, while
-// leaders are partitioned or their disks stall and they return (F1, F5).
+// leaders are partitioned or their disks stall or are full and they return (F1, F5).
 func TestHistoryIsLinearizable(t *testing.T) {
 	ops := historyOperations
 	if os.Getenv("JACKDAWTRACK_SOAK_SEEDS") != "" {
@@ -169,8 +169,8 @@
 	return g.members[first+1]
 }
 
-// disturbLeaders isolates one leader and stalls the disk of the next, each until
-// there is another leader. No ticks reach a leader during a stall, so it may serve
+// disturbLeaders isolates one leader, stalls the disk of the next and fills that of the
+// one after it, each until there is another leader. No ticks reach a leader during a stall, so it may serve
 // stale reads right after it.
 func (g *group) disturbLeaders(h *history, done chan struct{}) {
 	for round := 0; ; round++ {
@@ -186,19 +186,25 @@
 				others = append(others, id)
 			}
 		}
-		if round%2 == 0 {
+		disk := g.fs[old.config.ID].(*waltest.FaultyDisk)
+		switch round % 3 {
+		case 0:
 			g.net.setIsolated(old.config.Address, true)
 			g.leader(others...)
 			g.net.setIsolated(old.config.Address, false)
-			continue
+		case 1:
+			disk.StallSyncs.Lock()
+			// The stall takes effect only on a sync, so a write is needed.
+			var write sync.WaitGroup
+			write.Go(func() { h.runOperation(g.context(), old, -2, fmt.Sprint("stalled/", round)) })
+			g.leader(others...)
+			disk.StallSyncs.Unlock()
+			write.Wait()
+		case 2:
+			disk.Full.Store(true)
+			h.runOperation(g.context(), old, -2, fmt.Sprint("full/", round))
+			g.leader(others...)
+			disk.Full.Store(false)
 		}
-		disk := g.fs[old.config.ID].(*waltest.FaultyDisk)
-		disk.StallSyncs.Lock()
-		// The stall takes effect only on a sync, so a write is needed.
-		var write sync.WaitGroup
-		write.Go(func() { h.runOperation(g.context(), old, -2, fmt.Sprint("stalled/", round)) })
-		g.leader(others...)
-		disk.StallSyncs.Unlock()
-		write.Wait()
 	}
 }
