Bound the memory of the bodies of callers on an edge host

Callers saw: nothing until the edge host had no memory left. Each body had a maximum size and a deadline, but nothing bounded all of them together, and a body with a stated length took its memory at once. net/http's connections are bounded only softly, so the sum was not.

Bodies share a quarter of the memory of the host, reserved as they arrive and until their request ends; bodies up to 16 KB need no reservation. A body that finds no memory is refused with host_busy and Retry-After: it has not run, and another host may take it. body_memory_full counts refused bodies, on core hosts too. A control call whose stated length is too large is read up to the limit again, as callers are (TestRefusals), so that its sender gets the refusal and no reset.

--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -30,7 +30,7 @@
 	{UnknownRoute, "unknown_route", http.StatusNotFound, "No route of the configuration has this host and path."},
 	{HeadersTooLarge, "headers_too_large", http.StatusRequestHeaderFieldsTooLarge, "The headers are larger than the configuration allows."},
 	{DeadlinePassed, "deadline_passed", http.StatusServiceUnavailable, "The time of the request passed before it was sent to a server."},
-	{HostBusy, "host_busy", http.StatusServiceUnavailable, "The processor of this entry host is used up. Try another entry host."},
+	{HostBusy, "host_busy", http.StatusServiceUnavailable, "The processor or the memory for request bodies of this entry host is used up. Try another entry host."},
 	{PartQuarantined, "part_quarantined", http.StatusBadRequest, "Backend servers crashed on a part of this prompt, so the request was not run. Do not retry it; change the prompt, or ask the operators to release the part."},
 	{RequestQuarantined, "request_quarantined", http.StatusBadRequest, "Backend servers crashed each time that this same request was sent, so it was not run. Do not retry it; change the request, or ask the operators to release it."},
 	{StreamUnknown, "stream_unknown", http.StatusServiceUnavailable, "It is not known which software version began this stream, so the request was not run. Send it again from its beginning, without Last-Event-Id."},
