Count the responses that exceed a bound

The log line of a request names the bound that ended its response in cause, but no metric told whether responses were too large each or together. edge.responses_too_large and edge.response_memory_full do, guarded by TestBoundsOfResponsesAreCounted.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -267,8 +267,10 @@
 		a.outcome, a.err = dispatch.ResponseTimeout, cause
 	case errors.Is(err, errResponseTooLarge) || errors.Is(err, errEventTooLarge):
 		a.outcome = dispatch.InvalidResponse
+		x.s.metrics.responsesTooLarge.Inc(1)
 	case errors.Is(err, errResponseMemory):
 		a.outcome = dispatch.ResponseBufferFull
+		x.s.metrics.responseMemoryFull.Inc(1)
 	default:
 		a.outcome = dispatch.ConnectionLost
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -12,6 +12,9 @@
 	firstResponse metrics.Timer // from arrival to the first event or the complete response
 	queueWait     metrics.Timer // from arrival to the first attempt
 	configVersion metrics.Gauge // version of the configuration in force
+
+	responsesTooLarge  metrics.Counter // responses and events that exceeded their maximum size
+	responseMemoryFull metrics.Counter // responses for which the memory of all was used up
 }
 
 func newMetrics(r metrics.Registry) *edgeMetrics {
@@ -20,6 +23,9 @@
 		firstResponse: metrics.GetOrRegisterTimer("edge.first_answer", r),
 		queueWait:     metrics.GetOrRegisterTimer("edge.wait", r),
 		configVersion: metrics.GetOrRegisterGauge("edge.config_version", r),
+
+		responsesTooLarge:  metrics.GetOrRegisterCounter("edge.responses_too_large", r),
+		responseMemoryFull: metrics.GetOrRegisterCounter("edge.response_memory_full", r),
 	}
 }
 
--- a/pkg/edge/response_memory_test.go
+++ b/pkg/edge/response_memory_test.go
@@ -10,6 +10,8 @@
 	"testing/iotest"
 
 	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 )
 
 // endlessReader is a response body that never ends.
@@ -94,3 +96,23 @@
 	readers.Wait()
 	assert.Equal(t, m.freeBytes, defaultResponseMemoryBytes)
 }
+
+// Guards against operators who cannot tell which bound ended a response.
+func TestBoundsOfResponsesAreCounted(t *testing.T) {
+	x := newAttemptTest()
+	m := x.s.metrics
+	for _, c := range []struct {
+		err               error
+		outcome           dispatch.Outcome
+		tooLarge, exhaust int64
+	}{
+		{io.ErrUnexpectedEOF, dispatch.ConnectionLost, 0, 0},
+		{errResponseTooLarge, dispatch.InvalidResponse, 1, 0},
+		{errEventTooLarge, dispatch.InvalidResponse, 2, 0},
+		{errResponseMemory, dispatch.ResponseBufferFull, 2, 1},
+	} {
+		assert.Equal(t, x.classifyBodyError(t.Context(), attemptResult{}, c.err).outcome, c.outcome)
+		assert.Equal(t, m.responsesTooLarge.Count(), c.tooLarge, "%v", c.err)
+		assert.Equal(t, m.responseMemoryFull.Count(), c.exhaust, "%v", c.err)
+	}
+}
