Wait for the record of the first release of a service

A server serves requests some ms before its release is in the history. Seen once, TestRestOfUndeclaredStreamIsNotOfAnotherVersion beside other work:

undeclared_stream_test.go:26: assertion failed: 503 (rest(name, "4", path).status int) != 200 (http.StatusOK int): Last-Event-Id at /status/x

TestRestWaitsForTheRecordOfTheFirstRelease checks the wait in virtual time.

--- a/pkg/edge/confirmation.go
+++ b/pkg/edge/confirmation.go
@@ -135,6 +135,7 @@
 // and leads the route there. What this host knows alone refuses, but proves nothing: it
 // may have been cut off or have stood still. The state is Sole, Unknown or Unconfirmed.
 func (x *proxiedRequest) soleRelease() (release.ID, streamrecord.State) {
+	x.awaitHistory()
 	if _, ok := x.knownSoleRelease(); !ok {
 		return release.Unknown, streamrecord.Unknown
 	}
@@ -148,6 +149,27 @@
 	return id, streamrecord.Sole
 }
 
+// awaitHistory waits until the history lists a release of the service, for confirmTimeout
+// at most. A server that has just joined serves requests some ms before its release is
+// recorded.
+func (x *proxiedRequest) awaitHistory() {
+	ctx, cancel := context.WithTimeout(x.callerCtx, confirmTimeout)
+	defer cancel()
+	for {
+		x.s.mu.Lock()
+		listed, changed := len(x.s.fleetView.releases[x.dispatchReq.Service].GetReleases()), x.s.fleetView.revisionChanged
+		x.s.mu.Unlock()
+		if listed > 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // knownSoleRelease returns the only release of the service of the route that this host
 // knows, and false if it knows none, several or one that fits nothing, or if the route no
 // longer leads to that service alone.
--- a/pkg/edge/confirmation_test.go
+++ b/pkg/edge/confirmation_test.go
@@ -123,3 +123,24 @@
 		assert.ErrorIs(t, x.s.confirmView(ctx), context.Canceled)
 	})
 }
+
+// Guards against a request that is refused because the release of the first server of its
+// service is recorded some ms later, and against one that waits without end for that.
+func TestRestWaitsForTheRecordOfTheFirstRelease(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			x := newRestTest(2, nil)
+			x.s.fleetView.releases = releaseHistory{}
+			done := make(chan bool, 1)
+			begun := time.Now()
+			go func() { done <- x.bindRest() }()
+			synctest.Wait()
+			assert.Equal(t, len(done), 0)
+			if recorded {
+				x.s.applyState(2, v1)
+			}
+			assert.Equal(t, <-done, recorded)
+			assert.Assert(t, time.Since(begun) <= confirmTimeout)
+		})
+	}
+}
