Require an answer of a core host after a standstill

An entry host that had stood still took up streams that it had begun itself by its own record, before it had heard anything: core hosts end the streams of a silent host, so it knew neither doubts about a release nor servers that had been restarted with another version meanwhile. Such a take-up could be sent to one of these, and its events joined two versions until the announcement arrived.

With the change undone, TestTakeUpRightAfterAStandstillIsNotGuessed and TestOwnRecordNeedsAnAnswerAfterAStandstill fail with

confirmation_test.go:150: assertion failed: x.bindRelease() is true: taken up by the record of this host alone find_test.go:199: assertion failed: recorded (<-state streamrecord.State) != unconfirmed (c.want streamrecord.State)

After a standstill of 0.7 s, by the boot clock that the host watches already and that a take-up looks at itself, the record of this host counts only once a core host has answered the query. One reply to a message that was sent after the standstill ends this. A host in contact that loses all core hosts goes on by its own records as before.

A connection to a core host is used for queries only after its first event was handled, so that the server of a confirmed take-up is chosen by the present list.

--- a/pkg/edge/confirmation_test.go
+++ b/pkg/edge/confirmation_test.go
@@ -13,6 +13,8 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/confirm"
+	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
@@ -124,6 +126,34 @@
 	})
 }
 
+// Guards against a host that has just gone on after a standstill and takes a stream up by
+// its own record alone, before or after its monitor has noticed the standstill.
+func TestTakeUpRightAfterAStandstillIsNotGuessed(t *testing.T) {
+	for name, standStill := range map[string]func(s *Server){
+		"not noticed yet": func(s *Server) {
+			s.checkedAt.Store(int64(bootTime() - suspensionThreshold - hostCheckInterval - time.Second))
+		},
+		"noticed": func(s *Server) {
+			s.dispatcher, s.quarantine = dispatch.New("edge", "z", time.Now()), quarantine.New(1)
+			s.handleSuspension(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newStreamTest()
+				x.s.applyState(1, v1)
+				w := httptest.NewRecorder()
+				x.w, x.headSent, x.in.Resumes = w, false, "id"
+				x.s.checkedAt.Store(int64(bootTime() + time.Hour)) // however slow this test is
+				assert.Assert(t, x.bindRelease(), "without a standstill: %s", w.Body)
+				standStill(x.s)
+				assert.Assert(t, !x.bindRelease(), "taken up by the record of this host alone")
+				assert.Check(t, strings.Contains(w.Body.String(), "records_unread"), w.Body)
+			})
+		})
+	}
+}
+
 // Guards against a request that is refused because the release of the first server of its
 // service is recorded some ms later, and against one that waits without end for that.
 func TestRestWaitsForTheRecordOfTheFirstRelease(t *testing.T) {
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -174,6 +174,7 @@
 		case <-ticker.C:
 		}
 		now, usedNow := bootTime(), processCPUTime()
+		s.checkedAt.Store(int64(now))
 		if gap := now - last; gap > suspensionThreshold+hostCheckInterval {
 			s.handleSuspension(gap)
 		}
@@ -193,6 +194,7 @@
 // handleSuspension notifies the dispatcher that this host was suspended.
 func (s *Server) handleSuspension(gap time.Duration) {
 	s.log.WithField("gap_ms", gap.Milliseconds()).Warn("this host was suspended")
+	s.streamRecords.RequireAnswer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -200,6 +202,15 @@
 	s.quarantine.MarkSuspended(now)
 }
 
+// noticeSuspension does for the records of streams what handleSuspension does: a take-up
+// can come before monitorHost has noticed that this host was suspended.
+func (s *Server) noticeSuspension() {
+	last := time.Duration(s.checkedAt.Load())
+	if last != 0 && bootTime()-last > suspensionThreshold+hostCheckInterval {
+		s.streamRecords.RequireAnswer()
+	}
+}
+
 // bootTime returns the time since the host booted, including suspensions.
 func bootTime() time.Duration {
 	var t unix.Timespec
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -127,6 +127,7 @@
 	} else {
 		q.Place = ""
 	}
+	x.s.noticeSuspension()
 	id, state := x.s.streamRecords.Find(x.callerCtx, q)
 	x.recordFound(state)
 	switch {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -108,6 +108,7 @@
 	streamRecords     *recorder.Recorder
 	confirmations     *confirm.Shared[uint64] // of confirmedRevision
 	cores             coreConns
+	checkedAt         atomic.Int64   // last tick of monitorHost by the boot clock in ns, 0 before the first
 	streamStarts      []*streamStart // of the last restartNoticeTime, oldest first
 	// quarantinedRequests describes refused requests.
 	quarantinedRequests quarantine.Descriptions
--- a/pkg/feed/client.go
+++ b/pkg/feed/client.go
@@ -92,7 +92,7 @@
 // hosts.
 type ConnectionUser interface {
 	// UseConnection is called in a goroutine of its own for each connection to the core
-	// host at the address, after the first event was received. ctx ends with the
+	// host at the address, after the first event was handled. ctx ends with the
 	// connection.
 	UseConnection(ctx context.Context, address string, conn *grpc.ClientConn)
 }
@@ -232,12 +232,15 @@
 		silenceTimer.Reset(StreamIdleTimeout)
 		if !received {
 			c.log.WithField("core", address).Info("stream from core host started")
-			go c.useConnection(ctx, address, conn)
 		}
+		isFirst := !received
 		received = true
 		if err := c.deliver(address, e); err != nil {
 			return received, err
 		}
+		if isFirst { // what is asked on the connection is judged by the state in this event
+			go c.useConnection(ctx, address, conn)
+		}
 	}
 }
 
--- a/pkg/streamrecord/recorder/find.go
+++ b/pkg/streamrecord/recorder/find.go
@@ -17,6 +17,7 @@
 type find struct {
 	result  chan streamrecord.Answer // capacity 1
 	best    *streamrecord.Answer     // that names a release, nil if there is none yet
+	own     *streamrecord.Answer     // record of this host that counts once a core host has answered, nil if there is none
 	waiting map[*link]bool           // core hosts that have not answered
 	unknown bool                     // at least one answered Unknown
 	isLost  bool                     // at least one was lost before its answer
@@ -27,15 +28,21 @@
 // Find returns which release began a stream. It looks at the records of this host and
 // asks all connected core hosts at the same time. A conflict is final. A release is
 // final after conflictTime or when all have answered, because another one may know of a
-// conflict: of an id that began streams at two hosts each has recorded its own. Unknown means that all of them have answered, and
-// Unconfirmed that some did not or could not. The number of the query is not used.
+// conflict: of an id that began streams at two hosts each has recorded its own. After
+// RequireAnswer the record of this host counts from the first answer on. Unknown means
+// that all of them have answered, and Unconfirmed that some did not or could not. The number of the query is not used.
 func (r *Recorder) Find(ctx context.Context, q streamrecord.Query) (release.ID, streamrecord.State) {
 	f := &find{result: make(chan streamrecord.Answer, 1), waiting: map[*link]bool{}}
 	r.mu.Lock()
 	switch id, state := r.table.Get(time.Now(), q.Key); state {
 	case streamrecord.Unknown:
 	case streamrecord.Recorded:
-		r.setBest(f, streamrecord.Answer{State: state, Release: id})
+		own := streamrecord.Answer{State: state, Release: id}
+		if r.needsAnswer {
+			f.own = &own
+		} else {
+			r.setBest(f, own)
+		}
 	default:
 		r.mu.Unlock()
 		return id, state
@@ -112,6 +119,10 @@
 // answered handles the answer of a core host. It requires Recorder.mu.
 func (r *Recorder) answered(f *find, l *link, a streamrecord.Answer) {
 	delete(f.waiting, l)
+	if f.own != nil && a.State != streamrecord.Conflict {
+		r.setBest(f, *f.own)
+		f.own = nil
+	}
 	switch a.State {
 	case streamrecord.Conflict:
 		f.finish(a)
--- a/pkg/streamrecord/recorder/find_test.go
+++ b/pkg/streamrecord/recorder/find_test.go
@@ -15,6 +15,7 @@
 const (
 	silent = streamrecord.State(100) // a core host that does not answer
 	lost   = streamrecord.State(101) // a core host whose stream ends
+	noLink = streamrecord.State(102) // no core host is connected
 )
 
 // Guards against a release that one core host cannot prove and that is taken for the one
@@ -149,3 +150,68 @@
 		assert.Equal(t, r.ownOnly.Count(), int64(1), "a core host has the record too")
 	})
 }
+
+// Guards against a host that stood still and takes a stream up by its own record alone:
+// it has missed a doubt that the core hosts know of, and restarts of servers.
+func TestOwnRecordNeedsAnAnswerAfterAStandstill(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer streamrecord.State // silent, lost or of the core host; noLink for none
+		want   streamrecord.State
+		after  time.Duration
+	}{
+		"no core host": {noLink, streamrecord.Unconfirmed, 0},
+		"lost":         {lost, streamrecord.Unconfirmed, 0},
+		"silent":       {silent, streamrecord.Unconfirmed, findTimeout},
+		"in doubt":     {streamrecord.Conflict, streamrecord.Conflict, 0},
+		"recorded":     {streamrecord.Recorded, streamrecord.Recorded, 0},
+		"restarted":    {streamrecord.Unknown, streamrecord.Recorded, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRecorder()
+				var l *link
+				if c.answer != noLink {
+					l, _ = newTestLink(r)
+					r.nextMessage(time.Now(), l, false)
+				}
+				r.Record(testRecord(1), true)
+				r.RequireAnswer()
+				if l != nil {
+					l.reply(r) // to a message from before
+				}
+				begun := time.Now()
+				state := make(chan streamrecord.State, 1)
+				go func() {
+					_, s := r.Find(t.Context(), streamrecord.Query{Key: testKey(1), Service: "s"})
+					state <- s
+				}()
+				synctest.Wait()
+				if l != nil {
+					m := r.nextMessage(time.Now(), l, false)
+					switch c.answer {
+					case silent:
+					case lost:
+						r.removeLink(l)
+					default:
+						l.reply(r, streamrecord.Answer{Number: m.GetQueries()[0].GetNumber(), State: c.answer, Release: testRecord(1).Release})
+					}
+				}
+				assert.Equal(t, <-state, c.want)
+				assert.Equal(t, time.Since(begun), c.after)
+			})
+		})
+	}
+}
+
+// Guards against a host that refuses its own streams for good after it stood still once.
+func TestOwnRecordCountsAgainAfterAReply(t *testing.T) {
+	r := newTestRecorder()
+	l, _ := newTestLink(r)
+	r.Record(testRecord(1), true)
+	r.RequireAnswer()
+	r.nextMessage(time.Now(), l, false)
+	l.reply(r)
+	r.removeLink(l)
+	_, state := r.Find(t.Context(), streamrecord.Query{Key: testKey(1), Service: "s"})
+	assert.Equal(t, state, streamrecord.Recorded)
+}
--- a/pkg/streamrecord/recorder/link.go
+++ b/pkg/streamrecord/recorder/link.go
@@ -40,7 +40,9 @@
 	number   uint64 // of the last message
 	inFlight []*delivery
 	isBusy   bool // the last message is in flight
-	lastSent time.Time
+	// sentBefore is the number of the last message before the last call of RequireAnswer.
+	sentBefore uint64
+	lastSent   time.Time
 
 	urgent, normal, upload []*delivery
 	queries                []streamrecord.Query // not sent yet
@@ -190,6 +192,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l.isConnected = true
+	if reply.GetStored() > l.sentBefore {
+		r.needsAnswer = false
+	}
 	if l.isBusy && reply.GetStored() == l.number {
 		for _, d := range l.inFlight {
 			r.setStored(d)
--- a/pkg/streamrecord/recorder/recorder.go
+++ b/pkg/streamrecord/recorder/recorder.go
@@ -37,6 +37,9 @@
 	links      map[*link]bool
 	unstored   []*delivery // oldest first; includes some that are stored
 	lastNumber uint64      // of a query
+	// needsAnswer is set while the records of this host alone say nothing, see
+	// RequireAnswer.
+	needsAnswer bool
 }
 
 // delivery is a record on its way to the core hosts.
@@ -78,6 +81,19 @@
 	return d.done
 }
 
+// RequireAnswer makes the records of this host count only once a core host has answered
+// too, until one replies to what is sent from now on. A host that stood still has missed
+// what happened meanwhile: the core hosts may know that a release is in doubt, and servers
+// may have been replaced.
+func (r *Recorder) RequireAnswer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.needsAnswer = true
+	for l := range r.links {
+		l.sentBefore = l.number
+	}
+}
+
 // addUnstored remembers a delivery until it is stored, for the core hosts that connect
 // later. Records have about the same lifetime, so the oldest ones expire first. It
 // requires mu.
