Restart a host on its full disk in the test of all orders

The host whose disk is full is ended and started on it: it comes up, or ends with disk_full if it has to repair its folder, and comes up once there is space.

--- a/pkg/replica/full_disk_orders_test.go
+++ b/pkg/replica/full_disk_orders_test.go
@@ -38,6 +38,9 @@
 func (o *operator) change() bool {
 	o.next++
 	m := o.members[o.next%uint64(o.size)+1]
+	if m == nil {
+		return false // the host is down
+	}
 	command := fmt.Sprint("change ", o.next, o.padding)
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
@@ -103,6 +106,18 @@
 	return took
 }
 
+// restartOnFullDisk ends a host and starts it on its full disk. It comes up, or ends with
+// DiskFull if it has to repair its folder first.
+func (o *operator) restartOnFullDisk(id uint64) {
+	o.stop(id)
+	r, err := Open(o.config(id), &listMachine{})
+	if err != nil {
+		assert.Equal(o.t, codeOf(err), result.DiskFull)
+		return
+	}
+	assert.NilError(o.t, r.Close())
+}
+
 // Guards against a group that refuses changes, or leaves them unanswered, after the disks
 // of its members were full one after another, in any order, with changes throughout or
 // only at the begin, beside a snapshot or a restart; every operation on a full disk that
@@ -110,7 +125,7 @@
 func TestChangesAreAcceptedAfterFullDisksInAnyOrder(t *testing.T) {
 	metrics.NewMeter().Stop() // starts the goroutine of all meters outside of the bubbles
 	for _, order := range [][]uint64{{1, 2, 3}, {1, 3, 2}, {2, 1, 3}, {2, 3, 1}, {3, 1, 2}, {3, 2, 1}} {
-		for _, between := range []string{"nothing", "snapshots", "restart of another", "restart of all"} {
+		for _, between := range []string{"nothing", "snapshots", "restart of another", "restart of the full one", "restart of all"} {
 			for _, traffic := range []bool{true, false} {
 				t.Run(fmt.Sprint(order, "/", between, "/traffic ", traffic), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
@@ -128,12 +143,18 @@
 						for i, id := range order {
 							role = o.members[id].Status().Role
 							o.fillDisk(disks[id], traffic, func() {
-								if between == "restart of another" {
+								switch between {
+								case "restart of another":
 									other := order[(i+1)%len(order)]
 									g.stop(other)
 									g.start(other)
+								case "restart of the full one":
+									o.restartOnFullDisk(id)
 								}
 							})
+							if g.members[id] == nil {
+								g.start(id)
+							}
 							if between == "restart of all" {
 								for _, id := range order {
 									g.stop(id)
