--- a/pkg/replica/disk_fault_test.go
+++ b/pkg/replica/disk_fault_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/result"
+	"jackdawtrack.example/jackdawtrack/pkg/wal"
 	"jackdawtrack.example/jackdawtrack/pkg/wal/waltest"
 )
 
@@ -107,3 +114,41 @@
 	assert.Assert(t, m.metrics.fullWrites.Count() > 0)
 	assert.Equal(t, m.Status().Term, g.members[leader].Status().Term)
 }
+
+// diskWithoutSnapshots has no space for snapshots while full is set.
+type diskWithoutSnapshots struct {
+	wal.OS
+	full atomic.Bool
+}
+
+// Rename implements wal.FS.
+func (d *diskWithoutSnapshots) Rename(from, to string) error {
+	if d.full.Load() && strings.HasSuffix(to, ".snap") {
+		return syscall.ENOSPC
+	}
+	return d.OS.Rename(from, to)
+}
+
+// Guards against a log that grows for as long as no change comes after a snapshot found no
+// space: the snapshot is tried again without one. Time is virtual.
+func TestSnapshotIsTriedAgainAfterFullDisk(t *testing.T) {
+	metrics.NewMeter().Stop() // starts the goroutine of all meters outside of the bubble
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		g.snapshotThresholdBytes = 1000
+		fs := &diskWithoutSnapshots{}
+		g.fs[1] = fs
+		m := g.start(1)
+		fs.full.Store(true)
+		g.propose(strings.Repeat("x", 1500))
+		synctest.Wait()
+		assert.Equal(t, m.metrics.fullSnaps.Count(), int64(1))
+		time.Sleep(3 * snapshotRetryInterval)
+		assert.Assert(t, m.metrics.fullSnaps.Count() > 1 && m.metrics.fullSnaps.Count() < 5, "%d attempts", m.metrics.fullSnaps.Count())
+		assert.Equal(t, m.metrics.snapshots.Count(), int64(0))
+		fs.full.Store(false)
+		time.Sleep(2 * snapshotRetryInterval)
+		assert.Equal(t, m.metrics.snapshots.Count(), int64(1))
+		assert.Equal(t, m.Status().SnapshotIndex, m.Status().Applied)
+	})
+}
--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -13,6 +13,9 @@
 // after its last use.
 const snapshotDataIdleTimeout = 10 * time.Second
 
+// snapshotRetryInterval is how often a snapshot that found no space is tried again.
+const snapshotRetryInterval = 5 * time.Second
+
 // processReady does the pending work of the node until there is none, takes a
 // snapshot if one is due and publishes the status.
 func (w *worker) processReady() error {
@@ -234,7 +237,7 @@
 		return result.Wrap(result.LogDamaged, err, "snapshot %d of another member cannot be restored", s.Meta.Index)
 	}
 	w.appliedIndex, w.snapshotIndex = s.Meta.Index, s.Meta.Index
-	w.writtenAtSnapshot = w.log.WrittenBytes()
+	w.writtenAtSnapshot, w.snapshotRefusedAt = w.log.WrittenBytes(), time.Time{}
 	w.metrics.restored.Inc(1)
 	w.logger.Infof("restored snapshot %d of another member", s.Meta.Index)
 	return w.log.Compact(s.Meta.Index)
@@ -298,13 +301,18 @@
 }
 
 // maybeSnapshot takes a snapshot and compacts the log when the log has grown by
-// SnapshotThresholdBytes. If the disk is full or the state machine returns an
-// error, the log is kept and the next attempt comes after the same growth.
+// SnapshotThresholdBytes. If the disk is full, the log is kept and the next attempt comes
+// after snapshotRetryInterval. If the state machine returns an error, it comes after the
+// same growth.
 func (w *worker) maybeSnapshot() error {
-	if w.log.WrittenBytes()-w.writtenAtSnapshot < w.config.SnapshotThresholdBytes || w.appliedIndex <= w.snapshotIndex {
+	isDue := w.log.WrittenBytes()-w.writtenAtSnapshot >= w.config.SnapshotThresholdBytes
+	if !w.snapshotRefusedAt.IsZero() {
+		isDue = time.Since(w.snapshotRefusedAt) >= snapshotRetryInterval
+	}
+	if !isDue || w.appliedIndex <= w.snapshotIndex {
 		return nil
 	}
-	w.writtenAtSnapshot = w.log.WrittenBytes()
+	w.writtenAtSnapshot, w.snapshotRefusedAt = w.log.WrittenBytes(), time.Time{}
 	data, err := w.machine.Snapshot()
 	if err != nil {
 		w.logger.WithError(err).Error("the state machine failed to take a snapshot")
@@ -317,6 +325,7 @@
 	err = w.log.SaveSnapshot(s)
 	if code, _ := result.CodeOf(err); code == result.DiskFull {
 		w.metrics.fullSnaps.Inc(1)
+		w.snapshotRefusedAt = time.Now()
 		w.logger.WithError(err).Error("the disk is full, the snapshot was not written")
 		return nil
 	}
--- a/pkg/replica/worker.go
+++ b/pkg/replica/worker.go
@@ -37,7 +37,8 @@
 	diskFull              bool
 	diskFullSince         time.Time
 	lastDiskProbe         time.Time // last write that failed or probed a full disk
-	writtenAtSnapshot     int64     // WrittenBytes of the log at the last snapshot
+	writtenAtSnapshot     int64     // WrittenBytes of the log at the last attempt of a snapshot
+	snapshotRefusedAt     time.Time // when the last attempt found no space, zero if it did not
 	cachedSnapshotIndex   uint64
 	cachedSnapshotData    []byte // of the snapshot being sent
 	cachedSnapshotLastUse time.Time
