Count the losses of a repeated request as one against a part

Change: the losses of a request that callers sent again after a loss, and that was lost again, count as one against a part, as those of a quarantined request do, also when parts that are refused together are told apart. So the request is refused first. Copies sent within 100 ms of a loss come from hosts and make no request such a one: requests with a deadly part are sent again too. Parts that are refused together explain the losses that have all of them, so that those of the request still count against it.

Tests: TestSoundPartOfTwoCausesIsNotRefusedAlone and TestSoundPartIsNotRefusedAtAStartWithTwoCauses, the losses of the trace (both before: "1 (action) != 0 (want)"), TestSubjectOfTwoCausesIsServed ("69 (f.refused[subject]) != 0"), TestDeadlyPartSentWithTwoOthersIsFound, TestDeadlyPartSentWithTwoOthersReachesFewServers, and TestTrackerMatchesModel, whose model states the new rule. Each of six changed conditions fails one of them.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -14,8 +14,12 @@
 	episodes []time.Time // losses at different times
 	answered bool        // servers answered it before
 	needed   int         // losses at different times that suffice, of a possible cause
-	// explainedBy holds the quarantined requests that explain some of the losses.
+	// all has the losses that count as one with another one, too.
+	all *suspicion
+	// explainedBy holds the quarantined requests that explain some of the losses, repeated
+	// the repeated ones that may.
 	explainedBy map[uint64]bool
+	repeated    numberSet
 }
 
 // begunSince returns how many answers began since the loss, to requests with parts if
@@ -42,9 +46,10 @@
 // repeatIndex holds the requests that were lost in several losses, as numbers from 1.
 type repeatIndex struct {
 	requests map[*loss][]int
-	order    map[*loss]uint64 // number of the loss
-	counts   []int            // by request, scratch space
-	least    map[uint64]int   // results of requestsLost, by a hash of the losses
+	order    map[*loss]uint64    // number of the loss
+	repeated map[*loss]numberSet // requests that callers sent again after a loss
+	counts   []int               // by request, scratch space
+	least    map[uint64]int      // results of requestsLost, by a hash of the losses
 }
 
 // indexRepeats returns the requests that are suspects of a loss and of another one.
@@ -62,18 +67,66 @@
 	for i, request := range requests {
 		numbers[request] = i + 1
 	}
-	x := &repeatIndex{requests: map[*loss][]int{}, order: map[*loss]uint64{}, counts: make([]int, len(requests)+1), least: map[uint64]int{}}
+	x := &repeatIndex{requests: map[*loss][]int{}, repeated: map[*loss]numberSet{}, order: map[*loss]uint64{}, counts: make([]int, len(requests)+1), least: map[uint64]int{}}
+	lostAt, repeated := make([]time.Time, len(requests)+1), make([]bool, len(requests)+1)
 	for i, l := range losses {
 		x.order[l] = uint64(i)
-		for request := range l.suspects {
-			if number := numbers[request]; number > 0 && t.isSuspectOf(request, l) {
-				x.requests[l] = append(x.requests[l], number)
+		for request, sentBefore := range l.suspects {
+			number := numbers[request]
+			if number == 0 || !t.isSuspectOf(request, l) {
+				continue
+			}
+			x.requests[l] = append(x.requests[l], number)
+			if before := lostAt[number]; !before.IsZero() && l.at.Add(-sentBefore).Sub(before) > retryTime {
+				repeated[number] = true
+			}
+			lostAt[number] = l.at
+		}
+	}
+	for _, l := range losses {
+		for _, number := range x.requests[l] {
+			if repeated[number] {
+				x.repeated[l] = x.repeated[l].with(number, len(numbers))
 			}
 		}
 	}
 	return x
 }
 
+// numberSet is a set of numbers, nil if it is empty. Many suspects are compared with many
+// requests, which a map takes five times as long for.
+type numberSet []uint64
+
+// with returns the set with a number of at most limit. It may change the set.
+func (s numberSet) with(number, limit int) numberSet {
+	if s == nil {
+		s = make(numberSet, limit/64+1)
+	}
+	s[number/64] |= 1 << (number % 64)
+	return s
+}
+
+// intersects reports whether two sets of the same limit have a number in common.
+func (s numberSet) intersects(o numberSet) bool {
+	for i := range min(len(s), len(o)) {
+		if s[i]&o[i] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// union returns the numbers of both sets, of the same limit. It may change the first one.
+func (s numberSet) union(o numberSet) numberSet {
+	if s == nil {
+		return slices.Clone(o)
+	}
+	for i := range o {
+		s[i] |= o[i]
+	}
+	return s
+}
+
 // requestsLost returns the least number of requests of which one was lost in each of
 // the losses, up to lossesToQuarantine: more than that may be repeats. Many parts have
 // the same losses, so each set of losses is looked at once.
@@ -119,8 +172,9 @@
 }
 
 // suspicionsOf returns the evidence against each request, or each part, from the losses
-// that no quarantined suspect explains. The losses that a request explains count
-// against a part as one: the part may still be what the request crashes on.
+// that no quarantined suspect explains. The losses that a request explains, or may
+// explain because callers repeated it, count against a part as one: the part may still be
+// what the request crashes on.
 func (t *Tracker) suspicionsOf(now time.Time, losses []*loss, requests bool) map[uint64]*suspicion {
 	out := map[uint64]*suspicion{}
 	for _, l := range losses {
@@ -138,25 +192,39 @@
 			s := out[suspect]
 			if s == nil {
 				s = &suspicion{answered: !t.clearedAt(suspect).IsZero()}
+				s.all = &suspicion{answered: s.answered}
 				out[suspect] = s
 			}
-			if !explained || s.isFirstOf(l.explainedBy) {
+			counts := requests || s.isFirstOf(l, t.repeats)
+			if counts {
 				s.add(l, suspect)
 			}
+			if counts || !explained {
+				s.all.add(l, suspect)
+			}
 		}
 	}
 	return out
 }
 
-// isFirstOf reports whether no loss that the request explains was counted before.
-func (s *suspicion) isFirstOf(request uint64) bool {
-	if s.explainedBy[request] {
+// isFirstOf reports whether no loss was counted before that the request explains that
+// explains this one. Without such a request, those that callers sent again after a loss may
+// explain it: each of their losses took a server along.
+func (s *suspicion) isFirstOf(l *loss, x *repeatIndex) bool {
+	if !l.explained {
+		if s.repeated.intersects(x.repeated[l]) {
+			return false
+		}
+		s.repeated = s.repeated.union(x.repeated[l])
+		return true
+	}
+	if s.explainedBy[l.explainedBy] {
 		return false
 	}
 	if s.explainedBy == nil {
 		s.explainedBy = map[uint64]bool{}
 	}
-	s.explainedBy[request] = true
+	s.explainedBy[l.explainedBy] = true
 	return true
 }
 
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -9,8 +9,8 @@
 // several losses at different times have it and it has not been cleared since the
 // first of them; these losses are then explained and no longer count against other
 // suspects. A request is the narrower explanation: it is considered before the parts,
-// the losses that it explains count against a part as one, and no part is quarantined
-// for losses that one request can explain. Parts that the same losses suspect, or
+// the losses that it explains, or may explain because callers repeated it, count against
+// a part as one, and no part is quarantined for losses that one request can explain. Parts that the same losses suspect, or
 // nearly the same, are quarantined together: requests with only some of them still pass,
 // until an answer or two losses tell them apart. A quarantine ends by a trial: after a term, one host at a
 // time may let one request through.
@@ -71,6 +71,9 @@
 	// reportDelay is what a message about a loss may take between hosts, also when
 	// they are busy.
 	reportDelay = 50 * time.Millisecond
+	// retryTime is the time after a loss within which a host sends a request to a second
+	// server. A copy that is sent later comes from a caller.
+	retryTime = 100 * time.Millisecond
 	// settleTime is the delay between the last loss and the decision. It covers
 	// the exchange between hosts, which tell that a part was cleared elsewhere.
 	settleTime = 400 * time.Millisecond
--- a/pkg/quarantine/verdicts.go
+++ b/pkg/quarantine/verdicts.go
@@ -2,16 +2,19 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
 // quarantine quarantines a suspect on the evidence, which it shares with the tied
-// parts.
+// parts. It explains the losses that have all of them.
 func (t *Tracker) quarantine(now time.Time, suspect uint64, s *suspicion, tied []uint64) {
 	reporters := map[uint64]report{}
 	for _, l := range s.losses {
 		maps.Copy(reporters, l.reports)
-		l.explained, l.explainedBy = true, suspect
+		if l.hasAll(tied) {
+			l.explained, l.explainedBy = true, suspect
+		}
 	}
 	weak := IsRequest(suspect) && t.verdicts[suspect] == nil && len(s.episodes) < t.lossesBeyondChance(suspect, s)
 	t.decide(now, suspect, Quarantined, "servers ended before they answered", func(v *Verdict) {
@@ -27,6 +30,11 @@
 	})
 }
 
+// hasAll reports whether all of the suspects were lost in the loss.
+func (l *loss) hasAll(suspects []uint64) bool {
+	return !slices.ContainsFunc(suspects, func(s uint64) bool { _, lost := l.suspects[s]; return !lost })
+}
+
 // decide makes a verdict of this host with the next generation, changed by the
 // given functions.
 func (t *Tracker) decide(now time.Time, suspect uint64, state State, reason string, changes ...func(*Verdict)) {
