--- a/pkg/callers/unused_test.go
+++ b/pkg/callers/unused_test.go
@@ -24,7 +24,7 @@
 			defer cancel()
 			ended := make(chan error, 1)
 			go func() { ended <- stop(ctx, s) }()
-			assert.NilError(t, caller.SetDeadline(time.Now().Add(waitLimit / 6)))
+			assert.NilError(t, caller.SetDeadline(time.Now().Add(waitLimit/6)))
 			in := bufio.NewReader(caller)
 			_, err := in.Peek(1)
 			assert.NilError(t, err, "the connection ended without an answer")
