Make the removal of a torn frame durable

A host whose disk had been full could not start after a power failure, log_damaged, although its disk had space again: a control host that must be replaced.

Cause: a write that stores half of a frame is truncated, but the truncation was not synced.

On a file system that orders truncations before the creation of files it may not show; that was not run. Found by a review.

--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -120,7 +120,7 @@
 		return result.New(result.TooLarge, "frame size %d bytes is over the limit", len(frame))
 	}
 	if _, err := l.activeFile.Write(frame); err != nil {
-		return l.undoWrite(err, l.truncateActive, "segment %d cannot be written", l.number)
+		return l.undoWrite(err, l.truncateDurably, "segment %d cannot be written", l.number)
 	}
 	if err := l.activeFile.Sync(); err != nil {
 		return l.undoSync(err)
@@ -148,12 +148,7 @@
 // undoSync removes a complete frame whose sync found the disk full. The earlier frames are
 // durable. The removal must be durable too, otherwise Open may find the frame.
 func (l *Log) undoSync(cause error) error {
-	err := l.undoWrite(cause, func() error {
-		if err := l.truncateActive(); err != nil {
-			return err
-		}
-		return l.activeFile.Sync()
-	}, "segment %d cannot be synced", l.number)
+	err := l.undoWrite(cause, l.truncateDurably, "segment %d cannot be synced", l.number)
 	if l.undo != nil && l.failure == nil {
 		return result.Wrap(result.DiskFull, errors.Join(cause, errMayBeWritten), "segment %d cannot be synced", l.number)
 	}
@@ -173,8 +168,14 @@
 	return nil
 }
 
-// truncateActive removes what follows the synced frames of the active segment.
-func (l *Log) truncateActive() error { return l.activeFile.Truncate(l.activeBytes) }
+// truncateDurably removes what follows the synced frames of the active segment. A part of
+// a frame that a power failure brings back damages a segment that is not the last one.
+func (l *Log) truncateDurably() error {
+	if err := l.activeFile.Truncate(l.activeBytes); err != nil {
+		return err
+	}
+	return l.activeFile.Sync()
+}
 
 // failPermanently makes this and every later operation return SyncFailed.
 func (l *Log) failPermanently(cause error, format string, args ...any) error {
