--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -30,10 +30,10 @@
 	return written, err
 }
 
-// writeLimited is Write with the write limit. One deadline for the whole write would cut callers that read
-// all the time, but slowly. A blocked write is begun again because the kernel then takes
-// bytes as soon as any of its buffer is free, and otherwise when a third of it is: the
-// buffer can have several MB.
+// writeLimited is Write with the write limit. One deadline for the whole write would cut
+// callers that read all the time, but slowly. A blocked write is begun again because the
+// kernel then takes bytes as soon as any of its buffer is free, and otherwise when a third
+// of it is: the buffer can have several MB.
 func (c *callerConn) writeLimited(p []byte) (written int, err error) {
 	progressAt := time.Now()
 	for c.extendWrite() {
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -10,10 +10,11 @@
 // first of them; these losses are then explained and no longer count against other
 // suspects. A request is the narrower explanation: it is considered before the parts,
 // the losses that it explains, or may explain because callers repeated it, count against
-// a part as one, and no part is quarantined for losses that one request can explain. Parts that the same losses suspect, or
-// nearly the same, are quarantined together: requests with only some of them still pass,
-// until an answer or two losses tell them apart. A quarantine ends by a trial: after a term, one host at a
-// time may let one request through.
+// a part as one, and no part is quarantined for losses that one request can explain.
+// Parts that the same losses suspect, or nearly the same, are quarantined together:
+// requests with only some of them still pass, until an answer or two losses tell them
+// apart. A quarantine ends by a trial: after a term, one host at a time may let one
+// request through.
 package quarantine
 
 import "time"
--- a/pkg/streamrecord/recorder/find.go
+++ b/pkg/streamrecord/recorder/find.go
@@ -30,7 +30,8 @@
 // final after conflictTime or when all have answered, because another one may know of a
 // conflict: of an id that began streams at two hosts each has recorded its own. After
 // RequireAnswer the record of this host counts from the first answer on. Unknown means
-// that all of them have answered, and Unconfirmed that some did not or could not. The number of the query is not used.
+// that all of them have answered, and Unconfirmed that some did not or could not. The
+// number of the query is not used.
 func (r *Recorder) Find(ctx context.Context, q streamrecord.Query) (release.ID, streamrecord.State) {
 	f := &find{result: make(chan streamrecord.Answer, 1), waiting: map[*link]bool{}}
 	r.mu.Lock()
--- a/pkg/wal/snapshot.go
+++ b/pkg/wal/snapshot.go
@@ -57,9 +57,9 @@
 }
 
 // SaveSnapshot writes the snapshot atomically. After DiskFull the log is
-// unchanged and goes on, but Open may find the snapshot. If the snapshot of another host replaces the log, the caller must
-// then append a KindReset record and call Sync; Open does so if a crash came
-// first.
+// unchanged and goes on, but Open may find the snapshot. If the snapshot of
+// another host replaces the log, the caller must then append a KindReset record
+// and call Sync; Open does so if a crash came first.
 func (l *Log) SaveSnapshot(s Snapshot) error {
 	if l.failure != nil {
 		return l.failure
