--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -44,6 +44,7 @@
 	state     http.ConnState // that net/http has reported last
 	encrypted bool           // TLS is spoken on it
 	handled   bool           // a handler has the current request
+	requests  int            // that a handler was given, including the current one
 	refused   bool           // net/http has refused the head of the current request
 	readErr   error          // of the last read of the current request
 }
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -312,6 +312,19 @@
 	return ok && c.hasPipelined(bodyBytes)
 }
 
+// RequestNumber returns the number of the request with this context on its connection,
+// from 1, and 0 if it is not known. A later one than the first came on a kept connection.
+func RequestNumber(ctx context.Context) int {
+	c, _ := ctx.Value(connContextKey{}).(net.Conn)
+	tracked, ok := transport(c).(*callerConn)
+	if !ok {
+		return 0
+	}
+	tracked.mu.Lock()
+	defer tracked.mu.Unlock()
+	return tracked.requests
+}
+
 // Disconnected reports whether the caller has closed the connection of the
 // request with this context. A busy host can read a request after its caller
 // has left.
--- a/pkg/callers/conns_test.go
+++ b/pkg/callers/conns_test.go
@@ -115,3 +115,24 @@
 		_, end = in.ReadByte()
 	}
 }
+
+// Guards against lines that do not tell a request on a kept connection from the first one.
+func TestRequestsOfAConnectionAreNumbered(t *testing.T) {
+	s := NewConnTracker(0, 0, metrics.NewRegistry())
+	server := httptest.NewUnstartedServer(s.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, RequestNumber(r.Context()))
+	})))
+	server.Listener = s.Listener(server.Listener)
+	server.Config.ConnState, server.Config.ConnContext = s.OnStateChange, s.ContextWithConn
+	server.Start()
+	defer server.Close()
+	for _, want := range []string{"1", "2", "3"} {
+		resp, err := server.Client().Get(server.URL)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, string(got), want)
+	}
+	assert.Equal(t, RequestNumber(t.Context()), 0)
+}
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -142,6 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handled = true
+	c.requests++
 }
 
 // observe follows the state that net/http reports. For the end of the connection it
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -478,7 +478,7 @@
 		"running": v.RunningRequests, "uncached": v.UncachedTokens, "fetch_from": v.FetchFrom, "prompt": x.dispatchReq.PromptTokens, "queue": v.QueueLength, "share": int64(v.FairShare), "served": int64(v.ServedTokens),
 		"retry_after_ms": v.RetryAfter.Milliseconds(), "wait_ms": x.queueWait.Milliseconds(), "first_ms": x.timeToFirst.Milliseconds(),
 		"total_ms": time.Since(x.in.Arrived).Milliseconds(), "objective_ms": x.dispatchReq.Objective.Milliseconds(), "age_ms": x.dispatchReq.AgeAtArrival.Milliseconds(), "patience_ms": x.in.CallerTimeout.Milliseconds(), "events": x.sseParser.count,
-		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "second_refusal": x.secondRefusal, "closed": x.closeReason, "trial": x.isTrial,
+		"status": x.status, "outcome": outcome, "attempts": x.outcomes, "cause": x.lastError, "retry_refusal": x.retryRefusal, "second_refusal": x.secondRefusal, "closed": x.closeReason, "conn_request": x.in.ConnRequest, "trial": x.isTrial,
 		"resumes": fmt.Sprintf("%.64s", x.in.Resumes), "last_event": fmt.Sprintf("%.64s", x.in.LastEventID), "releases": x.releases, "found": x.found, "found_age_ms": x.foundAge.Milliseconds(),
 		"parts": quarantine.FormatList(x.parts()), "fingerprint": strconv.FormatUint(x.fingerprint(), 16),
 	}).Info("request")
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -23,6 +23,7 @@
 	// Disconnected reports whether the caller has closed its connection. It is
 	// nil if the connection cannot be inspected.
 	Disconnected func() bool
+	ConnRequest  int    // number of the request on its connection, 0 if not known
 	APIKey       string // API key of the workspace, "" if the request has none
 
 	Arrived       time.Time
