End a request that crosses the close below 200 ms

Callers saw: a request that crosses the notice of a close, from a caller that does not read the notice, had its connection closed at 200 ms, the time after which a request without an answer counts as lost. Cause: the wait for the caller had the same 200 ms. Change: the wait is 150 ms, which still covers a round trip to a distant caller.

--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -17,9 +17,10 @@
 	closeNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n" +
 		"Jackdawtrack-Executed: " + string(result.ExecutedNo) + "\r\n\r\n"
 	// noticeTime bounds the wait for the caller to close the connection after the notice.
-	// It covers a round trip to a distant caller, and is shorter than the part of the
+	// It covers a round trip to a distant caller. It is shorter than the 200 ms after which a
+	// request that crosses the close counts as lost, and than the part of the
 	// grace period that remains when a host closes its idle connections.
-	noticeTime = 200 * time.Millisecond
+	noticeTime = 150 * time.Millisecond
 )
 
 // announceClose sends the notice and reads until the caller has closed the connection,
