Keep the first server if the second one is of another release

Callers saw, by the users' reading: a stream whose server was silent for a second is cut although that server goes on. Cause: the release of the second server was checked only after the first one had been given up. If the second one had announced another release between its choice and its first event, the stream ended. Change: a second attempt counts as begun only if its events may be forwarded; otherwise it ends and the first server keeps the stream. The check after the take-over stays, for an announcement that arrives in between. Test: TestSecondServerOfAnotherReleaseDoesNotTakeTheStreamOver, before: 'true (a.done bool) != false (c.done bool)'. go test -race of pkg/edge and the tests of silence, second attempts, versions and resumption of platform passed.

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -12,6 +12,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
@@ -370,10 +371,22 @@
 	if err != nil {
 		return x.classifyBodyError(e.ctx, a, err)
 	}
-	a.done, a.outcome = !began || isNextID(lastEventID, firstID(events)), dispatch.InvalidResponse
+	a.done, a.outcome = (!began || isNextID(lastEventID, firstID(events))) && x.mayTakeOver(e, began), dispatch.InvalidResponse
 	return a
 }
 
+// mayTakeOver reports whether the first events of a second attempt may be forwarded, as
+// checkRelease does once the first server was given up.
+func (x *proxiedRequest) mayTakeOver(e *serverExchange, began bool) bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	bound := e.dispatchReq.Release
+	if bound == release.Unknown {
+		return !began
+	}
+	return x.s.releaseOnArrival(e.decision) == bound && (!began || x.mayGoOnLocked())
+}
+
 // readFirstEvents reads the body of a stream until it has a complete event, and puts
 // the bytes back.
 func readFirstEvents(resp *http.Response) ([]byte, error) {
