Record the end of a response that could not be written

Callers: a refusal or an error, or the last chunk of a stream, may be lost while the host counts it as delivered. Cause: net/http writes what a handler leaves in its buffer, and the last chunk, after the handler has returned, and tells nobody whether it could. Change: the connection of a caller records a failed write after the return of the handler, on edge hosts, core hosts and routers, as the reason unwritten. Not with TLS, which also writes when it is closed. No flush is needed, so it costs no call.

--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -47,6 +47,9 @@
 	closeHandshake closeReason = "handshake"
 	// closeHostStopped means that the process has closed the connection because it stops.
 	closeHostStopped closeReason = "host_stopped"
+	// closeUnwritten means that a handler has returned, and the end of its response could not
+	// be written: net/http writes what it holds, and the last chunk, only then.
+	closeUnwritten closeReason = "unwritten"
 )
 
 // closeMetric returns the counter of a reason.
@@ -77,13 +80,14 @@
 			tracked.setHandled()
 		}
 		defer s.closes.recordPanic(r)
-		if !ok || r.ProtoAtLeast(1, 1) {
+		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
-		tracked.setResetOnClose(true)
+		tracked.setResetOnClose(!r.ProtoAtLeast(1, 1))
 		next.ServeHTTP(w, r)
 		tracked.setResetOnClose(false) // not after a panic, which interrupts the response
+		tracked.setReturned()
 	})
 }
 
@@ -143,6 +147,22 @@
 	defer c.mu.Unlock()
 	c.handled = true
 	c.requests++
+	c.returned = false
+}
+
+// setReturned records that the handler of the current request has returned.
+func (c *callerConn) setReturned() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.returned = true
+}
+
+// recordWriteError records that a response could not be written, if its handler does not
+// know. A TLS connection also writes when it is closed.
+func (c *callerConn) recordWriteError() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unwritten = c.unwritten || c.returned && !c.encrypted
 }
 
 // observe follows the state that net/http reports. For the end of the connection it
@@ -154,7 +174,7 @@
 	c.state, c.encrypted = state, isTLS
 	switch state {
 	case http.StateIdle:
-		c.handled, c.readErr = false, nil // net/http ends reads beside a handler with a deadline
+		c.handled, c.returned, c.readErr = false, false, nil // net/http ends reads beside a handler with a deadline
 	case http.StateClosed:
 		return c.reasonOfEnd(last, isTLS), c.read + c.crossed
 	}
@@ -166,6 +186,8 @@
 	// On a TLS connection bytes also arrive without a request.
 	received := last == http.StateActive || !isTLS && (c.read > 0 || c.begun)
 	switch {
+	case c.unwritten:
+		return closeUnwritten
 	case c.crossed > 0:
 		return closeCrossed
 	case c.handled, last == http.StateIdle && !received:
--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -24,6 +24,9 @@
 // before it closes the connection, it waits for the caller to close.
 func (c *callerConn) Write(p []byte) (written int, err error) {
 	written, err = c.writeLimited(p)
+	if err != nil {
+		c.recordWriteError()
+	}
 	if err == nil && c.refusesHead(p) && c.TCPConn.SetReadDeadline(time.Now().Add(noticeTime)) == nil {
 		c.awaitClose()
 	}
