Read on for half a second after the refusal of a head

Callers: one that still sent when the host had refused its head with 400, 417 or 501 was reset after 0.2 s (0.15 s since the wait after the notice is shorter), and may lose the refusal. 431 has the 0.5 s of net/http. Change: a time of its own, the 0.5 s of net/http. Test: TestRefusalOfHeadWaitsForACallerThatSends, before: 'the host reads on for 150.98884ms only'. go test -race ./pkg/callers passed.

--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -21,6 +21,9 @@
 	// request that crosses the close counts as lost, and than the part of the
 	// grace period that remains when a host closes its idle connections.
 	noticeTime = 150 * time.Millisecond
+	// refusedHeadTime bounds the wait for the caller to close the connection after the refusal
+	// of a head. It is that of net/http after 431.
+	refusedHeadTime = 500 * time.Millisecond
 )
 
 // announceClose sends the notice and reads until the caller has closed the connection,
--- a/pkg/callers/refused_head_test.go
+++ b/pkg/callers/refused_head_test.go
@@ -44,3 +44,17 @@
 		})
 	}
 }
+
+// Guards against a refusal that is lost to a reset because its caller still sends: the host
+// closed the connection sooner than net/http does after 431.
+func TestRefusalOfHeadWaitsForACallerThatSends(t *testing.T) {
+	caller, host := connect(t)
+	defer caller.Close()
+	c := &callerConn{TCPConn: host.(*net.TCPConn), openedAt: time.Now(), state: http.StateActive}
+	began := time.Now()
+	_, err := io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n")
+	assert.NilError(t, err)
+	took := time.Since(began)
+	const resetAvoidance = 500 * time.Millisecond // of net/http
+	assert.Assert(t, took >= resetAvoidance, "the host reads on for %s only", took)
+}
--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		c.recordWriteError()
 	}
-	if err == nil && c.refusesHead(p) && c.TCPConn.SetReadDeadline(time.Now().Add(noticeTime)) == nil {
+	if err == nil && c.refusesHead(p) && c.TCPConn.SetReadDeadline(time.Now().Add(refusedHeadTime)) == nil {
 		c.awaitClose()
 	}
 	return written, err
