Keep a silent server when the second one has another version

What callers saw: a stream is cut though its server, silent for a second, goes on. The second server that was asked meanwhile had been replaced by a process of another version, as in a release: its next event was taken as its begin, the first server was given up, and then the version was found not to fit.

The test failed before with

error is not nil: unexpected EOF: the stream was cut after "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"

and the line of the request had attempts [silent garbled]. The version is checked before the first server is given up now; it passes.

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -12,6 +12,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
@@ -370,10 +371,23 @@
 	if err != nil {
 		return x.classifyBodyError(e.ctx, a, err)
 	}
-	a.done, a.outcome = !began || isNextID(lastEventID, firstID(events)), dispatch.InvalidResponse
+	a.done, a.outcome = x.hasReleaseOfStream(e, began) && (!began || isNextID(lastEventID, firstID(events))), dispatch.InvalidResponse
 	return a
 }
 
+// hasReleaseOfStream reports whether the server that answers e may take over the stream:
+// its process may have been replaced since it was chosen. checkRelease is too late for
+// that, because the first server is given up before.
+func (x *proxiedRequest) hasReleaseOfStream(e *serverExchange, began bool) bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	bound := e.dispatchReq.Release
+	if bound == release.Unknown {
+		return !began
+	}
+	return x.s.releaseOnArrival(e.decision) == bound && (!began || x.mayGoOnLocked())
+}
+
 // readFirstEvents reads the body of a stream until it has a complete event, and puts
 // the bytes back.
 func readFirstEvents(resp *http.Response) ([]byte, error) {
