--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -371,13 +371,14 @@
 	if err != nil {
 		return x.classifyBodyError(e.ctx, a, err)
 	}
-	a.done, a.outcome = (!began || isNextID(lastEventID, firstID(events))) && x.mayTakeOver(e, began), dispatch.InvalidResponse
+	a.done, a.outcome = x.hasReleaseOfStream(e, began) && (!began || isNextID(lastEventID, firstID(events))), dispatch.InvalidResponse
 	return a
 }
 
-// mayTakeOver reports whether the first events of a second attempt may be forwarded, as
-// checkRelease does once the first server was given up.
-func (x *proxiedRequest) mayTakeOver(e *serverExchange, began bool) bool {
+// hasReleaseOfStream reports whether the server that answers e may take over the stream:
+// its process may have been replaced since it was chosen. checkRelease is too late for
+// that, because the first server is given up before.
+func (x *proxiedRequest) hasReleaseOfStream(e *serverExchange, began bool) bool {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	bound := e.dispatchReq.Release
