Let the test of endless responses outlast a busy machine

Cause: the maximum duration of a request begins before its connection is opened, and the test gave it 200 ms. On a busy machine this ends before the head of the response has arrived, or before the connection is there.

What is checked is the same: something is read, the request is ended by its maximum duration, and no write is larger than the copy buffer. The count of written bytes, which nothing checked, is gone.

It still fails if nothing is written to the caller, and if a write is larger than the bound (both tried).

--- a/pkg/proxy/unframed_test.go
+++ b/pkg/proxy/unframed_test.go
@@ -58,25 +58,35 @@
 // given up.
 func TestEndlessUnframedResponseIsBounded(t *testing.T) {
 	for _, head := range []string{okHead + "\r\n", unframedStreamHead, unframedStreamHead + "data: "} {
-		var written atomic.Int64
 		f := newFakeServer(t, func(c net.Conn, _ *http.Request, _ int64) {
 			writeString(c, head)
 			for {
-				n, err := io.WriteString(c, strings.Repeat("x", 4096))
-				written.Add(int64(n))
-				if err != nil {
+				if _, err := io.WriteString(c, strings.Repeat("x", 4096)); err != nil {
 					return
 				}
 			}
 		})
+		report, sink := forwardEndless(t, f)
+		assert.Assert(t, sink.n.Load() > 0)
+		assert.Equal(t, resultCode(report), result.StreamBroken)
+		assert.Assert(t, sink.largest.Load() <= copyBufferBytes, "%d bytes at once", sink.largest.Load())
+	}
+}
+
+// forwardEndless forwards an endless response until the maximum duration of its class.
+// The duration begins before the connection, so on a busy machine a short one may end
+// before the head: then a longer one is tried, up to testTimeout.
+func forwardEndless(t *testing.T, f *fakeServer) (Report, *countingSink) {
+	for limit := 200 * time.Millisecond; ; limit = min(2*limit, testTimeout) {
 		r := newRequest(f)
-		r.Class.MaxDuration = 200 * time.Millisecond
+		r.Class.MaxDuration = limit
 		tr := NewTransport()
 		sink := &countingSink{}
 		report := tr.Forward(t.Context(), r, sink)
 		tr.Close()
-		assert.Equal(t, resultCode(report), result.StreamBroken)
-		assert.Assert(t, sink.n.Load() > 0)
-		assert.Assert(t, sink.largest.Load() <= copyBufferBytes, "%d bytes at once", sink.largest.Load())
+		if sink.n.Load() > 0 || limit >= testTimeout {
+			return report, sink
+		}
+		t.Logf("nothing was read within %s: %v", limit, report.Err)
 	}
 }
