Tell callers with TLS that an idle connection is closed

Callers of a router with TLS saw: a request that crosses the close of its idle connection, at a stop or at a limit, ends without an answer. Cause: the notice (status 408) was sent on plain connections only. Change: after its first request a connection with TLS and HTTP/1.1 gets the notice through its TLS connection, and a request that has arrived unread at the timeout is read. HTTP/2 has a notice of its own. Not covered: a TLS connection without a request, and the counter of crossed requests.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -43,6 +44,7 @@
 	openedAt  time.Time
 	state     http.ConnState // that net/http has reported last
 	encrypted bool           // TLS is spoken on it
+	tls       *tls.Conn      // that speaks HTTP/1.1, after its first request; nil otherwise
 	handled   bool           // a handler has the current request
 	requests  int            // that a handler was given, including the current one
 	returned  bool           // the handler of the current request has returned
@@ -137,7 +139,7 @@
 	if c.bufferSize == 0 {
 		c.bufferSize = size
 	}
-	if c.idle && size < c.bufferSize {
+	if c.idle && !c.encrypted && size < c.bufferSize { // TLS reads parts of any size
 		c.markBegun()
 	}
 }
@@ -153,11 +155,18 @@
 
 // awaitsHead reports whether net/http reads the head of a request, so that it closes the
 // connection without a word when a read ends at its deadline. On a TLS connection a notice
-// would be no part of the protocol.
+// would be no part of the protocol during the handshake, or with HTTP/2.
 func (c *callerConn) awaitsHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.encrypted && (c.state == http.StateNew || c.state == http.StateIdle)
+	return (!c.encrypted || c.tls != nil) && (c.state == http.StateNew || c.state == http.StateIdle)
+}
+
+// canBeTold reports whether the notice of a close can be sent on the connection.
+func (c *callerConn) canBeTold() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.encrypted || c.tls != nil
 }
 
 // endIdleTime records that the wait for a request was ended by a timeout of net/http, if one
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -84,6 +84,7 @@
 // It is the ConnState hook of an http.Server.
 func (s *ConnTracker) OnStateChange(c net.Conn, state http.ConnState) {
 	if tracked, ok := transport(c).(*callerConn); ok {
+		tracked.setTLS(c, state)
 		if reason, bytes := tracked.observe(state, isTLS(c)); reason != "" {
 			defer s.closes.record(tracked, reason, bytes) // after mu is released
 		}
@@ -91,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.idle, c)
-	if tracked, ok := c.(*callerConn); ok {
+	if tracked, ok := transport(c).(*callerConn); ok {
 		tracked.setIdle(state == http.StateIdle)
 	}
 	switch state {
@@ -181,7 +182,7 @@
 	defer s.mu.Unlock()
 	count := 0
 	for c := range s.open {
-		if tracked, ok := c.(*callerConn); !ok || !tracked.isAnnounced() {
+		if tracked, ok := transport(c).(*callerConn); !ok || !tracked.isAnnounced() {
 			count++
 		}
 	}
@@ -290,7 +291,7 @@
 	if _, idle := s.idle[c]; !idle {
 		return false
 	}
-	if tracked, ok := c.(*callerConn); ok {
+	if tracked, ok := transport(c).(*callerConn); ok && tracked.canBeTold() {
 		if tracked.endWait() {
 			delete(s.idle, c)
 			return true
--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -35,18 +37,48 @@
 	if c.TCPConn.SetDeadline(time.Now().Add(noticeTime)) != nil {
 		return // closed meanwhile
 	}
-	if _, err := io.WriteString(c.TCPConn, closeNotice); err != nil {
+	if c.writeNotice() != nil {
 		return // the caller has left
 	}
 	c.setAnnounced()
 	crossed := c.awaitClose()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.begun { // otherwise it is the rest of a late head
+	if !c.begun && !c.encrypted { // otherwise it is the rest of a late head, or the end of TLS
 		c.crossed = int(crossed)
 	}
 }
 
+// writeNotice writes the notice, with TLS through the TLS connection, inside whose Read it
+// runs: reads and writes of that have different locks.
+func (c *callerConn) writeNotice() error {
+	c.mu.Lock()
+	encrypted := c.tls
+	c.mu.Unlock()
+	if encrypted == nil {
+		_, err := io.WriteString(c.TCPConn, closeNotice)
+		return err
+	}
+	if _, err := io.WriteString(encrypted, closeNotice); err != nil {
+		return err
+	}
+	return encrypted.CloseWrite()
+}
+
+// setTLS keeps the TLS connection c above the connection once it is idle, if it speaks
+// HTTP/1.1. Its handshake has ended then.
+func (c *callerConn) setTLS(conn net.Conn, state http.ConnState) {
+	encrypted, ok := conn.(*tls.Conn)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	if s := encrypted.ConnectionState(); s.HandshakeComplete && s.NegotiatedProtocol != "h2" {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tls = encrypted
+	}
+}
+
 // awaitClose ends the sending side and reads until the caller has closed the connection, or
 // the read deadline. It returns the number of bytes.
 func (c *callerConn) awaitClose() int64 {
