Count losses before the verdict when parts are told apart

Cause: parts that all losses but one suspect are refused together until two losses suspect one of them alone. The loss apart from before the verdict did not count for that, so the part needed three, although two suffice before the verdict.

Change: every loss without the companion counts that nothing explains.

--- /dev/null
+++ b/pkg/quarantine/apart_test.go
@@ -0,0 +1,49 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const soundPart = 3
+
+// loseParts adds a loss a second later, beside answers on another part, and returns the
+// time at which it has settled.
+func loseParts(tracker *Tracker, now time.Time, server, request uint64, parts ...uint64) time.Time {
+	now = now.Add(time.Second)
+	for range 100 {
+		tracker.AnswerBegan(now, now, now, []uint64{99})
+	}
+	tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: parts, Requests: []Sent{{RequestSuspect(request), now.Add(-time.Millisecond)}}})
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	return now
+}
+
+// refusedTogether returns a tracker that refuses a deadly and a sound part together, after
+// the given number of losses of both, and one of the deadly part alone if alone is set.
+func refusedTogether(both int, alone bool) (*Tracker, time.Time) {
+	tracker, now := lossesOf()
+	for i := range uint64(both) {
+		now = loseParts(tracker, now, i, 1000+i, deadlyPart, soundPart)
+		if i == 0 && alone {
+			now = loseParts(tracker, now, 100, 1100, deadlyPart)
+		}
+	}
+	return tracker, now
+}
+
+// Guards against a deadly part that was lost without its companion before the verdict
+// needing two losses more until it is refused alone.
+func TestLossBeforeTheVerdictTellsPartsApart(t *testing.T) {
+	tracker, now := refusedTogether(4, true)
+	action, _ := tracker.Check(now, []uint64{deadlyPart})
+	assert.Equal(t, action, Allow)
+	action, _ = tracker.Check(now, []uint64{deadlyPart, soundPart})
+	assert.Equal(t, action, Refuse)
+	now = loseParts(tracker, now, 101, 1101, deadlyPart)
+	action, _ = tracker.Check(now, []uint64{deadlyPart})
+	assert.Equal(t, action, Refuse)
+}
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -172,7 +172,7 @@
 		}
 		var alone suspicion
 		for _, l := range losses {
-			if _, lost := l.suspects[part]; !lost || !l.at.After(v.Since) || !l.at.After(t.clearedAt(part)) || t.isExplained(l) {
+			if _, lost := l.suspects[part]; !lost || !l.at.After(t.clearedAt(part)) || t.isExplained(l) {
 				continue
 			}
 			if due := l.at.Add(t.settleTime()); now.Before(due) {
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -213,7 +213,7 @@
 		alone := 0
 		var explaining []uint64
 		for i, l := range m.losses {
-			if l.explainedBy != 0 || !slices.Contains(l.parts, p) || !l.at.After(m.quarantined[p]) || !l.at.After(m.answeredAt(p)) {
+			if l.explainedBy != 0 || !slices.Contains(l.parts, p) || !l.at.After(m.answeredAt(p)) {
 				continue
 			}
 			requests := m.repeatsOf(i)
