Keep a silent server until the second answer is whole

What callers saw: a request that may be repeated gets 502 though its server, silent for a second, goes on and answers. The server was given up at the head of the second one, whose body then broke off.

The test failed before with

assertion failed: 502 (a.status int) != 200 (http.StatusOK int): {"code":203,"name":"stream_broken","executed":"maybe", "message":"the response was interrupted: broken"}

The second attempt reads its whole body beside the first now, as it is sent to the caller whole anyway; it passes. The fuzz test passes the exchange instead of its context.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -54,6 +54,7 @@
 	x.eventsBefore = x.sseParser.count
 	e := x.takeExchange(v)
 	defer e.cancel(nil)
+	defer e.dropBody()
 	deadlineTimer := time.AfterFunc(time.Until(x.deadline), func() { e.cancel(errDeadlinePassed) })
 	defer deadlineTimer.Stop()
 	x.attemptStartedAt = e.startedAt
@@ -86,7 +87,7 @@
 	if x.route.Stream && resp.StatusCode == http.StatusOK {
 		return x.forwardStream(ctx, resp, inactivityTimeout, h)
 	}
-	return x.forwardBuffered(ctx, resp, inactivityTimeout)
+	return x.forwardBuffered(e, resp, inactivityTimeout)
 }
 
 // inactivityTimeout returns how long a server may send nothing before the request
@@ -230,12 +231,12 @@
 
 // forwardBuffered reads the complete response before it forwards it, so that a
 // failure before the end can be retried.
-func (x *proxiedRequest) forwardBuffered(ctx context.Context, resp *http.Response, inactivity *inactivityTimer) attemptResult {
+func (x *proxiedRequest) forwardBuffered(e *serverExchange, resp *http.Response, inactivity *inactivityTimer) attemptResult {
 	a := attemptResult{sent: true, status: resp.StatusCode}
-	body, done, err := x.s.responses.read(resp.Body)
+	body, done, err := e.readBody(x.s.responses, resp)
 	if err != nil {
 		done()
-		return x.classifyBodyError(ctx, a, err)
+		return x.classifyBodyError(e.ctx, a, err)
 	}
 	x.releaseFuncs = append(x.releaseFuncs, done)
 	inactivity.stop()
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -34,6 +34,8 @@
 	startedAt   time.Time
 	arrival     proxy.UnreadMonitor
 	resp        *http.Response // nil until it was sent
+	body        [][]byte       // of resp, if it was read before the response replaced a silent server
+	releaseBody func()         // returns the memory of body, nil if that was not read
 }
 
 func (x *proxiedRequest) newExchange(v dispatch.Decision, r *dispatch.Request) *serverExchange {
@@ -324,6 +326,23 @@
 	h.x.secondRefusal = h.refusal
 }
 
+// readBody returns the body of a response that is not a stream.
+func (e *serverExchange) readBody(m *responseMemory, resp *http.Response) (body [][]byte, release func(), err error) {
+	if release = e.releaseBody; release != nil {
+		e.releaseBody = nil
+		return e.body, release, nil
+	}
+	return m.read(resp.Body)
+}
+
+// dropBody returns the memory of a body that was read and not used.
+func (e *serverExchange) dropBody() {
+	if e.releaseBody != nil {
+		e.releaseBody()
+		e.releaseBody = nil
+	}
+}
+
 // beginHedge returns an exchange with another server than that of running, nil and the
 // reason if there is none. It fetches nothing from the address of the first server.
 // began states that events were forwarded, so the release of the stream must be known.
@@ -346,8 +365,8 @@
 }
 
 // awaitBegin sends the request to a second server and waits until it has begun to
-// answer: with the next event of a stream, or with the head of another response.
-// The result is done then.
+// answer: with the next event of a stream, or with the whole body of another response,
+// because the first server is given up for it. The result is done then.
 func (x *proxiedRequest) awaitBegin(e *serverExchange, began, sentBefore bool, lastEventID string) attemptResult {
 	resp, sent, err := x.s.transport.SendRequest(e.ctx, x.buildRequest(e.decision, lastEventID, ""), &e.arrival, x.in.Body)
 	if err != nil {
@@ -363,8 +382,15 @@
 		return a
 	}
 	if !x.route.Stream || resp.StatusCode != http.StatusOK {
-		a.done = !began && resp.StatusCode < http.StatusInternalServerError
-		a.outcome = dispatch.ServerError
+		if a.outcome = dispatch.ServerError; began || resp.StatusCode >= http.StatusInternalServerError {
+			return a
+		}
+		var done func()
+		if e.body, done, err = x.s.responses.read(resp.Body); err != nil {
+			done()
+			return x.classifyBodyError(e.ctx, a, err)
+		}
+		e.releaseBody, a.done = done, true
 		return a
 	}
 	events, err := readFirstEvents(resp)
@@ -416,6 +442,7 @@
 	if e.resp != nil {
 		_ = e.resp.Body.Close()
 	}
+	e.dropBody()
 	s.recordOutcome(e.dispatchReq, o)
 }
 
--- a/pkg/edge/response_fuzz_test.go
+++ b/pkg/edge/response_fuzz_test.go
@@ -76,7 +76,7 @@
 	if !bad && resp.StatusCode == http.StatusOK {
 		a = x.forwardStream(context.Background(), resp, timer, x.newHedge(x.newExchange(x.decision, x.dispatchReq)))
 	} else if !bad {
-		a = x.forwardBuffered(context.Background(), resp, timer)
+		a = x.forwardBuffered(&serverExchange{ctx: context.Background()}, resp, timer)
 	}
 	x.releaseResponses()
 	return a, false
