Count and trace the take-ups of streams

Callers saw streams that they took up again end without an event, and the hosts had no line on most of them: refusals are logged with a rate limit, and a host that loses power writes no request line.

Counters of take-ups and of new streams by step and by end, without a limit: arrived, queued, sent, began, ended, refused and failed by result code, cut and left with and without an event. Timers of the time to the first event of both. Each step of a take-up is a log line when it happens, at most 400 a second and host, from then on counted in the beliefs line; the log drops lines rather than blocks. No decision changes.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -395,6 +395,7 @@
 func (x *proxiedRequest) forwardEvents(resp *http.Response, events []byte) bool {
 	if x.sseParser.count == 0 {
 		x.timeToFirst = time.Since(x.in.Arrived)
+		x.recordStreamBegan()
 	}
 	if x.sseParser.count == x.eventsBefore {
 		x.firstEventAt = time.Now()
--- a/pkg/edge/beliefs_test.go
+++ b/pkg/edge/beliefs_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
@@ -29,7 +30,7 @@
 			})
 		}
 		var out bytes.Buffer
-		s := &Server{log: logrus.NewEntry(&logrus.Logger{Out: &out, Formatter: &logrus.JSONFormatter{}, Level: logrus.InfoLevel, Hooks: logrus.LevelHooks{}})}
+		s := &Server{metrics: newMetrics(metrics.NewRegistry()), log: logrus.NewEntry(&logrus.Logger{Out: &out, Formatter: &logrus.JSONFormatter{}, Level: logrus.InfoLevel, Hooks: logrus.LevelHooks{}})}
 		s.logBeliefs(r)
 		var got []string
 		for line := range strings.Lines(out.String()) {
--- a/pkg/edge/late_test.go
+++ b/pkg/edge/late_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
@@ -36,7 +37,7 @@
 	now := time.Now()
 	d := dispatch.New("edge", "z", now)
 	d.SetServers(now, []dispatch.ServerInfo{{ID: "i", Service: "s", DataCentre: "z", Slots: 1, Ready: true, Heard: now}, {ID: "j", Service: "other", DataCentre: "z", Slots: 9, Ready: true, Heard: now}, {ID: "k", Service: "other", DataCentre: "z", Slots: 9, Ready: true, Heard: now}})
-	s := &Server{stopping: newStopping(), dispatcher: d, pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{}, polling: true, retryBudget: newRetryBudget(RetryBudget{Extra: 50}), quarantine: quarantine.New(1)}
+	s := &Server{stopping: newStopping(), dispatcher: d, pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{}, polling: true, metrics: newMetrics(metrics.NewRegistry()), retryBudget: newRetryBudget(RetryBudget{Extra: 50}), quarantine: quarantine.New(1)}
 	for {
 		r := &dispatch.Request{ID: "r", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Minute)}
 		if v, _ := s.requestDecision(r); v.Action == dispatch.Wait {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 )
 
 // edgeMetrics counts requests by outcome and measures their latencies.
@@ -15,6 +16,8 @@
 
 	responsesTooLarge  metrics.Counter // responses and events that exceeded their maximum size
 	responseMemoryFull metrics.Counter // responses for which the memory of all was used up
+
+	takeUpLog *takeUpLog
 }
 
 func newMetrics(r metrics.Registry) *edgeMetrics {
@@ -26,6 +29,8 @@
 
 		responsesTooLarge:  metrics.GetOrRegisterCounter("edge.responses_too_large", r),
 		responseMemoryFull: metrics.GetOrRegisterCounter("edge.response_memory_full", r),
+
+		takeUpLog: &takeUpLog{limiter: rate.NewLimiter(takeUpLogRate, takeUpLogBurst)},
 	}
 }
 
--- a/pkg/edge/queue_test.go
+++ b/pkg/edge/queue_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/routing"
 )
 
 // Guards against a queued request that is closed without an answer, or waits on, when its
@@ -28,7 +29,7 @@
 		}
 		w := httptest.NewRecorder()
 		r := &dispatch.Request{ID: "waits", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Second)}
-		x := &proxiedRequest{s: s, w: w, in: &Request{}, dispatchReq: r, callerCtx: t.Context(), deadline: r.Deadline}
+		x := &proxiedRequest{s: s, w: w, in: &Request{}, dispatchReq: r, route: &routing.Route{}, callerCtx: t.Context(), deadline: r.Deadline}
 		_, err := x.awaitDecision()
 		assert.Equal(t, time.Since(now), time.Second)
 		x.respondUndispatched(err)
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -78,6 +78,7 @@
 	firstEventAt      time.Time         // first event of the current attempt
 	headSent          bool              // status and headers were sent to the caller
 	status            int
+	errorCode         result.Code // of the error response, result.OK if there was none
 	sseParser         sseParser
 	releases          []release.ID // that wrote events of the response, in order
 	start             *streamStart // nil until the first event of a stream that the caller may resume
@@ -185,6 +186,7 @@
 // run dispatches the request, and retries it as the route and the retry budget
 // allow, until the caller has a response or has left.
 func (x *proxiedRequest) run() {
+	x.recordStreamStep("arrived")
 	if x.refuseQuarantined() || !x.bindRest() || x.isResumption() && !x.bindRelease() {
 		return
 	}
@@ -214,6 +216,7 @@
 		if x.replacement == nil && !x.mayBeSent() {
 			return
 		}
+		x.recordStreamStep("sent")
 		a := x.attempt(v)
 		x.outcomes = append(x.outcomes, a.outcome.String())
 		if a.done {
@@ -264,6 +267,8 @@
 	if waiting == nil {
 		return v, nil
 	}
+	x.decision = v
+	x.recordStreamStep("queued")
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
 	sending, release := x.s.SendingContext(x.in)
@@ -406,7 +411,7 @@
 	if x.headSent {
 		x.abort(closeTruncated) // the error would become part of the stream
 	}
-	x.status = e.Code.Status()
+	x.status, x.errorCode = e.Code.Status(), e.Code
 	writeError(x.w, e)
 }
 
@@ -467,6 +472,7 @@
 	}
 	x.s.metrics.recordOutcome(outcome, x.timeToFirst)
 	x.recordSecondRefusal()
+	x.recordStreamEnd()
 	if outcome == "refused" && !x.s.refusalLogLimiter.Allow() {
 		x.s.unloggedRefusals.Add(1)
 		return
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -480,7 +480,7 @@
 	first := min(len(r.Servers), serversPerLine)
 	s.log.WithFields(logrus.Fields{
 		"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.FairShare),
-		"waiting": r.QueueLength, "edges": r.EdgeHosts, "unlogged_refusals": s.unloggedRefusals.Swap(0), "servers": r.Servers[:first],
+		"waiting": r.QueueLength, "edges": r.EdgeHosts, "unlogged_refusals": s.unloggedRefusals.Swap(0), "unlogged_take_ups": s.metrics.takeUpLog.unlogged.Swap(0), "servers": r.Servers[:first],
 	}).Info("beliefs")
 	for more := range slices.Chunk(r.Servers[first:], serversPerLine) {
 		s.log.WithField("servers", more).Info("beliefs on more servers")
