Send no take-ups to the engine that fell silent under their streams

Callers of a lost data centre notice after 3 s and take their streams up at the hosts that are left.

An engine at which requests of this host run is marked down once it has sent this host nothing for 1 s and has not announced itself for 2.5 s; the health checks of servers that are down bring it back. Neither sign counts alone, and not while this host may have been suspended.

TestTakeUpsAvoidTheEngineThatFellSilent failed before with 'dead: assertion failed: false (v.Server == "engine-1" bool) != true (c.avoided bool): sent to engine-0'.

Four tests and the simulation played engines for seconds of virtual time that neither answer nor announce themselves; they announce themselves now. Nothing that they check is changed.

--- a/pkg/dispatch/backoff_test.go
+++ b/pkg/dispatch/backoff_test.go
@@ -17,6 +17,7 @@
 	d.servers["engine-0"].markDown(start)
 	for at := time.Duration(0); at < 3*time.Second; at += 50 * time.Millisecond {
 		now := start.Add(at)
+		d.servers["engine-1"].info.Heard = now // announced
 		v := d.Admit(now, newRequest(now, "w", 100, time.Second))
 		assert.Assert(t, v.Action != Send || v.Server == "engine-1", "at %s", at)
 		assert.Equal(t, len(d.DueProbes(now)), 0, "at %s", at)
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -337,6 +337,7 @@
 	const running = 60
 	for i := range running {
 		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		d.servers["engine-0"].info.Heard = now // announced
 		v := d.Admit(now, newRequest(now, "w", 5000, time.Second, Part{ID: first.ID + uint64(i), Tokens: 5000}))
 		assert.Equal(t, v.Action, Send)
 	}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -34,6 +34,9 @@
 	localEdges      []string // names of the edge hosts of this data centre, sorted
 	edges           int      // number of edge hosts in the fleet
 	assumeColdUntil time.Time
+
+	silenceCheckedAt time.Time
+	observedSince    time.Time // start of the checks of silence without a gap
 }
 
 // service groups the servers of one service.
@@ -216,6 +219,7 @@
 		return
 	}
 	d.expireSilentPeers(now)
+	d.checkSilence(now)
 	var backlogs []time.Duration
 	for _, s := range d.servers {
 		if s.isEngine() && s.info.Ready && s.downSince.IsZero() {
@@ -313,6 +317,9 @@
 	r.server, r.sentAt, r.firstEventSeen, r.fetchFrom = s, now, false, ""
 	v.RunningRequests, _ = s.load()
 	v.ReserveSlot = d.needsReservation(now, s)
+	if s.running == 0 {
+		s.busySince = now
+	}
 	s.running++
 	if s.isEngine() {
 		r.slotPending = v.ReserveSlot
--- a/pkg/dispatch/scarce_release_test.go
+++ b/pkg/dispatch/scarce_release_test.go
@@ -36,7 +36,7 @@
 				infos := infosOf(plain, c.releases...)
 				limit := 12
 				for i := range infos {
-					infos[i].Slots = limit
+					infos[i].Slots, infos[i].Heard = limit, start.Add(time.Minute) // its streams have no events
 				}
 				if plain {
 					limit *= maxPlainLoadPerSlot * 10
@@ -108,7 +108,7 @@
 	} {
 		infos := infosOf(false, c.releases...)
 		for i := range infos {
-			infos[i].Slots = 12
+			infos[i].Slots, infos[i].Heard = 12, start.Add(time.Minute) // its streams have no events
 		}
 		d := newFleetOf(false)
 		d.SetServers(start, infos)
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -206,8 +206,12 @@
 	}
 }
 
+// exchangeDigests exchanges digests, and lets the engines announce themselves.
 func (sim *simulation) exchangeDigests() {
 	for i, from := range sim.fleet {
+		for _, s := range from.servers {
+			s.info.Heard = sim.now
+		}
 		m := nextDigest(from, sim.now)
 		for j, to := range sim.fleet {
 			if i != j {
