Let take-ups go ahead of new streams, recorded or not

In an overload callers saw their take-ups refused although new streams began: at once with 503, the servers of the stream's software version are full; with 429 for the share of the workspace if no record was found; or with the same 429 after a second in the queue if one was.

Three causes in the same decision. The predicted wait of a take-up counted every queued new stream, unless its release had few servers. It waited as a late request for an engine with a third of the backlog that new streams were sent to. The allowance beyond the share was for recorded streams only and half of a share in 4 s.

A take-up goes ahead now: its predicted wait counts what is ahead of it, it leaves the queue before new streams, it takes the places of requests on time, and the share does not hold it back. It is charged to the workspace, so its new requests give way. Two bounds, neither of which needs a proof or a message: a workspace gets ahead as much in 16 s as its share in 4 s, on all hosts together; all workspaces together half of what the engines prefill. Beyond them a take-up is decided as a new stream is.

Tests, and what they said before. TestTakeUpsInAnOverloadGoAheadOfNewStreams: recorded '37 (int) != 40 (burst int)', unrecorded 'map[workspace is beyond its share and servers are busy:22]', 11 of 40 went on. TestQueuedNewStreamsAreBehindATakeUp: 'decided[0].Request is not takeUp'. TestFloodOfTakeUpsLeavesEnginesToNewStreams and TestTakeUpsGoAheadOnHalfOfTheEngines guard the other direction; the first one passed before too.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -43,6 +43,7 @@
 type service struct {
 	servers []*server
 	latency time.Duration // mean answer time of the plain servers
+	ahead   *slidingSum   // prompt tokens that this host sent ahead of new streams
 
 	byRelease            map[release.ID][]*server
 	readyByRelease       map[release.ID]int
@@ -101,6 +102,7 @@
 // rebuildIndexes rebuilds the indexes of servers by service and by hash, and
 // the fraction of engines that are ready.
 func (d *Dispatcher) rebuildIndexes() {
+	before := d.services
 	d.services = map[string]*service{}
 	d.serversByHash = make(map[uint64]*server, len(d.servers))
 	readyEngines, engines := 0, 0
@@ -108,7 +110,10 @@
 		d.serversByHash[s.hash] = s
 		svc := d.services[s.info.Service]
 		if svc == nil {
-			svc = &service{latency: defaultLatency}
+			svc = &service{latency: defaultLatency, ahead: &slidingSum{}}
+			if old := before[s.info.Service]; old != nil {
+				svc.ahead = old.ahead
+			}
 			d.services[s.info.Service] = svc
 		}
 		svc.servers = append(svc.servers, s)
@@ -256,7 +261,8 @@
 		return d.decidePlain(now, r, svc, v)
 	}
 	beyondShare := !d.shares.withinShare(now, r.Workspace, serviceTokens(r))
-	if beyondShare && !d.mayExceedShare(now, r) {
+	r.ahead = d.mayGoAhead(now, r, svc)
+	if beyondShare && !r.ahead {
 		v.Class = OverShare
 		return v // until engines are idle or the usage in shareWindow has dropped
 	}
@@ -273,16 +279,14 @@
 	v.PredictedLatency = candidates.cheapest.prefillTime(uncached) + candidates.cheapest.firstEventDelay + fetchTime(candidates.cheapest, fetch)
 	v.Class = classifyLatency(now, r, v)
 	best := candidates.cheapestOnTime
-	if v.Class == Late && !d.needsScarceRelease(r) {
+	if v.Class == Late && !d.needsScarceRelease(r) && !r.ahead {
 		best = candidates.cheapestLate
 	}
 	if best == nil {
 		return v
 	}
 	v.BacklogTime = best.prefillTime(0)
-	if beyondShare {
-		d.countExcess(now, r)
-	}
+	d.countAhead(now, r)
 	return d.assign(now, r, best, v)
 }
 
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -33,7 +33,8 @@
 	seconds := 0.0
 	for _, w := range d.queue {
 		switch {
-		case w.Service != r.Service || w.decision.Class > v.Class || !svc.delays(w, r):
+		case w.Service != r.Service || !svc.delays(w, r) || r.ahead && !w.ahead && !svc.isScarce(w.Release):
+		case w.decision.Class > v.Class && (r.ahead || !w.ahead):
 		case w.Release == release.Unknown:
 			seconds += float64(w.PromptTokens) / totalRate
 		default:
@@ -183,7 +184,7 @@
 
 // sortedQueue returns the queue ordered by class and remaining time. Requests
 // of workspaces that have used less of their fair share come first, and before them
-// streams whose release has few servers.
+// take-ups and other streams whose release has few servers.
 func (d *Dispatcher) sortedQueue(now time.Time) []*Request {
 	fairShare := d.fairShare(now)
 	for _, r := range d.queue {
@@ -192,7 +193,7 @@
 			left += r.Objective.Seconds() / 2 * d.shares.usageOf(r.Workspace).served.sum / fairShare
 		}
 		r.order = float64(r.decision.Class)*classSortStep + left
-		if d.needsScarceRelease(r) {
+		if r.ahead || d.needsScarceRelease(r) {
 			r.order -= scarceAdvance
 		}
 	}
@@ -204,5 +205,6 @@
 // classSortStep separates the classes in the sort key of the queue, in seconds.
 const classSortStep = 1e6
 
-// scarceAdvance puts Late streams whose release has few servers ahead of OnTime requests.
+// scarceAdvance puts Late take-ups, and Late streams whose release has few servers, ahead
+// of OnTime requests.
 const scarceAdvance = 2 * classSortStep
--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -2,31 +2,55 @@
 
 import "time"
 
-// maxResumptionExcess is the fraction of its fair share that the recorded resumptions of a
-// workspace may take beyond it in shareWindow, on all edge hosts together. A part of these
-// answers was made within the share, and a refusal wastes it. The bound is for callers
-// that resume one stream many times: the users' rule on quotas allows no workspace twice
-// the service of another one.
-const maxResumptionExcess = 0.5
+// Take-ups go ahead of new streams, and the share of their workspace does not hold them
+// back: a part of the answer was made within that share, and a refusal wastes it. They are
+// charged to the workspace, so that its new requests give way. A caller may take up any
+// name any number of times, so two bounds keep take-ups from displacing others for long.
+// Beyond them a take-up is decided as a new stream is.
 
-// mayExceedShare reports whether the request may be sent although its workspace is beyond
-// its share. Each edge host has an equal part of the excess, so that the bound needs no
-// messages.
-func (d *Dispatcher) mayExceedShare(now time.Time, r *Request) bool {
-	if !r.RecordedResumption || r.excessCounted {
-		return r.RecordedResumption
+const (
+	// maxTakeUpShare is the fraction of its fair share in shareWindow that the take-ups of a
+	// workspace get ahead in takeUpWindow, on all edge hosts together. It lets a workspace
+	// take up at once what it has begun in shareWindow. The users' rule on quotas allows no
+	// workspace twice the service of another one.
+	maxTakeUpShare = 1.0
+	// takeUpWindow is long so that what is a burst after a failure cannot be repeated.
+	takeUpWindow     = 4 * shareWindow
+	takeUpBucketTime = takeUpWindow / buckets
+	// maxAheadFraction is the fraction of what the engines prefill in shareWindow that the
+	// take-ups of all workspaces get ahead: new streams go on beside any number of them.
+	maxAheadFraction = 0.5
+)
+
+// takeUpBucket returns the number of the bucket of takeUpWindow for a time.
+func (d *Dispatcher) takeUpBucket(now time.Time) int64 {
+	return int64(now.Sub(d.shares.start)/takeUpBucketTime) + buckets
+}
+
+// mayGoAhead reports whether the request is a take-up that goes ahead of new streams. Each
+// edge host has an equal part of the bounds, so that these need no messages.
+func (d *Dispatcher) mayGoAhead(now time.Time, r *Request, svc *service) bool {
+	if !r.Resumption || r.aheadCounted {
+		return r.Resumption
 	}
 	u := d.shares.usageOf(r.Workspace)
-	u.excess.advance(d.shares.bucket(now))
-	return u.excess.sum+serviceTokens(r) <= maxResumptionExcess*d.fairShare(now)/float64(d.edges)
+	u.ahead.advance(d.takeUpBucket(now))
+	if share := d.fairShare(now); share > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/float64(d.edges) {
+		return false
+	}
+	svc.ahead.advance(d.shares.bucket(now))
+	limit := maxAheadFraction * readyPrefillRate(svc.servers) * shareWindow.Seconds() / float64(d.edges)
+	return svc.ahead.sum+float64(r.PromptTokens) <= limit
 }
 
-// countExcess counts a request that is sent beyond the share of its workspace. It is
-// counted once, also if it is sent again, and not taken back.
-func (d *Dispatcher) countExcess(now time.Time, r *Request) {
-	if r.excessCounted {
+// countAhead counts a take-up that is sent ahead of new streams. It is counted once, also if
+// it is sent again, and not taken back.
+func (d *Dispatcher) countAhead(now time.Time, r *Request) {
+	svc := d.services[r.Service]
+	if svc == nil || !r.ahead || r.aheadCounted {
 		return
 	}
-	r.excessCounted = true
-	d.shares.usageOf(r.Workspace).excess.add(d.shares.bucket(now), serviceTokens(r))
+	r.aheadCounted = true
+	d.shares.usageOf(r.Workspace).ahead.add(d.takeUpBucket(now), serviceTokens(r))
+	svc.ahead.add(d.shares.bucket(now), float64(r.PromptTokens))
 }
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -77,7 +77,7 @@
 // over shareWindow and in total.
 type workspaceUsage struct {
 	demand, served                   slidingSum
-	excess                           slidingSum  // sent beyond the share by this edge host
+	ahead                            slidingSum  // take-ups that this edge host sent ahead of new streams
 	totalDemand, totalServed         float64     // totals of this edge host
 	sentTotals                       usageTotals // totals in the last digest
 	localPeerDemand, localPeerServed float64     // totals of the other edge hosts of this data centre
--- /dev/null
+++ b/pkg/dispatch/takeup_overload_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// offerTakeUp offers a stream of the workspace that v1 began to an edge host.
+func (sim *simulation) offerTakeUp(edge int, workspace string, tokens int) (*Request, Decision) {
+	r := newRequest(sim.now, workspace, tokens, longObjective)
+	r.Release, r.Resumption = v1, true
+	v := sim.fleet[edge].Admit(sim.now, r)
+	sim.decided(edge, r, v)
+	return r, v
+}
+
+// Plays an overload by new streams in which callers of the largest workspace, beyond its
+// share, take up streams at three of the four hosts within 80 ms: take-ups were refused for
+// the share or for the queue of new streams, or waited behind it.
+func TestTakeUpsInAnOverloadGoAheadOfNewStreams(t *testing.T) {
+	const (
+		span    = 8 * time.Second
+		burstAt = 5 * time.Second
+		burst   = 40
+	)
+	sim := newSimulation(t, 4, 6, 50_000)
+	var workloads []workload
+	for i := range 4 {
+		workloads = append(workloads, workload{"large", i, 60, 2000, longObjective, 0, span, 0}, workload{string(rune('a' + i)), i, 25, 2000, longObjective, 0, span, 0})
+	}
+	var takeUps []*Request
+	began := map[*Request]time.Duration{}
+	refused := map[Reason]int{}
+	var newQueued int
+	sim.onStep = func(elapsed time.Duration) {
+		if since := elapsed - burstAt; since >= 0 && since < burst*2*time.Millisecond && since%(2*time.Millisecond) == 0 {
+			newQueued += sim.fleet[len(takeUps)%3].QueueLength()
+			r, v := sim.offerTakeUp(len(takeUps)%3, "large", 2000)
+			if v.Action == Refuse {
+				refused[v.Reason]++
+			}
+			takeUps = append(takeUps, r)
+		}
+		for _, r := range takeUps {
+			if _, ok := began[r]; !ok && r.firstEventSeen {
+				began[r] = sim.now.Sub(r.Arrived)
+			}
+		}
+	}
+	sim.runFor(workloads, span)
+	large := sim.results["large"]
+	usage := sim.fleet[0].shares.usageOf("large").served.sum
+	assert.Assert(t, newQueued > burst && large.refused > 0, "new streams must wait and be refused: %d queued, %d refused", newQueued, large.refused)
+	slowest := time.Duration(0)
+	for _, wait := range began {
+		slowest = max(slowest, wait)
+	}
+	t.Logf("%d of %d take-ups went on, the slowest after %s, refused %v, served tokens of the workspace %v, share %v", len(began), burst, slowest, refused, usage, sim.fleet[0].shares.fairShare)
+	assert.Equal(t, len(refused), 0, "%v", refused)
+	assert.Equal(t, len(began), burst)
+	assert.Assert(t, slowest <= longObjective, "%s", slowest)
+}
+
+// Guards against a take-up whose predicted wait counts the new streams behind it, and
+// against one that leaves the queue after them.
+func TestQueuedNewStreamsAreBehindATakeUp(t *testing.T) {
+	d := newFleetOf(false, v1)
+	fill(t, d, "engine-0")
+	for range 20 {
+		r := newRequest(start, "others", 3000, 2*time.Second)
+		if d.Admit(start, r).Action != Wait {
+			break
+		}
+	}
+	assert.Assert(t, d.QueueLength() > 5)
+	takeUp := newRequest(start, "w", 3000, longObjective)
+	takeUp.Release, takeUp.Resumption, takeUp.AgeAtArrival = v1, true, 3*time.Second
+	v := d.Admit(start, takeUp)
+	assert.Equal(t, v.Class, Late)
+	assert.Equal(t, v.Action, Wait, "%s", v.Reason)
+	for now := start; ; now = now.Add(5 * time.Millisecond) {
+		if decided := d.Poll(now); len(decided) > 0 {
+			assert.Assert(t, decided[0].Request == takeUp)
+			assert.Equal(t, decided[0].Decision.Action, Send)
+			return
+		}
+	}
+}
+
+// Plays a flood of take-ups of one workspace beyond what all engines serve: new streams of
+// the others, which ask less than their share, go on. The users' rule on quotas is that no
+// workspace gets less than half of what it asks while another one gets more.
+func TestFloodOfTakeUpsLeavesEnginesToNewStreams(t *testing.T) {
+	const span = 10 * time.Second
+	sim := newSimulation(t, 4, 6, 50_000)
+	sim.onStep = func(elapsed time.Duration) {
+		for i := range sim.fleet {
+			if elapsed%(10*time.Millisecond) == 0 {
+				sim.offerTakeUp(i, "flood", 1000)
+			}
+		}
+	}
+	sim.runFor(baseWorkloads(span), span)
+	flood := sim.results["flood"]
+	t.Logf("take-ups: %+v", *flood)
+	assert.Assert(t, flood.refused > flood.onTime+flood.late, "the flood must exceed the engines")
+	for name, result := range sim.results {
+		if name != "flood" {
+			assert.Assert(t, 2*result.served > result.demand, "workspace %s: %+v", name, *result)
+		}
+	}
+}
+
+// Guards against take-ups of many workspaces that together leave nothing to new streams: a
+// host of two sends half of its part of the engines ahead of them, and more once the window
+// has passed.
+func TestTakeUpsGoAheadOnHalfOfTheEngines(t *testing.T) {
+	const tokens = 1000
+	d := newFleetOf(false, v1, v1)
+	d.SetEdgeHosts([]string{d.self}, 2)
+	limit := maxAheadFraction * readyPrefillRate(d.services["models"].servers) * shareWindow.Seconds() / 2
+	ahead := func(now time.Time) (n float64) {
+		for range 1000 {
+			for _, s := range d.servers {
+				s.updatedAt, s.backlogTokens, s.info.Heard = now, 0, now
+			}
+			r := newRequest(now, fmt.Sprint("w", n), tokens, time.Second)
+			r.Release, r.Resumption = v1, true
+			assert.Equal(t, d.Admit(now, r).Action, Send)
+			settle(d, now, r, Completed)
+			if !r.ahead {
+				return n
+			}
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, ahead(start)*tokens, limit)
+	assert.Equal(t, ahead(start.Add(shareWindow/2)), 0.0)
+	assert.Equal(t, ahead(start.Add(shareWindow))*tokens, limit)
+}
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -46,9 +46,8 @@
 	// RecordedOnly excludes servers whose release the fleet has not recorded. Streams that
 	// a caller may take up begin only at the others.
 	RecordedOnly bool
-	// RecordedResumption is set if the request continues a stream that is recorded: part of
-	// the answer was made within the share of the workspace.
-	RecordedResumption bool
+	// Resumption is set if the request continues a stream that Release began.
+	Resumption bool
 
 	// The fields below belong to the Dispatcher.
 	demandCounted  bool // counted in the demand of its workspace
@@ -56,7 +55,8 @@
 	queued         bool
 	isHedge        bool // second attempt, whose work the first one counts for the workspace
 	usageCounted   bool
-	excessCounted  bool // sent beyond the share of its workspace
+	ahead          bool // goes ahead of new streams
+	aheadCounted   bool // sent ahead of them
 	server         *server
 	prefixHolders  []prefixHolder // per data centre and release, the engine that caches the longest prefix of the prompt
 	fetchFrom      string
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -111,7 +111,7 @@
 		return ""
 	case !x.isResumption():
 		return x.in.ID
-	case x.dispatchReq.RecordedResumption:
+	case x.resumesRecord:
 		return x.in.Resumes
 	}
 	return ""
@@ -140,7 +140,7 @@
 	case !x.chooseServiceOf(id):
 		x.refuseResumption(dispatch.ReasonReleaseGone, result.ReleaseGone)
 	default:
-		x.dispatchReq.RecordedResumption = state == streamrecord.Recorded
+		x.dispatchReq.Resumption, x.resumesRecord = true, state == streamrecord.Recorded
 		return true
 	}
 	return false
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -84,6 +84,7 @@
 	start             *streamStart // nil until the first event of a stream that the caller may resume
 	recordedAt        time.Time    // when its record was sent last
 	found             string       // state in which the release of a stream that the caller takes up was found, "" for other requests
+	resumesRecord     bool         // the stream that the caller takes up is recorded
 	foundAt           time.Time
 	foundAge          time.Duration // from foundAt to the start of the last attempt
 	releaseFuncs      []func()      // return the memory of buffered responses
