Reserve a place at the engine for each take-up

Engines admit requests in order of arrival, so a take-up waited there behind the new streams of all hosts; what a host believes of the backlog is older than the burst.

A reservation is admitted ahead of the requests that wait. A take-up that goes ahead of new streams reserves its place at every engine that takes reservations and is not cold.

TestTakeUpReservesItsPlaceAtTheEngine failed before with 'assertion failed: false (v.ReserveSlot bool) != true (c.want bool): take-up'.

--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -31,6 +31,12 @@
 	return running+reserveMarginSlots >= s.info.Slots
 }
 
+// overtakes reports whether a slot is reserved for a take-up so that the engine begins it
+// ahead of the requests that wait there: engines admit these in order of arrival.
+func (d *Dispatcher) overtakes(now time.Time, r *Request, s *server) bool {
+	return r.ahead && s.info.SupportsReservation && !d.isCold(now, s)
+}
+
 // ConfirmReservation records that the slot for a request has been reserved, as
 // requested by its decision.
 func (d *Dispatcher) ConfirmReservation(now time.Time, r *Request) {
--- a/pkg/dispatch/takeup_overload_test.go
+++ b/pkg/dispatch/takeup_overload_test.go
@@ -142,3 +142,33 @@
 	assert.Equal(t, ahead(start.Add(shareWindow/2)), 0.0)
 	assert.Equal(t, ahead(start.Add(shareWindow))*tokens, limit)
 }
+
+// Guards against a take-up that waits at an engine behind new streams which arrived there
+// before it, and against reservations that others pay for: engines admit requests in order
+// of arrival, reservations before them.
+func TestTakeUpReservesItsPlaceAtTheEngine(t *testing.T) {
+	for _, c := range []struct {
+		name                    string
+		takeUp, supported, cold bool
+		want                    bool
+	}{
+		{"take-up", true, true, false, true},
+		{"new stream", false, true, false, false},
+		{"no reservations", true, false, false, false},
+		{"cold engine", true, true, true, false},
+	} {
+		infos := infosOf(false, v1)
+		infos[0].SupportsReservation = c.supported
+		if c.cold {
+			infos[0].ColdUntil, infos[0].ColdRequestsPerSecond = start.Add(time.Minute), 10
+		}
+		d := newFleetOf(false)
+		d.SetServers(start, infos)
+		assert.Equal(t, d.Admit(start, newRequest(start, "others", 3000, time.Second)).Action, Send)
+		r := newRequest(start, "w", 1000, time.Second)
+		r.Release, r.Resumption = v1, c.takeUp
+		v := d.Admit(start, r)
+		assert.Equal(t, v.Action, Send)
+		assert.Equal(t, v.ReserveSlot, c.want, c.name)
+	}
+}
