Send the records of streams each 100 ms

While one version serves, hosts keep records up to 250 ms to send them together, and a host that loses power takes these with it.

They wait 100 ms at most. A host sends ten messages a second to each core host instead of four, and the same records. Not covered by a test: the time is a constant of a ticker, and a bound on real time would depend on the load of the machine.

--- a/pkg/streamrecord/recorder/link.go
+++ b/pkg/streamrecord/recorder/link.go
@@ -16,7 +16,7 @@
 const (
 	// flushInterval is the longest time that a record which is not urgent waits to be
 	// sent with others.
-	flushInterval = 250 * time.Millisecond
+	flushInterval = 100 * time.Millisecond
 	// maxPending bounds the records that wait to be sent to one core host. A stream that
 	// has more is opened again, which sends the live ones.
 	maxPending = maxRecords
