Bound take-ups by no less than an even part of the stated rate

The fair share had fallen to 35,000 tokens of 243,000 that the workspace had been served: in an overload the capacity estimate falls to a fifth of the stated rate, and the bound on what goes ahead fell with it.

The bound uses an even part of the stated rate of the engines in service if that is more than the fair share.

TestCollapsedShareDoesNotBoundTakeUps fails without it with 'assertion failed: 0 (v.Action dispatch.Action) != 1 (Send dispatch.Action): take-up 0: over share'.

--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -35,7 +35,7 @@
 	}
 	u := d.shares.usageOf(r.Workspace)
 	u.ahead.advance(d.takeUpBucket(now))
-	if share := d.fairShare(now); share > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/float64(d.edges) {
+	if share := d.takeUpShare(now); share > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/float64(d.edges) {
 		return false
 	}
 	svc.ahead.advance(d.shares.bucket(now))
@@ -43,6 +43,18 @@
 	return svc.ahead.sum+float64(r.PromptTokens) <= limit
 }
 
+// takeUpShare returns the fair share by which the take-ups of a workspace are bounded, 0 for
+// no limit: at least an even part of the stated rate, because the fair share falls to a
+// fraction of that while engines are overloaded, which is when streams are taken up.
+func (d *Dispatcher) takeUpShare(now time.Time) float64 {
+	share := d.fairShare(now)
+	if share == 0 {
+		return 0
+	}
+	s := &d.shares
+	return max(share, s.statedRate*s.readyFraction*shareWindow.Seconds()/float64(max(len(s.usage), 1)))
+}
+
 // countAhead counts a take-up that is sent ahead of new streams. It is counted once, also if
 // it is sent again, and not taken back.
 func (d *Dispatcher) countAhead(now time.Time, r *Request) {
--- a/pkg/dispatch/takeup_overload_test.go
+++ b/pkg/dispatch/takeup_overload_test.go
@@ -114,6 +114,23 @@
 	}
 }
 
+// Guards against take-ups that are refused for the share right after an overload has made it
+// a fraction of what the engines serve.
+func TestCollapsedShareDoesNotBoundTakeUps(t *testing.T) {
+	const tokens = 1000
+	d := newFixedShareHost(4)
+	d.shares.statedRate, d.shares.fairShare = 100_000, 2*tokens
+	for _, workspace := range []string{"w", "v", "u", "t"} {
+		d.shares.recordServed(start, workspace, 100*tokens)
+	}
+	for n := range 25 { // a quarter of an even share of the four workspaces
+		_, v := admitTokens(d, start, tokens, true)
+		assert.Equal(t, v.Action, Send, "take-up %d: %s", n, v.Class)
+	}
+	_, v := admitTokens(d, start, tokens, true)
+	assert.Equal(t, v.Action, Wait)
+}
+
 // Guards against take-ups of many workspaces that together leave nothing to new streams: a
 // host of two sends half of its part of the engines ahead of them, and more once the window
 // has passed.
