--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -34,12 +34,16 @@
 	localEdges      []string // names of the edge hosts of this data centre, sorted
 	edges           int      // number of edge hosts in the fleet
 	assumeColdUntil time.Time
+
+	silenceCheckedAt time.Time
+	observedSince    time.Time // start of the checks of silence without a gap
 }
 
 // service groups the servers of one service.
 type service struct {
 	servers []*server
 	latency time.Duration // mean answer time of the plain servers
+	ahead   *slidingSum   // prompt tokens that this host sent ahead of new streams
 
 	byRelease            map[release.ID][]*server
 	readyByRelease       map[release.ID]int
@@ -98,6 +102,7 @@
 // rebuildIndexes rebuilds the indexes of servers by service and by hash, and
 // the fraction of engines that are ready.
 func (d *Dispatcher) rebuildIndexes() {
+	before := d.services
 	d.services = map[string]*service{}
 	d.serversByHash = make(map[uint64]*server, len(d.servers))
 	readyEngines, engines := 0, 0
@@ -105,7 +110,10 @@
 		d.serversByHash[s.hash] = s
 		svc := d.services[s.info.Service]
 		if svc == nil {
-			svc = &service{latency: defaultLatency}
+			svc = &service{latency: defaultLatency, ahead: &slidingSum{}}
+			if old := before[s.info.Service]; old != nil {
+				svc.ahead = old.ahead
+			}
 			d.services[s.info.Service] = svc
 		}
 		svc.servers = append(svc.servers, s)
@@ -216,6 +224,7 @@
 		return
 	}
 	d.expireSilentPeers(now)
+	d.checkSilence(now)
 	var backlogs []time.Duration
 	for _, s := range d.servers {
 		if s.isEngine() && s.info.Ready && s.downSince.IsZero() {
@@ -252,7 +261,8 @@
 		return d.decidePlain(now, r, svc, v)
 	}
 	beyondShare := !d.shares.withinShare(now, r.Workspace, serviceTokens(r))
-	if beyondShare && !d.mayExceedShare(now, r) {
+	r.ahead = d.mayGoAhead(now, r, svc)
+	if beyondShare && !r.ahead {
 		v.Class = OverShare
 		return v // until engines are idle or the usage in shareWindow has dropped
 	}
@@ -269,16 +279,14 @@
 	v.PredictedLatency = candidates.cheapest.prefillTime(uncached) + candidates.cheapest.firstEventDelay + fetchTime(candidates.cheapest, fetch)
 	v.Class = classifyLatency(now, r, v)
 	best := candidates.cheapestOnTime
-	if v.Class == Late && !d.needsScarceRelease(r) {
+	if v.Class == Late && !d.needsScarceRelease(r) && !r.ahead {
 		best = candidates.cheapestLate
 	}
 	if best == nil {
 		return v
 	}
 	v.BacklogTime = best.prefillTime(0)
-	if beyondShare {
-		d.countExcess(now, r)
-	}
+	d.countAhead(now, r)
 	return d.assign(now, r, best, v)
 }
 
@@ -312,7 +320,10 @@
 func (d *Dispatcher) assign(now time.Time, r *Request, s *server, v Decision) Decision {
 	r.server, r.sentAt, r.firstEventSeen, r.fetchFrom = s, now, false, ""
 	v.RunningRequests, _ = s.load()
-	v.ReserveSlot = d.needsReservation(now, s)
+	v.ReserveSlot = d.needsReservation(now, s) || d.overtakes(now, r, s)
+	if s.running == 0 {
+		s.busySince = now
+	}
 	s.running++
 	if s.isEngine() {
 		r.slotPending = v.ReserveSlot
