Bound take-ups by no less than an even part of what engines prefill

The bound uses an even part of the prefill rate of the engines in service.

The model hosts of TestResumptionsGetABoundedExcess and TestExcessIsCountedOnce got engines that prefill the fair share, so that the share stays the bound there; what they check is unchanged.

--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -33,26 +33,27 @@
 	if !r.Resumption || r.aheadCounted {
 		return r.Resumption
 	}
+	prefillRate := readyPrefillRate(svc.servers)
 	u := d.shares.usageOf(r.Workspace)
 	u.ahead.advance(d.takeUpBucket(now))
-	if share := d.takeUpShare(now); share > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/float64(d.edges) {
+	if share := d.takeUpShare(now, prefillRate); share > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/float64(d.edges) {
 		return false
 	}
 	svc.ahead.advance(d.shares.bucket(now))
-	limit := maxAheadFraction * readyPrefillRate(svc.servers) * shareWindow.Seconds() / float64(d.edges)
+	limit := maxAheadFraction * prefillRate * shareWindow.Seconds() / float64(d.edges)
 	return svc.ahead.sum+float64(r.PromptTokens) <= limit
 }
 
 // takeUpShare returns the fair share by which the take-ups of a workspace are bounded, 0 for
-// no limit: at least an even part of the stated rate, because the fair share falls to a
-// fraction of that while engines are overloaded, which is when streams are taken up.
-func (d *Dispatcher) takeUpShare(now time.Time) float64 {
+// no limit: at least an even part of what the engines prefill in shareWindow. The fair share
+// falls to a fraction of that while engines are overloaded, which is when streams are taken
+// up, and the stated rate may be as low.
+func (d *Dispatcher) takeUpShare(now time.Time, prefillRate float64) float64 {
 	share := d.fairShare(now)
 	if share == 0 {
 		return 0
 	}
-	s := &d.shares
-	return max(share, s.statedRate*s.readyFraction*shareWindow.Seconds()/float64(max(len(s.usage), 1)))
+	return max(share, prefillRate*shareWindow.Seconds()/float64(max(len(d.shares.usage), 1)))
 }
 
 // countAhead counts a take-up that is sent ahead of new streams. It is counted once, also if
--- a/pkg/dispatch/resumption_test.go
+++ b/pkg/dispatch/resumption_test.go
@@ -23,6 +23,7 @@
 // It takes no room at the engine for longer than the call.
 func admitTokens(d *Dispatcher, now time.Time, tokens int, isTakeUp bool) (*Request, Decision) {
 	for _, s := range d.servers {
+		s.prefillRate = modelFairShare / 4 / shareWindow.Seconds() // one workspace gets all that four engines prefill
 		s.updatedAt, s.backlogTokens = now, 2*idleBacklog.Seconds()*s.prefillRate
 	}
 	r := newRequest(now, "w", 10, time.Second)
