--- a/pkg/edge/hedge_test.go
+++ b/pkg/edge/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -96,3 +97,27 @@
 	own := placesTaken(d)
 	assert.Check(t, own == 1, "%d places are taken after the end of the second attempt, 1 by the first", own)
 }
+
+// Guards against memory for buffered responses that is never returned: of a second answer
+// that was read beside the first server and is not used.
+func TestUnusedSecondAnswerReturnsItsMemory(t *testing.T) {
+	h, _, _ := newSilentHedge(t)
+	m := newResponseMemory(0)
+	free := m.freeBytes
+	e := h.x.newExchange(dispatch.Decision{}, &dispatch.Request{Service: "s"})
+	var err error
+	e.body, e.releaseBody, err = m.read(strings.NewReader(strings.Repeat("b", 1<<20)))
+	assert.NilError(t, err)
+	assert.Assert(t, m.freeBytes < free)
+	h.x.s.endHedge(e, dispatch.CallerDisconnected)
+	assert.Equal(t, m.freeBytes, free)
+
+	e.body, e.releaseBody, err = m.read(strings.NewReader(strings.Repeat("b", 1<<20)))
+	assert.NilError(t, err)
+	_, release, err := e.readBody(m, nil)
+	assert.NilError(t, err)
+	e.dropBody() // the request that took it over returns it
+	assert.Assert(t, m.freeBytes < free)
+	release()
+	assert.Equal(t, m.freeBytes, free)
+}
