Let a part that was refused alone return alone after a lapse

Cause: a lapsed quarantine is renewed by one loss. Losses had told the part apart from its companion, but both lapse, both are suspects of that loss, and so both came back as companions: two servers more ended until the part was refused alone again.

Change: a part whose lapsed quarantine named no companions comes first and is told apart from those that were not refused alone.

--- a/pkg/quarantine/apart_test.go
+++ b/pkg/quarantine/apart_test.go
@@ -47,3 +47,18 @@
 	action, _ = tracker.Check(now, []uint64{deadlyPart})
 	assert.Equal(t, action, Refuse)
 }
+
+// Guards against a part that was refused alone being refused only with a companion when
+// it returns after a lapse.
+func TestPartThatWasRefusedAloneReturnsAlone(t *testing.T) {
+	tracker, now := refusedTogether(4, true)
+	now = loseParts(tracker, now, 101, 1101, deadlyPart)
+	now = now.Add(maxTerm)
+	tracker.Poll(now)
+	assert.Equal(t, tracker.verdicts[deadlyPart].State, Lapsed)
+	now = loseParts(tracker, now, 102, 1102, deadlyPart, soundPart)
+	action, _ := tracker.Check(now, []uint64{deadlyPart})
+	assert.Equal(t, action, Refuse)
+	action, _ = tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Allow)
+}
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -76,6 +76,12 @@
 func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) []uint64 {
 	sufficient := t.sufficient(now, suspicions)
 	slices.SortFunc(sufficient, func(a, b uint64) int {
+		if alone := t.wasRefusedAlone(a); alone != t.wasRefusedAlone(b) {
+			if alone {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(suspicions[b].compare(suspicions[a]), cmp.Compare(a, b))
 	})
 	for len(sufficient) > 0 {
@@ -116,6 +122,9 @@
 	s := suspicions[suspect]
 	for _, other := range sufficient {
 		o := suspicions[other]
+		if t.wasRefusedAlone(suspect) && !t.wasRefusedAlone(other) {
+			continue
+		}
 		if o.answered == s.answered && slices.Equal(o.losses, s.losses) || !IsRequest(suspect) && s.mayBeExplainedBy(o, suspect) && o.mayBeExplainedBy(s, other) {
 			rivals = append(rivals, other)
 		}
@@ -131,6 +140,13 @@
 	return rivals, false
 }
 
+// wasRefusedAlone reports whether the last quarantine of a suspect lapsed and named no
+// companions: losses had told it apart from others, which its return leaves true.
+func (t *Tracker) wasRefusedAlone(suspect uint64) bool {
+	v := t.verdicts[suspect]
+	return v != nil && v.isProbation()
+}
+
 // mayBeCause reports whether the evidence may suffice, now or later. Losses that one
 // request can explain say nothing about its parts.
 func (t *Tracker) mayBeCause(suspect uint64, s *suspicion) bool {
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -234,7 +234,6 @@
 	for p, since := range m.quarantined {
 		if now.Sub(since) > m.terms[p]+lapseTime {
 			delete(m.quarantined, p)
-			delete(m.companions, p)
 			m.released[p], m.lapsed[p] = now, true
 		}
 	}
@@ -273,11 +272,16 @@
 		out = append(out, s)
 	}
 	slices.SortStableFunc(out, func(a, b modelSuspicion) int {
-		return cmp.Or(cmp.Compare(toInt(a.answered), toInt(b.answered)), cmp.Compare(len(b.episodes), len(a.episodes)), cmp.Compare(len(b.losses), len(a.losses)))
+		return cmp.Or(cmp.Compare(toInt(m.wasRefusedAlone(b.suspect)), toInt(m.wasRefusedAlone(a.suspect))), cmp.Compare(toInt(a.answered), toInt(b.answered)), cmp.Compare(len(b.episodes), len(a.episodes)), cmp.Compare(len(b.losses), len(a.losses)))
 	})
 	return out
 }
 
+// wasRefusedAlone reports whether a quarantine without companions lapsed.
+func (m *model) wasRefusedAlone(suspect uint64) bool {
+	return m.lapsed[suspect] && len(m.companions[suspect]) == 0
+}
+
 func toInt(b bool) int {
 	if b {
 		return 1
@@ -315,6 +319,7 @@
 		unsure := false
 		for _, s := range all {
 			switch {
+			case s.sufficient && !passed[s.suspect] && m.wasRefusedAlone(first.suspect) && !m.wasRefusedAlone(s.suspect):
 			case s.sufficient && !passed[s.suspect] && (s.answered == first.answered && slices.Equal(s.losses, first.losses) || m.explains(first, s) && m.explains(s, first)):
 				same = append(same, s)
 			case !s.sufficient || passed[s.suspect]:
