Send no lost request again with a part that is refused with others

Cause: SuspectsAgain looked at quarantines that refuse the whole request, and at losses that no quarantine explains. The losses of parts that are refused together are explained, so hosts were more careful before the verdict than after it.

Change: a lost request with a quarantined part is not sent again, alone or with companions. Callers get the same answer as before the verdict.

--- a/pkg/quarantine/apart_test.go
+++ b/pkg/quarantine/apart_test.go
@@ -48,6 +48,14 @@
 	assert.Equal(t, action, Refuse)
 }
 
+// Guards against a lost request being sent to another server although its part is
+// suspected, because the part is refused only together with another one.
+func TestLostRequestWithACompanionIsNotSentAgain(t *testing.T) {
+	tracker, now := refusedTogether(4, false)
+	assert.Assert(t, tracker.SuspectsAgain(now, []uint64{deadlyPart}))
+	assert.Assert(t, !tracker.SuspectsAgain(now, []uint64{99}))
+}
+
 // Guards against a part that was refused alone being refused only with a companion when
 // it returns after a lapse.
 func TestPartThatWasRefusedAloneReturnsAlone(t *testing.T) {
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -125,13 +125,14 @@
 
 // SuspectsAgain reports whether a request with the suspects that was just lost
 // together with a server should not be sent to another one. One of them is
-// quarantined, or was until its quarantine lapsed; or a part was a suspect of an earlier loss, or the request of two, and
-// was not cleared since. Any sound request may be lost twice while servers end, so it
-// is sent again once more than its parts allow to others.
+// quarantined, alone or with companions, or was until its quarantine lapsed; or a part
+// was a suspect of an earlier loss, or the request of two, and was not cleared since.
+// Any sound request may be lost twice while servers end, so it is sent again once more
+// than its parts allow to others.
 func (t *Tracker) SuspectsAgain(now time.Time, suspects []uint64) bool {
 	for _, suspect := range suspects {
 		v := t.verdicts[suspect]
-		if v != nil && (v.State == Lapsed || t.applies(v, func(other uint64) bool { return slices.Contains(suspects, other) })) {
+		if v != nil && v.State != Released {
 			return true
 		}
 		least := 1
