Let two losses of one request tell no parts apart

Cause: parts that are refused together are told apart by two losses with one of them alone. The first copy of the deadly request and the second attempt of its host were these two losses.

Evidence: the pair is refused at 2.48 s; losses of the deadly request at 2.50 s, and at 2.93 s by a copy that was sent at 2.50 s; the shared part is refused alone at 3.33 s.

Change: the losses have to be of two requests, as they have to be of three for a verdict.

--- a/pkg/quarantine/apart_test.go
+++ b/pkg/quarantine/apart_test.go
@@ -48,6 +48,23 @@
 	assert.Equal(t, action, Refuse)
 }
 
+// Guards against a sound part being refused alone by two losses of one request that a
+// host sent to a second server.
+func TestTwoLossesOfOneRequestTellNoPartsApart(t *testing.T) {
+	tracker, now := refusedTogether(4, false)
+	for i := range uint64(2) { // the second copy is sent at the loss of the first one
+		now = now.Add(2 * episodeGap)
+		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{RequestSuspect(1100), now.Add(-2 * episodeGap)}}})
+	}
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	action, _ := tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Allow)
+	now = loseParts(tracker, now, 102, 1102, soundPart)
+	action, _ = tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Refuse)
+}
+
 // Guards against a lost request being sent to another server although its part is
 // suspected, because the part is refused only together with another one.
 func TestLostRequestWithACompanionIsNotSentAgain(t *testing.T) {
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -179,8 +179,8 @@
 }
 
 // separateCompanions makes quarantines unconditional after losses that the part is a
-// suspect of and a companion is not. Reports of all hosts on a loss have arrived when
-// it is settled.
+// suspect of and a companion is not, of as many requests: a host may send one request to
+// two servers. Reports of all hosts on a loss have arrived when it is settled.
 func (t *Tracker) separateCompanions(now time.Time, losses []*loss) {
 	for part, v := range t.verdicts {
 		if v.State != Quarantined || len(v.Companions) == 0 {
@@ -199,7 +199,7 @@
 				alone.add(l, part)
 			}
 		}
-		if len(alone.episodes) < lossesToSeparate {
+		if len(alone.episodes) < lossesToSeparate || t.repeats.requestsLost(alone.losses) < lossesToSeparate {
 			continue
 		}
 		term := v.Term
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -210,7 +210,7 @@
 			continue
 		}
 		m.explain()
-		alone := 0
+		var alone []int
 		var explaining []uint64
 		for i, l := range m.losses {
 			if l.explainedBy != 0 || !slices.Contains(l.parts, p) || !l.at.After(m.answeredAt(p)) {
@@ -219,10 +219,10 @@
 			requests := m.repeatsOf(i)
 			if !slices.ContainsFunc(requests, func(r uint64) bool { return slices.Contains(explaining, r) }) {
 				explaining = append(explaining, requests...)
-				alone++
+				alone = append(alone, i)
 			}
 		}
-		if alone >= lossesToSeparate {
+		if len(alone) >= lossesToSeparate && m.requestsLost(alone, parts) >= lossesToSeparate {
 			m.quarantined[p], m.companions[p] = now, nil
 		}
 	}
