--- a/pkg/quarantine/apart_test.go
+++ b/pkg/quarantine/apart_test.go
@@ -47,3 +47,63 @@
 	action, _ = tracker.Check(now, []uint64{deadlyPart})
 	assert.Equal(t, action, Refuse)
 }
+
+// Guards against a sound part being refused alone by two losses of one request that a
+// host sent to a second server.
+func TestTwoLossesOfOneRequestTellNoPartsApart(t *testing.T) {
+	tracker, now := refusedTogether(4, false)
+	for i := range uint64(2) { // the second copy is sent at the loss of the first one
+		now = now.Add(2 * episodeGap)
+		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{RequestSuspect(1100), now.Add(-2 * episodeGap)}}})
+	}
+	now = now.Add(settleTime)
+	tracker.Poll(now)
+	action, _ := tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Allow)
+	now = loseParts(tracker, now, 102, 1102, soundPart)
+	action, _ = tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Refuse)
+}
+
+// Guards against a lost request being sent to another server although its part is
+// suspected, because the part is refused only together with another one.
+func TestLostRequestWithACompanionIsNotSentAgain(t *testing.T) {
+	tracker, now := refusedTogether(4, false)
+	assert.Assert(t, tracker.SuspectsAgain(now, []uint64{deadlyPart}))
+	assert.Assert(t, !tracker.SuspectsAgain(now, []uint64{99}))
+}
+
+// Guards against a sound part being refused alone because a loss that a quarantined
+// request explains counts for it, while the deadly part has all others but too few
+// requests for a verdict (TestSubjectOfTwoCausesIsServed/13).
+func TestExplainedLossMakesNoPartTheCause(t *testing.T) {
+	tracker, now := lossesOf()
+	for i := range uint64(lossesToQuarantine) {
+		now = now.Add(time.Second)
+		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{deadlyRequest, now.Add(-time.Millisecond)}}})
+		now = now.Add(settleTime)
+		tracker.Poll(now)
+	}
+	action, _ := tracker.Check(now, []uint64{soundPart, deadlyRequest})
+	assert.Equal(t, action, Refuse)
+	now = loseParts(tracker, now, 1, 1000, deadlyPart, soundPart)
+	now = loseParts(tracker, now, 2, 1000, deadlyPart, soundPart)
+	now = loseParts(tracker, now, 3, 1003, deadlyPart, soundPart)
+	action, _ = tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Allow)
+}
+
+// Guards against a part that was refused alone being refused only with a companion when
+// it returns after a lapse.
+func TestPartThatWasRefusedAloneReturnsAlone(t *testing.T) {
+	tracker, now := refusedTogether(4, true)
+	now = loseParts(tracker, now, 101, 1101, deadlyPart)
+	now = now.Add(maxTerm)
+	tracker.Poll(now)
+	assert.Equal(t, tracker.verdicts[deadlyPart].State, Lapsed)
+	now = loseParts(tracker, now, 102, 1102, deadlyPart, soundPart)
+	action, _ := tracker.Check(now, []uint64{deadlyPart})
+	assert.Equal(t, action, Refuse)
+	action, _ = tracker.Check(now, []uint64{soundPart})
+	assert.Equal(t, action, Allow)
+}
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -76,6 +76,12 @@
 func (t *Tracker) strongest(now time.Time, suspicions map[uint64]*suspicion) []uint64 {
 	sufficient := t.sufficient(now, suspicions)
 	slices.SortFunc(sufficient, func(a, b uint64) int {
+		if alone := t.wasRefusedAlone(a); alone != t.wasRefusedAlone(b) {
+			if alone {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(suspicions[b].compare(suspicions[a]), cmp.Compare(a, b))
 	})
 	for len(sufficient) > 0 {
@@ -116,6 +122,9 @@
 	s := suspicions[suspect]
 	for _, other := range sufficient {
 		o := suspicions[other]
+		if t.wasRefusedAlone(suspect) && !t.wasRefusedAlone(other) {
+			continue
+		}
 		if o.answered == s.answered && slices.Equal(o.losses, s.losses) || !IsRequest(suspect) && s.mayBeExplainedBy(o, suspect) && o.mayBeExplainedBy(s, other) {
 			rivals = append(rivals, other)
 		}
@@ -124,13 +133,20 @@
 		return rivals, false
 	}
 	for other, o := range suspicions {
-		if !slices.Contains(sufficient, other) && s.mayBeExplainedBy(o, suspect) && t.repeats.requestsLost(o.all.losses) >= min(len(o.all.episodes), lossesToQuarantine) {
+		if !slices.Contains(sufficient, other) && s.mayBeExplainedBy(o, suspect) && (!s.hasUnexplainedWithout(o) || t.repeats.requestsLost(o.all.losses) >= min(len(o.all.episodes), lossesToQuarantine)) {
 			return rivals, true
 		}
 	}
 	return rivals, false
 }
 
+// wasRefusedAlone reports whether the last quarantine of a suspect lapsed and named no
+// companions: losses had told it apart from others, which its return leaves true.
+func (t *Tracker) wasRefusedAlone(suspect uint64) bool {
+	v := t.verdicts[suspect]
+	return v != nil && v.isProbation()
+}
+
 // mayBeCause reports whether the evidence may suffice, now or later. Losses that one
 // request can explain say nothing about its parts.
 func (t *Tracker) mayBeCause(suspect uint64, s *suspicion) bool {
@@ -163,8 +179,8 @@
 }
 
 // separateCompanions makes quarantines unconditional after losses that the part is a
-// suspect of and a companion is not. Reports of all hosts on a loss have arrived when
-// it is settled.
+// suspect of and a companion is not, of as many requests: a host may send one request to
+// two servers. Reports of all hosts on a loss have arrived when it is settled.
 func (t *Tracker) separateCompanions(now time.Time, losses []*loss) {
 	for part, v := range t.verdicts {
 		if v.State != Quarantined || len(v.Companions) == 0 {
@@ -183,7 +199,7 @@
 				alone.add(l, part)
 			}
 		}
-		if len(alone.episodes) < lossesToSeparate {
+		if len(alone.episodes) < lossesToSeparate || t.repeats.requestsLost(alone.losses) < lossesToSeparate {
 			continue
 		}
 		term := v.Term
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -210,7 +210,7 @@
 			continue
 		}
 		m.explain()
-		alone := 0
+		var alone []int
 		var explaining []uint64
 		for i, l := range m.losses {
 			if l.explainedBy != 0 || !slices.Contains(l.parts, p) || !l.at.After(m.answeredAt(p)) {
@@ -219,10 +219,10 @@
 			requests := m.repeatsOf(i)
 			if !slices.ContainsFunc(requests, func(r uint64) bool { return slices.Contains(explaining, r) }) {
 				explaining = append(explaining, requests...)
-				alone++
+				alone = append(alone, i)
 			}
 		}
-		if alone >= lossesToSeparate {
+		if len(alone) >= lossesToSeparate && m.requestsLost(alone, parts) >= lossesToSeparate {
 			m.quarantined[p], m.companions[p] = now, nil
 		}
 	}
@@ -234,7 +234,6 @@
 	for p, since := range m.quarantined {
 		if now.Sub(since) > m.terms[p]+lapseTime {
 			delete(m.quarantined, p)
-			delete(m.companions, p)
 			m.released[p], m.lapsed[p] = now, true
 		}
 	}
@@ -273,11 +272,21 @@
 		out = append(out, s)
 	}
 	slices.SortStableFunc(out, func(a, b modelSuspicion) int {
-		return cmp.Or(cmp.Compare(toInt(a.answered), toInt(b.answered)), cmp.Compare(len(b.episodes), len(a.episodes)), cmp.Compare(len(b.losses), len(a.losses)))
+		return cmp.Or(cmp.Compare(toInt(m.wasRefusedAlone(b.suspect)), toInt(m.wasRefusedAlone(a.suspect))), cmp.Compare(toInt(a.answered), toInt(b.answered)), cmp.Compare(len(b.episodes), len(a.episodes)), cmp.Compare(len(b.losses), len(a.losses)))
 	})
 	return out
 }
 
+// wasRefusedAlone reports whether a quarantine without companions lapsed.
+func (m *model) wasRefusedAlone(suspect uint64) bool {
+	return m.lapsed[suspect] && len(m.companions[suspect]) == 0
+}
+
+// hasUnexplainedWithout reports whether a has a loss that no request explains and b lacks.
+func (m *model) hasUnexplainedWithout(a, b modelSuspicion) bool {
+	return slices.ContainsFunc(a.losses, func(i int) bool { return m.losses[i].explainedBy == 0 && !slices.Contains(b.losses, i) })
+}
+
 func toInt(b bool) int {
 	if b {
 		return 1
@@ -315,11 +324,12 @@
 		unsure := false
 		for _, s := range all {
 			switch {
+			case s.sufficient && !passed[s.suspect] && m.wasRefusedAlone(first.suspect) && !m.wasRefusedAlone(s.suspect):
 			case s.sufficient && !passed[s.suspect] && (s.answered == first.answered && slices.Equal(s.losses, first.losses) || m.explains(first, s) && m.explains(s, first)):
 				same = append(same, s)
 			case !s.sufficient || passed[s.suspect]:
 				all, times := m.evidence(s.suspect, false)
-				plausible := IsRequest(s.suspect) || m.requestsLost(all, suspects) >= min(len(times), 3)
+				plausible := IsRequest(s.suspect) || !m.hasUnexplainedWithout(first, s) || m.requestsLost(all, suspects) >= min(len(times), 3)
 				unsure = unsure || m.explains(first, s) && plausible && len(first.episodes) < first.needed+2
 			}
 		}
@@ -446,6 +456,10 @@
 				if got := v != nil && v.State == Quarantined; got != !m.quarantined[p].IsZero() {
 					t.Fatalf("step %d, suspect %x: %+v, in the model since %v, term %v, now %v", step, p, v, m.quarantined[p], m.terms[p], now)
 				}
+				alone := func(suspect uint64) bool { return suspect == p }
+				if got, want := v != nil && tracker.applies(v, alone), m.applies(p, []uint64{p}); got != want {
+					t.Fatalf("step %d, suspect %x: %+v, refused alone: %v, in the model: %v", step, p, v, got, want)
+				}
 			}
 		}
 	})
