--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 soak:
 	JACKDAWTRACK_SOAK_SEEDS=$(SEEDS) go test -timeout 60m ./pkg/wal ./pkg/raft ./pkg/replica
 
-# Runs the fault-injection soak test of the platform's programs, about 12 s per
+# Runs the soak tests of the platform's programs, with faults about 12 s and with planned
+# work beside silent servers about 25 s per
 # seed. Example: make platform-soak FIRST=1 SEEDS=50. EDGES=57 runs 60 processes.
 .PHONY: platform-soak
 FIRST ?= 1
