Count a take-up when it is queued, by the hosts that live

Change: the predicted wait of a take-up is that of its own host, because streams that broke come back at few hosts. It may wait as long as a new stream. It counts when it is queued and keeps its place. The parts are those of hosts that are heard, and one take-up of a workspace goes ahead at each host.

Tried and taken back: no bound at all beyond the share, as late requests.

--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -15,6 +15,7 @@
 		return d.refuse(now, r, v, refusalReason(v.Class))
 	}
 	r.queued, r.decision = true, v
+	d.countAhead(now, r)
 	d.queue = append(d.queue, r)
 	return v
 }
@@ -41,6 +42,9 @@
 			seconds += float64(w.PromptTokens) / prefillRate
 		}
 	}
+	if r.ahead { // streams that broke come back at few hosts, not at all of them alike
+		return time.Duration(seconds * float64(time.Second))
+	}
 	// Assume that the other edge hosts have queues of the same length and get an
 	// equal part of the engines.
 	return time.Duration(seconds * float64(d.edges) * float64(time.Second))
@@ -65,7 +69,11 @@
 	case OnTime:
 		return min(r.Objective-waited, left)
 	case Late:
-		return min(maxLateWait-waited, time.Duration(maxLateWaitFraction*float64(left)))
+		limit := min(maxLateWait-waited, time.Duration(maxLateWaitFraction*float64(left)))
+		if r.ahead { // as long as a new stream
+			limit = max(limit, min(r.Objective-waited, left))
+		}
+		return limit
 	default:
 		return min(time.Duration(maxOverShareWaitFraction*float64(r.Objective))-waited, left)
 	}
--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -28,7 +28,8 @@
 }
 
 // mayGoAhead reports whether the request is a take-up that goes ahead of new streams. Each
-// edge host has an equal part of the bounds, so that these need no messages.
+// edge host has an equal part of the bounds, so that these need no messages. A workspace
+// gets one ahead at each host however small that part is.
 func (d *Dispatcher) mayGoAhead(now time.Time, r *Request, svc *service) bool {
 	if !r.Resumption || r.aheadCounted {
 		return r.Resumption
@@ -36,14 +37,28 @@
 	prefillRate := readyPrefillRate(svc.servers)
 	u := d.shares.usageOf(r.Workspace)
 	u.ahead.advance(d.takeUpBucket(now))
-	if share := d.takeUpShare(now, prefillRate); share > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/float64(d.edges) {
+	hosts := float64(d.liveEdges())
+	share := d.takeUpShare(now, prefillRate)
+	if share > 0 && u.ahead.sum > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/hosts {
 		return false
 	}
 	svc.ahead.advance(d.shares.bucket(now))
-	limit := maxAheadFraction * prefillRate * shareWindow.Seconds() / float64(d.edges)
+	limit := maxAheadFraction * prefillRate * shareWindow.Seconds() / hosts
 	return svc.ahead.sum+float64(r.PromptTokens) <= limit
 }
 
+// liveEdges returns the number of edge hosts without those that have fallen silent: the
+// callers of these come to the others.
+func (d *Dispatcher) liveEdges() int {
+	live := d.edges
+	for _, p := range d.peers {
+		if p.expired {
+			live--
+		}
+	}
+	return max(live, 1)
+}
+
 // takeUpShare returns the fair share by which the take-ups of a workspace are bounded, 0 for
 // no limit: at least an even part of what the engines prefill in shareWindow. The fair share
 // falls to a fraction of that while engines are overloaded, which is when streams are taken
@@ -56,8 +71,8 @@
 	return max(share, prefillRate*shareWindow.Seconds()/float64(max(len(d.shares.usage), 1)))
 }
 
-// countAhead counts a take-up that is sent ahead of new streams. It is counted once, also if
-// it is sent again, and not taken back.
+// countAhead counts a take-up that waits or is sent ahead of new streams. It is counted once,
+// also if it is sent again, and not taken back.
 func (d *Dispatcher) countAhead(now time.Time, r *Request) {
 	svc := d.services[r.Service]
 	if svc == nil || !r.ahead || r.aheadCounted {
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -56,7 +56,7 @@
 	isHedge        bool // second attempt, whose work the first one counts for the workspace
 	usageCounted   bool
 	ahead          bool // goes ahead of new streams
-	aheadCounted   bool // sent ahead of them
+	aheadCounted   bool // waits or was sent ahead of them
 	server         *server
 	prefixHolders  []prefixHolder // per data centre and release, the engine that caches the longest prefix of the prompt
 	fetchFrom      string
