Send a take-up whose reservation is not answered without one

Callers could see a take-up that is never sent: an engine that does not answer a reservation costs 200 ms, counts as full for 25 ms and is asked again. Each such wait also entered the mean by which a host leaves reservations out, so one of them ended all reservations of the host for 3 s, ten for 10 s.

Change: a take-up that waited for over 100 ms for its reservation is sent without one. A reservation only to go ahead counts for the mean of the host only if the engine has answered.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -320,7 +320,9 @@
 func (d *Dispatcher) assign(now time.Time, r *Request, s *server, v Decision) Decision {
 	r.server, r.sentAt, r.firstEventSeen, r.fetchFrom = s, now, false, ""
 	v.RunningRequests, _ = s.load()
-	v.ReserveSlot = d.needsReservation(now, s) || d.overtakes(now, r, s)
+	nearlyFull := d.needsReservation(now, s)
+	v.Overtakes = !nearlyFull && d.overtakes(now, r, s)
+	v.ReserveSlot = nearlyFull || v.Overtakes
 	if s.running == 0 {
 		s.busySince = now
 	}
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -28,6 +28,7 @@
 	}
 	r.server = nil
 	defer func() { r.slotPending = false }()
+	r.overtakeFailed = r.overtakeFailed || r.slotPending && now.Sub(r.sentAt) > maxReservationTime
 	s.running--
 	s.noSlotUntil = time.Time{} // a slot has become free
 	if s.isEngine() {
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -11,6 +11,8 @@
 	// noSlotBackoff is how long no requests are sent to an engine after a failed
 	// reservation. A full engine with 12 slots frees one every 100 to 200 ms.
 	noSlotBackoff = 25 * time.Millisecond
+	// maxReservationTime is the time within which an engine that is only full answers.
+	maxReservationTime = 100 * time.Millisecond
 	// lateSpareFraction is the fraction of the slots of an engine that Late
 	// requests leave free for OnTime requests.
 	lateSpareFraction = 1.0 / 6
@@ -32,9 +34,10 @@
 }
 
 // overtakes reports whether a slot is reserved for a take-up so that the engine begins it
-// ahead of the requests that wait there: engines admit these in order of arrival.
+// ahead of the requests that wait there: engines admit these in order of arrival. A take-up
+// that an engine has kept waiting for its reservation is sent without one.
 func (d *Dispatcher) overtakes(now time.Time, r *Request, s *server) bool {
-	return r.ahead && s.info.SupportsReservation && !d.isCold(now, s)
+	return r.ahead && !r.overtakeFailed && s.info.SupportsReservation && !d.isCold(now, s)
 }
 
 // ConfirmReservation records that the slot for a request has been reserved, as
--- a/pkg/dispatch/takeup_burst_test.go
+++ b/pkg/dispatch/takeup_burst_test.go
@@ -89,3 +89,25 @@
 		assert.Equal(t, sent, c.want, "%d hosts, %d of them died", c.hosts, c.died)
 	}
 }
+
+// Guards against a take-up that asks engines for a reservation again and again although
+// they do not answer, and is never sent. An engine that says it is full does not count.
+func TestTakeUpIsSentAfterAReservationWithoutAnswer(t *testing.T) {
+	for took, want := range map[time.Duration]bool{200 * time.Millisecond: false, 5 * time.Millisecond: true} {
+		infos := infosOf(false, v1, v1)
+		for i := range infos {
+			infos[i].SupportsReservation = true
+		}
+		d := newFleetOf(false)
+		d.SetServers(start, infos)
+		r := newRequest(start, "w", 1000, longObjective)
+		r.Release, r.Resumption = v1, true
+		v := d.Admit(start, r)
+		assert.Assert(t, v.ReserveSlot && v.Overtakes)
+		now := start.Add(took)
+		d.RecordOutcome(now, r, NoSlot)
+		v = d.Admit(now, r)
+		assert.Equal(t, v.Action, Send)
+		assert.Equal(t, v.ReserveSlot, want, "after %s", took)
+	}
+}
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -57,6 +57,7 @@
 	usageCounted   bool
 	ahead          bool // goes ahead of new streams
 	aheadCounted   bool // waits or was sent ahead of them
+	overtakeFailed bool // an engine did not reserve a slot for it
 	server         *server
 	prefixHolders  []prefixHolder // per data centre and release, the engine that caches the longest prefix of the prompt
 	fetchFrom      string
@@ -100,7 +101,8 @@
 // Decision is the decision on a request, with the inputs that led to it.
 type Decision struct {
 	Action      Action
-	ReserveSlot bool // the engine is nearly full: reserve a slot before sending
+	ReserveSlot bool // reserve a slot before sending: the engine is nearly full, or Overtakes
+	Overtakes   bool // the engine has room, and the slot is reserved to go ahead of the requests that wait there
 	Reason      Reason
 	Server      string // id of the server
 	StartMS     int64  // start time of the server, in Unix milliseconds
--- a/pkg/edge/reserve.go
+++ b/pkg/edge/reserve.go
@@ -68,7 +68,13 @@
 		x.s.recordReservation(x.dispatchReq)
 		return true
 	}
-	defer func() { x.s.reservations.record(time.Now(), time.Since(startedAt)) }()
+	answered := false
+	defer func() {
+		// A take-up may ask an engine that has died: that says nothing about this host.
+		if answered || !v.Overtakes {
+			x.s.reservations.record(time.Now(), time.Since(startedAt))
+		}
+	}()
 	ctx, cancel := context.WithTimeout(x.callerCtx, reserveTimeout)
 	defer cancel()
 	path, body := x.s.config.Dialect.ReservationRequest(x.dispatchReq.PromptTokens+x.dispatchReq.OutputTokens, reserveTTL)
@@ -87,6 +93,7 @@
 		return x.recordNoReservation(reserveOutcome(err, sent(), x.callerCtx.Err() != nil))
 	}
 	defer resp.Body.Close()
+	answered = true
 	if x.slotReservation, err = x.s.config.Dialect.ReadReservation(resp); err != nil {
 		x.s.log.WithFields(logrus.Fields{"id": x.in.ID, "server": v.Server, "error": err}).Warn("cannot read slot reservation response")
 	}
