Announce servers of router tests by a client of their own

Cause: the tests announce with the default client, and each test server that another test closes ends the idle connections of that client. Change: the client of the router's own test server. What the tests check is unchanged.

--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -141,7 +141,7 @@
 	req, err := http.NewRequest(http.MethodPost, tr.announce.URL+"/v1/announce", bytes.NewReader(body))
 	assert.NilError(t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := tr.announce.Client().Do(req) // not the default one, whose idle connections every test server closes
 	assert.NilError(t, err)
 	resp.Body.Close()
 	return resp
@@ -181,7 +181,7 @@
 
 // tryDo returns a nil response if the request fails or the response breaks off.
 func tryDo(req *http.Request) (*http.Response, string) {
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := tr.announce.Client().Do(req) // not the default one, whose idle connections every test server closes
 	if err != nil {
 		return nil, err.Error()
 	}
