Count a stream that ends with a server's error as failed

A request for a stream that ended with the 5xx of a server was counted as ended, so the share of take-ups that go on looked larger than it is. Found by a review.

Before: TestEndsOfStreamsAreTold 'ended != failed.server_error'.

--- a/pkg/edge/takeups.go
+++ b/pkg/edge/takeups.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -101,6 +102,8 @@
 		return streamCut
 	case x.closeReason != "":
 		return streamCutEarly
+	case x.errorCode == result.OK && x.status >= http.StatusInternalServerError: // passed on from a server
+		return streamFailedPrefix + codeName(result.ServerError)
 	case x.errorCode == result.OK:
 		return streamEnded
 	case x.errorCode.Executed() == result.ExecutedNo:
--- a/pkg/edge/takeups_test.go
+++ b/pkg/edge/takeups_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
@@ -51,6 +52,7 @@
 		"left.with_event":      func(x *proxiedRequest) { x.sseParser.count, x.closeReason = 1, closeCallerLeft },
 		"refused.rate_limited": func(x *proxiedRequest) { x.errorCode = result.RateLimited },
 		"refused.release_full": func(x *proxiedRequest) { x.errorCode = result.ReleaseFull },
+		"failed.server_error":  func(x *proxiedRequest) { x.status = http.StatusInternalServerError },
 		"failed.server_silent": func(x *proxiedRequest) { x.errorCode = result.ServerSilent },
 	} {
 		x := newStreamTest()
