--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -126,6 +126,10 @@
 	return server.Address()
 }
 
+// announcer sends announcements. It is not the default client, whose idle connections
+// end whenever a test server is closed.
+var announcer = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // postAnnouncement announces a server that has no stand-in.
 func (tr *testRouter) postAnnouncement(t testing.TB, a backend.Announcement, key string) *http.Response {
 	t.Helper()
@@ -141,7 +145,7 @@
 	req, err := http.NewRequest(http.MethodPost, tr.announce.URL+"/v1/announce", bytes.NewReader(body))
 	assert.NilError(t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := tr.announce.Client().Do(req) // not the default one, whose idle connections every test server closes
+	resp, err := announcer.Do(req)
 	assert.NilError(t, err)
 	resp.Body.Close()
 	return resp
