Leave hosts that left long ago out of the count of live ones

The bounds of take-ups subtract hosts that have fallen silent from the number of hosts, which forgets them after a minute, while the dispatcher keeps them for good: a fleet whose hosts are replaced would in the end give each host the whole bound. Only hosts that fell silent within that minute are subtracted.

Before: TestTakeUpsGetThePartOfHostsThatDied '40 != 10: 4 hosts, 3 of them died' an hour ago.

--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -20,6 +20,8 @@
 	// maxAheadFraction is the fraction of what the engines prefill in shareWindow that the
 	// take-ups of all workspaces get ahead: new streams go on beside any number of them.
 	maxAheadFraction = 0.5
+	// silentEdgeTime is how long SetEdgeHosts counts a host that has fallen silent.
+	silentEdgeTime = time.Minute
 )
 
 // takeUpBucket returns the number of the bucket of takeUpWindow for a time.
@@ -37,7 +39,7 @@
 	prefillRate := readyPrefillRate(svc.servers)
 	u := d.shares.usageOf(r.Workspace)
 	u.ahead.advance(d.takeUpBucket(now))
-	hosts := float64(d.liveEdges())
+	hosts := float64(d.liveEdges(now))
 	share := d.takeUpShare(now, prefillRate)
 	if share > 0 && u.ahead.sum > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/hosts {
 		return false
@@ -47,12 +49,12 @@
 	return svc.ahead.sum+float64(r.PromptTokens) <= limit
 }
 
-// liveEdges returns the number of edge hosts without those that have fallen silent: the
-// callers of these come to the others.
-func (d *Dispatcher) liveEdges() int {
+// liveEdges returns the number of edge hosts without those that have fallen silent lately:
+// their callers come to the others. Hosts that are silent for longer are in no count.
+func (d *Dispatcher) liveEdges(now time.Time) int {
 	live := d.edges
 	for _, p := range d.peers {
-		if p.expired {
+		if p.expired && now.Sub(p.heardAt) < silentEdgeTime {
 			live--
 		}
 	}
--- a/pkg/dispatch/takeup_burst_test.go
+++ b/pkg/dispatch/takeup_burst_test.go
@@ -68,13 +68,17 @@
 }
 
 // Guards against the parts of hosts that have died being kept from the hosts that their
-// callers come to, and against a part that is smaller than one request.
+// callers come to, against hosts that left long ago and raise the parts of the others, and
+// against a part that is smaller than one request.
 func TestTakeUpsGetThePartOfHostsThatDied(t *testing.T) {
 	const tokens = 1000
-	for _, c := range []struct{ hosts, died, want int }{{4, 0, 10}, {4, 2, 20}, {4, 3, 40}, {200, 0, 1}} {
+	for _, c := range []struct {
+		hosts, died, want int
+		silence           time.Duration
+	}{{4, 0, 10, 0}, {4, 2, 20, peerTimeout}, {4, 3, 40, 50 * time.Second}, {4, 3, 10, time.Hour}, {200, 0, 1, 0}} {
 		d := newFixedShareHost(c.hosts)
 		for i := range c.died {
-			d.peers[fmt.Sprint("host-", i)] = &peer{expired: true}
+			d.peers[fmt.Sprint("host-", i)] = &peer{expired: true, heardAt: start.Add(-c.silence)}
 		}
 		d.shares.recordServed(start, "w", 2*modelFairShare)
 		sent := 0
