Notice five more conditions of take-ups in tests

A review broke conditions on purpose and no test noticed. The predicted wait that counts new streams again (the first cause of lost take-ups): the test queued exactly as much as a take-up may wait. New streams whose predicted wait leaves out late take-ups, and a bound that an announcement resets: no test. Names that nobody recorded and that renew records: TestTakeUpByHistoryIsNotRecorded had lost that when one flag became two. TestTakeUpsGoOnBeyondTheShare had lost the class OverShare; with it, it failed with 'on time != over share', as it had ended because the engine was full and not for the bound.

No code is changed.

--- a/pkg/dispatch/takeup_overload_test.go
+++ b/pkg/dispatch/takeup_overload_test.go
@@ -69,15 +69,12 @@
 func TestQueuedNewStreamsAreBehindATakeUp(t *testing.T) {
 	d := newFleetOf(false, v1)
 	fill(t, d, "engine-0")
-	for range 20 {
-		r := newRequest(start, "others", 3000, 2*time.Second)
-		if d.Admit(start, r).Action != Wait {
-			break
-		}
+	for d.Admit(start, newRequest(start, "others", 3000, 4*time.Second)).Action == Wait {
 	}
-	assert.Assert(t, d.QueueLength() > 5)
 	takeUp := newRequest(start, "w", 3000, longObjective)
 	takeUp.Release, takeUp.Resumption, takeUp.AgeAtArrival = v1, true, 3*time.Second
+	prefill := time.Duration(float64(3000*d.QueueLength()) / d.servers["engine-0"].prefillRate * float64(time.Second))
+	assert.Assert(t, prefill > longObjective && prefill > maxLateWait, "the queue must be longer than a take-up may wait")
 	v := d.Admit(start, takeUp)
 	assert.Equal(t, v.Class, Late)
 	assert.Equal(t, v.Action, Wait, "%s", v.Reason)
@@ -90,6 +87,19 @@
 	}
 }
 
+// Guards against new streams that wait in vain because their predicted wait leaves out the
+// late take-ups ahead of them.
+func TestPredictedWaitCountsTakeUpsAhead(t *testing.T) {
+	d := newFleetOf(false, v1)
+	fill(t, d, "engine-0")
+	takeUp := newRequest(start, "w", 3000, longObjective)
+	takeUp.Release, takeUp.Resumption, takeUp.AgeAtArrival = v1, true, 3*time.Second
+	v := d.Admit(start, takeUp)
+	assert.Equal(t, v.Action, Wait)
+	assert.Equal(t, v.Class, Late)
+	assert.Assert(t, d.predictedQueueTime(newRequest(start, "others", 100, time.Second), Decision{Class: OnTime}) > 0)
+}
+
 // Plays a flood of take-ups of one workspace beyond what all engines serve: new streams of
 // the others, which ask less than their share, go on. The users' rule on quotas is that no
 // workspace gets less than half of what it asks while another one gets more.
@@ -156,6 +166,7 @@
 		return n
 	}
 	assert.Equal(t, ahead(start)*tokens, limit)
+	d.SetServers(start, infosOf(false, v1, v1)) // the count outlives an announcement
 	assert.Equal(t, ahead(start.Add(shareWindow/2)), 0.0)
 	assert.Equal(t, ahead(start.Add(shareWindow))*tokens, limit)
 }
--- a/pkg/edge/resumption_share_test.go
+++ b/pkg/edge/resumption_share_test.go
@@ -90,7 +90,7 @@
 				x.s.connectSoleReleaseCore(t)
 				x.s.fleetView.releases.merge([]*apiv1.ServiceReleases{{Service: "s", Releases: []uint64{uint64(v1)}, Revision: 1}}, x.s.log)
 				x.in.LastEventID, x.in.Resumes = "4", resumes
-				x.dispatchReq = &dispatch.Request{Workspace: "w", Service: "s", PromptTokens: 1000, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute)}
+				x.dispatchReq = &dispatch.Request{Workspace: "w", Service: "s", PromptTokens: 10, OutputTokens: 10_000, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute)}
 				assert.Assert(t, x.bindRelease())
 				assert.Equal(t, x.dispatchReq.Release, v1)
 				assert.Equal(t, x.s.count(counter[resumes]), int64(1))
@@ -98,10 +98,12 @@
 			}
 			v := takeUp()
 			assert.Equal(t, v.Action, dispatch.Send, "%s, %s", v.Class, v.Reason)
-			sent := 1
-			for ; takeUp().Action == dispatch.Send; sent++ {
+			for sent := 0; v.Action == dispatch.Send; sent++ {
 				assert.Assert(t, sent < 20, "the same stream goes ahead without end")
+				v = takeUp()
 			}
+			assert.Equal(t, v.Action, dispatch.Wait)
+			assert.Equal(t, v.Class, dispatch.OverShare)
 		})
 	}
 }
--- a/pkg/edge/takeup_chain_test.go
+++ b/pkg/edge/takeup_chain_test.go
@@ -69,7 +69,7 @@
 	x := newChainTest()
 	x.in.ID = "never-begun"
 	y := x.takeUp("take-up")
-	y.dispatchReq.Release = v1 // as the history says while it lists one release
+	y.dispatchReq.Release, y.dispatchReq.Resumption = v1, true // as the history says while it lists one release
 	y.beginStream(y.newExchange(dispatch.Decision{Server: "second", StartMS: 1000, Release: v1}, y.dispatchReq))
 	assert.Assert(t, y.start == nil)
 	id, _ := x.s.streamRecords.Find(t.Context(), streamrecord.Query{Key: streamrecord.KeyOf("w", "r", "never-begun"), Service: "s"})
