--- a/pkg/edge/hedge_release_test.go
+++ b/pkg/edge/hedge_release_test.go
@@ -16,7 +16,7 @@
 
 // Guards against a stream that is cut although its first server goes on: the second one is
 // back with another release when it answers, which was noticed only once the first server
-// had been given up for it.
+// had been given up for it, or nothing tells which release began the stream.
 func TestSecondServerOfAnotherReleaseDoesNotTakeTheStreamOver(t *testing.T) {
 	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -26,13 +26,13 @@
 	}))
 	defer second.Close()
 	for _, c := range []struct {
-		announced release.ID
-		done      bool
-	}{{v1, true}, {v2, false}} {
+		bound, announced release.ID
+		done             bool
+	}{{v1, v1, true}, {v1, v2, false}, {release.Unknown, v1, false}} {
 		h, _, _ := newSilentHedge(t)
 		x := h.x
 		x.s.fleetView = newTestView()
-		x.dispatchReq.Release, x.headSent = v1, true
+		x.dispatchReq.Release, x.headSent = c.bound, true
 		x.w = httptest.NewRecorder()
 		x.w.Header().Set("Content-Type", "text/event-stream")
 		x.s.fleetView.servers.Merge(registry.Entry{ID: "second", Service: "s", Address: second.Listener.Addr().String(), Release: c.announced, State: registry.Ready, Sequence: 1, Heard: time.Now()})
