Connect to the server of TestCutResponseIsNeverComplete on a busy machine

Seen: twice on a busy machine, once with a message: cut_response_test.go:120, the connection to the server is open 30 s after 503 "no server accepted the request, last attempt: connect timeout". Not reproduced by load (two runs with GOMAXPROCS=1 beside four busy processes pass).

Cause: the test. With a limit of 1 ns the test fails with the same message at the same place.

The transport of the test has the limit with which the test waits for the end of a connection, 30 s. The checks are unchanged.

After: the test passes with the race detector.

--- a/pkg/edge/cut_response_test.go
+++ b/pkg/edge/cut_response_test.go
@@ -41,19 +41,24 @@
 // connEndTimeout bounds the wait for the end of a connection on a busy machine.
 const connEndTimeout = 30 * time.Second
 
+// newPatientTransport returns a transport that connects on a busy machine too.
+func newPatientTransport() *proxy.Transport {
+	return proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connEndTimeout})
+}
+
 // newCutServer returns a server whose connections are used again if reuse is set.
 func newCutServer(t testing.TB, stream, reuse bool) *cutServer {
 	c := &cutServer{answers: make(chan cutAnswer, 1)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	transport, log := proxy.NewTransport(), logrus.NewEntry(&logrus.Logger{Out: io.Discard, Level: logrus.PanicLevel})
+	transport, log := newPatientTransport(), logrus.NewEntry(&logrus.Logger{Out: io.Discard, Level: logrus.PanicLevel})
 	closed, cancel := context.WithCancel(context.Background()) // lost connections are not checked
 	cancel()
 	c.edge = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := newAttemptTest().proxiedRequest
 		x.s.transport, x.s.stopping, x.w, x.callerCtx = transport, newStopping(), w, r.Context()
 		if !reuse {
-			x.s.transport = proxy.NewTransport()
+			x.s.transport = newPatientTransport()
 			defer x.s.transport.Close()
 		}
 		x.s.ctx, x.s.log = closed, log
