Refuse new connections at once while a listener stops, and wait for distant callers

Callers saw: a connection whose handshake was in progress for over 1 ms when a listener closed was reset, with the request on it; a caller that asked for a connection in that millisecond got no answer, and its kernel asked again after a second. Cause: the socket filter dropped requests for new connections, so the listener could wait for a millisecond only. Evidence: TestHandshakeOfADistantCallerIsCompletedWhenTheListenerStops: "connection reset by peer: no response to /0" (a handshake that ends 20 ms after the begin of the stop); TestCallerIsRefusedAtOnceWhileTheListenerStops: no refusal within 0.9 s. Change: the listening socket is bound to an interface that does not exist. The kernel then refuses new connections at once and completes handshakes in progress, so the listener waits for 100 ms.

--- a/pkg/callers/listener.go
+++ b/pkg/callers/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -13,18 +14,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// handshakeTime is how long a listener that is stopped waits for handshakes in progress.
-// It covers a round trip within a data centre, where the callers or their load balancers
-// are. It is short because a caller that asks for a connection meanwhile is not answered,
-// and its kernel asks again after a second only.
-const handshakeTime = time.Millisecond
+const (
+	// handshakeTime is how long a listener that is stopped waits for handshakes in progress.
+	// It covers a round trip to a distant caller.
+	handshakeTime = 100 * time.Millisecond
+	// queueCheckTime is how long it waits again if a connection is in its queue after that.
+	queueCheckTime = time.Millisecond
+)
 
 // kernelBufferBytes is the size of the kernel's send and receive buffers of a
 // connection. Without it they grow to megabytes for callers that read slowly.
 const kernelBufferBytes = 32 << 10
 
 // Listen opens a TCP listener for callers. Multipath TCP, the default of the net package,
-// has no socket filters, which StopAccepting needs.
+// has sockets of its own, whose options StopAccepting would not change.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: limitKernelBuffers}
 	config.SetMultipathTCP(false)
@@ -57,8 +60,7 @@
 // established is accepted, or when ctx ends: the kernel resets the ones that wait in the
 // queue of a closed listener, and their callers may have sent whole requests. Serve of
 // the http.Server returns an error that wraps net.ErrClosed then, and the open
-// connections are still served. A connection that is requested meanwhile is refused when
-// the kernel of its caller repeats its request, usually after a second.
+// connections are still served. A connection that is requested meanwhile is refused at once.
 func (s *ConnTracker) StopAccepting(ctx context.Context) {
 	s.mu.Lock()
 	l := s.listener
@@ -102,7 +104,7 @@
 		case err == nil:
 		case l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded):
 			if l.hasQueued() {
-				l.extendDeadline()
+				l.extendDeadline(queueCheckTime)
 				continue
 			}
 			l.end()
@@ -127,17 +129,17 @@
 		return
 	}
 	if tcp, ok := l.Listener.(tcpListener); ok {
-		if err := ignoreHandshakes(tcp); err != nil {
+		if err := refuseHandshakes(tcp); err != nil {
 			l.closes.recordFilterError(err) // a connection that is opened at the moment of the close is reset
 		}
 	}
-	l.extendDeadline()
+	l.extendDeadline(handshakeTime)
 }
 
-// extendDeadline lets Accept wait for handshakeTime. A listener without deadlines is
+// extendDeadline lets Accept wait for that long. A listener without deadlines is
 // closed at once.
-func (l *listener) extendDeadline() {
-	if tcp, ok := l.Listener.(tcpListener); ok && tcp.SetDeadline(time.Now().Add(handshakeTime)) == nil {
+func (l *listener) extendDeadline(wait time.Duration) {
+	if tcp, ok := l.Listener.(tcpListener); ok && tcp.SetDeadline(time.Now().Add(wait)) == nil {
 		return
 	}
 	_ = l.Close() // as the listener cannot be stopped
@@ -161,27 +163,19 @@
 	return queued && err == nil
 }
 
-const (
-	tcpFlagsOffset = 13   // in the TCP header
-	tcpFlagSYN     = 0x02 // begins a handshake
-)
+// noInterface is the index of a network interface that does not exist.
+const noInterface = math.MaxInt32
 
-// ignoreHandshakes makes the kernel ignore requests for new connections. Handshakes in
-// progress are completed.
-func ignoreHandshakes(l syscall.Conn) error {
+// refuseHandshakes makes the kernel refuse requests for new connections, as if the listener
+// were closed: it gets those of one interface only. Handshakes in progress are completed.
+func refuseHandshakes(l syscall.Conn) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
-	program := []unix.SockFilter{
-		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
-		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpFlagSYN, Jf: 1},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0},          // drop
-		{Code: unix.BPF_RET | unix.BPF_K, K: ^uint32(0)}, // accept
-	}
 	var optionErr error
 	err = raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
 	})
 	return errors.Join(err, optionErr)
 }
--- a/pkg/callers/listener_test.go
+++ b/pkg/callers/listener_test.go
@@ -125,7 +125,7 @@
 
 func (noFilterListener) SyscallConn() (syscall.RawConn, error) { return nil, errNoSocket }
 
-// Guards against a listener that stops without its socket filter, so that connections are
+// Guards against a listener that stops and still takes new connections, so that some are
 // reset, and nothing tells.
 func TestFailureToIgnoreHandshakesIsRecorded(t *testing.T) {
 	s := NewConnTracker(0, 0, metrics.NewRegistry())
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -138,7 +138,7 @@
 // recordFilterError counts and logs that a listener that stops still takes new connections.
 func (r *closeRecorder) recordFilterError(err error) {
 	metrics.GetOrRegisterCounter(filterErrorMetric, r.registry).Inc(1)
-	r.log.WithError(err).Warn("socket filter could not be set, connections may be reset at the stop")
+	r.log.WithError(err).Warn("listener still takes new connections, some may be reset at the stop")
 }
 
 // setHandled records that a handler has the current request.
