Send the whole load to an edge host that starts

Cause: digests carry the load of a server only after a change, and all of it once a second. A host that has just started knew none of the requests in progress of the others until then. Change: the first digest of a host, and the first one after a silence of a second, is followed by a complete one.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -163,6 +163,7 @@
 		p = &peer{name: name, local: local, incarnation: m.GetIncarnation(), demand: map[string]float64{}, served: map[string]float64{}}
 		d.peers[name] = p
 		d.removePeerLoad(name)
+		d.lastCompleteAt = time.Time{} // the other host may not know the load of this one
 	}
 	allReceived := p.recordNumber(m)
 	p.capacity, p.heardAt, p.expired = m.GetCapacity(), now, false
