Do not refuse take-ups beyond the bounds for the share

Callers saw 429 "workspace is beyond its share and servers are busy" when they took streams up while new streams began: beyond the two bounds a take-up was decided as a new stream beyond its share, which may wait for an eighth of its objective. The bound of a workspace is divided evenly among the hosts, however few of them its callers come to.

Now such a take-up is Late: it waits as long as a late request, in the queue behind what is within its share and ahead of what is beyond it, for an engine that is idle. All hosts together send at most an eighth of what the engines prefill this way.

What is left: beyond bounds and share a take-up can be refused with "the servers of the stream's software version are full" while an engine has room, because the eighth is used up.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -31,7 +31,7 @@
 		if cost < c.lowestOnTimeCost && s.hasBacklogRoom(uncached, maxOnTimeBacklog) && (!r.leavesPlaces(s) || s.hasLateRoom(uncached)) {
 			c.cheapestOnTime, c.lowestOnTimeCost = s, cost
 		}
-		if cost < c.lowestLateCost && s.hasLateRoom(uncached) {
+		if cost < c.lowestLateCost && s.hasLateRoom(uncached) && (!r.idleOnly || s.prefillTime(0) <= idleBacklog) {
 			c.cheapestLate, c.lowestLateCost = s, cost
 		}
 	}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -44,6 +44,8 @@
 	servers []*server
 	latency time.Duration // mean answer time of the plain servers
 	ahead   *slidingSum   // prompt tokens that this host sent ahead of new streams
+	// nextIdleOnly is when the next take-up beyond the bounds may be sent.
+	nextIdleOnly time.Time
 
 	byRelease            map[release.ID][]*server
 	readyByRelease       map[release.ID]int
@@ -112,7 +114,7 @@
 		if svc == nil {
 			svc = &service{latency: defaultLatency, ahead: &slidingSum{}}
 			if old := before[s.info.Service]; old != nil {
-				svc.ahead = old.ahead
+				svc.ahead, svc.nextIdleOnly = old.ahead, old.nextIdleOnly
 			}
 			d.services[s.info.Service] = svc
 		}
@@ -262,9 +264,15 @@
 	}
 	beyondShare := !d.shares.withinShare(now, r.Workspace, serviceTokens(r))
 	r.ahead = d.mayGoAhead(now, r, svc)
-	if beyondShare && !r.ahead {
+	r.idleOnly = beyondShare && !r.ahead && r.Resumption
+	switch {
+	case !beyondShare || r.ahead:
+	case !r.idleOnly:
 		v.Class = OverShare
 		return v // until engines are idle or the usage in shareWindow has dropped
+	case now.Before(svc.nextIdleOnly):
+		v.Class = Late
+		return v
 	}
 	candidates := d.evaluateServers(now, r, svc)
 	if candidates.cheapest == nil {
@@ -279,7 +287,10 @@
 	v.PredictedLatency = candidates.cheapest.prefillTime(uncached) + candidates.cheapest.firstEventDelay + fetchTime(candidates.cheapest, fetch)
 	v.Class = classifyLatency(now, r, v)
 	best := candidates.cheapestOnTime
-	if v.Class == Late && !d.needsScarceRelease(r) && !r.ahead {
+	switch {
+	case r.idleOnly:
+		v.Class, best = Late, candidates.cheapestLate
+	case v.Class == Late && !d.needsScarceRelease(r) && !r.ahead:
 		best = candidates.cheapestLate
 	}
 	if best == nil {
@@ -287,6 +298,7 @@
 	}
 	v.BacklogTime = best.prefillTime(0)
 	d.countAhead(now, r)
+	d.countIdleOnly(now, r, svc)
 	return d.assign(now, r, best, v)
 }
 
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -34,6 +34,7 @@
 	seconds := 0.0
 	for _, w := range d.queue {
 		switch {
+		case w.idleOnly && !r.idleOnly:
 		case w.Service != r.Service || !svc.delays(w, r) || r.ahead && !w.ahead && !svc.isScarce(w.Release):
 		case w.decision.Class > v.Class && (r.ahead || !w.ahead):
 		case w.Release == release.Unknown:
@@ -192,7 +193,8 @@
 
 // sortedQueue returns the queue ordered by class and remaining time. Requests
 // of workspaces that have used less of their fair share come first, and before them
-// take-ups and other streams whose release has few servers.
+// take-ups and other streams whose release has few servers. Take-ups that wait for an idle
+// engine come last, before what is beyond its share.
 func (d *Dispatcher) sortedQueue(now time.Time) []*Request {
 	fairShare := d.fairShare(now)
 	for _, r := range d.queue {
@@ -201,7 +203,10 @@
 			left += r.Objective.Seconds() / 2 * d.shares.usageOf(r.Workspace).served.sum / fairShare
 		}
 		r.order = float64(r.decision.Class)*classSortStep + left
-		if r.ahead || d.needsScarceRelease(r) {
+		switch {
+		case r.idleOnly:
+			r.order += classSortStep / 2
+		case r.ahead || d.needsScarceRelease(r):
 			r.order -= scarceAdvance
 		}
 	}
--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -6,7 +6,8 @@
 // back: a part of the answer was made within that share, and a refusal wastes it. They are
 // charged to the workspace, so that its new requests give way. A caller may take up any
 // name any number of times, so two bounds keep take-ups from displacing others for long.
-// Beyond them a take-up is decided as a new stream is.
+// Beyond them a take-up is decided as a new stream is, but not refused for the share: while
+// its workspace is beyond that, it waits for an engine that is idle.
 
 const (
 	// maxTakeUpShare is the fraction of its fair share in shareWindow that the take-ups of a
@@ -20,6 +21,10 @@
 	// maxAheadFraction is the fraction of what the engines prefill in shareWindow that the
 	// take-ups of all workspaces get ahead: new streams go on beside any number of them.
 	maxAheadFraction = 0.5
+	// maxIdleOnlyFraction is the fraction of what the engines prefill that take-ups beyond the
+	// share and the bounds get at most. Several hosts find the same engine idle, and what
+	// they send there beyond the share makes the share of all others smaller.
+	maxIdleOnlyFraction = 0.125
 	// silentEdgeTime is how long SetEdgeHosts counts a host that has fallen silent.
 	silentEdgeTime = time.Minute
 )
@@ -84,3 +89,12 @@
 	d.shares.usageOf(r.Workspace).ahead.add(d.takeUpBucket(now), serviceTokens(r))
 	svc.ahead.add(d.shares.bucket(now), float64(r.PromptTokens))
 }
+
+// countIdleOnly delays the next take-up beyond the bounds by the time in which the part of
+// this host prefills this one.
+func (d *Dispatcher) countIdleOnly(now time.Time, r *Request, svc *service) {
+	if r.idleOnly {
+		rate := maxIdleOnlyFraction * readyPrefillRate(svc.servers) / float64(d.liveEdges(now))
+		svc.nextIdleOnly = now.Add(time.Duration(float64(r.PromptTokens) / rate * float64(time.Second)))
+	}
+}
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -49,6 +49,8 @@
 	slotQueues map[string][]sentRequest // per engine, requests that wait for a slot
 	used       map[string]float64       // per engine, in slot seconds
 	onStep     func(elapsed time.Duration)
+	onOffer    func(*Request)           // a request of a workload, nil for none
+	onDecision func(*Request, Decision) // nil for none
 }
 
 // sentRequest is a request that was sent to an engine.
@@ -129,11 +131,17 @@
 		r.Parts = []Part{{ID: uint64(l.promptTokens), Tokens: l.promptTokens / 12}, {ID: uint64(l.promptTokens)<<20 + uint64(sim.random.IntN(l.sessions)), Tokens: l.promptTokens * 2 / 3}}
 	}
 	sim.resultOf(l.workspace).demand += int(serviceTokens(r))
+	if sim.onOffer != nil {
+		sim.onOffer(r)
+	}
 	sim.decided(l.edgeIndex, r, sim.fleet[l.edgeIndex].Admit(sim.now, r))
 }
 
 func (sim *simulation) decided(edge int, r *Request, v Decision) {
 	result := sim.resultOf(r.Workspace)
+	if sim.onDecision != nil {
+		sim.onDecision(r, v)
+	}
 	switch v.Action {
 	case Refuse:
 		result.refused++
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -57,6 +57,7 @@
 	usageCounted   bool
 	ahead          bool // goes ahead of new streams
 	aheadCounted   bool // waits or was sent ahead of them
+	idleOnly       bool // a take-up beyond the share and the bounds: only engines that are idle get it
 	overtakeFailed bool // an engine did not reserve a slot for it
 	server         *server
 	prefixHolders  []prefixHolder // per data centre and release, the engine that caches the longest prefix of the prompt
