Let first take-ups of recorded streams go ahead of both bounds

Streams that callers take up again at few hosts did not go on although the fleet knew that their workspace had begun them: each host has an equal part of the bounds, and beyond it a take-up waits for an idle engine. Callers saw 503 "the servers of the stream's software version are full", before that 429 for the share.

The edge host tells the dispatcher by Request.FirstTakeUp that a record was found and that it got no other request to continue the stream in 16 s. Such a take-up counts against neither bound. It is charged, so new streams of its workspace give way. A record does not say that it was taken up, and a chain keeps the id of its first attempt, so each host sees a first one of the same stream. So the number of streams begun is no bound by itself, and the exemption ends while the workspace has used 1.5 times its share in 4 s, on all hosts together, which digests tell.

TestTakeUpsGoOnBeyondTheShare named one stream at a new host each time; now it is one host, so that the second take-up is a repeated one. Its checks stay, and one more: only the first take-up of a record is told as that.

--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -6,18 +6,20 @@
 // back: a part of the answer was made within that share, and a refusal wastes it. They are
 // charged to the workspace, so that its new requests give way. A caller may take up any
 // name any number of times, so two bounds keep take-ups from displacing others for long.
-// Beyond them a take-up is decided as a new stream is, but not refused for the share: while
+// Within a multiple of the share they do not count the first take-up of a stream of which
+// the fleet has a record. Beyond them a take-up is decided as a new stream is, but not refused for the share: while
 // its workspace is beyond that, it waits for an engine that is idle.
 
 const (
 	// maxTakeUpShare is the fraction of its fair share in shareWindow that the take-ups of a
-	// workspace get ahead in takeUpWindow, on all edge hosts together. It lets a workspace
+	// workspace get ahead in TakeUpWindow, on all edge hosts together. It lets a workspace
 	// take up at once what it has begun in shareWindow. The users' rule on quotas allows no
 	// workspace twice the service of another one.
 	maxTakeUpShare = 1.0
-	// takeUpWindow is long so that what is a burst after a failure cannot be repeated.
-	takeUpWindow     = 4 * shareWindow
-	takeUpBucketTime = takeUpWindow / buckets
+	// TakeUpWindow is the window of that bound. It is long so that what is a burst
+	// after a failure cannot be repeated.
+	TakeUpWindow     = 4 * shareWindow
+	takeUpBucketTime = TakeUpWindow / buckets
 	// maxAheadFraction is the fraction of what the engines prefill in shareWindow that the
 	// take-ups of all workspaces get ahead: new streams go on beside any number of them.
 	maxAheadFraction = 0.5
@@ -25,11 +27,17 @@
 	// share and the bounds get at most. Several hosts find the same engine idle, and what
 	// they send there beyond the share makes the share of all others smaller.
 	maxIdleOnlyFraction = 0.125
+	// maxFirstTakeUpUse is the multiple of its fair share that a workspace may have used in
+	// shareWindow, on all edge hosts together, while first take-ups count against no bound.
+	// Streams that were begun within the share bound their number, but each host sees a first
+	// one of the same stream. The users' rule on quotas allows no workspace twice the service
+	// of another one.
+	maxFirstTakeUpUse = 1.5
 	// silentEdgeTime is how long SetEdgeHosts counts a host that has fallen silent.
 	silentEdgeTime = time.Minute
 )
 
-// takeUpBucket returns the number of the bucket of takeUpWindow for a time.
+// takeUpBucket returns the number of the bucket of TakeUpWindow for a time.
 func (d *Dispatcher) takeUpBucket(now time.Time) int64 {
 	return int64(now.Sub(d.shares.start)/takeUpBucketTime) + buckets
 }
@@ -46,6 +54,9 @@
 	u.ahead.advance(d.takeUpBucket(now))
 	hosts := float64(d.liveEdges(now))
 	share := d.takeUpShare(now, prefillRate)
+	if r.unbounded = r.FirstTakeUp && (share == 0 || u.served.sum+serviceTokens(r) <= maxFirstTakeUpUse*share); r.unbounded {
+		return true
+	}
 	if share > 0 && u.ahead.sum > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/hosts {
 		return false
 	}
@@ -86,6 +97,9 @@
 		return
 	}
 	r.aheadCounted = true
+	if r.unbounded {
+		return
+	}
 	d.shares.usageOf(r.Workspace).ahead.add(d.takeUpBucket(now), serviceTokens(r))
 	svc.ahead.add(d.shares.bucket(now), float64(r.PromptTokens))
 }
--- a/pkg/dispatch/resumption_test.go
+++ b/pkg/dispatch/resumption_test.go
@@ -22,18 +22,24 @@
 // admitTokens offers a request of the workspace "w" that costs the given service tokens.
 // It takes no room at the engine for longer than the call.
 func admitTokens(d *Dispatcher, now time.Time, tokens int, isTakeUp bool) (*Request, Decision) {
-	for _, s := range d.servers {
-		s.prefillRate = modelFairShare / 4 / shareWindow.Seconds() // one workspace gets all that four engines prefill
-		s.updatedAt, s.backlogTokens = now, 5*idleBacklog.Seconds()*s.prefillRate
-	}
 	r := newRequest(now, "w", 10, time.Second)
 	r.OutputTokens = (tokens - r.PromptTokens) / outputWeight
 	if r.Resumption = isTakeUp; isTakeUp {
 		r.Release = v1
 	}
+	return r, admitAtBusyEngines(d, now, r)
+}
+
+// admitAtBusyEngines offers a request to a host whose engines have room for requests on time
+// only.
+func admitAtBusyEngines(d *Dispatcher, now time.Time, r *Request) Decision {
+	for _, s := range d.servers {
+		s.prefillRate = modelFairShare / 4 / shareWindow.Seconds() // one workspace gets all that four engines prefill
+		s.updatedAt, s.backlogTokens = now, 5*idleBacklog.Seconds()*s.prefillRate
+	}
 	v := d.Admit(now, r)
 	d.Cancel(r)
-	return r, v
+	return v
 }
 
 func settle(d *Dispatcher, now time.Time, r *Request, o Outcome) {
@@ -88,7 +94,7 @@
 	for _, c := range []struct {
 		after time.Duration
 		want  Action
-	}{{shareWindow, Wait}, {takeUpWindow, Send}} {
+	}{{shareWindow, Wait}, {TakeUpWindow, Send}} {
 		now := start.Add(c.after)
 		d.shares.recordServed(now, "w", 2*modelFairShare)
 		_, v = admitTokens(d, now, tokens, true)
@@ -133,7 +139,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond)
 			tokens := 2 * rapid.IntRange(100, largest/2).Draw(t, "half of the tokens")
 			isTakeUp := rapid.IntRange(0, 3).Draw(t, "kind") > 0
-			fitsExcess := tokensSince(sent, now, takeUpWindow+takeUpBucketTime, takeUps)+float64(tokens) <= excess
+			fitsExcess := tokensSince(sent, now, TakeUpWindow+takeUpBucketTime, takeUps)+float64(tokens) <= excess
 			r, v := admitTokens(d, now, tokens, isTakeUp)
 			if v.Action != Send {
 				want := OverShare
@@ -158,7 +164,7 @@
 				t.Fatalf("%v tokens in a window, excess %v", got, excess)
 			}
 			if got := d.shares.usageOf("w").ahead.sum; got > excess {
-				t.Fatalf("%v tokens beyond the share in takeUpWindow, excess %v", got, excess)
+				t.Fatalf("%v tokens beyond the share in TakeUpWindow, excess %v", got, excess)
 			}
 			settle(d, now, r, rapid.SampledFrom([]Outcome{Completed, ServerError, CallerDisconnected}).Draw(t, "outcome"))
 		}
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -48,6 +48,9 @@
 	RecordedOnly bool
 	// Resumption is set if the request continues a stream that Release began.
 	Resumption bool
+	// FirstTakeUp is set if the fleet has a record of the stream, and this host got no other
+	// request to continue it in TakeUpWindow.
+	FirstTakeUp bool
 
 	// The fields below belong to the Dispatcher.
 	demandCounted  bool // counted in the demand of its workspace
@@ -57,6 +60,7 @@
 	usageCounted   bool
 	ahead          bool // goes ahead of new streams
 	aheadCounted   bool // waits or was sent ahead of them
+	unbounded      bool // a first take-up that counts against no bound
 	idleOnly       bool // a take-up beyond the share and the bounds: only engines that are idle get it
 	overtakeFailed bool // an engine did not reserve a slot for it
 	server         *server
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -39,6 +39,9 @@
 	recordRenewal = streamrecord.MaxTTL / 2
 	// resumptionRetryAfter is the Retry-After of a resumption that no record supports.
 	resumptionRetryAfter = 300 * time.Millisecond
+	// maxTakeUpsKept bounds the memory of the streams that were taken up lately, whatever
+	// callers send. Beyond it a take-up counts as a repeated one.
+	maxTakeUpsKept = 16384
 )
 
 // Reasons for refusing to resume a stream.
@@ -141,6 +144,7 @@
 		x.refuseResumption(dispatch.ReasonReleaseGone, result.ReleaseGone)
 	default:
 		x.dispatchReq.Resumption, x.resumesRecord = true, state == streamrecord.Recorded
+		x.dispatchReq.FirstTakeUp = x.resumesRecord && x.s.isFirstTakeUp(q.Key)
 		return true
 	}
 	return false
@@ -162,6 +166,14 @@
 	return false
 }
 
+// isFirstTakeUp reports whether no other request has continued the stream at this host in
+// dispatch.TakeUpWindow.
+func (s *Server) isFirstTakeUp(k streamrecord.Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takeUps.Add(time.Now(), k)
+}
+
 func (x *proxiedRequest) refuseResumption(reason dispatch.Reason, code result.Code) {
 	x.decision.Action, x.decision.Reason = dispatch.Refuse, reason
 	x.respondError(result.New(code, "%s", reason).WithRetryAfter(resumptionRetryAfter))
--- a/pkg/edge/resumption_share_test.go
+++ b/pkg/edge/resumption_share_test.go
@@ -85,15 +85,19 @@
 			begin := time.Now()
 			now := begin.Add(time.Second)
 			d := overloadedDispatcher(begin)
+			began := newStreamTest()
+			began.s.connectSoleReleaseCore(t)
+			began.s.fleetView.releases.merge([]*apiv1.ServiceReleases{{Service: "s", Releases: []uint64{uint64(v1)}, Revision: 1}}, began.s.log)
+			takeUps := int64(0)
 			takeUp := func() dispatch.Decision {
-				x := newStreamTest()
-				x.s.connectSoleReleaseCore(t)
-				x.s.fleetView.releases.merge([]*apiv1.ServiceReleases{{Service: "s", Releases: []uint64{uint64(v1)}, Revision: 1}}, x.s.log)
-				x.in.LastEventID, x.in.Resumes = "4", resumes
+				takeUps++
+				x := began.takeUp("take-up")
+				x.in.Resumes = resumes
 				x.dispatchReq = &dispatch.Request{Workspace: "w", Service: "s", PromptTokens: 10, OutputTokens: 10_000, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute)}
 				assert.Assert(t, x.bindRelease())
 				assert.Equal(t, x.dispatchReq.Release, v1)
-				assert.Equal(t, x.s.count(counter[resumes]), int64(1))
+				assert.Equal(t, x.s.count(counter[resumes]), takeUps)
+				assert.Equal(t, x.dispatchReq.FirstTakeUp, resumes == "id" && takeUps == 1, "only the first one of a record")
 				return d.Admit(now, x.dispatchReq)
 			}
 			v := takeUp()
--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -38,6 +38,7 @@
 	s := &Server{log: logging.ForComponent("edge"), metrics: newMetrics(metrics.NewRegistry())}
 	s.fleetView = newFleetView(nil, s.log)
 	s.streamRecords = recorder.New(s.log, s.metrics.registry)
+	s.takeUps = streamrecord.NewTakeUps(maxTakeUpsKept, dispatch.TakeUpWindow)
 	s.announceTest("first", startMS, v1)
 	s.announceTest("second", startMS, v1)
 	x := &proxiedRequest{s: s, in: &Request{ID: "id", Arrived: time.Now(), CallerTimeout: time.Minute}, callerCtx: context.Background(), route: &routing.Route{
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -24,6 +24,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 	"jackdawtrack.example/jackdawtrack/pkg/shed"
+	"jackdawtrack.example/jackdawtrack/pkg/streamrecord"
 	"jackdawtrack.example/jackdawtrack/pkg/streamrecord/recorder"
 )
 
@@ -108,7 +109,8 @@
 	streamRecords     *recorder.Recorder
 	confirmations     *confirm.Shared[uint64] // of confirmedRevision
 	cores             coreConns
-	checkedAt         atomic.Int64   // last tick of monitorHost by the boot clock in ns, 0 before the first
+	checkedAt         atomic.Int64 // last tick of monitorHost by the boot clock in ns, 0 before the first
+	takeUps           *streamrecord.TakeUps
 	streamStarts      []*streamStart // of the last restartNoticeTime, oldest first
 	// quarantinedRequests describes refused requests.
 	quarantinedRequests quarantine.Descriptions
@@ -136,6 +138,7 @@
 		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
 	s.streamRecords = recorder.New(s.log, c.Registry)
+	s.takeUps = streamrecord.NewTakeUps(maxTakeUpsKept, dispatch.TakeUpWindow)
 	s.confirmations = confirm.New(s.confirmedRevision)
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	s.responses = newResponseMemory(c.MemoryBytes)
--- a/pkg/edge/takeup_chain_test.go
+++ b/pkg/edge/takeup_chain_test.go
@@ -131,3 +131,23 @@
 		assert.Assert(t, !x.takeUp("late").bindRelease())
 	})
 }
+
+// Guards against a first take-up of a recorded stream that is decided as a repeated one, so
+// that its workspace's share holds it back, and against one stream that is taken up again
+// and again as the first.
+func TestFirstTakeUpOfARecordIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newChainTest()
+		isFirst := func(id string) bool {
+			y := x.takeUp(id)
+			assert.Assert(t, y.bindRelease(), "%s", y.decision.Reason)
+			return y.dispatchReq.FirstTakeUp
+		}
+		assert.Assert(t, isFirst("one"))
+		assert.Assert(t, !isFirst("two"))
+		time.Sleep(dispatch.TakeUpWindow - time.Second) // virtual time
+		assert.Assert(t, !isFirst("three"))
+		time.Sleep(time.Second)
+		assert.Assert(t, isFirst("four"))
+	})
+}
