Make room for take-ups in a full queue

Take-ups were refused with 503 "the servers of the stream's software version are full" while 4,096 new requests waited at the host: a full queue refused whatever came last. Found by a review of the take-ups.

Evidence, TestFullQueueOfNewStreamsDoesNotRefuseTakeUps on the code before: "takeup_queue_test.go:32: assertion failed: 2 (v.Action dispatch.Action) != 0 (Wait dispatch.Action): the servers of the stream's software version are full".

A take-up that the full queue would take now displaces the queued new request of the least urgent class that came last. That one is refused with "too many requests wait" by the next Poll; if its caller leaves before, Cancel drops it. A queue of take-ups only refuses as before.

Result: the test passes, with the queue at its limit throughout.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	services          map[string]*service
 	shares            shares
 	queue             []*Request
+	displaced         []QueuedDecision // refused to make room in the queue, for the next Poll
 	peers             map[string]*peer
 	lastNumber        uint64 // number of the last digest
 	serversByHash     map[uint64]*server
@@ -150,10 +151,13 @@
 	v := d.decide(now, r)
 	switch {
 	case v.Action != Wait:
-	case len(d.queue) >= maxQueuedRequests:
+	case len(d.queue) >= maxQueuedRequests && !(r.Resumption && d.hasQueuedNew()):
 		v = d.refuse(now, r, v, ReasonQueueFull)
 	default:
 		v = d.enqueue(now, r, v)
+		if len(d.queue) > maxQueuedRequests {
+			d.displaceNew(now)
+		}
 	}
 	return v
 }
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -134,8 +134,28 @@
 	return min(time.Duration(float64(shareWindow)*serviceTokens(r)/max(v.FairShare, serviceTokens(r))), maxRetryStep)
 }
 
+// hasQueuedNew reports whether a request that is no take-up is queued.
+func (d *Dispatcher) hasQueuedNew() bool {
+	return slices.ContainsFunc(d.queue, func(w *Request) bool { return !w.Resumption })
+}
+
+// displaceNew refuses the queued request of the least urgent class that came last and is no
+// take-up. The next Poll returns it.
+func (d *Dispatcher) displaceNew(now time.Time) {
+	last := -1
+	for i, w := range d.queue {
+		if !w.Resumption && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
+			last = i
+		}
+	}
+	r := d.queue[last]
+	d.queue = slices.Delete(d.queue, last, last+1)
+	d.displaced = append(d.displaced, QueuedDecision{r, d.refuse(now, r, r.decision, ReasonQueueFull)})
+}
+
 // Cancel removes a request from the queue.
 func (d *Dispatcher) Cancel(r *Request) {
+	d.displaced = slices.DeleteFunc(d.displaced, func(q QueuedDecision) bool { return q.Request == r })
 	if !r.queued {
 		return
 	}
@@ -143,8 +163,8 @@
 	d.queue = slices.DeleteFunc(d.queue, func(w *Request) bool { return w == r })
 }
 
-// QueueLength returns the number of queued requests.
-func (d *Dispatcher) QueueLength() int { return len(d.queue) }
+// QueueLength returns the number of requests whose decision a later Poll returns.
+func (d *Dispatcher) QueueLength() int { return len(d.queue) + len(d.displaced) }
 
 // QueuedDecision is the decision on a queued request.
 type QueuedDecision struct {
@@ -155,12 +175,13 @@
 // Poll decides on the queued requests, most urgent first, and returns those
 // that are sent or refused.
 func (d *Dispatcher) Poll(now time.Time) []QueuedDecision {
+	out := d.displaced
+	d.displaced = nil
 	if len(d.queue) == 0 {
-		return nil
+		return out
 	}
 	sorted := d.sortedQueue(now)
 	seen := map[release.ID]int{} // requests by the release that they need: those that wait for one do not hold up the others
-	var out []QueuedDecision
 	for _, r := range sorted {
 		v := r.decision
 		if seen[r.Release]++; seen[r.Release] <= d.maxDecisions(r) || v.Class == OverShare || d.isReleaseGone(r) {
