Log and count which servers are avoided because they are silent

An engine that requests avoid because it neither answers nor announces itself left no line and no counter, so nothing told operators why it got no requests, nor the trace of a take-up why it went elsewhere. Found by a review of the take-ups.

The dispatcher notes each change of the belief at its checks (each 50 ms while it decides), at most 1,024 until they are taken; the edge host takes them each 0.2 s, writes "avoidance of a silent server changed" and counts edge.servers.avoided and edge.servers.avoided_no_longer. The end of an avoidance is noted at the first decision after it. A server that is withdrawn meanwhile leaves no second line.

Evidence, TestAvoidanceOfASilentServerIsLogged without the note: "silence_test.go:65: assertion failed", nil lines in place of {true}. No decision changes.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -38,6 +38,7 @@
 
 	silenceCheckedAt time.Time
 	observedSince    time.Time // start of the checks of silence without a gap
+	avoidanceChanges []AvoidanceChange
 }
 
 // service groups the servers of one service.
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -81,9 +81,10 @@
 	// backoffUntil is the end of the backoff that the server asked for.
 	backoffUntil time.Time
 
-	heardAt   time.Time // last event or answer that this edge host got from the server
-	busySince time.Time // start of the requests of this edge host without a gap
-	silentAt  time.Time // last check that found the server silent
+	heardAt    time.Time // last event or answer that this edge host got from the server
+	busySince  time.Time // start of the requests of this edge host without a gap
+	silentAt   time.Time // last check that found the server silent
+	wasAvoided bool      // as of the last check of silence
 
 	connectTimeouts int       // consecutive connection attempts that timed out
 	downSince       time.Time // zero if the server is up
--- a/pkg/dispatch/silence.go
+++ b/pkg/dispatch/silence.go
@@ -27,14 +27,46 @@
 		d.observedSince = now
 	}
 	d.silenceCheckedAt = now
-	if now.Sub(d.observedSince) <= maxEngineSilence {
-		return
-	}
+	observed := now.Sub(d.observedSince) > maxEngineSilence
 	for _, s := range d.servers {
-		if s.isEngine() && s.info.Ready && s.downSince.IsZero() && s.isSilent(now) {
+		if observed && s.isEngine() && s.info.Ready && s.downSince.IsZero() && s.isSilent(now) {
 			s.silentAt = now
 		}
+		d.noteAvoidance(now, s)
+	}
+}
+
+// AvoidanceChange says that requests avoid a silent server from now on, or no longer.
+type AvoidanceChange struct {
+	Server            string
+	Avoided           bool
+	SinceHeard        time.Duration // since its last event or answer to this host, 0 for none
+	SinceAnnouncement time.Duration
+	OwnRequests       int // of this edge host that run there
+}
+
+// maxAvoidanceChanges bounds the changes that are kept until they are taken.
+const maxAvoidanceChanges = 1024
+
+// noteAvoidance keeps a change for TakeAvoidanceChanges.
+func (d *Dispatcher) noteAvoidance(now time.Time, s *server) {
+	avoided := s.isAvoided(now)
+	if avoided == s.wasAvoided || len(d.avoidanceChanges) >= maxAvoidanceChanges {
+		return
 	}
+	s.wasAvoided = avoided
+	c := AvoidanceChange{Server: s.info.ID, Avoided: avoided, SinceAnnouncement: now.Sub(s.info.Heard), OwnRequests: s.running}
+	if !s.heardAt.IsZero() {
+		c.SinceHeard = now.Sub(s.heardAt)
+	}
+	d.avoidanceChanges = append(d.avoidanceChanges, c)
+}
+
+// TakeAvoidanceChanges returns the changes since the last call.
+func (d *Dispatcher) TakeAvoidanceChanges() []AvoidanceChange {
+	out := d.avoidanceChanges
+	d.avoidanceChanges = nil
+	return out
 }
 
 // isSilent reports whether the server has sent nothing for too long although requests of
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -156,6 +156,7 @@
 	go s.monitorHost()
 	go s.expire()
 	go s.logState()
+	go s.watchAvoidance()
 	return s, nil
 }
 
