--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -34,6 +34,7 @@
 	seconds := 0.0
 	for _, w := range d.queue {
 		switch {
+		case w.idleOnly && !r.idleOnly:
 		case w.Service != r.Service || !svc.delays(w, r) || r.ahead && !w.ahead && !svc.isScarce(w.Release):
 		case w.decision.Class > v.Class && (r.ahead || !w.ahead):
 		case w.Release == release.Unknown:
@@ -133,8 +134,28 @@
 	return min(time.Duration(float64(shareWindow)*serviceTokens(r)/max(v.FairShare, serviceTokens(r))), maxRetryStep)
 }
 
+// hasQueuedNew reports whether a request that is no take-up is queued.
+func (d *Dispatcher) hasQueuedNew() bool {
+	return slices.ContainsFunc(d.queue, func(w *Request) bool { return !w.Resumption })
+}
+
+// displaceNew refuses the queued request of the least urgent class that came last and is no
+// take-up. The next Poll returns it.
+func (d *Dispatcher) displaceNew(now time.Time) {
+	last := -1
+	for i, w := range d.queue {
+		if !w.Resumption && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
+			last = i
+		}
+	}
+	r := d.queue[last]
+	d.queue = slices.Delete(d.queue, last, last+1)
+	d.displaced = append(d.displaced, QueuedDecision{r, d.refuse(now, r, r.decision, ReasonQueueFull)})
+}
+
 // Cancel removes a request from the queue.
 func (d *Dispatcher) Cancel(r *Request) {
+	d.displaced = slices.DeleteFunc(d.displaced, func(q QueuedDecision) bool { return q.Request == r })
 	if !r.queued {
 		return
 	}
@@ -142,8 +163,8 @@
 	d.queue = slices.DeleteFunc(d.queue, func(w *Request) bool { return w == r })
 }
 
-// QueueLength returns the number of queued requests.
-func (d *Dispatcher) QueueLength() int { return len(d.queue) }
+// QueueLength returns the number of requests whose decision a later Poll returns.
+func (d *Dispatcher) QueueLength() int { return len(d.queue) + len(d.displaced) }
 
 // QueuedDecision is the decision on a queued request.
 type QueuedDecision struct {
@@ -154,12 +175,13 @@
 // Poll decides on the queued requests, most urgent first, and returns those
 // that are sent or refused.
 func (d *Dispatcher) Poll(now time.Time) []QueuedDecision {
+	out := d.displaced
+	d.displaced = nil
 	if len(d.queue) == 0 {
-		return nil
+		return out
 	}
 	sorted := d.sortedQueue(now)
 	seen := map[release.ID]int{} // requests by the release that they need: those that wait for one do not hold up the others
-	var out []QueuedDecision
 	for _, r := range sorted {
 		v := r.decision
 		if seen[r.Release]++; seen[r.Release] <= d.maxDecisions(r) || v.Class == OverShare || d.isReleaseGone(r) {
@@ -192,7 +214,8 @@
 
 // sortedQueue returns the queue ordered by class and remaining time. Requests
 // of workspaces that have used less of their fair share come first, and before them
-// take-ups and other streams whose release has few servers.
+// take-ups and other streams whose release has few servers. Take-ups that wait for an idle
+// engine come last, before what is beyond its share.
 func (d *Dispatcher) sortedQueue(now time.Time) []*Request {
 	fairShare := d.fairShare(now)
 	for _, r := range d.queue {
@@ -201,7 +224,10 @@
 			left += r.Objective.Seconds() / 2 * d.shares.usageOf(r.Workspace).served.sum / fairShare
 		}
 		r.order = float64(r.decision.Class)*classSortStep + left
-		if r.ahead || d.needsScarceRelease(r) {
+		switch {
+		case r.idleOnly:
+			r.order += classSortStep / 2
+		case r.ahead || d.needsScarceRelease(r):
 			r.order -= scarceAdvance
 		}
 	}
