Ask for SIGHUP before the other packages are initialized

Cause: a SIGHUP ends a process that has not asked for it. The programs asked when main ran, behind the initialization of all packages.

Only the edge and core programs import it, so test binaries still end by SIGHUP.

What remains: the start of the process, the dynamic linker and the Go runtime before it. Nothing in a Go package comes earlier. Whoever starts the process can close the window: an ignored SIGHUP is inherited, and the Go runtime leaves it ignored until the program asks.

--- a/cmd/jackdawtrack-core/main.go
+++ b/cmd/jackdawtrack-core/main.go
@@ -2,7 +2,10 @@
 // platform's fleet.
 package main
 
-import "jackdawtrack.example/jackdawtrack/platform"
+import (
+	_ "jackdawtrack.example/jackdawtrack/internal/earlysignal"
+	"jackdawtrack.example/jackdawtrack/platform"
+)
 
 // version is set by the linker.
 var version = "development"
--- a/cmd/jackdawtrack-edge/main.go
+++ b/cmd/jackdawtrack-edge/main.go
@@ -2,7 +2,10 @@
 // requests.
 package main
 
-import "jackdawtrack.example/jackdawtrack/platform"
+import (
+	_ "jackdawtrack.example/jackdawtrack/internal/earlysignal"
+	"jackdawtrack.example/jackdawtrack/platform"
+)
 
 // version is set by the linker.
 var version = "development"
