Record the end of a response with TLS that cannot be written

Callers saw: nothing new. A refusal or the last chunk of a stream that could not be written on a connection with TLS was recorded as delivered. Cause: a TLS connection also writes when it is closed, so all its writes after the handler were left out. Evidence: TestEndOfResponseThatCannotBeWrittenIsRecorded with TLS: no "unwritten" for the refusal and the last chunk. Change: the write that ends TLS is told apart by the deadline that the TLS connection sets before it. HTTP/2 stays out: its requests run at once, and what is written after one handler may belong to another.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -48,6 +48,7 @@
 	handled   bool           // a handler has the current request
 	requests  int            // that a handler was given, including the current one
 	returned  bool           // the handler of the current request has returned
+	tlsEnds   bool           // TLS says that the connection is closed
 	unwritten bool           // the rest of its response could not be written after that
 	refused   bool           // net/http has refused the head of the current request
 	readErr   error          // of the last read of the current request
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -87,7 +87,9 @@
 		tracked.setResetOnClose(!r.ProtoAtLeast(1, 1))
 		next.ServeHTTP(w, r)
 		tracked.setResetOnClose(false) // not after a panic, which interrupts the response
-		tracked.setReturned()
+		if r.ProtoMajor == 1 {         // HTTP/2 has several requests at once
+			tracked.setReturned()
+		}
 	})
 }
 
@@ -158,11 +160,11 @@
 }
 
 // recordWriteError records that a response could not be written, if its handler does not
-// know. A TLS connection also writes when it is closed.
+// know.
 func (c *callerConn) recordWriteError() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unwritten = c.unwritten || c.returned && !c.encrypted
+	c.unwritten = c.unwritten || c.returned && !c.tlsEnds
 }
 
 // observe follows the state that net/http reports. For the end of the connection it
--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -73,10 +73,12 @@
 	return true
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. A TLS connection sets a deadline before it writes
+// that it is closed.
 func (c *callerConn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.tlsEnds = c.encrypted && c.returned
 	c.writeDeadline, c.writeExtendedAt = t, time.Time{}
 	return c.TCPConn.SetWriteDeadline(t)
 }
