Let take-ups go ahead of queued new asks in the pool

Callers of the product's own path who took a stream up again waited in the queue of the pool behind new streams. In an overload their stream broke off although a part of it was made and charged.

Cause: a router recognises a request for the rest of a stream (a Last-Event-Id with a value) but its ask did not say so, and the owner had one order for all.

Half of the slots of the pool may go ahead at once, because streams break off together. It is charged as any ask. Beyond the bound of its workspace it is decided as a new ask. The bound of a workspace is not its virtual time: a workspace that was served alone in calm has a large lead.

TestTakeUpGoesAheadOfQueuedNewStreams and TestTakeUpGoesAheadOnLoans, with the statement ignored: requests 1 and 2 got the first slots, not 11 and 12, and 1 the borrowed one. With it, the take-ups get them and the third slot is a new stream's. TestOwnerAgainstModel draws take-ups among its asks.

--- a/pkg/fairshare/queue.go
+++ b/pkg/fairshare/queue.go
@@ -57,6 +57,9 @@
 	index int    // position in node.items
 }
 
+// IsQueued reports whether the Item waits.
+func (i *Item) IsQueued() bool { return i.node != nil }
+
 // Flow returns the flow of a waiting Item. It panics if the Item is not queued.
 func (i *Item) Flow() *Flow { return i.node.flow }
 
@@ -67,6 +70,9 @@
 	// LatestRetryAt is the time up to which refused requests of the workspace
 	// were told to retry. The caller maintains it.
 	LatestRetryAt time.Time
+	// TakeUpDebt is the service in units that went ahead of the order of the Queue, as of
+	// TakeUpsAt. The caller maintains both.
+	TakeUpDebt, TakeUpsAt float64
 
 	account       *Account
 	offset        int64  // service units added to the total by this Queue
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -173,15 +173,12 @@
 	o.now = now
 	used := uint32(0)
 	for ; used < l.Slots && !o.handedOver && !now.Before(o.recoveryEnd); used++ {
-		item := o.queue.Peek(now, func(modelIndex int) bool { return o.loanServesModel(&l, modelIndex) })
-		if item == nil {
+		w, ahead := o.nextAsk(func(modelIndex int) bool { return o.loanServesModel(&l, modelIndex) },
+			func(w *waitingAsk) bool { return !avoidsServer(w, l.Server) })
+		if w == nil || avoidsServer(w, l.Server) {
 			break
 		}
-		w := item.Request.(*waitingAsk)
-		if avoidsServer(w, l.Server) {
-			break
-		}
-		o.grantSlot(w, nil, &borrowedSlot{loan: l})
+		o.grantSlot(w, nil, &borrowedSlot{loan: l}, ahead)
 	}
 	// The return also confirms the slots in use. It is sent at once if it
 	// returns slots, otherwise with the next summary.
--- a/pkg/pool/model_test.go
+++ b/pkg/pool/model_test.go
@@ -135,6 +135,7 @@
 	}
 	a.Router.Name = fmt.Sprintf("r%d", rapid.IntRange(0, 2).Draw(t, "router"))
 	a.PrefixHash = rapid.Uint64Range(0, 5).Draw(t, "prefix")
+	a.TakesUp = rapid.IntRange(0, 2).Draw(t, "takes up") == 0
 	if rapid.IntRange(0, 9).Draw(t, "retry") == 0 {
 		a.Avoid = []string{"s0"}
 	}
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -26,6 +26,7 @@
 	ask         Ask
 	expiryNanos int64 // Unix time in ns at which the ask is refused
 	heapIndex   int   // index in Owner.expiry
+	takeUp      waitingTakeUp
 }
 
 // grant is one slot in use by a request of this shard.
@@ -60,6 +61,7 @@
 	waitingInteractive int           // waiting asks of interactive classes, which may not wait
 	freeAsks           []*waitingAsk // for reuse
 	skipped            []*waitingAsk // set aside until the end of the dispatch round
+	takeUps            takeUpOrder
 
 	grants     map[grantKey]*grant
 	granted    map[requestKey]*grant // the same grants by request
@@ -211,7 +213,11 @@
 	if !a.Class.MayWait {
 		o.waitingInteractive++
 	}
+	ahead := o.mayGoAhead(a, flow)
 	o.queue.Push(o.now, flow, &w.Item)
+	if ahead {
+		o.sendAhead(w, flow)
+	}
 }
 
 // queueDeadline returns the deadline in Unix ns by which the queue orders
@@ -236,8 +242,9 @@
 }
 
 // removeWaiting removes a waiting ask from the queue and recycles its memory.
-func (o *Owner) removeWaiting(w *waitingAsk) {
+func (o *Owner) removeWaiting(w *waitingAsk, granted bool) {
 	delete(o.waitingAsk, requestKey{w.ask.Router, w.ask.RequestID})
+	o.removeTakeUp(w, o.queue.Flow(w.ask.Workspace), granted)
 	o.queue.Remove(&w.Item)
 	o.expiry.remove(w)
 	if !w.ask.Class.MayWait {
@@ -272,7 +279,7 @@
 	o.now = now
 	key := requestKey{router, requestID}
 	if w := o.waitingAsk[key]; w != nil {
-		o.removeWaiting(w)
+		o.removeWaiting(w, false)
 		return
 	}
 	if g := o.granted[key]; g != nil {
@@ -310,7 +317,7 @@
 	}
 	for _, w := range o.waitingAsk {
 		if matches(w.ask.Router) {
-			o.removeWaiting(w)
+			o.removeWaiting(w, false)
 		}
 	}
 	for _, g := range o.sortedGrants() {
@@ -361,20 +368,15 @@
 // grantOrLend makes one grant or loan, or sets one ask aside. It reports
 // whether there may be more to do.
 func (o *Owner) grantOrLend() bool {
-	var candidate *waitingAsk
-	if o.queue.Len() > 0 {
-		if item := o.queue.Peek(o.now, o.hasFreeSlotFunc); item != nil {
-			candidate = item.Request.(*waitingAsk)
-		}
-	}
-	if o.tryLend(candidate) {
+	candidate, ahead := o.nextAsk(o.hasFreeSlotFunc, isNotSkipped)
+	if !ahead && o.tryLend(candidate) {
 		return true
 	}
 	if candidate == nil {
 		return false
 	}
 	if s := o.chooseServer(candidate); s != nil {
-		o.grantSlot(candidate, s, nil)
+		o.grantSlot(candidate, s, nil, ahead)
 		return true
 	}
 	o.queue.Remove(&candidate.Item)
@@ -382,9 +384,12 @@
 	return len(o.skipped) < maxSkipped
 }
 
+// isNotSkipped reports whether an ask is not set aside.
+func isNotSkipped(w *waitingAsk) bool { return w.IsQueued() }
+
 // grantSlot grants a waiting ask the borrowed slot b, or a slot of server s if b
-// is nil.
-func (o *Owner) grantSlot(w *waitingAsk, s *server, b *borrowedSlot) {
+// is nil. ahead states whether the ask goes ahead of a new one.
+func (o *Owner) grantSlot(w *waitingAsk, s *server, b *borrowedSlot, ahead bool) {
 	g := o.allocGrant()
 	o.lastGrant++
 	g.key = grantKey{o.epoch, o.lastGrant}
@@ -403,7 +408,8 @@
 		g.message.Server, g.message.Address, g.message.BootID = s.announcement.Name, s.announcement.Address, s.announcement.BootID
 		g.message.Abilities = s.announcement.Abilities
 	}
-	o.removeWaiting(w)
+	o.recordOrder(w, ahead, g.estimateUnits)
+	o.removeWaiting(w, true)
 	o.ledger.Charge(g.flow.Account(), g.estimateUnits)
 	o.queue.RecordGrant(o.now, g.flow)
 	o.grants[g.key], o.granted[g.request] = g, g
--- /dev/null
+++ b/pkg/pool/takeup_test.go
@@ -0,0 +1,143 @@
+package pool
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jackdawtrack.example/jackdawtrack/pkg/class"
+	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+)
+
+func takeUp(id uint64, workspace string, c class.Class, now time.Time) Ask {
+	a := ask(id, workspace, c, now)
+	a.TakesUp = true
+	return a
+}
+
+// newWarmOwner returns an owner with warm servers of 8 slots each.
+func newWarmOwner(t *testing.T, cfg Config, servers int) *Owner {
+	t.Helper()
+	o := NewOwner(shardA, 2, cfg, fairshare.NewLedger(fairshare.Origin{Name: "a"}), start)
+	h := Handover{Shard: shardA, Epoch: 1}
+	for i := range servers {
+		text, err := json.Marshal(announce(fmt.Sprintf("s%d", i), 0))
+		assert.NilError(t, err)
+		h.Servers = append(h.Servers, ServerState{Announcement: text, Limit: 8})
+	}
+	o.AcceptHandover(start, h)
+	for i := range servers {
+		o.HandleAnnouncement(start, announce(fmt.Sprintf("s%d", i), 0))
+	}
+	o.TakeOutput()
+	return o
+}
+
+// fill occupies all slots of the owner and returns their grants.
+func fill(t *testing.T, o *Owner, slots int) []Grant {
+	t.Helper()
+	for i := range slots {
+		o.Ask(start, ask(uint64(1000+i), "filler", draft, start))
+	}
+	grants := o.TakeOutput().Grants
+	assert.Equal(t, len(grants), slots)
+	return grants
+}
+
+// settleAfter settles a grant that took the given time.
+func settleAfter(o *Owner, g Grant, now time.Time) {
+	o.Settle(now, Settle{GrantID: g.GrantID, Epoch: g.Epoch, Outcome: OutcomeOK, CostUnits: 1000, FirstToken: 100 * time.Millisecond, TokenInterval: 20 * time.Millisecond})
+}
+
+// Guards against a take-up that gets its slot after queued new streams, of its own
+// workspace or of another one that is owed more.
+func TestTakeUpGoesAheadOfQueuedNewStreams(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	for id := uint64(1); id <= 10; id++ {
+		o.Ask(start, ask(id, fmt.Sprintf("w%d", id%3), draft, start))
+	}
+	o.Ask(start, takeUp(11, "filler", draft, start))
+	o.Ask(start, takeUp(12, "w0", draft, start))
+	var order []uint64
+	for _, g := range grants[:3] {
+		settleAfter(o, g, start.Add(time.Second))
+		for _, g := range o.TakeOutput().Grants {
+			order = append(order, g.RequestID)
+		}
+	}
+	assert.DeepEqual(t, order[:2], []uint64{11, 12})
+	assert.Assert(t, order[2] <= 10, "the third slot was not granted to a new stream")
+}
+
+// Guards against a borrowed slot that goes to a new stream or is returned while a take-up
+// waits, and against a slot that is lent for a peer that is owed more than its workspace.
+func TestTakeUpGoesAheadOnLoans(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	o.Ask(start, ask(1, "w", draft, start))
+	o.Ask(start, takeUp(2, "filler", draft, start))
+	o.Ask(start, takeUp(3, "filler", draft, start))
+	o.HandleLoan(start, Loan{From: shardB, To: shardA, LoanID: 1, Epoch: 1, Server: "b1", Address: "127.0.0.1:2", BootID: 1, Slots: 1, TTL: time.Second})
+	assert.Equal(t, o.TakeOutput().Grants[0].RequestID, uint64(2))
+	o.HandleSummary(start, Summary{From: shardB, Epoch: 1, Waiting: 1, Lowest: []WaitingValue{{Value: -1_000_000, Count: 1}}})
+	settleAfter(o, grants[0], start.Add(time.Second))
+	out := o.TakeOutput()
+	assert.Equal(t, len(out.Loans), 0)
+	assert.Equal(t, out.Grants[0].RequestID, uint64(3))
+}
+
+// Guards against a take-up that blocks the slot of a server that it avoids, and against one
+// that loses its place for that.
+func TestTakeUpThatAvoidsAServerKeepsItsPlace(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	a := takeUp(1, "w", draft, start)
+	a.Avoid = []string{"s0"}
+	o.Ask(start, a)
+	o.Ask(start, ask(2, "w", draft, start))
+	settleAfter(o, grants[0], start.Add(time.Second))
+	assert.Equal(t, o.TakeOutput().Grants[0].RequestID, uint64(2))
+	o.Ask(start, ask(3, "w", draft, start))
+	a.Avoid = nil
+	o.Ask(start.Add(time.Second), a)
+	settleAfter(o, grants[1], start.Add(time.Second))
+	assert.Equal(t, o.TakeOutput().Grants[0].RequestID, uint64(1))
+}
+
+// Guards against the bound of a workspace that take-ups use up which got no slot.
+func TestTakeUpsThatLeaveDoNotUseTheBound(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	for id := uint64(1); id <= 500; id++ {
+		o.Ask(start, takeUp(id, "w", draft, start))
+		o.Cancel(start, router, id)
+	}
+	o.Ask(start, ask(501, "v", draft, start))
+	o.Ask(start, takeUp(502, "w", draft, start))
+	o.Ask(start, takeUp(503, "w", draft, start))
+	settleAfter(o, grants[0], start.Add(time.Second))
+	settleAfter(o, grants[1], start.Add(time.Second))
+	out := o.TakeOutput()
+	assert.DeepEqual(t, []uint64{out.Grants[0].RequestID, out.Grants[1].RequestID}, []uint64{502, 503})
+}
+
+// Guards against take-ups of one workspace that go ahead beyond its bound, and against a
+// bound that does not recover while others are served.
+func TestTakeUpsBeyondTheBoundAreNewAsks(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	fill(t, o, 8)
+	for id := uint64(1); id <= 200; id++ {
+		o.Ask(start, takeUp(id, "w", draft, start))
+	}
+	bound := o.takeUps.length
+	assert.Assert(t, bound > 0 && bound < 200)
+	o.Ask(start, takeUp(201, "v", draft, start))
+	assert.Equal(t, o.takeUps.length, bound+1, "the bound of another workspace")
+	o.takeUps.fairService += 1e9
+	o.Ask(start, takeUp(202, "w", draft, start))
+	assert.Equal(t, o.takeUps.length, bound+2)
+}
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -31,7 +31,7 @@
 		key := requestKey{w.ask.Router, w.ask.RequestID}
 		retryAfter := o.predictWait(w.Flow(), w.ModelIndex, w.ask.Class.MayWait)
 		code := expiredCode(&w.ask)
-		o.removeWaiting(w)
+		o.removeWaiting(w, false)
 		o.refuse(key, code, retryAfter)
 	}
 }
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -43,6 +43,7 @@
 	PromptUnits uint32    // service units of the prompt, 0 for services
 	PrefixHash  uint64    // 0 if there is no prefix
 	Avoid       []string  // names of servers that must not be chosen
+	TakesUp     bool      // asks for the rest of a stream
 }
 
 // Grant allows one request to be sent to one BackendServer.
--- a/pkg/pool/usage.go
+++ b/pkg/pool/usage.go
@@ -29,7 +29,7 @@
 // countDemand adds the estimated cost of a new ask to the demand, also if the
 // ask is refused afterwards.
 func (o *Owner) countDemand(a *Ask) {
-	o.offeredUnits += o.costs.Estimate(a.Workspace, a.Class.Name, a.HintUnits, a.PromptUnits)
+	o.offeredUnits += o.estimate(a)
 	if !a.Class.MayWait {
 		o.lastInteractive = o.now
 	}
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -293,6 +293,7 @@
 		Arrived:   q.arrivedAt,
 		HintUnits: q.costHint,
 		Avoid:     avoid,
+		TakesUp:   q.isTakeUp(),
 	}
 	if q.kind == backend.Engine {
 		a.Model = q.chat.Model
--- a/pkg/router/takeup_test.go
+++ b/pkg/router/takeup_test.go
@@ -11,6 +11,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/pool"
 	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
@@ -203,3 +204,13 @@
 		assert.Check(t, resp.Header.Get(headerResult) == "207" && !strings.Contains(body, "after 7"), "%s: %s", odd, body)
 	}
 }
+
+// Guards against a router that does not tell the owner that a request takes a stream up.
+func TestAskStatesThatItTakesUp(t *testing.T) {
+	for value, want := range map[string]bool{"7": true, "": false} {
+		q := &request{req: &http.Request{Header: http.Header{headerLastEventID: {value}}}}
+		assert.Equal(t, q.newAsk(pool.RouterID{}, nil).TakesUp, want, "Last-Event-Id %q", value)
+	}
+	q := &request{req: &http.Request{Header: http.Header{}}}
+	assert.Assert(t, !q.newAsk(pool.RouterID{}, nil).TakesUp)
+}
