Predict the wait of a take-up by what is ahead of it

A take-up within the bound of its workspace waits for the take-ups before it and, beyond the burst, for one new ask before each.

TestTakeUpIsNotRefusedForTheWaitOfNewStreams failed with one refusal. TestTakeUpIsRefusedForTheWaitOfTakeUps holds the other direction.

--- a/pkg/pool/predict.go
+++ b/pkg/pool/predict.go
@@ -37,6 +37,9 @@
 	}
 	budget := remaining - o.stats.expectedFirstToken(&a.Class)
 	wait := o.predictWait(flow, modelIndex, false)
+	if o.mayGoAhead(a, flow) {
+		wait = min(wait, o.predictTakeUpWait(modelIndex))
+	}
 	if o.peerHasFreeSlot() {
 		wait = min(wait, loanDelay)
 	}
--- a/pkg/pool/takeup_test.go
+++ b/pkg/pool/takeup_test.go
@@ -10,6 +10,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
 func takeUp(id uint64, workspace string, c class.Class, now time.Time) Ask {
@@ -141,3 +142,40 @@
 	o.Ask(start, takeUp(202, "w", draft, start))
 	assert.Equal(t, o.takeUps.length, bound+2)
 }
+
+// Guards against a take-up that is refused as target_unreachable for the new streams
+// that wait before it, while one of them can begin.
+func TestTakeUpIsNotRefusedForTheWaitOfNewStreams(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	now := start.Add(4 * time.Second)
+	o.HandleAnnouncement(now, announce("s0", 0))
+	settleAfter(o, grants[0], now) // a slot becomes free each 0.5 s
+	refused := false
+	for id := uint64(1); id < 20; id++ {
+		o.Ask(now, ask(id, fmt.Sprintf("w%d", id%3), chat, now))
+		refused = len(o.TakeOutput().Refusals) > 0 || refused
+	}
+	assert.Assert(t, refused, "no overload")
+	o.Ask(now, takeUp(21, "w0", chat, now))
+	assert.Equal(t, len(o.TakeOutput().Refusals), 0)
+	settleAfter(o, grants[1], now.Add(500*time.Millisecond))
+	assert.Equal(t, o.TakeOutput().Grants[0].RequestID, uint64(21))
+}
+
+// Guards against a take-up that is accepted although those ahead of it use up its target.
+func TestTakeUpIsRefusedForTheWaitOfTakeUps(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	now := start.Add(4 * time.Second)
+	o.HandleAnnouncement(now, announce("s0", 0))
+	settleAfter(o, grants[0], now)
+	o.Ask(now, ask(1, "w", chat, now))
+	o.TakeOutput()
+	for id := uint64(2); id < 20; id++ {
+		o.Ask(now, takeUp(id, fmt.Sprintf("w%d", id), chat, now))
+	}
+	refusals := o.TakeOutput().Refusals
+	assert.Assert(t, len(refusals) > 0)
+	assert.Equal(t, refusals[0].Code, result.TargetUnreachable)
+}
