Let a take-up displace the last new ask of a full queue

A take-up was refused as queue_full (108) by a queue that new asks of its workspace, or of all, had filled.

It takes the place of the last new ask of its workspace, or, if the queue of all is full and its workspace has none, of the last one of the workspace that is served last; that only within the bound of what goes ahead. The displaced ask is refused as the take-up was before. Take-ups displace no take-ups.

TestTakeUpDisplacesTheLastNewStreamOfAFullQueue failed in its three cases: the refused ask was the take-up (11), not the last new one (7, 7, 8). A new ask still displaces nothing.

--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -186,9 +186,12 @@
 	}
 	o.countDemand(&a)
 	flow := o.queue.Flow(a.Workspace)
+	var displaced *waitingAsk
 	if flow.Waiting() >= o.cfg.MaxWaitingPerWorkspace || o.queue.Len() >= o.cfg.MaxWaitingTotal {
-		o.refuse(key, result.QueueFull, o.nextSlotDelay(flow))
-		return
+		if displaced = o.displaceable(&a, flow); displaced == nil {
+			o.refuse(key, result.QueueFull, o.nextSlotDelay(flow))
+			return
+		}
 	}
 	modelIndex, ok := o.modelIndex(a.Model)
 	if !ok {
@@ -199,6 +202,9 @@
 		o.refuse(key, code, retryAfter)
 		return
 	}
+	if displaced != nil {
+		o.displace(displaced)
+	}
 	o.enqueue(key, &a, flow, modelIndex)
 	o.dispatch()
 }
--- a/pkg/pool/takeup.go
+++ b/pkg/pool/takeup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/fairshare"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
 // takeUpOrder holds the asks for the rest of a stream that go ahead of new ones, because a
@@ -155,3 +156,28 @@
 	between = min(between, o.queue.WaitingForModel(modelIndex)-before)
 	return o.stats.slotTime / time.Duration(slots) * time.Duration(before+between+1)
 }
+
+// displaceable returns the waiting ask that a take-up takes the place of in a full queue,
+// nil if there is none: the last new one of its workspace, or of the workspace that is
+// served last if the take-up goes ahead and its workspace is not the one with a full queue.
+func (o *Owner) displaceable(a *Ask, flow *fairshare.Flow) *waitingAsk {
+	if !a.TakesUp {
+		return nil
+	}
+	isNew := func(i *fairshare.Item) bool { return !i.Request.(*waitingAsk).ask.TakesUp }
+	item := o.queue.LastOf(flow, isNew)
+	if item == nil && flow.Waiting() < o.cfg.MaxWaitingPerWorkspace && o.mayGoAhead(a, flow) {
+		item = o.queue.Last(isNew)
+	}
+	if item == nil {
+		return nil
+	}
+	return item.Request.(*waitingAsk)
+}
+
+// displace refuses a waiting new ask in favour of a take-up.
+func (o *Owner) displace(w *waitingAsk) {
+	key, delay := requestKey{w.ask.Router, w.ask.RequestID}, o.nextSlotDelay(w.Flow())
+	o.removeWaiting(w, false)
+	o.refuse(key, result.QueueFull, delay)
+}
--- a/pkg/pool/takeup_test.go
+++ b/pkg/pool/takeup_test.go
@@ -179,3 +179,39 @@
 	assert.Assert(t, len(refusals) > 0)
 	assert.Equal(t, refusals[0].Code, result.TargetUnreachable)
 }
+
+// Guards against a take-up that is refused for a queue that is full of new streams, of its
+// workspace or of all, and against a new stream or too many that it takes the place of.
+func TestTakeUpDisplacesTheLastNewStreamOfAFullQueue(t *testing.T) {
+	for name, tc := range map[string]struct {
+		perWorkspace, total int
+		workspace           string // of the take-up
+		displaced           uint64
+	}{
+		"workspace":               {perWorkspace: 4, total: 100, workspace: "w0", displaced: 7},
+		"all":                     {perWorkspace: 100, total: 8, workspace: "w0", displaced: 7},
+		"all, of other workspace": {perWorkspace: 100, total: 8, workspace: "v", displaced: 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := DefaultConfig()
+			cfg.MaxWaitingPerWorkspace, cfg.MaxWaitingTotal = tc.perWorkspace, tc.total
+			o := newWarmOwner(t, cfg, 1)
+			fill(t, o, 8)
+			for id := uint64(1); id <= 8; id++ {
+				at := start.Add(time.Duration(id) * time.Millisecond)
+				o.Ask(at, ask(id, fmt.Sprintf("w%d", 1-id%2), draft, at)) // w0 has 1, 3, 5, 7
+			}
+			assert.Equal(t, len(o.TakeOutput().Refusals), 0)
+			now := start.Add(time.Second)
+			o.Ask(now, takeUp(11, tc.workspace, draft, now))
+			refusals := o.TakeOutput().Refusals
+			assert.Equal(t, len(refusals), 1)
+			assert.Equal(t, refusals[0].RequestID, tc.displaced)
+			assert.Equal(t, refusals[0].Code, result.QueueFull)
+			assert.Equal(t, o.Snapshot().Waiting, 8)
+			o.Ask(now, ask(12, tc.workspace, draft, now))
+			refusals = o.TakeOutput().Refusals
+			assert.Assert(t, len(refusals) == 1 && refusals[0].RequestID == 12, "a new stream displaced another one")
+		})
+	}
+}
