Predict waits of new asks without what others queue beyond their share

A workspace that asked for its share, or far less, was refused as target_unreachable (106) while another one sent without end, new streams or take-ups: 24 of 122 asks of one workspace began, 1,900 of the other.

Cause: the predicted wait counted all waiting asks, in whatever order they are served, so the queue of one workspace refused the others at once. It stands beside take-ups because of the bound that the others keep half of what they ask for.

Other workspaces are served before an ask until they are an urgency window ahead of its own, so only that part of their queue counts, and take-ups that go ahead count. A workspace beyond the urgency window is predicted as before. Take-ups of classes that may wait count among those that are served before classes that may not.

The bound of every second slot alone is held by TestTakeUpsLeaveEverySecondSlotToNewStreams.

--- a/pkg/pool/overload_test.go
+++ b/pkg/pool/overload_test.go
@@ -188,3 +188,50 @@
 		assert.Check(t, takeUps.granted > 0 && newStreams.granted > 0)
 	}
 }
+
+// Guards against a workspace that takes streams up without end and leaves others less than
+// half of what they ask for within their share, whether they wait all the time or now and
+// then.
+func TestFloodOfTakeUpsLeavesOthersTheirShare(t *testing.T) { testFlood(t, true) }
+
+// Guards against asks that are refused for the wait of what another workspace has queued
+// beyond its share.
+func TestFloodOfNewStreamsLeavesOthersTheirShare(t *testing.T) { testFlood(t, false) }
+
+func testFlood(t *testing.T, takesUp bool) {
+	const seconds = 60
+	for name, rates := range map[string]map[string]float64{ // requests a second of workspaces with new streams; 32 are served
+		"others ask for their share":      {"b": 10, "c": 10},
+		"one asks for its share":          {"b": 16},
+		"one asks for little":             {"b": 2},
+		"others ask for more":             {"b": 30, "c": 30},
+		"one asks for little, one a lot":  {"b": 2, "c": 60},
+		"many, of which one has take-ups": {"b": 4, "c": 4, "d": 4, "e": 4, "f": 4, "g": 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newOverload(t, 4)
+			var asks []*simulatedAsk
+			for range seconds * 100 {
+				asks = append(asks, s.ask("a", chat, takesUp, true))
+				for _, w := range []string{"b", "c", "d", "e", "f", "g"} {
+					if s.rnd.Float64() < rates[w]/100 {
+						asks = append(asks, s.ask(w, chat, false, true))
+					}
+				}
+				s.step()
+			}
+			flood := count(asks, func(x *simulatedAsk) bool { return x.workspace == "a" })
+			t.Logf("a: %v", flood)
+			for w := range rates {
+				got := count(asks, func(x *simulatedAsk) bool { return x.workspace == w })
+				t.Logf("%s: %v", w, got)
+				share := min(float64(got.asked), 32*seconds/float64(len(rates)+1))
+				assert.Check(t, float64(got.granted) >= share/2, "%s got %d of its share of %.0f", w, got.granted, share)
+				if got.granted < got.asked {
+					assert.Check(t, float64(flood.granted) <= 2*float64(got.granted) || float64(got.granted) >= float64(got.asked)/2, "%s got %d of %d, the flood %d", w, got.granted, got.asked, flood.granted)
+				}
+			}
+			assert.Check(t, flood.granted > 0)
+		})
+	}
+}
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -27,6 +27,7 @@
 	expiryNanos int64 // Unix time in ns at which the ask is refused
 	heapIndex   int   // index in Owner.expiry
 	takeUp      waitingTakeUp
+	isUrgent    bool // served before classes that may wait: of another class, or goes ahead
 }
 
 // grant is one slot in use by a request of this shard.
@@ -56,12 +57,12 @@
 	recoveryEnd time.Time // no grants before this time
 	handedOver  bool      // Handover was called, nothing is granted any more
 
-	waitingAsk         map[requestKey]*waitingAsk
-	expiry             expiryHeap
-	waitingInteractive int           // waiting asks of interactive classes, which may not wait
-	freeAsks           []*waitingAsk // for reuse
-	skipped            []*waitingAsk // set aside until the end of the dispatch round
-	takeUps            takeUpOrder
+	waitingAsk    map[requestKey]*waitingAsk
+	expiry        expiryHeap
+	waitingUrgent int           // waiting asks with isUrgent
+	freeAsks      []*waitingAsk // for reuse
+	skipped       []*waitingAsk // set aside until the end of the dispatch round
+	takeUps       takeUpOrder
 
 	grants     map[grantKey]*grant
 	granted    map[requestKey]*grant // the same grants by request
@@ -216,10 +217,11 @@
 	w.expiryNanos = o.expiryNanos(a)
 	o.waitingAsk[key] = w
 	o.expiry.push(w)
-	if !a.Class.MayWait {
-		o.waitingInteractive++
-	}
 	ahead := o.mayGoAhead(a, flow)
+	w.isUrgent = ahead || !a.Class.MayWait
+	if w.isUrgent {
+		o.waitingUrgent++
+	}
 	o.queue.Push(o.now, flow, &w.Item)
 	if ahead {
 		o.sendAhead(w, flow)
@@ -253,8 +255,8 @@
 	o.removeTakeUp(w, o.queue.Flow(w.ask.Workspace), granted)
 	o.queue.Remove(&w.Item)
 	o.expiry.remove(w)
-	if !w.ask.Class.MayWait {
-		o.waitingInteractive--
+	if w.isUrgent {
+		o.waitingUrgent--
 	}
 	w.ask = Ask{}
 	o.freeAsks = append(o.freeAsks, w)
--- a/pkg/pool/predict.go
+++ b/pkg/pool/predict.go
@@ -89,11 +89,16 @@
 	perSlot := o.stats.slotTime / time.Duration(slots) // mean time between two slots that become free
 	ahead := o.queue.WaitingForModel(modelIndex)
 	if !mayWait {
-		ahead = min(ahead, o.waitingInteractive)
+		ahead = min(ahead, o.waitingUrgent)
 	}
-	wait := perSlot * time.Duration(ahead+1)
 	floor, waiting := o.queue.Floor()
-	if lead := flow.VirtualTime() - floor - o.cfg.FairShare.UrgencyWindow; waiting && lead > 0 && o.stats.cost > 0 {
+	lead := flow.VirtualTime() - floor - o.cfg.FairShare.UrgencyWindow
+	if !mayWait && lead <= 0 {
+		// What others have queued beyond their share is served later.
+		ahead = o.withTakeUps(o.queue.ServedBefore(flow, modelIndex, o.stats.cost, ahead), ahead)
+	}
+	wait := perSlot * time.Duration(ahead+1)
+	if waiting && lead > 0 && o.stats.cost > 0 {
 		// The workspace is served after the floor has risen by lead. The floor
 		// rises by the cost of one request when each waiting workspace has been
 		// served once.
--- a/pkg/pool/takeup.go
+++ b/pkg/pool/takeup.go
@@ -181,3 +181,9 @@
 	o.removeWaiting(w, false)
 	o.refuse(key, result.QueueFull, delay)
 }
+
+// withTakeUps adds the take-ups that go ahead to the number of asks that are served before
+// a new one by fair share. All asks ahead of it are at most limit.
+func (o *Owner) withTakeUps(before, limit int) int {
+	return min(before+min(o.takeUps.length, max(o.burst()-o.takeUps.ahead, 0)+before+1), limit)
+}
--- a/pkg/pool/takeup_test.go
+++ b/pkg/pool/takeup_test.go
@@ -215,3 +215,51 @@
 		})
 	}
 }
+
+// Guards against take-ups of many workspaces that leave new streams of others, which are owed
+// more, less than every second slot, after half of the slots at once.
+func TestTakeUpsLeaveEverySecondSlotToNewStreams(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	for id := uint64(1); id <= 40; id++ {
+		w := fmt.Sprintf("w%d", id)
+		o.Ask(start, ask(100+id, fmt.Sprintf("new%d", id), draft, start))
+		o.ledger.Charge(o.queue.Flow(w).Account(), 100_000)
+		o.Ask(start, takeUp(id, w, draft, start))
+	}
+	newStreams := 0
+	for n := 1; n <= 24; n++ {
+		settleAfter(o, grants[0], start.Add(time.Second))
+		granted := o.TakeOutput().Grants
+		assert.Equal(t, len(granted), 1)
+		grants = append(grants[1:], granted[0])
+		if granted[0].RequestID > 100 {
+			newStreams++
+		}
+		assert.Check(t, newStreams >= (n-4)/2, "%d of %d slots", newStreams, n)
+		assert.Check(t, newStreams <= n/2, "%d of %d slots", newStreams, n)
+	}
+}
+
+// Guards against a new ask that is accepted although the take-ups that go ahead of it use up
+// its target, also those of classes that may wait and of workspaces that are owed less.
+func TestNewAskIsRefusedForTheWaitOfTakeUps(t *testing.T) {
+	o := newWarmOwner(t, DefaultConfig(), 1)
+	grants := fill(t, o, 8)
+	now := start.Add(4 * time.Second)
+	o.HandleAnnouncement(now, announce("s0", 0))
+	settleAfter(o, grants[0], now) // a slot becomes free each 0.5 s
+	o.Ask(now, ask(1, "v", draft, now))
+	assert.Equal(t, len(o.TakeOutput().Grants), 1)
+	o.Ask(now, ask(10, "v", draft, now))
+	for id := uint64(2); id <= 5; id++ { // the burst is 4
+		w := fmt.Sprintf("w%d", id)
+		o.ledger.Charge(o.queue.Flow(w).Account(), 100_000)
+		o.Ask(now, takeUp(id, w, draft, now))
+	}
+	assert.Equal(t, len(o.TakeOutput().Refusals), 0)
+	o.Ask(now, ask(6, "new", chat, now))
+	refusals := o.TakeOutput().Refusals
+	assert.Equal(t, len(refusals), 1)
+	assert.Equal(t, refusals[0].Code, result.TargetUnreachable)
+}
