Charge take-ups to the request rate without refusing them

A caller who took a stream up again got 429 rate_limited (109) while new requests of its workspace used up its requests a second.

A take-up is charged beyond the rate, and the next new requests of the workspace are refused until that is paid. The debt is bounded by what a workspace may have begun in the 60 s in which callers may come back, so that in the long run take-ups have no more than the rate. Only the workspace itself gives way.

TestTakeUpBeyondTheRequestRateGoesOn failed with 429, result 109, and TestTakeUpsAreChargedToTheRequestRate at its first take-up; both pass now. The second one also holds the charge, the bound and the other workspaces.

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -152,7 +152,7 @@
 	if err := q.readOptionHeaders(); err != nil {
 		return release, err
 	}
-	retryAfter, ok := r.rateLimiters.allow(q.arrivedAt, q.workspace.Name, q.workspace.RequestsPerSecond)
+	retryAfter, ok := r.rateLimiters.allow(q.arrivedAt, q.workspace.Name, q.workspace.RequestsPerSecond, q.isTakeUp())
 	if !ok {
 		return release, result.New(result.RateLimited, "workspace %s exceeded its limit of %g requests per second", q.workspace.Name, q.workspace.RequestsPerSecond).WithRetryAfter(retryAfter)
 	}
--- a/pkg/router/budget.go
+++ b/pkg/router/budget.go
@@ -20,6 +20,9 @@
 
 	rateBurstSeconds       = 1 // burst size in seconds of a workspace's request rate
 	rateLimiterIdleTimeout = 10 * time.Minute
+	// takeUpDebtSeconds bounds what take-ups are charged beyond a workspace's request rate:
+	// the streams that it may have begun in the time in which their callers may come back.
+	takeUpDebtSeconds = 60
 )
 
 // retryBudget is a token bucket that limits retries to a share of the requests.
@@ -67,8 +70,9 @@
 
 // allow counts one request and reports whether it is within the rate. If not,
 // it returns the time after which the caller should retry. A rate of 0 means no
-// limit.
-func (l *workspaceRateLimiters) allow(now time.Time, workspaceName string, perSecond float64) (time.Duration, bool) {
+// limit. A take-up is allowed beyond the rate, so that the next new requests of the
+// workspace are refused instead.
+func (l *workspaceRateLimiters) allow(now time.Time, workspaceName string, perSecond float64, isTakeUp bool) (time.Duration, bool) {
 	if perSecond == 0 {
 		return 0, true
 	}
@@ -89,9 +93,19 @@
 		return 0, true
 	}
 	missingTokens := 1 - entry.limiter.TokensAt(now)
+	if isTakeUp {
+		missingTokens -= takeUpDebt(perSecond)
+		if missingTokens <= 0 {
+			entry.limiter.ReserveN(now, 1)
+			return 0, true
+		}
+	}
 	return time.Duration(missingTokens / perSecond * float64(time.Second)), false
 }
 
+// takeUpDebt returns the number of take-ups that are allowed beyond the rate, at least one.
+func takeUpDebt(perSecond float64) float64 { return max(perSecond*takeUpDebtSeconds, 1) }
+
 func burstSize(perSecond float64) int {
 	return max(int(perSecond*rateBurstSeconds), 1)
 }
