State take-ups in a field of the ask

What was wrong: an ask stated that it takes a stream up by an empty name among the servers that it avoids. It worked, also between versions, but nobody who reads api/v1 expects it, and code that shows or counts avoided servers sees one that there is not.

A router or owner that does not know the field reads the same ask without it, as before.

--- a/pkg/peer/convert.go
+++ b/pkg/peer/convert.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"slices"
 	"time"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
@@ -43,33 +42,15 @@
 		HintUnits:   a.HintUnits,
 		PromptUnits: a.PromptUnits,
 		PrefixHash:  a.PrefixHash,
-		Avoid:       avoidToProto(a),
+		Avoid:       a.Avoid,
+		TakesUp:     a.TakesUp,
 		Model:       a.Model,
 	}}}
 }
 
-// noServer in the avoided servers of an ask states that it takes a stream up. No server has
-// this name, so owners of versions that do not know that avoid no server for it.
-const noServer = ""
-
-func avoidToProto(a pool.Ask) []string {
-	if !a.TakesUp {
-		return a.Avoid
-	}
-	return append(slices.Clone(a.Avoid), noServer)
-}
-
-func avoidFromProto(avoid []string) (servers []string, takesUp bool) {
-	if !slices.Contains(avoid, noServer) {
-		return avoid, false
-	}
-	return slices.DeleteFunc(slices.Clone(avoid), func(name string) bool { return name == noServer }), true
-}
-
 // AskFromProto converts the request for a grant of another router. It computes
 // the arrival time from the age and now.
 func AskFromProto(from pool.RouterID, c class.Class, m *apiv1.Ask, now time.Time) pool.Ask {
-	avoid, takesUp := avoidFromProto(m.Avoid)
 	return pool.Ask{
 		Router:      from,
 		RequestID:   m.RequestId,
@@ -80,8 +61,8 @@
 		HintUnits:   m.HintUnits,
 		PromptUnits: m.PromptUnits,
 		PrefixHash:  m.PrefixHash,
-		Avoid:       avoid,
-		TakesUp:     takesUp,
+		Avoid:       m.Avoid,
+		TakesUp:     m.TakesUp,
 	}
 }
 
