Tell copies that callers sent from second attempts of hosts

Seen: sound requests refused with status 400.

Cause: the losses of a request that callers send again count as one against its parts. Whether callers had sent it again was judged by the time alone: a copy that was sent before the loss of the one before, or within 100 ms after it, could be the second attempt of a host, of which each request with a deadly part may have one.

Change: a host knows which copies are its own second attempts, and says so. For each lost request a report tells whether it is the first copy of what a caller sent that the host has lost, or a further one (ServerLoss.copies, on both paths). Two first copies are two tries of callers, however close they are; a further copy is none, however late it is. Of a copy whose host does not say, the time decides as before, so an older host is understood; it passes over the field itself, which leaves all others as they were. The list is as long as that of the requests or empty, one byte for each.

The simulated fleet marks the second attempts of its hosts.

--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"context"
 	"runtime"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,6 +13,8 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/logging"
+	"jackdawtrack.example/jackdawtrack/pkg/losses"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 )
 
@@ -85,7 +89,11 @@
 func TestEvidenceSurvivesMessages(t *testing.T) {
 	now := start.Add(time.Hour)
 	want := quarantine.Message{
-		Losses:  []quarantine.Loss{{Server: quarantine.Server{Hash: 1, StartMS: 2}, At: now.Add(-3 * time.Second), Reporter: 4, Parts: []uint64{5, 6}, Requests: []quarantine.Sent{{Request: quarantine.RequestSuspect(7), At: now.Add(-3500 * time.Millisecond)}}, Lost: 7, Begun: 8}},
+		Losses: []quarantine.Loss{{Server: quarantine.Server{Hash: 1, StartMS: 2}, At: now.Add(-3 * time.Second), Reporter: 4, Parts: []uint64{5, 6}, Requests: []quarantine.Sent{
+			{Request: quarantine.RequestSuspect(7), At: now.Add(-3500 * time.Millisecond), Copy: quarantine.FurtherCopy},
+			{Request: quarantine.RequestSuspect(8), At: now.Add(-3500 * time.Millisecond), Copy: quarantine.FirstCopy},
+			{Request: quarantine.RequestSuspect(9), At: now.Add(-3500 * time.Millisecond)},
+		}, Lost: 7, Begun: 8}},
 		Cleared: []quarantine.Cleared{{Suspect: 9, At: now.Add(-10 * time.Second)}},
 		Verdicts: []quarantine.Verdict{{
 			Suspect: 11, Generation: 12, State: quarantine.Quarantined, Since: now.Add(-13 * time.Second), Term: 14 * time.Second, Losses: 15, Hosts: 16,
@@ -112,3 +120,25 @@
 	assert.DeepEqual(t, sharedParts([]dispatch.Part{{ID: 1}, {ID: 2}, {ID: 3}}), []uint64{1, 2})
 	assert.Equal(t, len(sharedParts(make([]dispatch.Part, 10*quarantine.MaxRequestParts))), quarantine.MaxRequestParts)
 }
+
+// Guards against the second attempt of a host being reported as a further try of the
+// caller, and against one after an answer that had begun not counting as the first loss.
+func TestLossOfASecondAttemptIsReportedAsSuch(t *testing.T) {
+	x := newAttemptTest().proxiedRequest
+	ctx, cancel := context.WithCancel(context.Background()) // lost connections are not checked
+	cancel()
+	x.s.ctx, x.s.log = ctx, logging.ForComponent("test")
+	for i, c := range []struct {
+		begun bool
+		want  quarantine.Copy
+	}{{true, quarantine.UnknownCopy}, {false, quarantine.FirstCopy}, {false, quarantine.FurtherCopy}, {false, quarantine.FurtherCopy}} {
+		v := dispatch.Decision{Server: strconv.Itoa(i), Address: "127.0.0.1:" + strconv.Itoa(i)}
+		x.addLostConnection(v, time.Now(), c.begun)
+		l := x.s.losses.TakeRestarted(time.Now(), v.Address, func(losses.Process) bool { return true })
+		if c.begun {
+			assert.Assert(t, l == nil)
+			continue
+		}
+		assert.Equal(t, l.Requests[0].Copy, c.want, "attempt %d", i)
+	}
+}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -66,6 +66,7 @@
 	slotReservation   string            // reservation id at the server of the decision, "" if none
 	sentAttempts      int               // attempts that may have reached a server
 	sentTo            []string          // addresses of these attempts
+	wasLost           bool              // an attempt was lost with its server before its answer began; guarded by s.mu
 	mayHaveRun        bool              // a server may have executed it, so no response may claim that it was not executed
 	lastErrorResponse *bufferedResponse // last 5xx response, sent to the caller if no attempt succeeds
 	unsentAttempts    int               // attempts that failed before any byte was sent
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -25,11 +25,20 @@
 // addLostConnection does so for an attempt that began at the given time.
 func (x *proxiedRequest) addLostConnection(v dispatch.Decision, sent time.Time, begun bool) {
 	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
-	if l := x.s.losses.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: sent, Begun: begun}); l != nil {
+	if l := x.s.losses.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: sent, Begun: begun, Further: !begun && x.markLost()}); l != nil {
 		go x.s.checkLoss(l)
 	}
 }
 
+// markLost records that an attempt was lost with its server, and reports whether one was
+// before. A second attempt beside the first may be lost at the same time.
+func (x *proxiedRequest) markLost() (before bool) {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	before, x.wasLost = x.wasLost, true
+	return before
+}
+
 // checkLoss finds out whether a server process has ended.
 func (s *Server) checkLoss(l *losses.Loss) {
 	ended := losses.HasEnded(s.ctx, l.Address, connectTimeout)
@@ -59,7 +68,7 @@
 // server checked.
 func (x *proxiedRequest) watchServer(v dispatch.Decision) {
 	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
-	if x.s.left.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: x.attemptStartedAt}) {
+	if x.s.left.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: x.attemptStartedAt, Further: x.markLost()}) {
 		go x.s.checkLeft(server)
 	}
 }
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -45,6 +45,7 @@
 	Sent     time.Time
 	Started  time.Time // of the server process, zero if this host did not see it
 	Begun    bool      // its answer had begun
+	Further  bool      // the host had lost it with another server, for the same try of its caller
 }
 
 // Loss is a server process whose connections to this host were lost.
@@ -107,18 +108,26 @@
 		case !quarantine.IsRequest(suspect) && len(l.Parts) < maxSuspects:
 			l.Parts[suspect] = true
 		case quarantine.IsRequest(suspect):
-			l.addRequest(quarantine.Sent{Request: suspect, At: r.Sent})
+			sent := quarantine.Sent{Request: suspect, At: r.Sent, Copy: quarantine.FirstCopy}
+			if r.Further {
+				sent.Copy = quarantine.FurtherCopy
+			}
+			l.addRequest(sent)
 		}
 	}
 }
 
-// addRequest adds a request. Of its copies the one that was sent last counts.
+// addRequest adds a request. Of its copies the one that was sent last counts, and a first
+// copy before a further one.
 func (l *Loss) addRequest(r quarantine.Sent) {
 	i := slices.IndexFunc(l.Requests, func(other quarantine.Sent) bool { return other.Request == r.Request })
 	switch {
-	case i >= 0 && r.At.After(l.Requests[i].At):
-		l.Requests[i] = r
-	case i < 0 && len(l.Requests) < maxSuspects:
+	case i >= 0:
+		if r.At.After(l.Requests[i].At) {
+			l.Requests[i].At = r.At
+		}
+		l.Requests[i].Copy = min(l.Requests[i].Copy, r.Copy)
+	case len(l.Requests) < maxSuspects:
 		l.Requests = append(l.Requests, r)
 	}
 }
--- a/pkg/losses/losses_test.go
+++ b/pkg/losses/losses_test.go
@@ -15,6 +15,21 @@
 	return func(p Process) bool { return p.StartMS < startMS }
 }
 
+// Guards against a report in which a second attempt of the host counts as a further try of
+// its caller, and against one in which it hides such a try.
+func TestReportTellsSecondAttemptsApart(t *testing.T) {
+	request, other := quarantine.RequestSuspect(1), quarantine.RequestSuspect(2)
+	var c Collector
+	p := Process{ID: "i", StartMS: 1000, Address: "10.0.0.1:80"}
+	l := c.Add(start, p, Request{Suspects: []uint64{request}, Sent: start, Further: true})
+	c.Add(start, p, Request{Suspects: []uint64{other}, Sent: start, Further: true})
+	c.Add(start, p, Request{Suspects: []uint64{other}, Sent: start.Add(-time.Second)})
+	c.Add(start, p, Request{Suspects: []uint64{other}, Sent: start.Add(-time.Second), Further: true})
+	assert.DeepEqual(t, l.Evidence(quarantine.Server{}).Requests, []quarantine.Sent{
+		{Request: request, At: start, Copy: quarantine.FurtherCopy}, {Request: other, At: start, Copy: quarantine.FirstCopy},
+	})
+}
+
 // Guards against a growing table of lost servers, and against a loss at a server
 // that restarted at once going unnoticed.
 func TestLossesAreBoundedAndConfirmedByRestart(t *testing.T) {
--- a/pkg/quarantine/apart_test.go
+++ b/pkg/quarantine/apart_test.go
@@ -16,7 +16,7 @@
 	for range 100 {
 		tracker.AnswerBegan(now, now, now, []uint64{99})
 	}
-	tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: parts, Requests: []Sent{{RequestSuspect(request), now.Add(-time.Millisecond)}}})
+	tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: parts, Requests: []Sent{{Request: RequestSuspect(request), At: now.Add(-time.Millisecond)}}})
 	now = now.Add(settleTime)
 	tracker.Poll(now)
 	return now
@@ -54,7 +54,7 @@
 	tracker, now := refusedTogether(4, false)
 	for i := range uint64(2) { // the second copy is sent at the loss of the first one
 		now = now.Add(2 * episodeGap)
-		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{RequestSuspect(1100), now.Add(-2 * episodeGap)}}})
+		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{Request: RequestSuspect(1100), At: now.Add(-2 * episodeGap)}}})
 	}
 	now = now.Add(settleTime)
 	tracker.Poll(now)
@@ -80,7 +80,7 @@
 	tracker, now := lossesOf()
 	for i := range uint64(lossesToQuarantine) {
 		now = now.Add(time.Second)
-		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{deadlyRequest, now.Add(-time.Millisecond)}}})
+		tracker.AddLoss(now, Loss{Server: Server{100 + i, 1}, At: now, Lost: 1, Parts: []uint64{soundPart}, Requests: []Sent{{Request: deadlyRequest, At: now.Add(-time.Millisecond)}}})
 		now = now.Add(settleTime)
 		tracker.Poll(now)
 	}
--- a/pkg/quarantine/cover_test.go
+++ b/pkg/quarantine/cover_test.go
@@ -15,12 +15,8 @@
 	otherDeadly = 3
 )
 
-// sentOftenFailures and subjectFailures are the seeds of failing runs that KNOWN-RED.txt
-// describes.
-var (
-	sentOftenFailures = []uint64{0, 6}
-	subjectFailures   = []uint64{0, 30, 35}
-)
+// sentOftenFailures are the seeds of failing runs that KNOWN-RED.txt describes.
+var sentOftenFailures = []uint64{0, 6}
 
 // lossesWith returns a tracker of one of two hosts with losses of the shared part and of
 // one more suspect each, one a second beside answers on another part, and the time at
@@ -46,7 +42,7 @@
 	case cause != 0:
 		parts = append(parts, cause)
 	}
-	tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: parts, Requests: []Sent{{request, now.Add(-time.Millisecond)}}})
+	tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: parts, Requests: []Sent{{Request: request, At: now.Add(-time.Millisecond)}}})
 	now = now.Add(settleTime)
 	tracker.Poll(now)
 	return now
@@ -123,9 +119,9 @@
 		for at := start.Add(l.at); now.Before(at); now = now.Add(time.Millisecond) {
 			tracker.Poll(now)
 		}
-		requests := []Sent{{RequestSuspect(uint64(1000 + i)), now.Add(-time.Millisecond)}}
+		requests := []Sent{{Request: RequestSuspect(uint64(1000 + i)), At: now.Add(-time.Millisecond)}}
 		if l.cause != 0 {
-			requests = append(requests, Sent{l.cause, now.Add(-200 * time.Millisecond)})
+			requests = append(requests, Sent{Request: l.cause, At: now.Add(-200 * time.Millisecond)})
 		}
 		tracker.AddLoss(now, Loss{Server: Server{uint64(i), 1}, At: now, Lost: l.lost, Parts: l.parts, Requests: requests})
 	}
@@ -178,9 +174,6 @@
 func TestSubjectOfTwoCausesIsServed(t *testing.T) {
 	for seed := range uint64(4 * seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			if slices.Contains(subjectFailures, seed) {
-				t.Skip("see KNOWN-RED.txt")
-			}
 			runSubjectOfTwoCauses(t, seed)
 		})
 	}
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -69,19 +69,19 @@
 		numbers[request] = i + 1
 	}
 	x := &repeatIndex{requests: map[*loss][]int{}, repeated: map[*loss]numberSet{}, order: map[*loss]uint64{}, counts: make([]int, len(requests)+1), least: map[uint64]int{}}
-	lostAt, repeated := make([]time.Time, len(requests)+1), make([]bool, len(requests)+1)
+	before, repeated := make([]lostCopy, len(requests)+1), make([]bool, len(requests)+1)
 	for i, l := range losses {
 		x.order[l] = uint64(i)
-		for request, sentBefore := range l.suspects {
+		for request, lost := range l.suspects {
 			number := numbers[request]
 			if number == 0 || !t.isSuspectOf(request, l) {
 				continue
 			}
 			x.requests[l] = append(x.requests[l], number)
-			if before := lostAt[number]; !before.IsZero() && l.at.Add(-sentBefore).Sub(before) > retryTime {
+			if before[number].isRepeatedBy(l.at.Add(-lost.sentBefore()), lost.copy) {
 				repeated[number] = true
 			}
-			lostAt[number] = l.at
+			before[number] = lostCopy{l.at, before[number].first || lost.copy == FirstCopy}
 		}
 	}
 	for _, l := range losses {
@@ -94,6 +94,24 @@
 	return x
 }
 
+// lostCopy is the last loss of a request.
+type lostCopy struct {
+	at    time.Time // zero if there was none
+	first bool      // this loss or one before it is of a first copy
+}
+
+// isRepeatedBy reports whether a copy that was lost later shows that callers sent the
+// request again.
+func (c lostCopy) isRepeatedBy(sent time.Time, copy Copy) bool {
+	switch {
+	case c.at.IsZero() || copy == FurtherCopy:
+		return false
+	case copy == FirstCopy && c.first:
+		return true
+	}
+	return sent.Sub(c.at) > retryTime
+}
+
 // numberSet is a set of numbers, nil if it is empty. Many suspects are compared with many
 // requests, which a map takes five times as long for.
 type numberSet []uint64
@@ -254,7 +272,7 @@
 func (l *loss) isApartFrom(earlier time.Time, suspect uint64, answered bool) bool {
 	gap := l.at.Sub(earlier)
 	if IsRequest(suspect) {
-		sentBefore := l.suspects[suspect]
+		sentBefore := l.suspects[suspect].sentBefore()
 		if answered {
 			return gap > 0 && sentBefore <= gap
 		}
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -67,7 +67,8 @@
 	suspects []uint64 // parts, and the request itself
 	sentAt   time.Time
 	beginsAt time.Time
-	retried  bool
+	retried  bool // not sent to a second server
+	copy     Copy
 }
 
 func newSimulatedFleet(seed uint64, hosts, servers int, deadly int) *simulatedFleet {
@@ -106,6 +107,10 @@
 }
 
 func (f *simulatedFleet) sendFrom(host int, suspects []uint64, retried bool) {
+	f.sendCopy(host, suspects, retried, FirstCopy)
+}
+
+func (f *simulatedFleet) sendCopy(host int, suspects []uint64, retried bool, copy Copy) {
 	if action, suspect := f.hosts[host].tracker.Begin(f.now, suspects); action == Refuse {
 		if !f.isDeadly(suspects) {
 			f.refused[suspect]++
@@ -123,7 +128,7 @@
 	}
 	s := up[f.random.IntN(len(up))]
 	wait := 100 + time.Duration(f.random.IntN(500))
-	s.pending = append(s.pending, &simulatedRequest{host, suspects, f.now, f.now.Add(wait * time.Millisecond), retried})
+	s.pending = append(s.pending, &simulatedRequest{host, suspects, f.now, f.now.Add(wait * time.Millisecond), retried, copy})
 	for _, p := range suspects {
 		if d := f.deadly[p]; d != nil {
 			d.arrived = append(d.arrived, f.now)
@@ -150,14 +155,14 @@
 		l.Lost++
 		last := len(r.suspects) - 1
 		l.Parts = append(l.Parts, r.suspects[:last]...)
-		l.Requests = append(l.Requests, Sent{Request: r.suspects[last], At: r.sentAt})
+		l.Requests = append(l.Requests, Sent{Request: r.suspects[last], At: r.sentAt, Copy: r.copy})
 		if !f.isDeadly(r.suspects) {
 			f.lost++
 		}
 	}
 	for _, r := range pending {
 		if !r.retried && !f.hosts[r.host].tracker.SuspectsAgain(f.now, r.suspects) {
-			f.sendFrom(r.host, r.suspects, true)
+			f.sendCopy(r.host, r.suspects, true, FurtherCopy)
 		}
 	}
 	for host, l := range reports {
--- a/pkg/quarantine/limits_test.go
+++ b/pkg/quarantine/limits_test.go
@@ -12,7 +12,7 @@
 
 // loseRequest adds the loss of one request at a server of its own.
 func loseRequest(t *Tracker, now time.Time, server uint64, request uint64) {
-	t.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Requests: []Sent{{request, now.Add(-time.Millisecond)}}})
+	t.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Requests: []Sent{{Request: request, At: now.Add(-time.Millisecond)}}})
 	t.Poll(now.Add(settleTime))
 }
 
@@ -42,9 +42,9 @@
 		now = now.Add(time.Second)
 		var requests []Sent
 		for range MaxRequestsPerMessage + 1 {
-			requests = append(requests, Sent{popular, now.Add(-time.Millisecond)})
+			requests = append(requests, Sent{Request: popular, At: now.Add(-time.Millisecond)})
 		}
-		requests = append(requests, Sent{deadlyRequest, now.Add(-time.Millisecond)})
+		requests = append(requests, Sent{Request: deadlyRequest, At: now.Add(-time.Millisecond)})
 		tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: len(requests), Requests: requests})
 		now = now.Add(settleTime)
 		tracker.Poll(now)
@@ -63,9 +63,9 @@
 		var requests []Sent
 		for range MaxRequestsPerMessage + 8 {
 			other++
-			requests = append(requests, Sent{RequestSuspect(other), now.Add(-time.Millisecond)})
+			requests = append(requests, Sent{Request: RequestSuspect(other), At: now.Add(-time.Millisecond)})
 		}
-		requests = append(requests, Sent{deadlyRequest, now.Add(-time.Millisecond)})
+		requests = append(requests, Sent{Request: deadlyRequest, At: now.Add(-time.Millisecond)})
 		tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: len(requests), Requests: requests})
 		tracker.Poll(now.Add(settleTime))
 	}
@@ -117,7 +117,7 @@
 	sent := now.Add(time.Second)
 	now = now.Add(3 * time.Second)
 	for server := range uint64(lossesToQuarantine) {
-		tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Requests: []Sent{{popular, sent}}})
+		tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Requests: []Sent{{Request: popular, At: sent}}})
 		for i := range uint64(40) {
 			tracker.AnswerBegan(now, now, now, []uint64{RequestSuspect(server*100 + i)})
 		}
@@ -170,7 +170,7 @@
 				l.Parts = append(l.Parts, 1+reporter*MaxPartsPerMessage+i)
 			}
 			for i := range uint64(MaxRequestsPerMessage) { // each lost twice: sent once more
-				l.Requests = append(l.Requests, Sent{RequestSuspect(server/2*1000 + reporter*100 + i), now})
+				l.Requests = append(l.Requests, Sent{Request: RequestSuspect(server/2*1000 + reporter*100 + i), At: now})
 			}
 			tracker.Merge(now, Message{Losses: []Loss{l}}, false)
 		}
--- a/pkg/quarantine/message.go
+++ b/pkg/quarantine/message.go
@@ -110,9 +110,9 @@
 func (t *Tracker) reportOf(l *loss, reporter uint64, sent int) Loss {
 	r := l.reports[reporter]
 	out := Loss{Server: l.server, At: l.at, Reporter: reporter, Lost: r.requests, Begun: r.begun}
-	for suspect, sentBefore := range l.suspects {
+	for suspect, lost := range l.suspects {
 		if IsRequest(suspect) {
-			out.Requests = append(out.Requests, Sent{Request: suspect, At: l.at.Add(-sentBefore)})
+			out.Requests = append(out.Requests, Sent{Request: suspect, At: l.at.Add(-lost.sentBefore()), Copy: lost.copy})
 		} else {
 			out.Parts = append(out.Parts, suspect)
 		}
--- a/pkg/quarantine/proto.go
+++ b/pkg/quarantine/proto.go
@@ -20,6 +20,7 @@
 		for _, r := range l.Requests {
 			loss.Requests = append(loss.Requests, r.Request)
 			loss.SentBeforeMs = append(loss.SentBeforeMs, uint32(ageMS(l.At, r.At)))
+			loss.Copies = append(loss.Copies, uint32(r.Copy))
 		}
 		out.Losses = append(out.Losses, loss)
 	}
@@ -45,7 +46,11 @@
 			if i < len(l.GetSentBeforeMs()) {
 				sentBefore = int64(l.GetSentBeforeMs()[i])
 			}
-			loss.Requests = append(loss.Requests, Sent{Request: RequestSuspect(request), At: timeOfAge(loss.At, sentBefore)})
+			sent := Sent{Request: RequestSuspect(request), At: timeOfAge(loss.At, sentBefore)}
+			if i < len(l.GetCopies()) && l.GetCopies()[i] <= uint32(FurtherCopy) {
+				sent.Copy = Copy(l.GetCopies()[i])
+			}
+			loss.Requests = append(loss.Requests, sent)
 		}
 		out.Losses = append(out.Losses, loss)
 	}
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -170,9 +170,9 @@
 		tracker, now := New(1), start
 		for i := range uint64(2 * lossesToQuarantine) {
 			now = now.Add(time.Second)
-			l := Loss{Server: Server{i, 1}, At: now, Lost: 1, Requests: []Sent{{poll, now}}}
+			l := Loss{Server: Server{i, 1}, At: now, Lost: 1, Requests: []Sent{{Request: poll, At: now}}}
 			if i < lossesToQuarantine {
-				l.Lost, l.Requests = others, []Sent{{RequestSuspect(i), now}}
+				l.Lost, l.Requests = others, []Sent{{Request: RequestSuspect(i), At: now}}
 			}
 			tracker.AddLoss(now, l)
 		}
@@ -192,7 +192,7 @@
 		tracker, now := New(1), start
 		for i := range uint64(lossesToQuarantine) {
 			now = now.Add(5 * time.Millisecond)
-			tracker.AddLoss(now, Loss{Server: Server{i, 1}, At: now, Lost: 1, Requests: []Sent{{poll, now.Add(-c.sentBefore)}}})
+			tracker.AddLoss(now, Loss{Server: Server{i, 1}, At: now, Lost: 1, Requests: []Sent{{Request: poll, At: now.Add(-c.sentBefore)}}})
 		}
 		tracker.Poll(now.Add(settleTime))
 		action, _ := tracker.Check(now.Add(settleTime), []uint64{poll})
@@ -209,7 +209,7 @@
 	}{"in time": {0, Refuse}, "after the next request was sent": {20 * time.Millisecond, Refuse}, "after the next crash": {40 * time.Millisecond, Refuse}} {
 		tracker, now := New(1), start
 		lose := func(server, reporter uint64, at time.Time, late time.Duration) {
-			l := Loss{Server: Server{server, 1}, Reporter: reporter, At: at.Add(late), Lost: 1, Requests: []Sent{{poll, at.Add(late - 10*time.Millisecond)}}}
+			l := Loss{Server: Server{server, 1}, Reporter: reporter, At: at.Add(late), Lost: 1, Requests: []Sent{{Request: poll, At: at.Add(late - 10*time.Millisecond)}}}
 			if reporter == 1 {
 				tracker.AddLoss(l.At, l)
 			} else {
@@ -232,7 +232,7 @@
 	const part = 7
 	lose := func(tracker *Tracker, now time.Time, server uint64, request uint64) time.Time {
 		now = now.Add(time.Second)
-		tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: []uint64{part}, Requests: []Sent{{RequestSuspect(request), now.Add(-time.Millisecond)}}})
+		tracker.AddLoss(now, Loss{Server: Server{server, 1}, At: now, Lost: 1, Parts: []uint64{part}, Requests: []Sent{{Request: RequestSuspect(request), At: now.Add(-time.Millisecond)}}})
 		now = now.Add(settleTime)
 		tracker.Poll(now)
 		return now
@@ -266,7 +266,7 @@
 	tracker, now := New(1), start
 	for i, want := range []bool{false, true, true} {
 		now = now.Add(time.Second)
-		tracker.AddLoss(now, Loss{Server: Server{uint64(i), 1}, At: now, Lost: 1, Requests: []Sent{{poll, now}}})
+		tracker.AddLoss(now, Loss{Server: Server{uint64(i), 1}, At: now, Lost: 1, Requests: []Sent{{Request: poll, At: now}}})
 		assert.Equal(t, tracker.SuspectsAgain(now, []uint64{poll}), want, "after %d losses", i+1)
 	}
 	tracker.AnswerBegan(now.Add(time.Second), now, now.Add(time.Second), []uint64{poll})
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -40,10 +40,9 @@
 
 // loss is the merged report of one lost server process.
 type loss struct {
-	server Server
-	at     time.Time
-	// suspects holds parts, and requests with the time from their sending to the loss.
-	suspects    map[uint64]time.Duration
+	server      Server
+	at          time.Time
+	suspects    map[uint64]lostSuspect
 	requests    int               // number of requests among the suspects
 	started     time.Time         // of the process, zero if this host did not see it
 	reports     map[uint64]report // by host
@@ -53,6 +52,26 @@
 	ownReport   Loss
 }
 
+// lostSuspect is what a loss says of a suspect, nothing of a part. Many are kept.
+type lostSuspect struct {
+	sentBeforeUS uint32 // from the sending of the request to the loss
+	copy         Copy
+}
+
+func newLostRequest(sentBefore time.Duration, copy Copy) lostSuspect {
+	return lostSuspect{uint32(min(max(sentBefore, 0), maxAge).Microseconds()), copy}
+}
+
+// sentBefore returns the time from the sending of a request to the loss.
+func (s lostSuspect) sentBefore() time.Duration {
+	return time.Duration(s.sentBeforeUS) * time.Microsecond
+}
+
+// merge returns what two reports say of a request. The copy that was sent last counts.
+func (s lostSuspect) merge(o lostSuspect) lostSuspect {
+	return lostSuspect{min(s.sentBeforeUS, o.sentBeforeUS), s.copy.merge(o.copy)}
+}
+
 // report is what one host counted with a loss.
 type report struct{ requests, begun int }
 
@@ -113,7 +132,7 @@
 	l := t.losses[in.Server]
 	if l == nil {
 		t.makeRoom(now)
-		l = &loss{server: in.Server, at: in.At, suspects: map[uint64]time.Duration{}, reports: map[uint64]report{}}
+		l = &loss{server: in.Server, at: in.At, suspects: map[uint64]lostSuspect{}, reports: map[uint64]report{}}
 		t.losses[in.Server] = l
 	}
 	_, known := l.reports[in.Reporter]
@@ -139,18 +158,18 @@
 func (l *loss) addSuspects(in Loss) (added []uint64) {
 	for _, part := range in.Parts {
 		if _, known := l.suspects[part]; !known && len(l.suspects)-l.requests < MaxParts {
-			l.suspects[part] = 0
+			l.suspects[part] = lostSuspect{}
 			added = append(added, part)
 		}
 	}
 	for _, r := range in.Requests {
-		before := max(in.At.Sub(r.At), 0)
+		lost := newLostRequest(in.At.Sub(r.At), r.Copy)
 		known, ok := l.suspects[r.Request]
 		switch {
 		case ok:
-			l.suspects[r.Request] = min(known, before)
+			l.suspects[r.Request] = known.merge(lost)
 		case l.requests < MaxRequests:
-			l.suspects[r.Request] = before
+			l.suspects[r.Request] = lost
 			l.requests++
 			added = append(added, r.Request)
 		}
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -301,9 +301,9 @@
 		for range 100 {
 			tracker.AnswerBegan(now, now, now, []uint64{99})
 		}
-		requests := []Sent{{RequestSuspect(uint64(10 + i)), now}}
+		requests := []Sent{{Request: RequestSuspect(uint64(10 + i)), At: now}}
 		if i < 2 {
-			requests = append(requests, Sent{RequestSuspect(20), now.Add(-time.Millisecond)})
+			requests = append(requests, Sent{Request: RequestSuspect(20), At: now.Add(-time.Millisecond)})
 		}
 		tracker.AddLoss(now, Loss{Server: Server{uint64(i), 1}, At: now, Parts: parts, Requests: requests, Lost: len(requests)})
 	}
--- a/pkg/quarantine/types.go
+++ b/pkg/quarantine/types.go
@@ -73,7 +73,7 @@
 	// they are busy.
 	reportDelay = 50 * time.Millisecond
 	// retryTime is the time after a loss within which a host sends a request to a second
-	// server. A copy that is sent later comes from a caller.
+	// server. A copy that is sent later comes from a caller, also if its host does not say.
 	retryTime = 100 * time.Millisecond
 	// settleTime is the delay between the last loss and the decision. It covers
 	// the exchange between hosts, which tell that a part was cleared elsewhere.
@@ -146,6 +146,27 @@
 type Sent struct {
 	Request uint64 // suspect of the request
 	At      time.Time
+	Copy    Copy
+}
+
+// Copy tells the copies of a request apart that one caller's try may have caused: a host
+// sends a request to a second server after the loss of the first one.
+type Copy uint8
+
+// Values of Copy.
+const (
+	UnknownCopy Copy = iota // an older host does not say
+	FirstCopy               // the first one that was lost of what a caller sent
+	FurtherCopy             // the host had lost another one of what the caller sent
+)
+
+// merge returns the value for two copies that were lost with one server. A loss of a first
+// copy says more than that of a further one.
+func (c Copy) merge(o Copy) Copy {
+	if c == FirstCopy || o == FirstCopy {
+		return FirstCopy
+	}
+	return min(c, o)
 }
 
 // Cleared reports that an answer to a request with the suspect began and went on.
--- a/pkg/quarantine/validate.go
+++ b/pkg/quarantine/validate.go
@@ -20,6 +20,9 @@
 		if times := len(l.GetSentBeforeMs()); times != requests {
 			return eris.Errorf("a loss with %d requests has %d times", requests, times)
 		}
+		if copies := len(l.GetCopies()); copies != 0 && copies != requests {
+			return eris.Errorf("a loss with %d requests has %d copies", requests, copies)
+		}
 		if l.GetAgeMs() < 0 {
 			return eris.New("the age of a loss is negative")
 		}
--- a/pkg/quarantine/validate_test.go
+++ b/pkg/quarantine/validate_test.go
@@ -18,7 +18,7 @@
 	for _, m := range []*apiv1.QuarantineNews{
 		{},
 		{Verdicts: []*apiv1.QuarantineVerdict{{Suspect: 1, Generation: 1, State: 2, AgeMs: 5, TermMs: 15000, TrialAgeMs: 1, Companions: []uint64{2}}}},
-		{Losses: []*apiv1.ServerLoss{{Server: 1, AgeMs: 9, Parts: []uint64{1, 2}, Requests: []uint64{1 << 63}, SentBeforeMs: []uint32{3}, Lost: 1}}, Cleared: []*apiv1.ClearedSuspect{{Suspect: 1, AgeMs: 1 << 62}}},
+		{Losses: []*apiv1.ServerLoss{{Server: 1, AgeMs: 9, Parts: []uint64{1, 2}, Requests: []uint64{1 << 63}, SentBeforeMs: []uint32{3}, Copies: []uint32{1}, Lost: 1}}, Cleared: []*apiv1.ClearedSuspect{{Suspect: 1, AgeMs: 1 << 62}}},
 		{Verdicts: []*apiv1.QuarantineVerdict{{Suspect: 1, Generation: 1<<32 - 1, State: 2, TermMs: 1 << 62, Losses: 1<<32 - 1}}},
 	} {
 		data, err := proto.Marshal(m)
--- a/pkg/quarantine/verdicts_test.go
+++ b/pkg/quarantine/verdicts_test.go
@@ -15,7 +15,7 @@
 	tracker.AnswerBegan(now, now, now, []uint64{answered})
 	for i := range uint64(lossesToQuarantine) {
 		now = now.Add(time.Second)
-		tracker.AddLoss(now, Loss{Server: Server{i, 1}, At: now, Lost: 1, Parts: []uint64{answered, unknown}, Requests: []Sent{{RequestSuspect(i), now}}})
+		tracker.AddLoss(now, Loss{Server: Server{i, 1}, At: now, Lost: 1, Parts: []uint64{answered, unknown}, Requests: []Sent{{Request: RequestSuspect(i), At: now}}})
 		for range answersToSuspect {
 			tracker.AnswerBegan(now, now, now, []uint64{other})
 		}
@@ -37,7 +37,7 @@
 // Guards against a host that saw an answer after a loss keeping it for itself, whether
 // it learns of the loss from another host or reports it too.
 func TestHostTellsOthersThatASuspectWasAnswered(t *testing.T) {
-	l := Loss{Server: Server{1, 1}, At: start, Reporter: 2, Lost: 1, Parts: []uint64{5}, Requests: []Sent{{poll, start}}}
+	l := Loss{Server: Server{1, 1}, At: start, Reporter: 2, Lost: 1, Parts: []uint64{5}, Requests: []Sent{{Request: poll, At: start}}}
 	for name, learn := range map[string]func(*Tracker, time.Time){
 		"from another host": func(t *Tracker, now time.Time) { t.Merge(now, Message{Losses: []Loss{l}}, false) },
 		"reports it":        func(t *Tracker, now time.Time) { t.AddLoss(now, l) },
@@ -59,7 +59,7 @@
 	action, _ := tracker.Begin(now, []uint64{poll})
 	assert.Equal(t, action, Trial)
 	lose := func(server uint64, at time.Time) uint32 {
-		tracker.AddLoss(at.Add(time.Second), Loss{Server: Server{server, 1}, At: at, Lost: 1, Requests: []Sent{{poll, at}}})
+		tracker.AddLoss(at.Add(time.Second), Loss{Server: Server{server, 1}, At: at, Lost: 1, Requests: []Sent{{Request: poll, At: at}}})
 		return tracker.verdicts[poll].Generation
 	}
 	assert.Equal(t, lose(1, now.Add(-time.Millisecond)), uint32(1))
@@ -83,7 +83,7 @@
 // again each time that its age has doubled.
 func TestLossIsReportedAgainAsItAges(t *testing.T) {
 	tracker := New(1)
-	tracker.AddLoss(start, Loss{Server: Server{1, 1}, At: start, Lost: 1, Requests: []Sent{{poll, start}}})
+	tracker.AddLoss(start, Loss{Server: Server{1, 1}, At: start, Lost: 1, Requests: []Sent{{Request: poll, At: start}}})
 	var sent []time.Duration
 	for age := time.Duration(0); age < 40*time.Second; age += 100 * time.Millisecond {
 		if m := tracker.Message(start.Add(age), false); len(m.Losses) > 0 {
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -48,6 +48,7 @@
 
 	confirmedAt  time.Time // of a take-up, see confirmCatalog; zero before
 	dispatchedAt time.Time // time of the last dispatch to a server, zero before the first
+	wasLost      bool      // it was lost with a server before its answer began
 }
 
 func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
--- a/pkg/router/losses.go
+++ b/pkg/router/losses.go
@@ -70,7 +70,8 @@
 	case report.Lost:
 		// The attempts to resume a stream come after the loss.
 		begun := m.began || report.ResumeCount == 0 && !m.firstByteAt.IsZero() && now.Sub(m.firstByteAt) > answerBeginTime
-		r.recordLostRequest(now, g, losses.Request{Suspects: q.suspects, Sent: q.dispatchedAt, Started: r.servers.startedAt(g.Server, g.BootID), Begun: begun})
+		r.recordLostRequest(now, g, losses.Request{Suspects: q.suspects, Sent: q.dispatchedAt, Started: r.servers.startedAt(g.Server, g.BootID), Begun: begun, Further: q.wasLost})
+		q.wasLost = q.wasLost || !begun
 	case report.Err == nil && !m.began && isAnswer(m.status):
 		if m.firstByteAt.IsZero() || !report.IsStream {
 			m.firstByteAt = now
--- a/pkg/router/losses_test.go
+++ b/pkg/router/losses_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +101,23 @@
 	}
 }
 
+// Guards against the second attempt of a router being reported as a further try of the
+// caller.
+func TestLossOfASecondAttemptIsReportedAsSuch(t *testing.T) {
+	self := pool.RouterID{Name: "rt-1", DataCentre: "north", Incarnation: 7}
+	r := New(NewConfig(), self, Dependencies{Catalog: catalog.NewStore(), Ownership: NewStaticOwnership(self), Pool: pool.DefaultConfig()})
+	q := &request{suspects: []uint64{quarantine.RequestSuspect(1)}, dispatchedAt: time.Now()}
+	for i, want := range []quarantine.Copy{quarantine.FirstCopy, quarantine.FurtherCopy} {
+		p := losses.Process{ID: strconv.Itoa(i), Address: "127.0.0.1:1", BootID: 5}
+		// Without a check of the process, which needs a connection.
+		r.quarantine.losses.Add(time.Now(), p, losses.Request{Begun: true})
+		m := &answerMonitor{Sink: newCallerSink(httptest.NewRecorder(), time.Second, false), r: r, q: q}
+		r.observeAttempt(q, pool.Grant{Server: p.ID, Address: p.Address, BootID: p.BootID}, m, proxy.Report{Lost: true, Err: result.New(result.StreamBroken, "lost")})
+		l := r.quarantine.losses.TakeRestarted(time.Now(), p.Address, func(losses.Process) bool { return true })
+		assert.Equal(t, l.Requests[0].Copy, want)
+	}
+}
+
 // Guards against an announcement of an earlier process that arrives late, over
 // another router, counting as the end of the current one.
 func TestDelayedAnnouncementEndsNoProcess(t *testing.T) {
