Accept what waits at a router whose time to drain is over

Callers would see: a whole request on a new connection ends without an answer at the end of a planned stop of a router that had no processor time.

Cause: the listener for callers is closed at once if the time to drain has ended, and the kernel resets the connections in its queue.

Evidence: TestStopWithoutProcessorTimeAnswersRequestsOnQueuedConnections holds the loop that accepts connections until the time to drain is over. The requests that are read are answered already: a router waits for its connections before it closes its HTTP servers.

Change: every stop of a listener accepts what waits for at least answerTime.

--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -39,8 +39,16 @@
 	return closeConns(ctx, s.conns[0], limit)
 }
 
+// closeConns accepts the connections in the queue of the listener for at least answerTime: a
+// router without processor time gets there when ctx has ended.
 func closeConns(ctx context.Context, conns *callers.ConnTracker, limit time.Duration) error {
-	conns.StopAccepting(ctx)
+	left := answerTime
+	if end, ok := ctx.Deadline(); ok {
+		left = max(left, time.Until(end))
+	}
+	acceptCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
+	defer cancel()
+	conns.StopAccepting(acceptCtx)
 	return conns.WaitClosed(ctx, limit)
 }
 
