Learn no prefill rates before the parts that engines cache are known

Callers saw: requests sent 1 to 3 s after a start of their host waited for 1 to 3 s at one to three engines whose backlog the host took for under 200 ms; some callers left. Cause: a host that has just started does not know which prompt parts engines cache. Prompts that were cached look as if the engine had prefilled them in no time, so the rate learned from their first events rises, backlogs look shorter than they are, and the host sends more. Change: rates are learned from requests sent at least 2 s after the start of the host, when the other hosts have repeated the parts in use. A fleet of one host learns at once.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -34,6 +34,7 @@
 	localEdges      []string // names of the edge hosts of this data centre, sorted
 	edges           int      // number of edge hosts in the fleet
 	assumeColdUntil time.Time
+	startedAt       time.Time
 
 	silenceCheckedAt time.Time
 	observedSince    time.Time // start of the checks of silence without a gap
@@ -54,7 +55,7 @@
 func New(self, dataCentre string, now time.Time) *Dispatcher {
 	return &Dispatcher{
 		self: self, selfHash: hashOf(self), dataCentre: dataCentre, servers: map[string]*server{}, services: map[string]*service{},
-		shares: newShares(now), peers: map[string]*peer{}, localEdges: []string{self}, edges: 1,
+		shares: newShares(now), peers: map[string]*peer{}, localEdges: []string{self}, edges: 1, startedAt: now,
 	}
 }
 
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -93,11 +93,11 @@
 	m.backlogTokens = max(m.backlogTokens+tokens, 0)
 }
 
-// learnFromFirstEvent updates rate, delay and backlog from the first event of a
-// request.
-func (m *prefillModel) learnFromFirstEvent(now time.Time, r *Request) {
+// learnFromFirstEvent updates delay and backlog, and with learnRate the rate, from the first
+// event of a request.
+func (m *prefillModel) learnFromFirstEvent(now time.Time, r *Request, learnRate bool) {
 	elapsed := now.Sub(r.sentAt)
-	if r.loadAtSend >= minRateSampleTokens && elapsed > m.firstEventDelay {
+	if learnRate && r.loadAtSend >= minRateSampleTokens && elapsed > m.firstEventDelay {
 		sample := float64(r.loadAtSend) / (elapsed - m.firstEventDelay).Seconds()
 		m.prefillRate += estimateGain * (min(max(sample, minPrefillRate), maxPrefillRate) - m.prefillRate)
 		m.rateSampledAt = now
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -14,11 +14,18 @@
 	}
 	r.firstEventSeen = true
 	if r.server.isEngine() {
-		r.server.learnFromFirstEvent(now, r)
+		r.server.learnFromFirstEvent(now, r, d.knewCachedParts(r.sentAt))
 		r.server.cachedParts.markPrefilled(now, r.Parts)
 	}
 }
 
+// knewCachedParts reports whether the other edge hosts had told this one at that time which
+// parts the engines use. Until then it takes cached tokens for prefilled ones, and a rate
+// that is learned from them is too high.
+func (d *Dispatcher) knewCachedParts(then time.Time) bool {
+	return d.edges == 1 || then.Sub(d.startedAt) >= republishInterval
+}
+
 // RecordOutcome records the outcome of a request. It must be called once for
 // each Send.
 func (d *Dispatcher) RecordOutcome(now time.Time, r *Request, o Outcome) {
