--- a/scripts/lostforms/main.go
+++ b/scripts/lostforms/main.go
@@ -207,9 +207,15 @@
 	{"SIGTERM", func(d *day, r *request) bool { return r.isCalm(d.unsound) && overlapsAny(r.span, d.stops[r.host]) }},
 	{"SIGHUP", func(d *day, r *request) bool { return r.isCalm(d.unsound) && overlapsAny(r.span, d.reloads[r.host]) }},
 	{"configuration", func(d *day, r *request) bool { return r.isCalm(d.unsound) && overlapsAny(r.span, d.changes) }},
-	{"configuration, silent servers", func(d *day, r *request) bool {
-		return r.isCalm(d.disturbed) && !r.isCalm(d.unsound) && overlapsAny(r.span, d.changes)
-	}},
+	{"SIGTERM, silent servers", func(d *day, r *request) bool { return d.besideSilence(r, d.stops[r.host]) }},
+	{"SIGHUP, silent servers", func(d *day, r *request) bool { return d.besideSilence(r, d.reloads[r.host]) }},
+	{"configuration, silent servers", func(d *day, r *request) bool { return d.besideSilence(r, d.changes) }},
+}
+
+// besideSilence reports whether the request was in progress in one of the windows, with
+// disturbances of servers only.
+func (d *day) besideSilence(r *request, windows []span) bool {
+	return r.isCalm(d.disturbed) && !r.isCalm(d.unsound) && overlapsAny(r.span, windows)
 }
 
 // write writes a table of the forms.
--- a/scripts/lostforms/main_test.go
+++ b/scripts/lostforms/main_test.go
@@ -44,6 +44,8 @@
 | SIGTERM | 2 | 1 | 0 | 0 | 0 | 0 | 1 | 0 |
 | SIGHUP | 0 | 0 | 0 | 0 | 0 | 0 | 0 | 0 |
 | configuration | 5 | 1 | 2 | 0 | 0 | 0 | 1 | 1 |
+| SIGTERM, silent servers | 0 | 0 | 0 | 0 | 0 | 0 | 0 | 0 |
+| SIGHUP, silent servers | 1 | 1 | 0 | 0 | 0 | 0 | 0 | 0 |
 | configuration, silent servers | 0 | 0 | 0 | 0 | 0 | 0 | 0 | 0 |
 lines 6, tries 5, idle connections closed 4, unused 0, without a handled request map[crossed:1]
 `)
