Count take-ups by step and end on the product path

Operators could not see how many streams that callers take up again go on: the router counted only those that it refused for their release, and what the pool refused was among all refusals.

Routers count take-ups and all other requests alike by step and by end, without a limit: takeups.* and new_requests.*, with the names that the edge hosts use, the time to the first slot and to the first byte of the answer. A router does not know of a new request whether its answer will be a stream, so the others are not named streams.

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -48,6 +48,9 @@
 
 	confirmedAt  time.Time // of a take-up, see confirmCatalog; zero before
 	dispatchedAt time.Time // time of the last dispatch to a server, zero before the first
+	counts       string    // prefix of its counters
+	granted      bool      // it had a slot
+	began        bool      // a byte of an answer was passed on
 }
 
 func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
@@ -111,6 +114,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	r.counters.requests.Inc(1)
+	q.counts = countPrefix(q)
+	r.countStep(q, stepArrived)
 	defer r.openRequests.Add(-1)
 	if r.openRequests.Add(1) > int64(r.cfg.Limits.OpenRequests) {
 		r.refuse(q, result.New(result.QueueFull, "the router has reached its limit of %d open requests", r.cfg.Limits.OpenRequests))
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -87,6 +87,7 @@
 			}
 			return lastReport, r.explainNoServer(refusal)
 		}
+		r.countGranted(q)
 		err := r.refuseLate(q)
 		if err == nil {
 			err = r.refuseTakeUp(q) // versions can have become known while it waited
@@ -255,5 +256,6 @@
 	d.Executed = string(code.Executed())
 	d.Explanation = explanation
 	d.TotalMS = milliseconds(time.Since(q.arrivedAt))
+	r.countStep(q, requestEnd(q, e))
 	r.decisionLog.add(d)
 }
--- a/pkg/router/losses.go
+++ b/pkg/router/losses.go
@@ -47,6 +47,9 @@
 
 // Write implements proxy.Sink.
 func (m *answerMonitor) Write(p []byte) (int, error) {
+	if isAnswer(m.status) {
+		m.r.countBegan(m.q)
+	}
 	if !m.began && isAnswer(m.status) {
 		now := time.Now()
 		if m.firstByteAt.IsZero() {
