Charge only take-ups that reached a server to the bound of their workspace

When servers end, their streams break off and connections to them fail. A take-up whose connection failed asks again, and both asks used up the bound of its workspace, so half as many went ahead; so did grants that were returned unused.

What reached no server is taken off the debt, as it is taken off the service total.

A broken connection is still charged.

--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -41,6 +41,7 @@
 	hintUnits     uint64 // cost hint of the caller, 0 if none
 	promptUnits   uint32
 	estimateUnits uint64    // charged cost
+	takeUpUnits   float64   // charged to the bound of take-ups
 	granted       time.Time // when this owner made or learned of the grant
 	message       Grant     // repeated if the router asks again
 }
@@ -416,6 +417,7 @@
 		g.message.Server, g.message.Address, g.message.BootID = s.announcement.Name, s.announcement.Address, s.announcement.BootID
 		g.message.Abilities = s.announcement.Abilities
 	}
+	g.takeUpUnits = w.takeUp.units
 	o.recordOrder(w, ahead, g.estimateUnits)
 	o.removeWaiting(w, true)
 	o.ledger.Charge(g.flow.Account(), g.estimateUnits)
--- a/pkg/pool/settle.go
+++ b/pkg/pool/settle.go
@@ -13,6 +13,7 @@
 	cost := s.CostUnits
 	if !mayHaveReachedServer(s.Outcome) {
 		cost = 0
+		o.refundTakeUp(g.flow, g.takeUpUnits)
 	}
 	o.ledger.Settle(g.flow.Account(), g.estimateUnits, cost)
 	o.queue.RecordEnd(o.now, g.flow)
--- a/pkg/pool/takeup.go
+++ b/pkg/pool/takeup.go
@@ -81,11 +81,16 @@
 	o.takeUps.byModel[w.ModelIndex].Remove(w.takeUp.element)
 	o.takeUps.length--
 	if !granted {
-		flow.TakeUpDebt = max(o.takeUpDebt(flow)-w.takeUp.units, 0)
+		o.refundTakeUp(flow, w.takeUp.units)
 	}
 	w.takeUp = waitingTakeUp{}
 }
 
+// refundTakeUp lowers the debt of a workspace by what reached no server.
+func (o *Owner) refundTakeUp(flow *fairshare.Flow, units float64) {
+	flow.TakeUpDebt = max(o.takeUpDebt(flow)-units, 0)
+}
+
 func (w *waitingAsk) goesAhead() bool { return w.takeUp.element != nil }
 
 // nextAsk returns the ask to serve next among the usable models that may is true for, nil
--- a/pkg/pool/takeup_test.go
+++ b/pkg/pool/takeup_test.go
@@ -263,3 +263,26 @@
 	assert.Equal(t, len(refusals), 1)
 	assert.Equal(t, refusals[0].Code, result.TargetUnreachable)
 }
+
+// Guards against the bound of a workspace that grants use up whose requests reached no
+// server: after failed connections its take-ups ask again.
+func TestGrantsThatReachNoServerDoNotUseTheBound(t *testing.T) {
+	for _, tc := range []struct {
+		outcome Outcome
+		charged bool
+	}{{OutcomeUnused, false}, {OutcomeConnectFailed, false}, {OutcomeBroken, true}} {
+		o := newWarmOwner(t, DefaultConfig(), 1)
+		grants := fill(t, o, 8)
+		for id := uint64(11); id < 20; id++ { // each grant pays only a tenth of a debt
+			o.Ask(start, ask(id, fmt.Sprintf("v%d", id), draft, start))
+		}
+		o.Ask(start, takeUp(2, "w", draft, start))
+		settleAfter(o, grants[0], start.Add(time.Second))
+		g := o.TakeOutput().Grants[0]
+		assert.Equal(t, g.RequestID, uint64(2))
+		flow := o.queue.Flow("w")
+		assert.Assert(t, o.takeUpDebt(flow) > 0)
+		o.Settle(start.Add(time.Second), Settle{GrantID: g.GrantID, Epoch: g.Epoch, Outcome: tc.outcome})
+		assert.Check(t, o.takeUpDebt(flow) > 0 == tc.charged, "outcome %d: %v", tc.outcome, o.takeUpDebt(flow))
+	}
+}
