Do not let a refusal use up the first take-up of a stream

Callers saw: a take-up that was refused as not run, "the servers of the stream's software version are full", came back after Retry-After, as it was told, and was held back by the bounds on repeated take-ups for 16 s.

Cause: the host noted the stream as taken up before the decision, and nothing took the note back.

Evidence: TestTakeUpAfterARefusalIsTheFirst on the code before: takeup_chain_test.go:167, "refused 1 times".

Change: a first take-up that ends without having been sent to a server is forgotten. One that was sent counts, also if it failed.

After: the tests on take-ups of pkg/edge and pkg/streamrecord pass with the race detector.

--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -174,6 +174,17 @@
 	return s.takeUps.Add(time.Now(), k)
 }
 
+// forgetUnsentTakeUp lets the next take-up of the stream count as the first one if this one
+// was not sent to a server: its caller was refused and comes back.
+func (x *proxiedRequest) forgetUnsentTakeUp() {
+	if !x.dispatchReq.FirstTakeUp || x.sentAttempts > 0 {
+		return
+	}
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	x.s.takeUps.Remove(streamrecord.KeyOf(x.dispatchReq.Workspace, x.route.Name, x.in.Resumes))
+}
+
 func (x *proxiedRequest) refuseResumption(reason dispatch.Reason, code result.Code) {
 	x.decision.Action, x.decision.Reason = dispatch.Refuse, reason
 	x.respondError(result.New(code, "%s", reason).WithRetryAfter(resumptionRetryAfter))
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -192,6 +192,7 @@
 	if x.refuseQuarantined() || !x.bindRest() || x.isResumption() && !x.bindRelease() {
 		return
 	}
+	defer x.forgetUnsentTakeUp()
 	x.s.creditRetryBudget(x.dispatchReq.Service)
 	v, err := x.awaitDecision()
 	for err == nil {
--- a/pkg/edge/takeup_chain_test.go
+++ b/pkg/edge/takeup_chain_test.go
@@ -12,6 +12,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/streamrecord"
 )
@@ -151,3 +152,25 @@
 		assert.Assert(t, isFirst("four"))
 	})
 }
+
+// Guards against a take-up that is decided as a repeated one because its caller was refused
+// before and came back, as it was told.
+func TestTakeUpAfterARefusalIsTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newChainTest()
+		x.s.quarantine, x.s.retryBudget, x.s.dispatcher = quarantine.New(1), newRetryBudget(RetryBudget{}), dispatch.New("edge", "z", time.Now())
+		for n := range 3 {
+			y := x.takeUp(fmt.Sprint("refused-", n))
+			y.deadline = time.Now().Add(time.Hour)
+			y.run() // no server of the release is ready
+			assert.Equal(t, y.w.(*httptest.ResponseRecorder).Code, 503)
+			assert.Assert(t, y.dispatchReq.FirstTakeUp, "refused %d times", n)
+		}
+		y := x.takeUp("sent")
+		assert.Assert(t, y.bindRelease() && y.dispatchReq.FirstTakeUp)
+		y.sentAttempts = 1
+		y.forgetUnsentTakeUp()
+		z := x.takeUp("repeated")
+		assert.Assert(t, z.bindRelease() && !z.dispatchReq.FirstTakeUp)
+	})
+}
--- a/pkg/streamrecord/takeups.go
+++ b/pkg/streamrecord/takeups.go
@@ -1,6 +1,9 @@
 package streamrecord
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // TakeUps holds the streams that were taken up lately. It is not safe for concurrent use.
 type TakeUps struct {
@@ -37,3 +40,14 @@
 	t.recent = append(t.recent, takeUp{k, now})
 	return true
 }
+
+// Remove forgets the latest take-up of a stream, one that was not sent to a server.
+func (t *TakeUps) Remove(k Key) {
+	delete(t.known, k)
+	for i, u := range slices.Backward(t.recent) {
+		if u.key == k {
+			t.recent = slices.Delete(t.recent, i, i+1)
+			return
+		}
+	}
+}
--- a/pkg/streamrecord/takeups_test.go
+++ b/pkg/streamrecord/takeups_test.go
@@ -28,4 +28,8 @@
 	assert.Equal(t, len(takeUps.known), 3)
 	assert.Assert(t, takeUps.Add(now.Add(window), key(3)))
 	assert.Equal(t, len(takeUps.known), 1)
+	takeUps.Remove(key(3))
+	takeUps.Remove(key(3))
+	assert.Equal(t, len(takeUps.recent)+len(takeUps.known), 0)
+	assert.Assert(t, takeUps.Add(now.Add(window), key(3)), "its take-up was not sent")
 }
