Let only take-ups within the bounds displace other workspaces from a full queue

Callers would see: new requests of workspaces within their share refused with "too many requests wait" while one workspace takes streams up without end.

Cause: any take-up displaced any queued new request, also one beyond both bounds.

Change: a take-up that goes ahead displaces any new request, any other one only a request beyond its share or of its own workspace.

After: TestTakeUpsBeyondTheBoundsDisplaceNoOneWithinTheShare passes; with the condition taken out it fails (takeup_queue_test.go:93, a take-up of the flood waits). The other tests of the queue pass unchanged.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -153,12 +153,12 @@
 	v := d.decide(now, r)
 	switch {
 	case v.Action != Wait:
-	case len(d.queue) >= maxQueuedRequests && !(r.Resumption && d.hasQueuedNew()):
+	case len(d.queue) >= maxQueuedRequests && !slices.ContainsFunc(d.queue, r.mayDisplace):
 		v = d.refuse(now, r, v, ReasonQueueFull)
 	default:
 		v = d.enqueue(now, r, v)
 		if len(d.queue) > maxQueuedRequests {
-			d.displaceNew(now)
+			d.displaceFor(now, r)
 		}
 	}
 	return v
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -134,17 +134,19 @@
 	return min(time.Duration(float64(shareWindow)*serviceTokens(r)/max(v.FairShare, serviceTokens(r))), maxRetryStep)
 }
 
-// hasQueuedNew reports whether a request that is no take-up is queued.
-func (d *Dispatcher) hasQueuedNew() bool {
-	return slices.ContainsFunc(d.queue, func(w *Request) bool { return !w.Resumption })
+// mayDisplace reports whether the take-up may have the place of a queued new request: of any
+// one if it goes ahead, which is bounded, otherwise of one that is beyond its share or of its
+// own workspace.
+func (r *Request) mayDisplace(w *Request) bool {
+	return r.Resumption && !w.Resumption && (r.ahead || w.decision.Class == OverShare || w.Workspace == r.Workspace)
 }
 
-// displaceNew refuses the queued request of the least urgent class that came last and is no
-// take-up. The next Poll returns it.
-func (d *Dispatcher) displaceNew(now time.Time) {
+// displaceFor refuses the queued request of the least urgent class that came last and that
+// the take-up may displace. The next Poll returns it.
+func (d *Dispatcher) displaceFor(now time.Time, takeUp *Request) {
 	last := -1
 	for i, w := range d.queue {
-		if !w.Resumption && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
+		if takeUp.mayDisplace(w) && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
 			last = i
 		}
 	}
--- a/pkg/dispatch/takeup_queue_test.go
+++ b/pkg/dispatch/takeup_queue_test.go
@@ -57,3 +57,42 @@
 	assert.Equal(t, len(d.queue), maxQueuedRequests)
 	assert.Assert(t, d.Poll(start.Add(time.Hour))[0].Request == leastUrgent)
 }
+
+// Guards against take-ups beyond all bounds that empty a full queue of the new requests of
+// workspaces within their share.
+func TestTakeUpsBeyondTheBoundsDisplaceNoOneWithinTheShare(t *testing.T) {
+	d := newFixedShareHost(1)
+	for _, s := range d.servers {
+		s.setPeerLoad(&peerLoad{}, s.info.Slots, 0) // full of running streams, nothing to prefill
+	}
+	d.shares.recordServed(start, "flood", 2*modelFairShare)
+	admit := func(workspace string, isTakeUp bool) (*Request, Decision) {
+		r := newRequest(start, workspace, 1, longObjective)
+		if r.Resumption = isTakeUp; isTakeUp {
+			r.Release = v1
+			d.shares.usageOf(workspace).ahead.add(d.takeUpBucket(start), 1e9) // the bound is used up
+		}
+		return r, d.Admit(start, r)
+	}
+	var others []*Request
+	for range maxQueuedRequests - 2 {
+		r, v := admit("others", false)
+		assert.Equal(t, v.Action, Wait, "%s", v.Reason)
+		others = append(others, r)
+	}
+	own, _ := admit("flood", false)
+	overShare, _ := admit("else", false)
+	overShare.decision.Class = OverShare
+	for range 2 {
+		_, v := admit("flood", true)
+		assert.Equal(t, v.Action, Wait, "%s", v.Reason)
+	}
+	assert.Assert(t, !own.queued && !overShare.queued)
+	for range 100 {
+		_, v := admit("flood", true)
+		assert.Equal(t, v.Action, Refuse)
+	}
+	for _, r := range others {
+		assert.Assert(t, r.queued)
+	}
+}
