Queue a take-up whose first server fails

Callers saw: a take-up whose first server did not take it was refused as not run, "the servers of the stream's software version are full", while a new stream that came at the same time got the next slot 10 ms later.

Cause: a retry was sent or refused at once, never queued.

Evidence, on the code before (tests of pkg/edge without the second result of retryDecision, which it did not have): TestTakeUpWhoseFirstServerFailsGoesAheadOfNewStreams: refused with the reason above. TestQueuedRetryDoesNotReturnToTheFailedServer and TestQueuedRetryIsRefusedWhenItsTimeIsOver: refused instead of queued. TestRetriedTakeUpGetsTheNextSlot: 0 of 1 requests at the other server. TestQueuedRetryEndsUnsent: four cases, a retry that was not sent stayed charged to the retry budget. TestDecisionOnAnEndedRetryIsReturned: refused. TestQueuedRetryOfABegunResponse was not run there. TestRetryWithoutAServerLeftIsRefusedAtOnce and TestRetryOfANewStreamIsNotQueued guard the other direction and pass on both.

Change: a take-up for which no engine has room after a failure is queued by the same rules as a new one, ahead of new streams and within the same bounds. Its time in the queue counts from the failure and ends with its deadline. Servers at which it failed do not count as ones to wait for. No slot is reserved for a retry, as before. The retry budget is charged when the retry is queued and refunded if it is not sent from there. The wait ends with the caller, the deadline or a stop of the host; a response that has begun waits until its last step, and its release is checked again. What may have run is never answered as not run. Requests that are no take-ups, and take-ups at plain servers, are sent or refused as before. The step "queued" of the counters counts a retry too.

TestRetryNeedsBudget takes the second result of retryDecision; what it asserts is unchanged.

After: the tests of pkg/dispatch and pkg/edge, and those on take-ups, resumption, second attempts, crashes and stops of platform, pass with the race detector, one run each.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -150,35 +150,7 @@
 		r.demandCounted = true
 		d.shares.recordDemand(now, r.Workspace, serviceTokens(r))
 	}
-	v := d.decide(now, r)
-	switch {
-	case v.Action != Wait:
-	case len(d.queue) >= maxQueuedRequests && !(r.Resumption && d.hasQueuedNew()):
-		v = d.refuse(now, r, v, ReasonQueueFull)
-	default:
-		v = d.enqueue(now, r, v)
-		if len(d.queue) > maxQueuedRequests {
-			d.displaceNew(now)
-		}
-	}
-	return v
-}
-
-// Retry decides on another server for a request that failed at the given one.
-// The request is not queued: the decision is Send or Refuse.
-func (d *Dispatcher) Retry(now time.Time, r *Request, failed string) Decision {
-	r.ExcludedServers = append(r.ExcludedServers, failed)
-	r.firstEventSeen = false
-	svc := d.services[r.Service]
-	if svc != nil {
-		if f := d.evaluateServers(now, r, svc); f.cheapest != nil {
-			v := d.assign(now, r, f.cheapest, Decision{Action: Send, Class: OnTime})
-			v.ReserveSlot = false // a retry is sent without another decision
-			d.ConfirmReservation(now, r)
-			return v
-		}
-	}
-	return d.refuse(now, r, Decision{}, ReasonNoServer)
+	return d.queueIfWaiting(now, r, d.decide(now, r))
 }
 
 // Hedge assigns a second server to a request that runs at the given one. It returns a
@@ -283,7 +255,7 @@
 	candidates := d.evaluateServers(now, r, svc)
 	if candidates.cheapest == nil {
 		v.Class = Late
-		if anyAvailableWithin(now, svc.serversOf(r), d.remainingWait(now, r, Late)) {
+		if anyAvailableWithin(now, svc.serversLeft(r), d.remainingWait(now, r, Late)) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
@@ -338,7 +310,8 @@
 func (d *Dispatcher) assign(now time.Time, r *Request, s *server, v Decision) Decision {
 	r.server, r.sentAt, r.firstEventSeen, r.fetchFrom = s, now, false, ""
 	v.RunningRequests, _ = s.load()
-	nearlyFull := d.needsReservation(now, s)
+	// A retry is sent without another decision, which a failed reservation needs.
+	nearlyFull := r.retriedAt.IsZero() && d.needsReservation(now, s)
 	v.Overtakes = !nearlyFull && d.overtakes(now, r, s)
 	v.ReserveSlot = nearlyFull || v.Overtakes
 	if s.running == 0 {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -27,7 +27,7 @@
 	if svc == nil || len(svc.servers) == 0 || !svc.servers[0].isEngine() {
 		return 0
 	}
-	prefillRate, totalRate := readyPrefillRate(svc.serversOf(r)), readyPrefillRate(svc.servers)
+	prefillRate, totalRate := readyPrefillRate(svc.serversLeft(r)), readyPrefillRate(svc.servers)
 	if prefillRate == 0 {
 		return 0
 	}
@@ -65,7 +65,7 @@
 // remainingWait returns how much longer a request of the class may be queued.
 func (d *Dispatcher) remainingWait(now time.Time, r *Request, c Class) time.Duration {
 	left := r.Deadline.Sub(now)
-	waited := now.Sub(r.Arrived)
+	waited := now.Sub(r.waitsSince())
 	switch c {
 	case OnTime:
 		return min(r.Objective-waited, left)
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -37,7 +37,7 @@
 // ahead of the requests that wait there: engines admit these in order of arrival. A take-up
 // that an engine has kept waiting for its reservation is sent without one.
 func (d *Dispatcher) overtakes(now time.Time, r *Request, s *server) bool {
-	return r.ahead && !r.overtakeFailed && s.info.SupportsReservation && !d.isCold(now, s)
+	return r.ahead && r.retriedAt.IsZero() && !r.overtakeFailed && s.info.SupportsReservation && !d.isCold(now, s)
 }
 
 // ConfirmReservation records that the slot for a request has been reserved, as
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -74,7 +74,8 @@
 	prefillDoneAt  time.Time // predicted end of prefill
 	firstEventSeen bool
 	decision       Decision
-	order          float64 // sort key in the queue, lowest first
+	retriedAt      time.Time // last decision on another server, zero before the first one
+	order          float64   // sort key in the queue, lowest first
 }
 
 // Action is the type of a decision.
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -222,7 +222,8 @@
 			first := d.Admit(now, r)
 			assert.Equal(t, first.Action, dispatch.Send)
 			d.RecordOutcome(now, r, dispatch.NotExecuted)
-			assert.Equal(t, s.retryDecision(r, first.Server, c.counted).Action, c.want)
+			v, _ := s.retryDecision(r, first.Server, c.counted)
+			assert.Equal(t, v.Action, c.want)
 		})
 	}
 }
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -234,11 +234,14 @@
 			v = x.takeOver(x.replacement)
 			continue
 		}
-		v = x.s.retryDecision(x.dispatchReq, v.Server, a.sent)
+		v, err = x.awaitRetry(v.Server, a.sent)
 		if v.Action == dispatch.Refuse {
 			x.retryRefusal = v.Reason
 		}
-		if v.Action == dispatch.Refuse && x.mayHaveRun {
+		if x.mayHaveRun && (err != nil || v.Action == dispatch.Refuse) {
+			if errors.Is(err, errHostStopping) {
+				a.err = err
+			}
 			x.respondFailed(a)
 			return
 		}
@@ -272,29 +275,7 @@
 	}
 	x.decision = v
 	x.recordStreamStep("queued")
-	timer := time.NewTimer(time.Until(x.deadline))
-	defer timer.Stop()
-	sending, release := x.s.SendingContext(x.in)
-	defer release()
-	var err error
-	select {
-	case v = <-waiting:
-		return v, nil
-	case <-x.callerCtx.Done():
-		err = context.Canceled
-	case <-timer.C:
-		err = errDeadlinePassed
-	case <-sending.Done():
-		err = errHostStopping
-	case <-x.s.stopping.answer.Done():
-		err = errHostStopping
-	}
-	if v, ok := x.s.cancelWaiting(x.dispatchReq, waiting); ok {
-		if v.Action == dispatch.Send {
-			x.s.recordOutcome(x.dispatchReq, dispatch.NotSent)
-		}
-	}
-	return v, err
+	return x.awaitQueued(v, waiting)
 }
 
 // respondUndispatched ends a request that got no decision in time or whose
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -311,13 +311,19 @@
 	if v.Action != dispatch.Wait {
 		return v, nil
 	}
+	return v, s.awaitPoll(r)
+}
+
+// awaitPoll returns the channel that receives the final decision on a queued request. The
+// caller must hold mu.
+func (s *Server) awaitPoll(r *dispatch.Request) chan dispatch.Decision {
 	c := make(chan dispatch.Decision, 1)
 	s.pendingDecisions[r] = c
 	if !s.polling {
 		s.polling = true
 		go s.poll()
 	}
-	return v, c
+	return c
 }
 
 // cancelWaiting removes a request from the queue. If its decision has already
@@ -376,18 +382,6 @@
 	s.dispatcher.RecordOutcome(time.Now(), r, o)
 }
 
-// retryDecision returns the decision on another server for a request that
-// failed at the server named failed. If that attempt may have been sent, the
-// retry is charged to the retry budget.
-func (s *Server) retryDecision(r *dispatch.Request, failed string, mayHaveBeenSent bool) dispatch.Decision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if mayHaveBeenSent && !s.retryBudget.spend(r.Service) {
-		return dispatch.Decision{Action: dispatch.Refuse, Reason: reasonRetryBudget, RetryAfter: budgetRetryAfter}
-	}
-	return s.dispatcher.Retry(time.Now(), r, failed)
-}
-
 // runEvery calls f at each interval until the Server is closed.
 func (s *Server) runEvery(interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
