Queue a begun stream whose server dies while the others are full

Callers saw: a stream was cut after its first events when its server died and the other engines were full for a moment, while a new stream that came at the same time got the next slot 10 ms later.

Cause: a retry was sent or refused at once.

Change: a request whose first event has arrived, and whose release is known, is queued after a failure as a first take-up of a record is: that is what its caller would send next. It goes ahead of new streams within the same bounds, a full queue displaces a new stream instead of it, and beyond the bounds and its share it waits for an idle engine. Whether it may be sent again is decided before, as it was.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -242,7 +242,7 @@
 	}
 	beyondShare := !d.shares.withinShare(now, r.Workspace, serviceTokens(r))
 	r.ahead = d.mayGoAhead(now, r, svc)
-	r.idleOnly = beyondShare && !r.ahead && r.Resumption
+	r.idleOnly = beyondShare && !r.ahead && r.continues()
 	switch {
 	case !beyondShare || r.ahead:
 	case !r.idleOnly:
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -12,7 +12,7 @@
 	if r.firstEventSeen {
 		return
 	}
-	r.firstEventSeen = true
+	r.firstEventSeen, r.begun = true, true
 	if r.server.isEngine() {
 		r.server.learnFromFirstEvent(now, r, d.knewCachedParts(r.sentAt))
 		r.server.cachedParts.markPrefilled(now, r.Parts)
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -134,17 +134,17 @@
 	return min(time.Duration(float64(shareWindow)*serviceTokens(r)/max(v.FairShare, serviceTokens(r))), maxRetryStep)
 }
 
-// hasQueuedNew reports whether a request that is no take-up is queued.
+// hasQueuedNew reports whether a request that continues no stream is queued.
 func (d *Dispatcher) hasQueuedNew() bool {
-	return slices.ContainsFunc(d.queue, func(w *Request) bool { return !w.Resumption })
+	return slices.ContainsFunc(d.queue, func(w *Request) bool { return !w.continues() })
 }
 
-// displaceNew refuses the queued request of the least urgent class that came last and is no
-// take-up. The next Poll returns it.
+// displaceNew refuses the queued request of the least urgent class that came last and
+// continues no stream. The next Poll returns it.
 func (d *Dispatcher) displaceNew(now time.Time) {
 	last := -1
 	for i, w := range d.queue {
-		if !w.Resumption && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
+		if !w.continues() && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
 			last = i
 		}
 	}
--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"jackdawtrack.example/jackdawtrack/pkg/release"
+)
 
 // Take-ups go ahead of new streams, and the share of their workspace does not hold them
 // back: a part of the answer was made within that share, and a refusal wastes it. They are
@@ -42,19 +46,24 @@
 	return int64(now.Sub(d.shares.start)/takeUpBucketTime) + buckets
 }
 
-// mayGoAhead reports whether the request is a take-up that goes ahead of new streams. Each
+// continues reports whether the request continues a stream: it is a take-up, or its first
+// event has arrived and the release that began it is known.
+func (r *Request) continues() bool { return r.Resumption || r.begun && r.Release != release.Unknown }
+
+// mayGoAhead reports whether the request continues a stream ahead of new ones. A stream that
+// has begun counts as the first take-up that its caller would send if it was cut. Each
 // edge host has an equal part of the bounds, so that these need no messages. A workspace
 // gets one ahead at each host however small that part is.
 func (d *Dispatcher) mayGoAhead(now time.Time, r *Request, svc *service) bool {
-	if !r.Resumption || r.aheadCounted {
-		return r.Resumption
+	if !r.continues() || r.aheadCounted {
+		return r.continues()
 	}
 	prefillRate := readyPrefillRate(svc.servers)
 	u := d.shares.usageOf(r.Workspace)
 	u.ahead.advance(d.takeUpBucket(now))
 	hosts := float64(d.liveEdges(now))
 	share := d.takeUpShare(now, prefillRate)
-	if r.unbounded = r.FirstTakeUp && (share == 0 || u.served.sum+serviceTokens(r) <= maxFirstTakeUpUse*share); r.unbounded {
+	if r.unbounded = (r.FirstTakeUp || !r.Resumption) && (share == 0 || u.served.sum+serviceTokens(r) <= maxFirstTakeUpUse*share); r.unbounded {
 		return true
 	}
 	if share > 0 && u.ahead.sum > 0 && u.ahead.sum+serviceTokens(r) > maxTakeUpShare*share/hosts {
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Retry decides on another server for a request that failed at the given one. A take-up for
-// which no engine has room is queued, and a later Poll returns its decision. It goes ahead
-// of new streams, which would get the next slot otherwise. Any other request is sent or
-// refused.
+// Retry decides on another server for a request that failed at the given one; a stream that
+// has begun must be one that may go on there. A take-up or a begun stream for which no
+// engine has room is queued, and a later Poll returns its decision. It goes ahead of new
+// streams, which would get the next slot otherwise. Any other request is sent or refused.
 func (d *Dispatcher) Retry(now time.Time, r *Request, failed string) Decision {
 	r.ExcludedServers = append(r.ExcludedServers, failed)
 	r.firstEventSeen, r.retriedAt = false, now
@@ -18,7 +18,7 @@
 			return d.assign(now, r, f.cheapest, Decision{Action: Send, Class: OnTime})
 		}
 	}
-	if svc == nil || !r.Resumption || !svc.servers[0].isEngine() {
+	if svc == nil || !r.continues() || !svc.servers[0].isEngine() {
 		return d.refuse(now, r, Decision{}, ReasonNoServer)
 	}
 	return d.queueIfWaiting(now, r, d.decide(now, r))
@@ -29,7 +29,7 @@
 func (d *Dispatcher) queueIfWaiting(now time.Time, r *Request, v Decision) Decision {
 	switch {
 	case v.Action != Wait:
-	case len(d.queue) >= maxQueuedRequests && !(r.Resumption && d.hasQueuedNew()):
+	case len(d.queue) >= maxQueuedRequests && !(r.continues() && d.hasQueuedNew()):
 		v = d.refuse(now, r, v, ReasonQueueFull)
 	default:
 		v = d.enqueue(now, r, v)
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -58,10 +58,11 @@
 	queued         bool
 	isHedge        bool // second attempt, whose work the first one counts for the workspace
 	usageCounted   bool
+	begun          bool // its first event has arrived, from whichever server
 	ahead          bool // goes ahead of new streams
 	aheadCounted   bool // waits or was sent ahead of them
-	unbounded      bool // a first take-up that counts against no bound
-	idleOnly       bool // a take-up beyond the share and the bounds: only engines that are idle get it
+	unbounded      bool // a first take-up or a begun stream that counts against no bound
+	idleOnly       bool // a take-up or a begun stream beyond the share and the bounds: only engines that are idle get it
 	overtakeFailed bool // an engine did not reserve a slot for it
 	server         *server
 	prefixHolders  []prefixHolder // per data centre and release, the engine that caches the longest prefix of the prompt
--- a/pkg/edge/retry_queue_test.go
+++ b/pkg/edge/retry_queue_test.go
@@ -207,3 +207,22 @@
 	_, err := n.x.awaitRetry(v.Server, true)
 	assert.Equal(t, err, errHostStopping)
 }
+
+// Guards against a begun stream that is cut when its server dies and the other one is full
+// for a moment.
+func TestBegunStreamGetsTheNextSlot(t *testing.T) {
+	n := newRetryTest(t, true)
+	x, s := n.x, n.x.s
+	x.dispatchReq.Resumption, x.dispatchReq.FirstTakeUp, x.dispatchReq.Release = false, false, release.Unknown
+	v, _ := s.requestDecision(x.dispatchReq)
+	assert.Equal(t, v.Server, "first")
+	s.recordFirstEvent(x.dispatchReq)
+	x.headSent, x.dispatchReq.Release = true, v.Release // as beginStream binds it
+	s.recordOutcome(x.dispatchReq, dispatch.ConnectionLost)
+	time.AfterFunc(20*time.Millisecond, func() { s.recordOutcome(n.running, dispatch.Completed) })
+	v, err := x.awaitRetry(v.Server, true)
+	assert.NilError(t, err)
+	assert.Equal(t, v.Action, dispatch.Send, "%s", v.Reason)
+	assert.Equal(t, v.Server, "other")
+	assert.Equal(t, n.before-*s.retryBudget.bucket("s"), 1.0)
+}
