--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -27,7 +27,7 @@
 	if svc == nil || len(svc.servers) == 0 || !svc.servers[0].isEngine() {
 		return 0
 	}
-	prefillRate, totalRate := readyPrefillRate(svc.serversOf(r)), readyPrefillRate(svc.servers)
+	prefillRate, totalRate := readyPrefillRate(svc.serversLeft(r)), readyPrefillRate(svc.servers)
 	if prefillRate == 0 {
 		return 0
 	}
@@ -65,7 +65,7 @@
 // remainingWait returns how much longer a request of the class may be queued.
 func (d *Dispatcher) remainingWait(now time.Time, r *Request, c Class) time.Duration {
 	left := r.Deadline.Sub(now)
-	waited := now.Sub(r.Arrived)
+	waited := now.Sub(r.waitsSince())
 	switch c {
 	case OnTime:
 		return min(r.Objective-waited, left)
@@ -134,25 +134,25 @@
 	return min(time.Duration(float64(shareWindow)*serviceTokens(r)/max(v.FairShare, serviceTokens(r))), maxRetryStep)
 }
 
-// mayDisplace reports whether the take-up may have the place of a queued new request: of any
-// one if it goes ahead, which is bounded, otherwise of one that is beyond its share or of its
-// own workspace.
+// mayDisplace reports whether a request that continues a stream may have the place of a queued
+// new one: of any one if it goes ahead, which is bounded, otherwise of one that is beyond its
+// share or of its own workspace.
 func (r *Request) mayDisplace(w *Request) bool {
-	return r.Resumption && !w.Resumption && (r.ahead || w.decision.Class == OverShare || w.Workspace == r.Workspace)
+	return r.continues() && !w.continues() && (r.ahead || w.decision.Class == OverShare || w.Workspace == r.Workspace)
 }
 
 // displaceFor refuses the queued request of the least urgent class that came last and that
-// the take-up may displace. The next Poll returns it.
-func (d *Dispatcher) displaceFor(now time.Time, takeUp *Request) {
+// r may displace. The next Poll returns it.
+func (d *Dispatcher) displaceFor(now time.Time, r *Request) {
 	last := -1
 	for i, w := range d.queue {
-		if takeUp.mayDisplace(w) && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
+		if r.mayDisplace(w) && (last < 0 || w.decision.Class >= d.queue[last].decision.Class) {
 			last = i
 		}
 	}
-	r := d.queue[last]
+	w := d.queue[last]
 	d.queue = slices.Delete(d.queue, last, last+1)
-	d.displaced = append(d.displaced, QueuedDecision{r, d.refuse(now, r, r.decision, ReasonQueueFull)})
+	d.displaced = append(d.displaced, QueuedDecision{w, d.refuse(now, w, w.decision, ReasonQueueFull)})
 }
 
 // Cancel removes a request from the queue.
