Do not forget the silence of an engine after 3 s

What callers saw: a take-up, or a new stream with the prompt of the streams that had broken off, was sent to a dead engine again, 3 s after their callers had left it.

Cause: an engine that had neither answered a host nor announced itself was avoided for 3 s after the last check that found it silent. Silence is found only while requests of the host run there. Once their callers had left, it could not be found anew, although no sign of the engine had come. The engine looked idle and kept their prompts.

Change: the avoidance lasts until a sign: an event, an answer or an announcement, as before, or a health check that succeeds. A host sends health checks to an avoided engine, at most one each 4 s, once its own requests there no longer show the silence. Without them, an engine that has recovered while its announcements are cut off would be avoided until its entry expires, a minute after the last announcement, because the time no longer ends the avoidance. As before, an avoided engine serves requests that have no other engine.

Evidence, tests in virtual time, before and after: TestSilentEngineIsAvoidedUntilASign: the take-up goes to the silent engine once 3 s are over; it goes to the other one for 10 s, and to the first one again after an announcement. TestHealthCheckEndsTheAvoidanceOfASilentEngine: no health check in 10 s; 2 to 4 in 10 s, and a successful one ends the avoidance. TestSoundEngineServesWhileAnnouncementsAreCutOff passes unchanged. No processes were run.

--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -82,6 +82,7 @@
 	backoffUntil time.Time
 
 	heardAt    time.Time // last event or answer that this edge host got from the server
+	healthyAt  time.Time // last health check that succeeded
 	busySince  time.Time // start of the requests of this edge host without a gap
 	silentAt   time.Time // last check that found the server silent
 	wasAvoided bool      // as of the last check of silence
@@ -264,31 +265,39 @@
 }
 
 // DueProbes returns the servers that are due for a health check. Only servers
-// that are down and have not announced themselves since are checked, because
-// health checks add load.
+// that are down and have not announced themselves since, or that are avoided, are
+// checked, because health checks add load.
 func (d *Dispatcher) DueProbes(now time.Time) []Probe {
 	var out []Probe
 	for _, s := range d.servers {
-		if s.downSince.IsZero() || s.misdirected || !s.info.Ready || now.Before(s.nextProbeAt) || s.inBackoff(now) {
+		isDown := !s.downSince.IsZero()
+		if !isDown && !s.needsSign(now) || s.misdirected || !s.info.Ready || now.Before(s.nextProbeAt) || s.inBackoff(now) {
 			continue
 		}
-		s.nextProbeAt = now.Add(min(initialProbeDelay<<min(s.downCount, 8), maxProbeDelay))
+		interval := maxProbeDelay
+		if isDown {
+			interval = min(initialProbeDelay<<min(s.downCount, 8), maxProbeDelay)
+		}
+		s.nextProbeAt = now.Add(interval)
 		out = append(out, Probe{Server: s.info.ID, Address: s.info.Address, Service: s.info.Service})
 	}
 	return out
 }
 
-// RecordProbe records the result of a health check of a server that is down.
-// coldFor is how much longer the server is cold.
+// RecordProbe records the result of a health check of a server that is down or
+// avoided. coldFor is how much longer the server is cold.
 func (d *Dispatcher) RecordProbe(now time.Time, id string, healthy bool, coldFor time.Duration) {
 	s := d.servers[id]
-	if s == nil || s.downSince.IsZero() {
+	if s == nil || s.downSince.IsZero() && !s.isAvoided(now) {
 		return
 	}
 	if !healthy {
-		s.downCount++
+		if !s.downSince.IsZero() {
+			s.downCount++
+		}
 		return
 	}
+	s.healthyAt = now
 	s.markUp()
 	if until := now.Add(coldFor); until.After(s.info.ColdUntil) {
 		s.info.ColdUntil = until
--- a/pkg/dispatch/silence.go
+++ b/pkg/dispatch/silence.go
@@ -14,9 +14,6 @@
 	// maxObservationGap is the time between two checks from which this host may have been
 	// suspended: what it has not read yet is no silence.
 	maxObservationGap = 500 * time.Millisecond
-	// silenceMemory is how long an engine is avoided after its requests have ended in
-	// silence, if it gives no sign before.
-	silenceMemory = 3 * time.Second
 )
 
 // checkSilence notes the engines that neither answer this host nor announce themselves.
@@ -78,9 +75,31 @@
 }
 
 // isAvoided reports whether requests go to other servers because the server has been
-// silent. Any sign of it ends that at once, because a sound server may pause.
-func (s *server) isAvoided(now time.Time) bool {
-	return !s.silentAt.IsZero() && now.Sub(s.silentAt) < silenceMemory && !s.heardAt.After(s.silentAt) && !s.info.Heard.After(s.silentAt)
+// silent. Any sign of it ends that at once, because a sound server may pause. Without
+// requests of this host and without announcements the sign is that of a health check.
+func (s *server) isAvoided(time.Time) bool { return s.isFoundSilent() }
+
+// isFoundSilent reports whether this host has found the server silent and has had no sign
+// of it since.
+func (s *server) isFoundSilent() bool {
+	return !s.silentAt.IsZero() && !s.lastSign().After(s.silentAt)
+}
+
+// lastSign returns when this host last had a sign of the server.
+func (s *server) lastSign() time.Time {
+	sign := s.info.Heard
+	for _, t := range []time.Time{s.heardAt, s.healthyAt} {
+		if t.After(sign) {
+			sign = t
+		}
+	}
+	return sign
+}
+
+// needsSign reports whether a health check should look for a sign of a server that is up:
+// the server is avoided and no request of this host would show that it answers again.
+func (s *server) needsSign(now time.Time) bool {
+	return s.isAvoided(now) && now.Sub(s.silentAt) >= initialProbeDelay
 }
 
 // othersThanSilent returns the servers without those that are avoided, or all of them if
