Tell the other hosts of a silent engine

What callers saw: a take-up at a host that had nothing at a dead engine, or at one that had just restarted, was sent to that engine, although another host had avoided it for some time.

Cause: a host finds the silence of an engine only while its own requests run there, and told nobody. To the others the engine looked idle once the callers of its streams had left, and it kept their prompts.

Change: ServerLoad has the field silent: the sender has found the engine silent itself. It counts as a change, so the next digest carries it, and complete digests repeat it. A receiver avoids the engine while a digest of the last 2.5 s says so and it has had no announcement, event, answer or successful health check of its own for 2.5 s. A summary for other data centres says silent if any host of the data centre that sends it has found it, and never because another data centre said so.

Evidence, tests in virtual time. Before, each failed because the other hosts did not avoid the engine: TestSilentEngineIsAvoidedByHostsWithoutRequestsThere: the take-up at the second host goes to the silent engine; after, to the other one, for 10 s and at a restarted host too. TestSilenceIsToldAtOnceAndAgain: after, the next digest carries the silence and its end. TestNewsOfSilenceEnds: after, it ends with a sign at either host and with the death or restart of the sender. TestNewsOfSilenceIsNotPassedOn, and TestSummariesTellOfSilence: 1 of 50 hosts in 5 data centres avoids the engine before; after, all, and none 600 ms after the finder has had a sign. Taken away one by one on a scratch copy, the silence as a change, the repeat in complete digests, the age, the receiver's own sign, the withdrawal and the two rules against passing it on each fail a test. TestSoundEngineServesWhileAnnouncementsAreCutOff passes unchanged. No processes were run.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -65,6 +65,7 @@
 	sentTokens  int64
 	running     int
 	failed      uint32
+	silent      bool
 	repeatsLeft int // number of further digests that carry it
 }
 
@@ -81,6 +82,7 @@
 			out.Servers = append(out.Servers, &apiv1.ServerLoad{
 				Server: s.hash, PromptTokens: s.sentTokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kvTokens, 0)),
 				BacklogMs: s.backlogMS(now), Failed: s.outcomeCounts.failed, Good: s.outcomeCounts.good,
+				Silent: s.isFoundSilent(),
 			})
 		}
 	}
@@ -119,14 +121,16 @@
 
 // digestDue reports whether the next digest carries the load of the server.
 func (s *server) digestDue(complete bool) bool {
-	if s.sentTokens != s.sentLoad.sentTokens || s.running != s.sentLoad.running || s.outcomeCounts.failed != s.sentLoad.failed {
-		s.sentLoad = loadTotals{s.sentTokens, s.running, s.outcomeCounts.failed, loadRepeats}
+	current := loadTotals{s.sentTokens, s.running, s.outcomeCounts.failed, s.isFoundSilent(), s.sentLoad.repeatsLeft}
+	if current != s.sentLoad {
+		s.sentLoad = current
+		s.sentLoad.repeatsLeft = loadRepeats
 	}
 	if s.sentLoad.repeatsLeft > 0 {
 		s.sentLoad.repeatsLeft--
 		return true
 	}
-	return complete && (s.running != 0 || s.sentTokens != 0)
+	return complete && (s.running != 0 || s.sentTokens != 0 || s.sentLoad.silent)
 }
 
 // addPlacements adds pending placements to the digest and drops those that have
@@ -230,6 +234,7 @@
 	for _, s := range d.servers {
 		if l := s.peers[name]; l != nil {
 			s.setPeerLoad(l, 0, 0)
+			s.setToldSilent(time.Time{}, l, false)
 			delete(s.peers, name)
 		}
 	}
@@ -257,6 +262,7 @@
 	}
 	p.sentTokens = l.GetPromptTokens()
 	s.setPeerLoad(p, int(l.GetRunning()), int(l.GetKvTokens()))
+	s.setToldSilent(now, p, l.GetSilent() && s.isEngine())
 }
 
 // outcomeDelta returns the outcomes since the last digest. A counter that
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -45,7 +45,8 @@
 	running       int
 	kvTokens      int
 	outcomeCounts outcomeCounts
-	local         bool // the host belongs to this data centre
+	local         bool      // the host belongs to this data centre
+	silentAt      time.Time // last digest, if it says that the server is silent
 }
 
 // server is the state of a backend server as known to this edge host.
@@ -86,6 +87,8 @@
 	busySince  time.Time // start of the requests of this edge host without a gap
 	silentAt   time.Time // last check that found the server silent
 	wasAvoided bool      // as of the last check of silence
+	// toldSilentAt is the latest silentAt of peers.
+	toldSilentAt time.Time
 
 	connectTimeouts int       // consecutive connection attempts that timed out
 	downSince       time.Time // zero if the server is up
--- a/pkg/dispatch/silence.go
+++ b/pkg/dispatch/silence.go
@@ -14,6 +14,9 @@
 	// maxObservationGap is the time between two checks from which this host may have been
 	// suspended: what it has not read yet is no silence.
 	maxObservationGap = 500 * time.Millisecond
+	// maxSilenceNewsAge is how long a digest counts that says that a server is silent. A
+	// complete digest repeats it, and one of these may be lost.
+	maxSilenceNewsAge = 2*completeInterval + completeInterval/2
 )
 
 // checkSilence notes the engines that neither answer this host nor announce themselves.
@@ -77,7 +80,44 @@
 // isAvoided reports whether requests go to other servers because the server has been
 // silent. Any sign of it ends that at once, because a sound server may pause. Without
 // requests of this host and without announcements the sign is that of a health check.
-func (s *server) isAvoided(time.Time) bool { return s.isFoundSilent() }
+func (s *server) isAvoided(now time.Time) bool { return s.isFoundSilent() || s.isToldSilent(now) }
+
+// isToldSilent reports whether another host finds the server silent, which hosts without
+// requests there cannot find, and this host has had no sign of it lately.
+func (s *server) isToldSilent(now time.Time) bool {
+	return !s.toldSilentAt.IsZero() && now.Sub(s.toldSilentAt) < maxSilenceNewsAge && now.Sub(s.lastSign()) > maxAnnouncementAge
+}
+
+// setToldSilent records whether the other host finds the server silent.
+func (s *server) setToldSilent(now time.Time, p *peerLoad, silent bool) {
+	if silent {
+		p.silentAt, s.toldSilentAt = now, now
+		return
+	}
+	if p.silentAt.IsZero() {
+		return
+	}
+	p.silentAt, s.toldSilentAt = time.Time{}, time.Time{}
+	for _, other := range s.peers {
+		if other.silentAt.After(s.toldSilentAt) {
+			s.toldSilentAt = other.silentAt
+		}
+	}
+}
+
+// isSilentHere reports whether a host of this data centre finds the server silent. What
+// other data centres find is left out, so that summaries don't return it to them.
+func (s *server) isSilentHere(now time.Time) bool {
+	if s.isFoundSilent() || !s.isToldSilent(now) {
+		return s.isFoundSilent()
+	}
+	for _, p := range s.peers {
+		if p.local && !p.silentAt.IsZero() && now.Sub(p.silentAt) < maxSilenceNewsAge {
+			return true
+		}
+	}
+	return false
+}
 
 // isFoundSilent reports whether this host has found the server silent and has had no sign
 // of it since.
--- a/pkg/dispatch/summary.go
+++ b/pkg/dispatch/summary.go
@@ -110,7 +110,7 @@
 	}
 	for _, s := range d.servers {
 		isLocal := s.info.DataCentre == d.dataCentre
-		current := loadTotals{sentTokens: s.sentTokens + s.localPeers.sentTokens, running: s.running + s.localPeers.running, failed: s.outcomeCounts.failed + s.localPeers.outcomeCounts.failed}
+		current := loadTotals{sentTokens: s.sentTokens + s.localPeers.sentTokens, running: s.running + s.localPeers.running, failed: s.outcomeCounts.failed + s.localPeers.outcomeCounts.failed, silent: s.isSilentHere(now)}
 		changed := current != s.lastSummarised
 		if s.lastSummarised = current; !changed && !(m.Complete && (current != loadTotals{} || isLocal)) {
 			continue
@@ -118,6 +118,7 @@
 		m.Servers = append(m.Servers, &apiv1.ServerLoad{
 			Server: s.hash, PromptTokens: current.sentTokens, Running: uint32(max(current.running, 0)), KvTokens: uint32(max(s.kvTokens+s.localPeers.kvTokens, 0)),
 			BacklogMs: s.backlogMS(now), Failed: current.failed, Good: s.outcomeCounts.good + s.localPeers.outcomeCounts.good,
+			Silent: current.silent,
 		})
 	}
 	for _, p := range placements {
