--- a/pkg/dispatch/silence.go
+++ b/pkg/dispatch/silence.go
@@ -14,9 +14,9 @@
 	// maxObservationGap is the time between two checks from which this host may have been
 	// suspended: what it has not read yet is no silence.
 	maxObservationGap = 500 * time.Millisecond
-	// silenceMemory is how long an engine is avoided after its requests have ended in
-	// silence, if it gives no sign before.
-	silenceMemory = 3 * time.Second
+	// maxSilenceNewsAge is how long a digest counts that says that a server is silent. A
+	// complete digest repeats it, and one of these may be lost.
+	maxSilenceNewsAge = 2*completeInterval + completeInterval/2
 )
 
 // checkSilence notes the engines that neither answer this host nor announce themselves.
@@ -78,9 +78,68 @@
 }
 
 // isAvoided reports whether requests go to other servers because the server has been
-// silent. Any sign of it ends that at once, because a sound server may pause.
-func (s *server) isAvoided(now time.Time) bool {
-	return !s.silentAt.IsZero() && now.Sub(s.silentAt) < silenceMemory && !s.heardAt.After(s.silentAt) && !s.info.Heard.After(s.silentAt)
+// silent. Any sign of it ends that at once, because a sound server may pause. Without
+// requests of this host and without announcements the sign is that of a health check.
+func (s *server) isAvoided(now time.Time) bool { return s.isFoundSilent() || s.isToldSilent(now) }
+
+// isToldSilent reports whether another host finds the server silent, which hosts without
+// requests there cannot find, and this host has had no sign of it lately.
+func (s *server) isToldSilent(now time.Time) bool {
+	return !s.toldSilentAt.IsZero() && now.Sub(s.toldSilentAt) < maxSilenceNewsAge && now.Sub(s.lastSign()) > maxAnnouncementAge
+}
+
+// setToldSilent records whether the other host finds the server silent.
+func (s *server) setToldSilent(now time.Time, p *peerLoad, silent bool) {
+	if silent {
+		p.silentAt, s.toldSilentAt = now, now
+		return
+	}
+	if p.silentAt.IsZero() {
+		return
+	}
+	p.silentAt, s.toldSilentAt = time.Time{}, time.Time{}
+	for _, other := range s.peers {
+		if other.silentAt.After(s.toldSilentAt) {
+			s.toldSilentAt = other.silentAt
+		}
+	}
+}
+
+// isSilentHere reports whether a host of this data centre finds the server silent. What
+// other data centres find is left out, so that summaries don't return it to them.
+func (s *server) isSilentHere(now time.Time) bool {
+	if s.isFoundSilent() || !s.isToldSilent(now) {
+		return s.isFoundSilent()
+	}
+	for _, p := range s.peers {
+		if p.local && !p.silentAt.IsZero() && now.Sub(p.silentAt) < maxSilenceNewsAge {
+			return true
+		}
+	}
+	return false
+}
+
+// isFoundSilent reports whether this host has found the server silent and has had no sign
+// of it since.
+func (s *server) isFoundSilent() bool {
+	return !s.silentAt.IsZero() && !s.lastSign().After(s.silentAt)
+}
+
+// lastSign returns when this host last had a sign of the server.
+func (s *server) lastSign() time.Time {
+	sign := s.info.Heard
+	for _, t := range []time.Time{s.heardAt, s.healthyAt} {
+		if t.After(sign) {
+			sign = t
+		}
+	}
+	return sign
+}
+
+// needsSign reports whether a health check should look for a sign of a server that is up:
+// the server is avoided and no request of this host would show that it answers again.
+func (s *server) needsSign(now time.Time) bool {
+	return s.isAvoided(now) && now.Sub(s.silentAt) >= initialProbeDelay
 }
 
 // othersThanSilent returns the servers without those that are avoided, or all of them if
