Read on after a router's refusal of a request with a large body

Callers saw: a request to a router with a body of more than 256 KB ended with "broken pipe" in place of its refusal: no key, an unknown workspace, class or path, a body that is too large, no memory for bodies, too many open requests, a router that stops.

Evidence: TestCallerOfLargeBodyGetsTheRefusal in pkg/router, eight refusals, each with a stated length and in chunks. Before the change all 16 cases fail with "broken pipe" (one run).

Change: after a refusal before the body was read to its end the router reads on with the mechanism of pkg/callers. The request counts as open no longer while it does, and holds no memory, so refusals do not cause others.

After: 16 of 16 cases pass (one run without and one with the race detector, in the run of the tests of the package for refusals, bodies, memory, stops, heads and control, which passed).

What remains: TLS was not tested, rate_limited not by itself (it takes the same way as the other refusals of admit). What reading on costs an overloaded router was not measured.

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/callers"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
 	"jackdawtrack.example/jackdawtrack/pkg/class"
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
@@ -102,11 +103,21 @@
 
 func (r *Router) serveUnknown(w http.ResponseWriter, req *http.Request) {
 	writeError(w, result.New(result.InvalidRequest, "unknown path: use POST %s or %s{service}/", chatPath, servicePrefix))
+	callers.SendEarlyRefusal(w, req)
 }
 
 // serveRequest admits a request, runs it and records the decision. resolvePool
 // sets the pool, which depends on the body.
 func (r *Router) serveRequest(w http.ResponseWriter, req *http.Request, resolvePool func(*request) *result.Error) {
+	if !r.serveAdmitted(w, req, resolvePool) {
+		// The request counts as open no longer, and holds no memory.
+		callers.SendEarlyRefusal(w, req)
+	}
+}
+
+// serveAdmitted is serveRequest. It reports whether it has read the body; if not, it has
+// refused the request.
+func (r *Router) serveAdmitted(w http.ResponseWriter, req *http.Request, resolvePool func(*request) *result.Error) (bodyRead bool) {
 	q := &request{id: r.newRequestID(), arrivedAt: time.Now(), w: w, req: req}
 	q.decision = &Decision{ID: q.id, Arrived: q.arrivedAt, Method: req.Method, Path: req.URL.Path}
 	w.Header().Set(proxy.HeaderRequestID, q.id)
@@ -120,21 +131,24 @@
 	defer r.openRequests.Add(-1)
 	if r.openRequests.Add(1) > int64(r.cfg.Limits.OpenRequests) {
 		r.refuse(q, result.New(result.QueueFull, "the router has reached its limit of %d open requests", r.cfg.Limits.OpenRequests))
-		return
+		return false
 	}
 	release, err := r.admit(q)
 	defer release()
-	if err == nil {
-		err = resolvePool(q)
+	if err != nil {
+		r.refuse(q, err)
+		return false
 	}
+	err = resolvePool(q)
 	if err == nil {
 		err = r.refuseTakeUp(q)
 	}
 	if err != nil {
 		r.refuse(q, err)
-		return
+		return true
 	}
 	r.runAdmitted(q)
+	return true
 }
 
 func (r *Router) refuse(q *request, e *result.Error) {
