Read on after a router's refusal of a large call

Servers and operators saw: an announcement that is too large, or a call to no path of the interface, ended with "broken pipe" in place of 403 or 404.

Change: both listeners read on with the mechanism of pkg/callers. A call that is not refused has at most backend.MaxAnnouncementBytes, so it is not affected.

--- a/pkg/router/listen.go
+++ b/pkg/router/listen.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"jackdawtrack.example/jackdawtrack/pkg/backend"
+	"jackdawtrack.example/jackdawtrack/pkg/callers"
 	"jackdawtrack.example/jackdawtrack/pkg/result"
 	"jackdawtrack.example/jackdawtrack/pkg/settings"
 )
@@ -101,7 +102,11 @@
 // handler that expects small bodies.
 func limitSmallRequests(c *Config, h http.Handler) http.Handler {
 	bounded := http.MaxBytesHandler(h, backend.MaxAnnouncementBytes)
-	return http.TimeoutHandler(bounded, c.Limits.HeaderTimeout.AsDuration(), "")
+	limited := http.TimeoutHandler(bounded, c.Limits.HeaderTimeout.AsDuration(), "")
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		limited.ServeHTTP(w, req)
+		callers.SendEarlyRefusal(w, req) // a call that is not refused has no large body
+	})
 }
 
 // serveListener serves until the server or the listener is closed.
