--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -9,10 +9,12 @@
 // Take-ups go ahead of new streams, and the share of their workspace does not hold them
 // back: a part of the answer was made within that share, and a refusal wastes it. They are
 // charged to the workspace, so that its new requests give way. A caller may take up any
-// name any number of times, so two bounds keep take-ups from displacing others for long.
-// Within a multiple of the share they do not count the first take-up of a stream of which
-// the fleet has a record. Beyond them a take-up is decided as a new stream is, but not refused for the share: while
-// its workspace is beyond that, it waits for an engine that is idle.
+// name any number of times, so two bounds keep take-ups from displacing others for long. The
+// first take-up of a stream of which the fleet has a record does not count against them
+// while its workspace is within a multiple of its share.
+//
+// Beyond the bounds a take-up is decided as a new stream is, but not refused for the share:
+// while its workspace is beyond that, it waits for an engine that is idle.
 
 const (
 	// maxTakeUpShare is the fraction of its fair share in shareWindow that the take-ups of a
