Let the caller of TestCallerWithHTTP2GetsNoNotice open a new connection

Cause: the test. The host has closed the idle connection; the transport of the caller may not have read that yet and uses it again, so its request crosses the close. HTTP/2 connections get no notice, which is what the test asks for.

Change: the caller drops its idle connections before the second request.

--- a/pkg/callers/notice_tls_test.go
+++ b/pkg/callers/notice_tls_test.go
@@ -121,5 +121,6 @@
 			s.closeIdle(0) // not while a frame of the caller is unread
 			return s.OpenCount() == 0
 		})
+		transport.CloseIdleConnections() // the caller may not have noticed the end yet
 	}
 }
