--- /dev/null
+++ b/review/_driver/main.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+var cases = map[string]func(r *run){
+	"target":   playTarget,
+	"upgrade":  playUpgrade,
+	"oddentry": playOddEntry,
+	"power":    playPower,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver CASE RECORD")
+		os.Exit(2)
+	}
+	cases[os.Args[1]](newRun(os.Args[2]))
+}
