review: a late withdrawal shuts out the next process of a server

Cause: a withdrawal without a body applies to the newest start that the core host knows, and is final for it. One that a partition held up takes out the process that has started since under the same id.

--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -6,10 +6,11 @@
 )
 
 var cases = map[string]func(r *run){
-	"target":   playTarget,
-	"upgrade":  playUpgrade,
-	"oddentry": playOddEntry,
-	"power":    playPower,
+	"target":     playTarget,
+	"withdrawal": playWithdrawal,
+	"upgrade":    playUpgrade,
+	"oddentry":   playOddEntry,
+	"power":      playPower,
 }
 
 func main() {
