--- a/review/_driver/memory.go
+++ b/review/_driver/memory.go
@@ -135,6 +135,18 @@
 	promptTokens = 1500
 )
 
+// sendTime returns when request n is sent: at streamsPerSecond, with a burst of 1.7 times as
+// many in the first 5 s of each 10 s.
+func sendTime(n int) time.Duration {
+	const inBurst = streamsPerSecond * 17 / 10
+	const inPeriod = 5*inBurst + 5*streamsPerSecond
+	at, rest := time.Duration(n/inPeriod)*10*time.Second, n%inPeriod
+	if rest < 5*inBurst {
+		return at + time.Duration(rest)*time.Second/inBurst
+	}
+	return at + 5*time.Second + time.Duration(rest-5*inBurst)*time.Second/streamsPerSecond
+}
+
 // playMemory lets clients send prompts of many small parts.
 func playMemory(r *run) {
 	r.place([]string{"vasteras", "orebro", "uppsala", "eskilstuna"}, []int{2, 1, 1, 1})
@@ -184,7 +196,7 @@
 			k := &keptClient{counts: &seen, run: r, m: r.edges[i%len(r.edges)]}
 			for time.Now().Before(end) && often() < 2 {
 				n := int(next.Add(1))
-				time.Sleep(time.Until(begin.Add(time.Duration(n) * time.Second / streamsPerSecond)))
+				time.Sleep(time.Until(begin.Add(sendTime(n))))
 				list := make([]string, parts)
 				for p := range list {
 					list[p] = fmt.Sprintf("%x:%d", n*promptTokens+p, promptTokens/parts)
