registry: keep a late withdrawal from shutting out the next process

Cause: a withdrawal has no body, so it states no start time, and Registry.Withdraw took it for the newest process that it knew. A partition can hold such a call up until the next process has announced itself, and "gone" is final for a process.

Change: a withdrawal belongs to the process that announced itself on its connection; it has no effect on a connection that is older than the known process; what remains unclear suspends the process until it goes on to announce itself. Suspensions are counted, so that hosts agree on them in any order, and end at hosts which learned of them from a core host that was lost.

The server of a left-over withdrawal on a young connection is out for two announcements at most.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -241,29 +241,41 @@
 		h.notifyWatchers()
 		h.log.WithFields(logrus.Fields{
 			"server": e.ID, "service": e.Service, "address": e.Address, "state": e.State.String(), "before": before.State.String(),
-			"known": known, "sequence": e.Sequence, "born_ms": e.StartMS,
+			"known": known, "sequence": e.Sequence, "born_ms": e.StartMS, "suspensions": e.Suspensions,
 		}).Info("server announcement changed")
 	}
 	return change
 }
 
-// HandleWithdrawal marks a backend server as gone. It returns false if this
-// host does not know the id, neither from the server nor from another core
-// host.
-func (h *Host) HandleWithdrawal(id string, bornMS int64) bool {
+// HandleWithdrawal applies the withdrawal of a backend server. It returns false if this
+// host does not know the id, neither from the server nor from another core host.
+func (h *Host) HandleWithdrawal(w registry.Withdrawal) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	before, _ := h.servers.Get(id)
-	known := h.servers.Withdraw(id, bornMS, now)
-	if known {
-		h.noticeRestart(now, before, id)
+	before, _ := h.servers.Get(w.ID)
+	change, known := h.servers.Withdraw(w, now)
+	if change != registry.Stale {
+		h.noticeRestart(now, before, w.ID)
 		h.notifyWatchers()
+	} else if known {
+		metrics.GetOrRegisterCounter("core.withdrawals.ignored", h.config.Registry).Inc(1)
 	}
-	h.log.WithFields(logrus.Fields{"server": id, "known": known, "born_ms": bornMS}).Info("server withdrew")
+	e, _ := h.servers.Get(w.ID)
+	h.log.WithFields(logrus.Fields{
+		"server": w.ID, "known": known, "ignored": known && change == registry.Stale, "stated_ms": w.StartMS, "born_ms": e.StartMS, "suspensions": e.Suspensions,
+	}).Info("server withdrew")
 	return known
 }
 
+// Server returns what this host knows of a backend server, and false if the id is not
+// known.
+func (h *Host) Server(id string) (registry.Entry, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.servers.Get(id)
+}
+
 // notifyWatchers wakes all streams, so that they send the changes at once. It
 // requires mu.
 func (h *Host) notifyWatchers() {
--- a/pkg/core/releases_test.go
+++ b/pkg/core/releases_test.go
@@ -86,7 +86,7 @@
 			r.run(almost, onlyV1)
 			r.announce("b", v2, registry.Ready)
 			r.announce("b", v2, registry.Gone)
-			r.h.servers.Withdraw("b", 1, r.now)
+			r.h.servers.Withdraw(registry.Withdrawal{ID: "b", StartMS: 1}, r.now)
 		}, 5 * time.Minute, false},
 		{"other release keeps serving", func(r *releaseTest) {
 			r.run(almost, map[string]release.ID{"a": v1, "b": v2})
--- a/pkg/core/restart_test.go
+++ b/pkg/core/restart_test.go
@@ -82,7 +82,7 @@
 		r := testRecord(v1)
 		r.Process = streamrecord.ProcessOf("a", firstStartMS)
 		h.streams.store(time.Now(), []streamrecord.Record{r})
-		h.HandleWithdrawal("a", startMS)
+		h.HandleWithdrawal(registry.Withdrawal{ID: "a", StartMS: startMS})
 		_, state := h.streams.get(time.Now(), testKey)
 		assert.Equal(t, state, want, "start %d", startMS)
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -18,7 +18,7 @@
 const (
 	Ready    State = 1
 	Draining State = 2 // shutting down, accepts no new requests
-	Gone     State = 3 // withdrawn; the same server process never becomes ready again
+	Gone     State = 3 // withdrawn; the same server process never becomes ready again unless it is suspended
 )
 
 // String returns the state in lower case.
@@ -43,9 +43,9 @@
 	// sequence number counts as a restart, for a server that does not state its start
 	// time.
 	restartGap = 5 * time.Second
-	// confirmGap is the time between two announcements of a process that replace a
-	// silent entry that seems newer. It is below the announcement interval of 1.2 s;
-	// announcements that a partition has delayed arrive together.
+	// confirmGap is the time for which a process goes on to announce itself until a
+	// withdrawal without a start time is taken back. It is below the announcement
+	// interval of 1.2 s; announcements that a partition has delayed arrive together.
 	confirmGap = 800 * time.Millisecond
 	// livenessTimeout is how long after an announcement a host that received it
 	// directly reports the server as alive. Servers announce themselves every 1.2 s,
@@ -73,19 +73,17 @@
 	Leaving       bool      // a response of this server process stated that it is shutting down
 	BeforeHeard   time.Time // time of the last announcement of the process before, by the local clock; zero if none was known
 	Vouched       bool      // received directly within livenessTimeout: this host reports the server as alive
+	KnownSince    time.Time // when a host first heard of this server process, by the local clock; zero if not known
+	// Suspensions counts how often a withdrawal without a start time was applied to this
+	// process or taken back. It orders both and is odd while the withdrawal is in force.
+	Suspensions uint32
 
 	modified     uint64        // value of Registry.lastChange at the last change other than to times
 	sourceChange uint64        // value of Registry.lastChange when the server was last heard through another host instead of directly
 	element      *list.Element // position in Registry.changeOrder
-	older        olderProcess  // process that may replace this entry
-}
+	rival        series        // announcements that contradict this entry
 
-// olderProcess is a process that announced itself under the id of an entry although
-// the entry is newer.
-type olderProcess struct {
-	startMS  int64
-	sequence uint64
-	heard    time.Time
+	suspendedState State // before a suspension, 0 if not known
 }
 
 // Change is the effect of an offered announcement.
@@ -122,17 +120,30 @@
 func (r *Registry) Merge(e Entry) Change {
 	current := r.entries[e.ID]
 	e.Vouched = e.HeardDirectly && e.State != Gone
+	if e.KnownSince.IsZero() && e.HeardDirectly {
+		e.KnownSince = e.Heard
+	}
 	if current == nil {
 		r.store(e, true)
 		return Modified
 	}
+	if e.HeardDirectly && e.State != Gone && !current.admits(&e) {
+		return Stale
+	}
 	if current.isAtLeastAsNew(&e) && !current.isOutlivedBy(&e) {
 		return Stale
 	}
+	if e.StartMS == current.StartMS {
+		e.KnownSince = earliest(e.KnownSince, current.KnownSince)
+	}
 	if e.StartMS == current.StartMS && e.State == Gone {
 		// A withdrawal may state only the id, so the other fields are kept.
 		gone := *current
 		gone.State, gone.Heard, gone.HeardDirectly, gone.Vouched = Gone, e.Heard, e.HeardDirectly || gone.HeardDirectly, false
+		gone.Suspensions, gone.KnownSince, gone.rival = e.Suspensions, e.KnownSince, series{}
+		if current.State != Gone {
+			gone.suspendedState = current.State
+		}
 		r.store(gone, true)
 		return Modified
 	}
@@ -165,11 +176,17 @@
 	return cold.Abs() > coldTimeTolerance
 }
 
-// Renew records that the server process with that start time was heard at the given
-// time. Unknown and withdrawn servers are ignored.
+// Renew records that another host heard the server process with that start time at the
+// given time. Unknown and withdrawn servers are ignored. A suspended one is resumed if it
+// was heard for longer than restartGap after the withdrawal.
 func (r *Registry) Renew(id string, startMS int64, heard time.Time) {
-	if e := r.entries[id]; e != nil && e.StartMS == startMS && e.State != Gone && heard.After(e.Heard) {
+	e := r.entries[id]
+	switch {
+	case e == nil || e.StartMS != startMS || !heard.After(e.Heard):
+	case e.State != Gone:
 		e.Heard = heard
+	case e.isSuspended() && heard.Sub(e.Heard) > restartGap:
+		r.resume(e, heard)
 	}
 }
 
@@ -191,26 +208,18 @@
 	return oldest
 }
 
-// Withdraw marks a server as gone. A startMS of 0 stands for its known start. It
-// returns false if the id is not known.
-func (r *Registry) Withdraw(id string, startMS int64, now time.Time) bool {
-	e, ok := r.entries[id]
-	if !ok {
-		return false
-	}
-	if startMS == 0 {
-		startMS = e.StartMS
-	}
-	r.Merge(Entry{ID: id, StartMS: startMS, State: Gone, Heard: now, HeardDirectly: true})
-	return true
-}
-
 // isAtLeastAsNew reports whether the entry is at least as new as the other
 // announcement, which is then stale.
 func (e *Entry) isAtLeastAsNew(other *Entry) bool {
 	if e.StartMS != other.StartMS {
 		return e.StartMS > other.StartMS
 	}
+	if e.isWithdrawn() || other.isWithdrawn() {
+		return e.isWithdrawn()
+	}
+	if e.Suspensions != other.Suspensions {
+		return e.Suspensions > other.Suspensions
+	}
 	if e.State == Gone {
 		return true
 	}
@@ -223,22 +232,18 @@
 
 // isOutlivedBy reports whether an announcement that seems older than the entry
 // replaces it, because the entry was wrong: nothing was heard of it for restartGap,
-// while another process goes on to announce itself under the id. It remembers that
-// process until a second announcement confirms that the first was not a late one.
-// Another host has confirmed the announcements that it passes on.
+// while another process goes on to announce itself under the id. Another host has
+// confirmed the announcements that it passes on.
 func (e *Entry) isOutlivedBy(other *Entry) bool {
-	if e.State != Ready || other.State == Gone || other.Heard.Sub(e.Heard) <= restartGap {
+	if e.State != Ready || other.State == Gone {
 		return false
 	}
+	silent := other.Heard.Sub(e.Heard) > restartGap
 	if !other.HeardDirectly {
-		return true
-	}
-	p := e.older
-	if p.heard.IsZero() || p.startMS != other.StartMS {
-		e.older = olderProcess{other.StartMS, other.Sequence, other.Heard}
-		return false
+		return silent
 	}
-	return other.Sequence > p.sequence && other.Heard.Sub(p.heard) >= confirmGap
+	e.rival.add(other)
+	return silent && e.rival.length() >= confirmGap
 }
 
 // sameStart reports whether a newer announcement comes from the same server process
@@ -352,7 +357,7 @@
 		ColdMs:  max(e.ColdUntil.Sub(now).Milliseconds(), 0),
 		AgeMs:   max(now.Sub(e.Heard).Milliseconds(), 0),
 		Vouched: e.Vouched,
-		Release: uint64(e.Release),
+		Release: uint64(e.Release), Suspensions: e.Suspensions, KnownUs: ageUS(now, e.KnownSince),
 	}
 }
 
@@ -364,6 +369,6 @@
 		Slots: int(m.GetSlots()), State: State(m.GetState()), Sequence: m.GetSequence(), StartMS: m.GetBornMs(),
 		ColdUntil: now.Add(clampMS(m.GetColdMs(), 2*MaxColdTime)),
 		Heard:     now.Add(-DurationOfAge(m.GetAgeMs())),
-		Release:   release.ID(m.GetRelease()),
+		Release:   release.ID(m.GetRelease()), Suspensions: m.GetSuspensions(), KnownSince: timeOfAge(now, m.GetKnownUs()),
 	}
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -176,7 +176,8 @@
 	direct.HeardDirectly = true
 	r := New()
 	r.Merge(direct)
-	assert.Assert(t, r.Withdraw("a", 0, start))
+	_, known := r.Withdraw(Withdrawal{ID: "a"}, start)
+	assert.Assert(t, known)
 	r.Renew("a", 1, start.Add(time.Second))
 	got, _ := r.Get("a")
 	assert.Equal(t, got.Heard, start)
