registry: keep late announcements from replacing the next process

Without a start time, one announcement that an ended process left behind, with a higher sequence number, acted on the process after it: its address and "draining" stood for 5 s. With one, two left-over announcements 0.8 s apart replaced a process that had been silent for 5 s, for example behind a partition.

Evidence: TestLateAnnouncementWithoutStartTimeDoesNotReplaceNextProcess and TestLeftOverAnnouncementsDoNotReplaceSilentProcess fail on the code before.

Change: a step of more than 16 in the sequence numbers of a server without a start time needs a second announcement; an older start replaces a silent process after 2 s of announcements with rising sequence numbers. What a partition held up arrives out of order.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -47,6 +47,13 @@
 	// withdrawal without a start time is taken back. It is below the announcement
 	// interval of 1.2 s; announcements that a partition has delayed arrive together.
 	confirmGap = 800 * time.Millisecond
+	// outliveTime is the time for which a process goes on to announce itself until it
+	// replaces a silent entry that seems newer: two intervals, less what they vary.
+	outliveTime = 2 * time.Second
+	// maxSequenceStep is the largest step of the sequence number between two
+	// announcements of a server that does not state its start time. A larger one may
+	// be left over from a process that has ended, and needs a second announcement.
+	maxSequenceStep = 16
 	// livenessTimeout is how long after an announcement a host that received it
 	// directly reports the server as alive. Servers announce themselves every 1.2 s,
 	// and some announcements are late.
@@ -243,7 +250,7 @@
 		return silent
 	}
 	e.rival.add(other)
-	return silent && e.rival.length() >= confirmGap
+	return silent && e.rival.length() >= outliveTime
 }
 
 // sameStart reports whether a newer announcement comes from the same server process
--- a/pkg/registry/withdrawal.go
+++ b/pkg/registry/withdrawal.go
@@ -45,17 +45,21 @@
 		return true
 	}
 	other.Suspensions = e.Suspensions
-	if !e.isSuspended() {
+	switch {
+	case e.isSuspended():
+		if !e.succeeds(other) {
+			return false
+		}
+		e.rival.add(other)
+		if e.rival.length() < confirmGap {
+			return false
+		}
+		other.Suspensions++
 		return true
+	case e.StartMS == 0 && other.Sequence > e.Sequence+maxSequenceStep:
+		e.rival.add(other)
+		return e.rival.length() >= confirmGap
 	}
-	if !e.succeeds(other) {
-		return false
-	}
-	e.rival.add(other)
-	if e.rival.length() < confirmGap {
-		return false
-	}
-	other.Suspensions++
 	return true
 }
 
--- a/pkg/registry/withdrawal_test.go
+++ b/pkg/registry/withdrawal_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -104,6 +105,48 @@
 	})
 }
 
+// Guards against a late announcement of an ended process that acts on the next one, where
+// servers state no start time.
+func TestLateAnnouncementWithoutStartTimeDoesNotReplaceNextProcess(t *testing.T) {
+	r := New()
+	r.Merge(heard(newEntry("a", "x", 0, 50, Ready), true, 0))
+	at := restartGap
+	for n := uint64(1); n < 6; n++ {
+		at += beat
+		r.Merge(heard(newEntry("a", "x", 0, n, Ready), true, at))
+	}
+	r.Merge(heard(newEntry("a", "y", 0, 51, Draining), true, at+time.Millisecond))
+	got, _ := r.Get("a")
+	assert.Equal(t, got.State, Ready)
+	assert.Equal(t, got.Address, "x")
+	for n := uint64(60); n < 62; n++ { // a partition has ended
+		at += 20 * beat
+		r.Merge(heard(newEntry("a", "x", 0, n, Draining), true, at))
+	}
+	got, _ = r.Get("a")
+	assert.Equal(t, got.State, Draining)
+}
+
+// Guards against calls of an ended process that replace the next one while it is
+// partitioned from the core hosts: they arrive over seconds and out of order.
+func TestLeftOverAnnouncementsDoNotReplaceSilentProcess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		r.Merge(heard(newEntry("a", "x", 5, 1, Ready), true, 0))
+		at := restartGap
+		order, most := rapid.Permutation([]uint64{40, 41, 42}).Draw(t, "order"), 1900
+		if slices.IsSorted(order) {
+			most = 900
+		}
+		for _, sequence := range order {
+			at += time.Duration(rapid.IntRange(1, most).Draw(t, "delay ms")) * time.Millisecond
+			r.Merge(heard(newEntry("a", "y", 4, sequence, Ready), true, at))
+		}
+		got, _ := r.Get("a")
+		assert.Equal(t, got.Address, "x")
+	})
+}
+
 // Guards against a server that stays out at hosts which learned of a withdrawal from a
 // host that was lost before it told the one that hears the server.
 func TestSuspensionOfLostHostEnds(t *testing.T) {
