callers: let slow callers keep their answers after a planned stop

A caller that read a long answer slowly lost its end when an entry host stopped, although the server had completed the answer seconds before.

Cause: the kernel holds 32 KB for a caller, the rest waits in the buffers of the host and of the connection to its server, and is dropped when the process ends at the end of the grace period.

Change: from SIGTERM on the send buffers of callers that block a write double each 25 ms, up to 4 MB each and a quarter of the memory of the host together. The kernel goes on sending after the process has ended. Routers do the same.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -36,6 +36,7 @@
 	writeLimit      time.Duration // how long a blocked write may make no progress, 0 for no limit
 	writeDeadline   time.Time     // that another package has set, zero for none
 	writeExtendedAt time.Time     // when the own write deadline was set
+	writingSince    time.Time     // start of the write in progress, zero if there is none
 
 	// resetOnClose is set while a response to a caller with HTTP/1.0 is in progress: it has
 	// no chunks, so the end of the connection is that of the response.
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -57,6 +57,8 @@
 	log     *logrus.Entry
 	closes  *closeRecorder
 	maxOpen int // open connections above which OverLimit reports true, 0 for no bound
+	// sendMemory bounds the bytes that GrowSendBuffers adds to the buffers of the kernel.
+	sendMemory int
 
 	mu         sync.Mutex // guards the fields below; not held during system calls on sockets
 	listener   *listener
@@ -76,8 +78,12 @@
 	if memoryMB > 0 {
 		maxOpen = min(maxOpen, connsPerMegabyte*int(memoryMB))
 	}
+	sendMemory := defaultSendMemory
+	if memoryMB > 0 {
+		sendMemory = int(sendBufferShare * float64(memoryMB<<20))
+	}
 	log := logging.ForComponent("callers")
-	return &ConnTracker{log: log, closes: newCloseRecorder(log, registry), maxOpen: maxOpen, open: map[net.Conn]bool{}, idle: map[net.Conn]time.Time{}, closing: map[net.Conn]bool{}}
+	return &ConnTracker{log: log, closes: newCloseRecorder(log, registry), maxOpen: maxOpen, sendMemory: sendMemory, open: map[net.Conn]bool{}, idle: map[net.Conn]time.Time{}, closing: map[net.Conn]bool{}}
 }
 
 // OnStateChange counts open connections and records which are idle since when.
--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -23,7 +23,9 @@
 // Write implements net.Conn. After a refusal of a head, which net/http writes in one piece
 // before it closes the connection, it waits for the caller to close.
 func (c *callerConn) Write(p []byte) (written int, err error) {
+	c.beginWrite()
 	written, err = c.writeLimited(p)
+	c.endWrite()
 	if err != nil {
 		c.recordWriteError()
 	}
--- a/pkg/router/service.go
+++ b/pkg/router/service.go
@@ -281,6 +281,11 @@
 // for running requests and closes everything.
 func (s *Service) shutdown(hardStop context.Context) error {
 	log := logging.ForComponent("router")
+	growCtx, endGrowth := context.WithCancel(context.Background())
+	defer endGrowth()
+	if len(s.conns) > 0 {
+		go s.conns[0].GrowSendBuffers(growCtx)
+	}
 	defer s.close()
 	s.router.SetNotReady()
 	s.drainMembership()
