wal: sync what Open finds before anyone relies on it

Cause: Open returned frames that a killed process had written and not synced, and the host confirmed them to the leader.

--- a/pkg/wal/open.go
+++ b/pkg/wal/open.go
@@ -22,7 +22,8 @@
 	TornTailBytes int64    // size of the torn write removed from the last segment
 }
 
-// Open locks the folder, which is created if needed, and recovers its content.
+// Open locks the folder, which is created if needed, and recovers its content, all of which
+// is durable when it returns.
 // Errors carry FolderLocked, LogDamaged, DiskFull or SyncFailed.
 func Open(folder string, o Options) (*Log, *Recovered, error) {
 	l := &Log{fs: o.FS, folder: folder, maxSegmentBytes: o.SegmentBytes}
@@ -158,9 +159,44 @@
 	if err := l.openActiveSegment(p.hasTornTail); err != nil {
 		return nil, err
 	}
+	if err := l.syncFound(r.Snapshot.Index); err != nil {
+		return nil, err
+	}
 	return r, p.reconcileWithSnapshot()
 }
 
+// syncFound makes durable what replay has found. A process that was killed may have written
+// files or changed names without a sync, and the caller confirms to others what it gets.
+func (l *Log) syncFound(snapshotIndex uint64) error {
+	names := []string{identityFileName}
+	if snapshotIndex > 0 {
+		names = append(names, fmt.Sprintf(snapshotFilePattern, snapshotIndex))
+	}
+	for _, s := range l.segments {
+		names = append(names, fmt.Sprintf(segmentFilePattern, s.number))
+	}
+	for _, name := range names {
+		if err := l.syncFile(name); err != nil {
+			return l.diskFullOrFail(err, name+" cannot be synced")
+		}
+	}
+	for _, folder := range []string{l.folder, filepath.Dir(l.folder)} {
+		if err := l.fs.SyncDir(folder); err != nil {
+			return l.diskFullOrFail(err, "data folder or its parent cannot be synced")
+		}
+	}
+	return nil
+}
+
+func (l *Log) syncFile(name string) error {
+	f, err := l.fs.OpenAppend(filepath.Join(l.folder, name))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
 // segmentNumbers returns the numbers of the segment files in ascending order.
 func segmentNumbers(names []string) []uint64 {
 	var numbers []uint64
@@ -192,9 +228,6 @@
 	if err := f.Truncate(s.bytes); err != nil {
 		return l.diskFullOrFail(err, fmt.Sprintf("segment %d cannot be truncated", s.number))
 	}
-	if err := f.Sync(); err != nil {
-		return l.diskFullOrFail(err, fmt.Sprintf("segment %d cannot be synced", s.number))
-	}
 	return nil
 }
 
