edge: report not ready while requests are shed

Cause: the host sheds the flood and so keeps its load below the thresholds of readiness; the balancer goes on sending all attempts of these callers to it. The short Retry-After believes that they go elsewhere: in the logs 127 of 127 came back.

Change: a host that refused requests in 5 of the last 10 ticks more than not counts as overloaded until it sheds nothing and is below 50%.

--- a/pkg/edge/admission_test.go
+++ b/pkg/edge/admission_test.go
@@ -79,3 +79,21 @@
 		assert.Assert(t, s.Admit(httptest.NewRecorder(), in))
 	}
 }
+
+// Guards against a flooded host that stays ready because it sheds the flood, while other
+// hosts are idle.
+func TestHostThatShedsIsOverloaded(t *testing.T) {
+	p := cpuMonitor{cores: 0.4}
+	tick := func(share float64, sheddingTicks int) bool {
+		p.sheddingTicks = sheddingTicks
+		return p.tick(time.Duration(share*p.cores*float64(hostCheckInterval)), hostCheckInterval, 0)
+	}
+	for range overloadTicks {
+		assert.Assert(t, !tick(0.7, overloadTicks/2-1))
+	}
+	assert.Assert(t, tick(0.7, overloadTicks/2))
+	for range 2 * overloadTicks {
+		assert.Assert(t, tick(0.3, 1), "ready again while it still sheds")
+	}
+	assert.Assert(t, !tick(0.3, 0))
+}
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -51,6 +51,10 @@
 	slowTicks  int                          // consecutive ticks up to now with a wait of at least schedulerWaitLimit
 	nextTick   int                          // index of the next tick in used and time
 	overloaded bool
+	// sheddingTicks is that of the Shedder. A host that keeps its load below the
+	// thresholds by refusing requests is overloaded too: the balancer has to send their
+	// callers elsewhere, because some come back to the same host with each attempt.
+	sheddingTicks int
 }
 
 // tick records the CPU time used since the last tick, the elapsed time and the
@@ -63,9 +67,9 @@
 		p.slowTicks = 0
 	}
 	switch utilisation := p.utilisation(); {
-	case utilisation >= overloadThreshold || p.slowTicks >= overloadTicks/2:
+	case utilisation >= overloadThreshold || p.slowTicks >= overloadTicks/2 || p.sheddingTicks >= overloadTicks/2:
 		p.overloaded = true
-	case utilisation < recoveryThreshold && p.slowTicks == 0:
+	case utilisation < recoveryThreshold && p.slowTicks == 0 && p.sheddingTicks == 0:
 		p.overloaded = false
 	}
 	return p.overloaded
@@ -135,11 +139,12 @@
 	*shed.Shedder
 }
 
-// tick records the load of the last hostCheckInterval.
-func (s *loadShedder) tick(load float64) {
+// tick records the load of the last hostCheckInterval and returns SheddingTicks.
+func (s *loadShedder) tick(load float64) (sheddingTicks int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Tick(load)
+	return s.SheddingTicks()
 }
 
 // shouldShed counts a request of the workspace and reports whether to shed it.
@@ -183,7 +188,7 @@
 			wait = latency.readQuantile()
 		}
 		overloaded := monitor.tick(usedNow-used, now-last, wait)
-		s.loadShedder.tick(monitor.load(wait))
+		monitor.sheddingTicks = s.loadShedder.tick(monitor.load(wait))
 		if s.overloadState.setOverloaded(overloaded) {
 			s.log.WithFields(logrus.Fields{"overloaded": overloaded, "share": monitor.utilisation(), "cores": monitor.cores, "wait_ms": wait.Milliseconds()}).Warn("CPU overload state of this host changed")
 		}
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -43,6 +43,8 @@
 	// countDecay is the factor of the request counts per tick, so that they cover
 	// about the last half second.
 	countDecay = 0.8
+	// maxSheddingTicks bounds the time that SheddingTicks covers.
+	maxSheddingTicks = 10
 	// minCount is the request count below which a workspace is no longer active.
 	minCount = 0.05
 )
@@ -57,6 +59,7 @@
 	admittedPerTick float64 // moving average of admitted
 	refused         bool    // a request was refused in this tick
 	pauseTicks      int     // ticks until the next decrease is allowed
+	sheddingTicks   int     // ticks with refusals less those without, 0 to maxSheddingTicks
 
 	requestCounts map[string]float64 // recent requests by workspace, decaying
 	totalCount    float64            // sum of requestCounts
@@ -77,6 +80,11 @@
 	case load < maxGrowthLoad && s.refused:
 		s.ratePerTick *= 1 + increaseFactor*(maxGrowthLoad-load)
 	}
+	if s.refused {
+		s.sheddingTicks = min(s.sheddingTicks+1, maxSheddingTicks)
+	} else {
+		s.sheddingTicks = max(s.sheddingTicks-1, 0)
+	}
 	s.admitted, s.refused = 0, false
 	s.decayCounts()
 }
@@ -113,6 +121,10 @@
 	return false
 }
 
+// SheddingTicks returns in how many more ticks requests were refused than not, from 0 to
+// maxSheddingTicks.
+func (s *Shedder) SheddingTicks() int { return s.sheddingTicks }
+
 // refill adds the tokens since the last refill, up to the burst.
 func (s *Shedder) refill(now time.Time) {
 	ticks := now.Sub(s.refilledAt).Seconds() / TickInterval.Seconds()
--- a/pkg/shed/shed_test.go
+++ b/pkg/shed/shed_test.go
@@ -114,3 +114,26 @@
 	}, 4)
 	assert.Equal(t, math.Round(p.flood), 25.0)
 }
+
+// Guards against counting a flood that is over, and against one refusal that counts for long.
+func TestSheddingTicksFollowRefusals(t *testing.T) {
+	s, now := New(), start
+	flood := func() {
+		for range 200 {
+			now = now.Add(TickInterval / 200)
+			s.ShouldRefuse(now, "flood")
+		}
+	}
+	flood()
+	s.Tick(2)
+	assert.Equal(t, s.SheddingTicks(), 0, "nothing was refused yet")
+	for n := 1; n <= 2*maxSheddingTicks; n++ {
+		flood()
+		s.Tick(0.9)
+		assert.Equal(t, s.SheddingTicks(), min(n, maxSheddingTicks))
+	}
+	for n := maxSheddingTicks - 1; n >= 0; n-- {
+		s.Tick(0.5)
+		assert.Equal(t, s.SheddingTicks(), n)
+	}
+}
