callers: test the send buffers of a stop with TLS

The rest of an answer has to reach slow callers after the end of a process on encrypted connections too; only plain ones were tested.

--- a/pkg/callers/send_buffer_test.go
+++ b/pkg/callers/send_buffer_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -29,45 +31,66 @@
 }
 
 // Guards against callers that read slowly and lose the end of an answer when the process
-// ends: what the host still holds then is dropped.
+// ends: what the host still holds then is dropped. With TLS too.
 func TestSlowCallerGetsAnswerOfEndedProcess(t *testing.T) {
-	const slow = 5
-	s := NewConnTracker(0, 64, metrics.NewRegistry())
-	l, err := Listen(t.Context(), "127.0.0.1:0")
-	assert.NilError(t, err)
-	returned := make(chan error, slow)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, err := w.Write(make([]byte, answerBytes))
-		returned <- err
-	})
-	server := &http.Server{Handler: s.Handler(handler), ConnState: s.OnStateChange, ConnContext: s.ContextWithConn}
-	go func() { _ = server.Serve(s.Listener(l)) }()
-	defer server.Close()
-	var conns []*net.TCPConn
-	for range slow {
-		c := slowCaller(t, l.Addr().String())
-		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-		assert.NilError(t, err)
-		conns = append(conns, c)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go s.GrowSendBuffers(ctx)
-	for range slow {
-		select {
-		case err := <-returned:
+	for _, encrypted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS=%v", encrypted), func(t *testing.T) {
+			const slow = 5
+			s := NewConnTracker(0, 64, metrics.NewRegistry())
+			l, err := Listen(t.Context(), "127.0.0.1:0")
 			assert.NilError(t, err)
-		case <-time.After(waitLimit):
-			t.Fatal("the answer is not in the kernel")
-		}
-	}
-	cancel()
-	assert.NilError(t, s.WaitClosed(t.Context(), 0))
-	assert.NilError(t, server.Close())
-	for _, c := range conns {
-		data, err := io.ReadAll(c)
-		assert.NilError(t, err)
-		assert.Assert(t, len(data) > answerBytes, "%d bytes", len(data))
+			returned := make(chan error, slow)
+			server := httptest.NewUnstartedServer(s.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, err := w.Write(make([]byte, answerBytes))
+				returned <- err
+			})))
+			_ = server.Listener.Close() // the default one
+			server.Listener = s.Listener(l)
+			server.Config.ConnState, server.Config.ConnContext = s.OnStateChange, s.ContextWithConn
+			start := server.Start
+			if encrypted {
+				start = server.StartTLS
+			}
+			start()
+			defer server.Close()
+			var conns []net.Conn
+			for range slow {
+				var c net.Conn = slowCaller(t, l.Addr().String())
+				if encrypted {
+					c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+				}
+				_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+				assert.NilError(t, err)
+				conns = append(conns, c)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go s.GrowSendBuffers(ctx)
+			for range slow {
+				select {
+				case err := <-returned:
+					assert.NilError(t, err)
+				case <-time.After(waitLimit):
+					t.Fatal("the answer is not in the kernel")
+				}
+			}
+			cancel()
+			assert.NilError(t, s.WaitClosed(t.Context(), 0))
+			assert.NilError(t, server.Config.Close())
+			read := make(chan error, slow)
+			for _, c := range conns {
+				go func() {
+					n, err := io.Copy(io.Discard, c)
+					if err == nil && n <= answerBytes {
+						err = fmt.Errorf("%d bytes", n)
+					}
+					read <- err
+				}()
+			}
+			for range slow {
+				assert.NilError(t, <-read)
+			}
+		})
 	}
 }
 
