router: let tests of orders wait for the placer

Cause: a router that has just started carries out no moves until runPlacement has set its context; the test gave it the move before that, and "no order is open" was true at once. The planner of a real router plans again.

Evidence: with 0.3 s of delay before that point the test fails at the same line, 204, each time; with the wait it passes. The checks are as they were.

--- a/pkg/router/placement_test.go
+++ b/pkg/router/placement_test.go
@@ -157,6 +157,12 @@
 // the order has ended.
 func (tr *testRouter) runMoveOrder(t *testing.T, name string) {
 	t.Helper()
+	tr.waitFor(t, "the placer runs", func() bool { // a router that has just started carries out no moves
+		p := tr.router.placer
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.ctx != nil
+	})
 	tr.router.receiveMove(tr.router.self.Name, &apiv1.PlannedMove{Server: name, From: "b", To: "a"})
 	tr.waitFor(t, "the order has ended", func() bool {
 		return len(tr.router.Status().Orders) == 0
