edge: test that a flooded host is reported not ready

On reading the change again: with the line taken out that hands what is shed to the monitor of the host, all tests of the package passed.

No change of the product's code.

--- a/pkg/edge/admission_test.go
+++ b/pkg/edge/admission_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
 	"jackdawtrack.example/jackdawtrack/pkg/shed"
+	"jackdawtrack.example/jackdawtrack/pkg/streamrecord/recorder"
 )
 
 // newOverloadedServer returns a host whose load shedder has set a rate limit
@@ -97,3 +99,20 @@
 	}
 	assert.Assert(t, !tick(0.3, 0))
 }
+
+// Guards against a monitor that does not look at what the host sheds.
+func TestFloodedHostIsReportedNotReady(t *testing.T) {
+	s := newOverloadedServer()
+	s.streamRecords = recorder.New(s.log, s.metrics.registry) // a stall of the test counts as a suspension
+	s.ctx, s.stop = context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); s.monitorHost() }()
+	defer func() { s.stop(); <-ended }()
+	assert.Assert(t, s.Ready())
+	for deadline := time.Now().Add(time.Minute); s.Ready(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "the host is still ready")
+		for range 200 {
+			s.loadShedder.shouldShed("flood")
+		}
+	}
+}
