callers: refuse a request without waiting for its body

Callers saw: a request that is refused before its body has arrived got the response when the body was complete, or never if it had a length and the caller did not finish it. In a stop the refusal of a body in chunks, or of one larger than the read buffer, did not say Connection: close, so its caller stayed on a host that ends; a request that was sent right behind a body in chunks was closed without an answer.

Cause: net/http reads the rest of a body before it sends the response, with no bound in time, unless the response closes the connection. Unread bytes counted as the next request of the caller although they belonged to the body, and bytes behind a body in chunks did not count.

Change: before a refusal the host reads what arrives of the body within 10 ms. If that is all of it, the connection goes on; otherwise the response closes it and is sent at once. A caller counts as one that pipelines only by bytes after the whole body.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -19,22 +19,24 @@
 type callerConn struct {
 	*net.TCPConn
 
-	mu         sync.Mutex
-	deadline   time.Time // read deadline that net/http has set
-	bufferSize int       // of the read buffer of net/http
-	idle       bool
-	deadlines  int  // read deadlines set since the connection became idle
-	begun      bool // bytes of the next request have arrived
-	early      bool // net/http has read a byte of the next request while a request runs
-	closing    bool // the wait for a request was ended
-	extended   bool // the time for the head of the next request was extended
-	announced  bool // the caller was told that the connection is closed
-	crossed    int  // bytes that were received after the wait for a request was ended
-	read       int  // bytes of the current request that were read from the socket, and any after it
-	headEnd    int  // of these, the bytes of its head, 0 if that is not known
-	pipelined  bool // the caller has sent a request before it had the response to the last one
-	dropping   bool // what arrives is dropped, because the end of the last body is not known
-	dropped    int  // bytes that were dropped
+	mu             sync.Mutex
+	deadline       time.Time // read deadline that net/http has set
+	bufferSize     int       // of the read buffer of net/http
+	idle           bool
+	deadlines      int  // read deadlines set since the connection became idle
+	begun          bool // bytes of the next request have arrived
+	early          bool // net/http has read a byte of the next request while a request runs
+	closing        bool // the wait for a request was ended
+	extended       bool // the time for the head of the next request was extended
+	announced      bool // the caller was told that the connection is closed
+	crossed        int  // bytes that were received after the wait for a request was ended
+	read           int  // bytes of the current request that were read from the socket, and any after it
+	headEnd        int  // of these, the bytes of its head, 0 if that is not known
+	pipelined      bool // the caller has sent a request before it had the response to the last one
+	nextHead       bool // bytes after the head look like the head of a further request
+	headOrBodyEnds bool // the last bytes that were read may end a head or a body in chunks
+	dropping       bool // what arrives is dropped, because the end of the last body is not known
+	dropped        int  // bytes that were dropped
 
 	writeLimit      time.Duration // how long a blocked write may make no progress, 0 for no limit
 	writeDeadline   time.Time     // that another package has set, zero for none
@@ -66,6 +68,9 @@
 // endOfHead separates the head of a request from its body.
 var endOfHead = []byte("\r\n\r\n")
 
+// versionOfHead ends the first line of the head of a request.
+var versionOfHead = []byte(" HTTP/1.")
+
 // Read implements net.Conn. A request that arrives when the wait for it ends is read. If
 // none arrives, or its head is not complete in time, the caller is told before net/http
 // closes the connection.
@@ -117,9 +122,13 @@
 		c.pipelined = true
 		return
 	}
+	rest := p
 	if i := bytes.Index(p, endOfHead); i >= 0 && c.headEnd == 0 {
 		c.headEnd = c.read + i + len(endOfHead)
+		rest = p[i+len(endOfHead):]
 	}
+	c.nextHead = c.nextHead || c.headEnd > 0 && bytes.Contains(rest, versionOfHead)
+	c.headOrBodyEnds = bytes.HasSuffix(p, endOfHead)
 	c.read += len(p)
 }
 
@@ -131,13 +140,16 @@
 }
 
 // hasPipelined reports whether the caller sends requests before it has the response to
-// the last one, as far as that is known. The body of the current request has that many
-// bytes, -1 if it is not known.
+// the last one, as far as that is known. The body of the current request, which was read,
+// has that many bytes, -1 if it came in chunks.
 func (c *callerConn) hasPipelined(bodyBytes int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.read == 0 || c.headEnd > 0 && bodyBytes >= 0 && int64(c.read-c.headEnd) > bodyBytes {
+	switch {
+	case c.read == 0, c.headEnd > 0 && bodyBytes >= 0 && int64(c.read-c.headEnd) > bodyBytes:
 		c.pipelined = true
+	case bodyBytes < 0 && (c.nextHead || !c.headOrBodyEnds):
+		c.pipelined = true // its requests are answered in any case
 	}
 	if !c.pipelined {
 		state, err := netpeek.Peek(c.TCPConn)
@@ -243,7 +255,7 @@
 	defer c.mu.Unlock()
 	c.idle, c.deadlines, c.extended = idle, 0, false
 	if idle {
-		c.read, c.headEnd = 0, 0
+		c.read, c.headEnd, c.nextHead = 0, 0, false
 		if c.early {
 			c.read = 1
 		}
--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -312,8 +312,8 @@
 
 // Pipelined reports whether the caller of the request with this context sends requests
 // before it has the response to the last one. A response that closes the connection would
-// leave them without an answer. The body of the request has that many bytes, -1 if it is
-// not known.
+// leave them without an answer. The body of the request, which must have been read, has that
+// many bytes, -1 if it came in chunks.
 func Pipelined(ctx context.Context, bodyBytes int64) bool {
 	c, ok := ctx.Value(connContextKey{}).(*callerConn)
 	return ok && c.hasPipelined(bodyBytes)
--- a/pkg/callers/refused_body.go
+++ b/pkg/callers/refused_body.go
@@ -11,11 +11,38 @@
 const (
 	// refusedBodyTime bounds how long a host reads on after it has refused a body.
 	refusedBodyTime = 2 * time.Second
+	// bodyArrivalTime bounds the wait for the rest of a body before its refusal. Many callers
+	// send the body right after the head.
+	bodyArrivalTime = 10 * time.Millisecond
 	// netHTTPReadBytes is how much of a body net/http reads on after a handler. It closes
 	// the connection after a longer one, unread, within half a second.
 	netHTTPReadBytes = 256 << 10
 )
 
+// ReadRefusedBody reads the body of a request that is refused, as far as it arrives within
+// bodyArrivalTime, and reports whether that is all of it. Otherwise the response must
+// close the connection: the caller may send for long, and net/http would hold back the
+// response until it ends. With HTTP/2 a body is no obstacle, and it reads nothing.
+func ReadRefusedBody(w http.ResponseWriter, r *http.Request) bool {
+	switch {
+	case r.ContentLength == 0 || r.ProtoMajor > 1:
+		return true
+	case r.ContentLength > netHTTPReadBytes, r.Header.Get("Expect") != "": // a read would ask for the body
+		return false
+	case r.TLS != nil:
+		// A read deadline may end the check for a closed connection that net/http begins at the
+		// end of the body, and with it all requests of the connection.
+		return r.ContentLength > 0
+	}
+	conn := http.NewResponseController(w)
+	if conn.SetReadDeadline(time.Now().Add(bodyArrivalTime)) != nil {
+		return false // the connection is closed
+	}
+	_, err := io.CopyN(io.Discard, r.Body, netHTTPReadBytes+1)
+	_ = conn.SetReadDeadline(time.Time{}) // as above
+	return bodyEnded(err)
+}
+
 // bodyEnded reports whether a copy of the body of a request ended with err because all of
 // the body was read. net/http may have read the rest before it sent the response, and
 // closes the body then.
@@ -47,10 +74,10 @@
 	}
 }
 
-// SendEarlyRefusal is SendRefusal for a body of which net/http would leave a part unread. A
-// caller that waits for 100 Continue sends none after a refusal.
+// SendEarlyRefusal is SendRefusal for a request with a body that the caller sends without
+// being asked for it. net/http would wait for the rest of a short one without a bound.
 func SendEarlyRefusal(w http.ResponseWriter, r *http.Request) {
-	if (r.ContentLength > netHTTPReadBytes || r.ContentLength < 0) && r.Header.Get("Expect") == "" {
+	if r.ContentLength != 0 && r.Header.Get("Expect") == "" {
 		SendRefusal(w, r)
 	}
 }
--- a/pkg/callers/refused_body_next_test.go
+++ b/pkg/callers/refused_body_next_test.go
@@ -27,39 +27,74 @@
 	}
 	for name, body := range bodies {
 		for _, encrypted := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s/TLS %v", name, encrypted), func(t *testing.T) {
-				t.Parallel()
-				handling := make(chan struct{}, 2)
-				caller := dialHandler(t, encrypted, func(w http.ResponseWriter, r *http.Request) {
-					handling <- struct{}{}
-					if r.URL.Path == "/next" {
+			for _, readFirst := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/TLS %v/read first %v", name, encrypted, readFirst), func(t *testing.T) {
+					t.Parallel()
+					handling := make(chan struct{}, 2)
+					caller := dialHandler(t, encrypted, func(w http.ResponseWriter, r *http.Request) {
+						handling <- struct{}{}
+						if r.URL.Path == "/next" {
+							return
+						}
+						if readFirst && !ReadRefusedBody(w, r) {
+							w.Header().Set("Connection", "close")
+						}
+						w.WriteHeader(http.StatusServiceUnavailable)
+						SendEarlyRefusal(w, r)
+					})
+					responses := bufio.NewReader(caller)
+					_, err := fmt.Fprintf(caller, "POST / HTTP/1.1\r\nHost: a.example\r\n%s\r\n\r\n%s", body.head, body.first)
+					assert.NilError(t, err)
+					<-handling
+					_, err = io.WriteString(caller, body.rest)
+					assert.NilError(t, err)
+					refusal, err := http.ReadResponse(responses, nil)
+					assert.NilError(t, err, "the refusal did not arrive")
+					assert.Equal(t, refusal.StatusCode, http.StatusServiceUnavailable)
+					_, err = io.Copy(io.Discard, refusal.Body)
+					assert.NilError(t, err)
+					if refusal.Close {
+						assert.Assert(t, body.rest != "" || encrypted && readFirst, "a body that has arrived is no reason to close")
 						return
 					}
-					w.WriteHeader(http.StatusServiceUnavailable)
-					SendEarlyRefusal(w, r)
+					_, err = io.WriteString(caller, "GET /next HTTP/1.1\r\nHost: a.example\r\n\r\n")
+					assert.NilError(t, err)
+					next, err := http.ReadResponse(responses, nil)
+					assert.NilError(t, err, "the next request got no answer")
+					assert.Equal(t, next.StatusCode, http.StatusOK)
 				})
-				responses := bufio.NewReader(caller)
-				_, err := fmt.Fprintf(caller, "POST / HTTP/1.1\r\nHost: a.example\r\n%s\r\n\r\n%s", body.head, body.first)
-				assert.NilError(t, err)
-				<-handling
-				_, err = io.WriteString(caller, body.rest)
-				assert.NilError(t, err)
-				refusal, err := http.ReadResponse(responses, nil)
-				assert.NilError(t, err, "the refusal did not arrive")
-				assert.Equal(t, refusal.StatusCode, http.StatusServiceUnavailable)
-				_, err = io.Copy(io.Discard, refusal.Body)
-				assert.NilError(t, err)
-				if refusal.Close {
-					assert.Assert(t, body.rest != "", "a body that has arrived is no reason to close")
-					return
+			}
+		}
+	}
+}
+
+// Guards against a refusal that waits for a body that its caller does not finish, and
+// against the rest of it being read as the next request.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, head := range map[string]string{"in chunks": "Transfer-Encoding: chunked", "with a length": "Content-Length: 100"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			paths := make(chan string, 2)
+			caller := dialHandler(t, false, func(w http.ResponseWriter, r *http.Request) {
+				paths <- r.URL.Path
+				if !ReadRefusedBody(w, r) {
+					w.Header().Set("Connection", "close")
 				}
-				_, err = io.WriteString(caller, "GET /next HTTP/1.1\r\nHost: a.example\r\n\r\n")
-				assert.NilError(t, err)
-				next, err := http.ReadResponse(responses, nil)
-				assert.NilError(t, err, "the next request got no answer")
-				assert.Equal(t, next.StatusCode, http.StatusOK)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				SendEarlyRefusal(w, r)
 			})
-		}
+			_, err := fmt.Fprintf(caller, "POST / HTTP/1.1\r\nHost: a.example\r\n%s\r\n\r\n", head)
+			assert.NilError(t, err)
+			refusal, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			assert.NilError(t, err, "the refusal did not arrive")
+			assert.Assert(t, refusal.Close, "the end of the body is not known")
+			_, err = io.WriteString(caller, "GET /rest HTTP/1.1\r\nHost: a.example\r\n\r\n")
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, caller) // until the host closes
+			close(paths)
+			assert.Equal(t, <-paths, "/")
+			assert.Equal(t, <-paths, "", "the rest of the body was handled as a request")
+		})
 	}
 }
 
