callers: keep a late body deadline from ending a connection

Callers could see: a request whose body arrived just before its deadline, and every later one on the connection, treated as abandoned by its caller.

Cause: at the end of a body net/http begins to wait for the caller to close, with the read deadline that is set. If that deadline passes before the handler removes it, net/http cancels the context of the whole connection. At the end of the sending time of a stop the deadline could also be set after the handler had removed it.

Evidence: TestDeadlineOfReadBodyDoesNotEndTheConnection failed before.

Change: the wait goes on without the deadline of the body; only a deadline by which net/http itself ends the wait counts. The handler waits for the end of a deadline that is being set.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -80,6 +80,9 @@
 		return 0, io.EOF
 	}
 	n, err := c.TCPConn.Read(p)
+	for len(p) == 1 && errors.Is(err, os.ErrDeadlineExceeded) && c.endBodyDeadline() {
+		n, err = c.TCPConn.Read(p)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsHead() {
 		c.endIdleTime()
 		if c.continueWait() || c.continueHead() {
@@ -139,6 +142,20 @@
 	return c.dropping
 }
 
+// endBodyDeadline removes the deadline of a body from the read that waits for the caller to
+// close, which net/http begins at the end of the body: when that read fails, all requests
+// on the connection count as abandoned. It reports false if net/http itself
+// ends the read, or no handler has a request.
+func (c *callerConn) endBodyDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.handled || c.deadline.Equal(pastDeadline) {
+		return false
+	}
+	c.deadline = time.Time{}
+	return c.TCPConn.SetReadDeadline(time.Time{}) == nil
+}
+
 // hasPipelined reports whether the caller sends requests before it has the response to
 // the last one, as far as that is known. The body of the current request, which was read,
 // has that many bytes, -1 if it came in chunks.
--- a/pkg/callers/refused_body_next_test.go
+++ b/pkg/callers/refused_body_next_test.go
@@ -98,6 +98,46 @@
 	}
 }
 
+// Guards against a deadline for the body that ends all requests of the connection, because
+// it passes between the end of the body and its removal.
+func TestDeadlineOfReadBodyDoesNotEndTheConnection(t *testing.T) {
+	caller := dialHandler(t, false, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = http.NewResponseController(w).SetReadDeadline(pastDeadline.Add(1)) // has passed
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusInternalServerError)
+		case <-afterRead(r):
+		}
+	})
+	responses := bufio.NewReader(caller)
+	for range 2 {
+		_, err := io.WriteString(caller, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(responses, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, "the request counts as abandoned")
+	}
+}
+
+// afterRead is closed when the connection of the request has no read deadline.
+func afterRead(r *http.Request) <-chan struct{} {
+	ended := make(chan struct{})
+	c := r.Context().Value(connContextKey{}).(*callerConn)
+	go func() {
+		defer close(ended)
+		for r.Context().Err() == nil {
+			c.mu.Lock()
+			unlimited := c.deadline.IsZero()
+			c.mu.Unlock()
+			if unlimited {
+				return
+			}
+		}
+	}()
+	return ended
+}
+
 // dialHandler returns the connection of a caller to a server with this handler.
 func dialHandler(t *testing.T, encrypted bool, handler http.HandlerFunc) net.Conn {
 	t.Helper()
