callers: don't let unread bytes cut the last response

A caller that reads slowly and has sent its next request, or any byte of it, got a part of a response that the host had written whole: the host closes the connection with these bytes unread, so the kernel resets it and drops what it still holds for the caller.

Found by reading, after the operators' record of streams without an end at a host that stopped without an error; whether it is their cause is not shown.

Close reads what has arrived without blocking and drops it, as it would be dropped in any case, and counts such connections as callers.closed.unread. What arrives after the close still resets it.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -58,6 +58,7 @@
 	unwritten bool           // the rest of its response could not be written after that
 	refused   bool           // net/http has refused the head of the current request
 	readErr   error          // of the last read of the current request
+	unread    int            // bytes that nobody had read when the connection was closed
 }
 
 // firstBytesTime bounds the time to the fourth byte of a request that arrives when the idle
@@ -109,10 +110,21 @@
 	c.mu.Unlock()
 	if reset {
 		_ = c.TCPConn.SetLinger(0) // fails on a closed connection only
+	} else {
+		c.dropUnread()
 	}
 	return c.TCPConn.Close()
 }
 
+// dropUnread drops the bytes that nobody has read. The kernel would reset the connection on
+// their account, and drop what it holds of a response for a caller that reads slowly.
+func (c *callerConn) dropUnread() {
+	dropped, _ := netpeek.Drop(c.TCPConn) // fails on a closed connection only
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread += dropped
+}
+
 func (c *callerConn) setResetOnClose(reset bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -51,6 +51,9 @@
 	// connection, because the body of the request had not ended: the rest of the body, and
 	// whatever the caller has sent after it.
 	closeBodyRefused closeReason = "body_refused"
+	// closeUnread means that bytes were unread after the last response: of a further request,
+	// whose caller was told with the response that the connection is closed.
+	closeUnread closeReason = "unread"
 	// closeUnwritten means that a handler has returned, and the end of its response could not
 	// be written: net/http writes what it holds, and the last chunk, only then.
 	closeUnwritten closeReason = "unwritten"
@@ -182,7 +185,7 @@
 	case http.StateIdle:
 		c.handled, c.returned, c.readErr = false, false, nil // net/http ends reads beside a handler with a deadline
 	case http.StateClosed:
-		return c.reasonOfEnd(last, isTLS), c.read + c.crossed + c.dropped
+		return c.reasonOfEnd(last, isTLS), c.read + c.crossed + c.dropped + c.unread
 	}
 	return "", 0
 }
@@ -198,6 +201,8 @@
 		return closeCrossed
 	case c.dropped > 0:
 		return closeBodyRefused
+	case c.handled && c.unread > 0 && !isTLS: // a caller with TLS may have sent the end of it
+		return closeUnread
 	case c.handled, last == http.StateIdle && !received:
 		return ""
 	case c.refused:
--- a/pkg/netpeek/peek.go
+++ b/pkg/netpeek/peek.go
@@ -38,3 +38,30 @@
 	}
 	return p, errors.Join(err, controlErr)
 }
+
+// maxDropped bounds the bytes that Drop reads.
+const maxDropped = 1 << 20
+
+// Drop reads and drops what has arrived on a connection, without blocking, and returns the
+// number of bytes. On a connection that is not a socket it does nothing.
+func Drop(c net.Conn) (dropped int, err error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	buffer := make([]byte, 4<<10)
+	controlErr := raw.Control(func(fd uintptr) {
+		for dropped < maxDropped {
+			n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return // nothing is left, or the peer has closed
+			}
+			dropped += n
+		}
+	})
+	return dropped, controlErr
+}
