callers: record the open connections at the end of a stop

A process that stops closed connections without a word: of a request without an answer the operators' record shows neither that it was read, nor what its connection waited for. The line of cut connections has their number only, and a stop without one says nothing.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -47,7 +47,11 @@
 	// no chunks, so the end of the connection is that of the response.
 	resetOnClose bool
 
-	openedAt  time.Time
+	openedAt   time.Time
+	lastActive time.Time // when bytes were last read or written
+	requestID  string    // of the last request, see SetRequestID
+	sent       int       // bytes written since a handler was given that request
+
 	state     http.ConnState // that net/http has reported last
 	encrypted bool           // TLS is spoken on it
 	tls       *tls.Conn      // that speaks HTTP/1.1, after its first request; nil otherwise
@@ -96,6 +100,7 @@
 	defer c.mu.Unlock()
 	c.readErr = err
 	if n > 0 {
+		c.lastActive = time.Now()
 		c.early = len(p) == 1 // only the check for a closed connection reads single bytes
 		c.markRead(p[:n])
 		c.markBegun()
--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -156,6 +156,7 @@
 	defer c.mu.Unlock()
 	c.handled = true
 	c.requests++
+	c.requestID, c.sent = "", 0
 	c.returned = false
 }
 
--- a/pkg/callers/send_buffer.go
+++ b/pkg/callers/send_buffer.go
@@ -123,10 +123,14 @@
 	c.writingSince = time.Now()
 }
 
-func (c *callerConn) endWrite() {
+func (c *callerConn) endWrite(written int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writingSince = time.Time{}
+	if written > 0 {
+		c.lastActive = time.Now()
+		c.sent += written
+	}
 }
 
 func (c *callerConn) isWriteBlocked() bool {
--- a/pkg/callers/write.go
+++ b/pkg/callers/write.go
@@ -25,7 +25,7 @@
 func (c *callerConn) Write(p []byte) (written int, err error) {
 	c.beginWrite()
 	written, err = c.writeLimited(p)
-	c.endWrite()
+	c.endWrite(written)
 	if err != nil {
 		c.recordWriteError()
 	}
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -121,6 +121,7 @@
 	q := &request{id: r.newRequestID(), arrivedAt: time.Now(), w: w, req: req}
 	q.decision = &Decision{ID: q.id, Arrived: q.arrivedAt, Method: req.Method, Path: req.URL.Path}
 	w.Header().Set(proxy.HeaderRequestID, q.id)
+	callers.SetRequestID(req.Context(), q.id)
 	q.setBodyReadTimeout(r.cfg.Limits.BodyTimeout.AsDuration())
 	if !r.ready.Load() {
 		w.Header().Set("Connection", "close")
--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -20,6 +20,10 @@
 // answerOpen ends the open requests: waiting ones are refused as not run, running ones
 // get an error, streams an error event.
 func (s *Service) answerOpen() {
+	if len(s.conns) > 0 {
+		s.conns[0].RecordOpen(callers.OpenAtCut)
+		defer s.conns[0].RecordOpen(callers.OpenAtEnd)
+	}
 	s.router.Close()
 	s.endRequests(proxy.ErrStopping)
 	if len(s.httpServers) == 0 {
@@ -67,6 +71,7 @@
 			if err := closeConns(ctx, conns, 0); err != nil {
 				logging.ForComponent("router").Warnf("stopped with %d open connections of servers or operators", conns.CutCount())
 			}
+			conns.RecordOpen(callers.OpenAtEnd)
 			conns.End()
 		})
 	}
