callers: count a request that is unread at the close

A request that has arrived on an idle connection of a starved host, which closes it before it reads, had no record; on a new connection the close counted as unused, as if nothing had arrived. Both are counted and logged as unread now. TestUnreadRequestIsRecordedAtTheClose failed before.

--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -51,8 +51,8 @@
 	// connection, because the body of the request had not ended: the rest of the body, and
 	// whatever the caller has sent after it.
 	closeBodyRefused closeReason = "body_refused"
-	// closeUnread means that bytes were unread after the last response: of a further request,
-	// whose caller was told with the response that the connection is closed.
+	// closeUnread means that bytes were unread when the connection was closed, of a further
+	// request. Its caller was told so with the response before it, or the process has ended.
 	closeUnread closeReason = "unread"
 	// closeUnwritten means that a handler has returned, and the end of its response could not
 	// be written: net/http writes what it holds, and the last chunk, only then.
@@ -202,7 +202,7 @@
 		return closeCrossed
 	case c.dropped > 0:
 		return closeBodyRefused
-	case c.handled && c.unread > 0 && !isTLS: // a caller with TLS may have sent the end of it
+	case c.unread > 0 && !isTLS && (c.handled || !received): // a caller with TLS may have sent the end of it
 		return closeUnread
 	case c.handled, last == http.StateIdle && !received:
 		return ""
--- a/pkg/callers/unread_close_test.go
+++ b/pkg/callers/unread_close_test.go
@@ -65,3 +65,21 @@
 		})
 	}
 }
+
+// Guards against a request without a record that has arrived on an idle connection of a
+// starved host, which closes it before it reads.
+func TestUnreadRequestIsRecordedAtTheClose(t *testing.T) {
+	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
+		caller, host := connect(t)
+		s := NewConnTracker(0, 0, metrics.NewRegistry())
+		c := &callerConn{TCPConn: host.(*net.TCPConn)}
+		s.OnStateChange(c, http.StateNew)
+		s.OnStateChange(c, state)
+		_, err := io.WriteString(caller, "GET /unread HTTP/1.1\r\nHost: a.example\r\n\r\n")
+		assert.NilError(t, err)
+		waitFor(t, "unread bytes", func() bool { return c.describe().unread > 0 })
+		assert.NilError(t, c.Close())
+		s.OnStateChange(c, http.StateClosed)
+		assert.DeepEqual(t, s.counts(), map[string]int64{"unread": 1})
+	}
+}
