callers: tell callers with HTTP/2 of the close of an idle connection

A caller of a router with HTTP/2 whose request crosses the close of its idle connection got no answer: the connection ended without a GOAWAY, so the caller could not know whether the request had run. Found by a reading for connections that nobody reads.

The host sends a GOAWAY now, which lets the requests that cross it pass, and ends the wait 150 ms later, unless a request has arrived. The frame is written beside net/http, so a connection must have been idle for 0.1 s: then no part of a response is in its buffers.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -304,12 +304,38 @@
 		}
 		return false
 	}
+	if encrypted, ok := c.(*tls.Conn); ok && encrypted.ConnectionState().NegotiatedProtocol == "h2" {
+		return s.goAway(encrypted)
+	}
 	delete(s.idle, c)
 	s.closing[c] = true
 	_ = c.SetReadDeadline(pastDeadline) // fails on a closed connection only
 	return true
 }
 
+// goAway tells the caller of an idle connection with HTTP/2 to send no more requests on it,
+// and ends the wait for one after noticeTime, unless one has arrived. A response may still
+// be in the buffers of net/http just after its end, so it reports false for a connection that
+// became idle less than unusedTime ago. The caller must hold mu.
+func (s *ConnTracker) goAway(c *tls.Conn) bool {
+	if time.Since(s.idle[c]) < unusedTime {
+		return false
+	}
+	delete(s.idle, c)
+	s.closing[c] = true
+	go func() {
+		_, _ = c.Write([]byte(goAwayFrame)) // fails on a closed connection only
+		time.AfterFunc(noticeTime, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.closing[c] {
+				_ = c.SetReadDeadline(pastDeadline) // as above
+			}
+		})
+	}()
+	return true
+}
+
 // Pipelined reports whether the caller of the request with this context sends requests
 // before it has the response to the last one. A response that closes the connection would
 // leave them without an answer. The body of the request, which must have been read, has that
--- a/pkg/callers/notice.go
+++ b/pkg/callers/notice.go
@@ -18,6 +18,9 @@
 	// has not (RFC 9110, 15.5.9). A caller without a request closes the connection.
 	closeNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n" +
 		"Jackdawtrack-Executed: " + string(result.ExecutedNo) + "\r\n\r\n"
+	// goAwayFrame is the frame GOAWAY of HTTP/2 without an error. It has the highest number of
+	// a stream, so requests that cross it are still served (RFC 9113, 6.8).
+	goAwayFrame = "\x00\x00\x08\x07\x00\x00\x00\x00\x00\x7f\xff\xff\xff\x00\x00\x00\x00"
 	// noticeTime bounds the wait for the caller to close the connection after the notice.
 	// It covers a round trip to a distant caller. It is shorter than the 200 ms after which a
 	// request that crosses the close counts as lost, and than the part of the
