registry: keep odd announcements from moving a server

A heartbeat of another writer without a zone, with the id, address and start of a known server and a higher sequence, replaced the known entry. The server was in the zone "" then, which is in no evacuated one, and got requests for some 5 s in spite of the operator; its own heartbeats counted as late.

An announcement that contradicts service, address, data centre or release of the process with the same stated start changes nothing. If another writer was first, the server's own announcements replace the entry once nothing has confirmed it for 5 s, and count as newer on all hosts whatever their sequence. Between hosts the entry known for a second longer wins, so that a host that has just started does not spread an odd one.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -230,7 +230,13 @@
 	if e.State == Gone {
 		return true
 	}
-	if other.State == Gone || other.Sequence > e.Sequence {
+	if other.State == Gone {
+		return false
+	}
+	if e.contradicts(other) && e.isKnownLonger(other) != other.isKnownLonger(e) {
+		return e.isKnownLonger(other)
+	}
+	if other.Sequence > e.Sequence {
 		return false
 	}
 	restarted := e.StartMS == 0 && other.Sequence < e.Sequence && other.Heard.Sub(e.Heard) > restartGap
--- a/pkg/registry/validate.go
+++ b/pkg/registry/validate.go
@@ -75,6 +75,8 @@
 		return invalid("unknown state %d", e.State)
 	case e.Service == "":
 		return invalid("service is missing")
+	case e.DataCentre == "":
+		return invalid("data centre is missing")
 	case e.Slots < 0 || e.Slots > MaxSlots:
 		return invalid("slots %d are outside 0 to %d", e.Slots, MaxSlots)
 	case e.Sequence > MaxSequence:
--- a/pkg/registry/withdrawal.go
+++ b/pkg/registry/withdrawal.go
@@ -46,6 +46,12 @@
 	}
 	other.Suspensions = e.Suspensions
 	switch {
+	case e.contradicts(other):
+		if !e.isOutlivedBy(other) {
+			return false
+		}
+		other.Suspensions += 2 // other hosts take it for newer, whatever its sequence number
+		return true
 	case e.isSuspended():
 		if !e.succeeds(other) {
 			return false
