proxy: send request targets byte by byte, or refuse them

A path that begins with two slashes reached servers in absolute form: POST //place/0 ran as POST http://place/0, by HTTP another host and path. The target was set as the opaque part of a URL, and net/http puts the scheme in front of one that begins with two slashes.

proxy.ServerURL makes the URL for the platform's and the product's path. It sends the target as it came, or refuses the request with 400: a target that is no path, CONNECT, and, after two slashes only, characters that net/http would escape. A target in absolute form is cut from the caller's bytes, not escaped anew. net/http answers OPTIONS * with 200 itself, which it no longer does on the callers' address. On the product's path ServeMux redirected paths with // or dots to other ones, and the target was put together again from its decoded parts. A health path without a slash no longer runs into the address of the server.

Tests of pkg/edge that had requests without a target state one.

--- a/pkg/edge/admission_test.go
+++ b/pkg/edge/admission_test.go
@@ -61,7 +61,7 @@
 				s := newOverloadedServer()
 				s.attemptAges.estimate(start, "r", 10*time.Second) // the longest caller timeout of the route
 				w := httptest.NewRecorder()
-				in := &Request{ID: "id", Host: "a.example", Path: c.path, APIKey: c.key, CallerTimeout: c.patience, Arrived: start}
+				in := &Request{ID: "id", Host: "a.example", Path: c.path, Target: c.path, APIKey: c.key, CallerTimeout: c.patience, Arrived: start}
 				assert.Equal(t, s.Admit(w, in), c.status == http.StatusOK)
 				assert.Equal(t, w.Code, c.status)
 				if c.status == http.StatusServiceUnavailable {
@@ -77,7 +77,7 @@
 	s := newOverloadedServer()
 	s.loadShedder = &loadShedder{Shedder: shed.New()}
 	for range 1000 {
-		in := &Request{ID: "id", Host: "a.example", Path: "/x/1", APIKey: "k1", Arrived: start}
+		in := &Request{ID: "id", Host: "a.example", Path: "/x/1", Target: "/x/1", APIKey: "k1", Arrived: start}
 		assert.Assert(t, s.Admit(httptest.NewRecorder(), in))
 	}
 }
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -137,10 +136,8 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // prevents net/http from setting its default
 	}
-	return &http.Request{
-		Method: x.in.Method, Host: x.in.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{Scheme: "http", Host: v.Address, Opaque: x.in.Target},
-	}
+	target, _ := proxy.ServerURL(v.Address, x.in.Target) // Admit has checked it
+	return &http.Request{Method: x.in.Method, Host: x.in.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: target}
 }
 
 // finishAttempt reports the outcome to the dispatcher. After a Silent outcome it
--- a/pkg/edge/late_test.go
+++ b/pkg/edge/late_test.go
@@ -45,7 +45,7 @@
 		}
 	}
 	route.MaxAttempts = 3
-	in := &Request{Arrived: now, Prompt: prompt, dest: &destination{route: &route}}
+	in := &Request{Target: "/x", Arrived: now, Prompt: prompt, dest: &destination{route: &route}}
 	w := httptest.NewRecorder()
 	r := &dispatch.Request{ID: "waits", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Minute)}
 	return &proxiedRequest{s: s, w: w, in: in, route: &route, dispatchReq: r, callerCtx: t.Context(), deadline: in.Deadline()}, w
--- a/pkg/edge/queue_test.go
+++ b/pkg/edge/queue_test.go
@@ -29,7 +29,7 @@
 		}
 		w := httptest.NewRecorder()
 		r := &dispatch.Request{ID: "waits", Service: "s", Arrived: now, Objective: time.Minute, Deadline: now.Add(time.Second)}
-		x := &proxiedRequest{s: s, w: w, in: &Request{}, dispatchReq: r, route: &routing.Route{}, callerCtx: t.Context(), deadline: r.Deadline}
+		x := &proxiedRequest{s: s, w: w, in: &Request{Target: "/x"}, dispatchReq: r, route: &routing.Route{}, callerCtx: t.Context(), deadline: r.Deadline}
 		_, err := x.awaitDecision()
 		assert.Equal(t, time.Since(now), time.Second)
 		x.respondUndispatched(err)
--- a/pkg/edge/response_fuzz_test.go
+++ b/pkg/edge/response_fuzz_test.go
@@ -48,7 +48,7 @@
 	s := &Server{config: Config{Dialect: headerDialect{}}, dispatcher: dispatch.New("edge", "z", start), responses: newResponseMemory(0), quarantine: quarantine.New(1), metrics: newMetrics(metrics.NewRegistry()), fleetView: newTestView()}
 	s.streamRecords = recorder.New(logging.ForComponent("test"), s.metrics.registry)
 	x := &proxiedRequest{
-		s: s, w: caller, in: &Request{ID: fuzzID, Arrived: time.Now()}, route: &routing.Route{Stream: true, RetryPolicy: routing.Resumable, MaxAttempts: 2},
+		s: s, w: caller, in: &Request{ID: fuzzID, Target: "/x", Arrived: time.Now()}, route: &routing.Route{Stream: true, RetryPolicy: routing.Resumable, MaxAttempts: 2},
 		dispatchReq: &dispatch.Request{ID: fuzzID}, callerCtx: context.Background(), deadline: time.Now().Add(time.Hour),
 		suspects: []uint64{quarantine.RequestSuspect(1)}, decision: dispatch.Decision{Release: release.Of("s", "v1")},
 	}
--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -41,7 +41,7 @@
 	s.takeUps = streamrecord.NewTakeUps(maxTakeUpsKept, dispatch.TakeUpWindow)
 	s.announceTest("first", startMS, v1)
 	s.announceTest("second", startMS, v1)
-	x := &proxiedRequest{s: s, in: &Request{ID: "id", Arrived: time.Now(), CallerTimeout: time.Minute}, callerCtx: context.Background(), route: &routing.Route{
+	x := &proxiedRequest{s: s, in: &Request{ID: "id", Target: "/x", Arrived: time.Now(), CallerTimeout: time.Minute}, callerCtx: context.Background(), route: &routing.Route{
 		Name: "r", Stream: true, RetryPolicy: routing.Resumable, Targets: []routing.Target{{Service: "s", Weight: 1}},
 	}}
 	x.dispatchReq = &dispatch.Request{Workspace: "w", Service: "s"}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -135,6 +135,9 @@
 // little CPU time on the requests that it sheds.
 func (s *Server) Admit(w http.ResponseWriter, in *Request) bool {
 	dest, err := s.resolveDestination(in)
+	if err == nil {
+		err = proxy.CheckTarget(in.Method, in.Target)
+	}
 	// A retried request (attemptAge > 0) is not shed: it was refused before and has
 	// no other host to go to.
 	if err == nil && dest.attemptAge == 0 && s.loadShedder.shouldShed(dest.workspace) {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -420,7 +421,8 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, healthCheckTimeout)
 	defer cancel()
-	req, err := http.NewRequest(http.MethodGet, "http://"+p.Address+table.Service(p.Service).HealthPath, nil)
+	path := "/" + strings.TrimPrefix(table.Service(p.Service).HealthPath, "/")
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.Address+path, nil)
 	if err != nil {
 		s.log.WithError(err).WithField("server", p.Server).Warn("cannot create health check request")
 		return
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -139,11 +139,11 @@
 // sendRequest sends r with the extra headers and the body instead of r.Body. The
 // caller closes the body of the response. The round trip is never nil.
 func (t *Transport) sendRequest(ctx context.Context, r *Request, unpooled bool, extra http.Header, body []byte) (*http.Response, *roundTrip, error) {
-	req, err := http.NewRequest(r.Method, "http://"+r.Address+r.Path, nil)
-	if err != nil {
-		return nil, &roundTrip{}, err
+	target, refusal := ServerURL(r.Address, r.Path)
+	if refusal != nil {
+		return nil, &roundTrip{}, refusal
 	}
-	req.Header = requestHeader(r, extra)
+	req := &http.Request{Method: r.Method, Host: r.Address, URL: target, Header: requestHeader(r, extra), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	return t.exchange(ctx, req, unpooled, nil, body)
 }
 
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -77,20 +78,28 @@
 func (r *Router) serveService(w http.ResponseWriter, req *http.Request) {
 	r.serveRequest(w, req, func(q *request) *result.Error {
 		q.kind = backend.Service
-		q.poolName = req.PathValue("service")
+		q.poolName, q.serverPath, _ = serviceTarget(req)
 		if !class.ValidName(q.poolName) || !r.servers.isServicePool(q.arrivedAt, q.poolName) {
 			return r.unknownPoolError(q, fmt.Sprintf("service %.80q", q.poolName))
 		}
-		rest := strings.TrimPrefix(req.URL.EscapedPath(), servicePrefix)
-		_, rest, _ = strings.Cut(rest, "/")
-		q.serverPath = "/" + rest
-		if req.URL.RawQuery != "" {
-			q.serverPath += "?" + req.URL.RawQuery
-		}
-		return nil
+		return proxy.CheckTarget(req.Method, q.serverPath)
 	})
 }
 
+// serviceTarget returns the service of a request for a plain service and the target that
+// its servers get, byte by byte as the caller sent it; false for another request.
+func serviceTarget(req *http.Request) (service, target string, ok bool) {
+	target = callers.Target(req)
+	path, _, _ := strings.Cut(target, "?")
+	rest, ok := strings.CutPrefix(path, servicePrefix)
+	escaped, _, found := strings.Cut(rest, "/")
+	service, err := url.PathUnescape(escaped)
+	if !ok || !found || service == "" || err != nil {
+		return "", "", false
+	}
+	return service, target[len(servicePrefix)+len(escaped):], true
+}
+
 // unknownPoolError returns the refusal of a request for a pool that no server
 // announces. A router that has just started may not have received the
 // announcements yet, so the caller is told to retry.
--- a/pkg/router/listen.go
+++ b/pkg/router/listen.go
@@ -94,7 +94,10 @@
 		ReadHeaderTimeout: c.Limits.HeaderTimeout.AsDuration(),
 		IdleTimeout:       c.Limits.IdleTimeout.AsDuration(),
 		MaxHeaderBytes:    c.Limits.HeaderBytes,
-		ErrorLog:          log.New(errorLog.WriterLevel(logrus.DebugLevel), "", 0),
+		// The router answers no request itself that is for a server.
+		DisableGeneralOptionsHandler: true,
+
+		ErrorLog: log.New(errorLog.WriterLevel(logrus.DebugLevel), "", 0),
 	}, nil
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -186,7 +186,13 @@
 	mux.HandleFunc("POST /v1/chat/completions", r.serveChat)
 	mux.HandleFunc("/services/{service}/", r.serveService)
 	mux.HandleFunc("/", r.serveUnknown)
-	return r.recordPanics(mux)
+	return r.recordPanics(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if _, _, ok := serviceTarget(req); ok { // ServeMux redirects a path with "//" or "/../" to another one
+			r.serveService(w, req)
+			return
+		}
+		mux.ServeHTTP(w, req)
+	}))
 }
 
 // Run does the periodic work until ctx ends: timers of owners, reconciliation,
