dispatch: bound the memory of prompt parts by their number

Prompts of many small parts ended edge hosts for lack of memory. Parts that other hosts told of counted the same, and placements that wait for a digest had no bound.

Lines of beliefs count what was dropped.

--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -206,7 +206,7 @@
 		}
 		s.advance(now)
 		part := Part{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}
-		s.cachedParts.recordUse([]Part{part}, now.Add(s.prefillTime(0)), s.cacheCapacity())
+		d.useParts(s, []Part{part}, now.Add(s.prefillTime(0)))
 		if s.cachedParts.publishDue(now, part.ID) && p.local { // the sender published it only in its own data centre
 			d.addToSummary(placement{server: s.hash, part: part})
 		}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -31,6 +31,8 @@
 	lastUsageAt       time.Time // time of the last digest with workspace usage
 	pendingPlacements []placement
 	summaryState      summaryState
+	memory            int64 // of this host in bytes, 0 if not known
+	dropped           Dropped
 
 	localEdges      []string // names of the edge hosts of this data centre, sorted
 	edges           int      // number of edge hosts in the fleet
@@ -102,6 +104,7 @@
 		}
 	}
 	d.rebuildIndexes()
+	d.boundCachedParts()
 }
 
 // rebuildIndexes rebuilds the indexes of servers by service and by hash, and
@@ -355,11 +358,10 @@
 // recordPlacement records that the engine caches the parts of the request, and
 // schedules the placements for publication.
 func (d *Dispatcher) recordPlacement(now time.Time, r *Request, s *server) {
-	s.cachedParts.recordUse(r.Parts, r.prefillDoneAt, s.cacheCapacity())
+	d.useParts(s, r.Parts, r.prefillDoneAt)
 	for _, p := range r.Parts {
 		if s.cachedParts.publishDue(now, p.ID) {
-			d.pendingPlacements = append(d.pendingPlacements, placement{server: s.hash, part: p})
-			d.addToSummary(placement{server: s.hash, part: p})
+			d.publish(placement{server: s.hash, part: p})
 		}
 	}
 }
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -25,6 +25,7 @@
 	FairShare   float64
 	QueueLength int
 	EdgeHosts   int
+	Dropped     Dropped
 	Servers     []ServerReport
 }
 
@@ -32,7 +33,7 @@
 func (d *Dispatcher) Report(now time.Time) Report {
 	out := Report{
 		Pressure: d.shares.pressure, Capacity: d.shares.capacity, FairShare: d.shares.fairShare,
-		QueueLength: len(d.queue), EdgeHosts: d.edges,
+		QueueLength: len(d.queue), EdgeHosts: d.edges, Dropped: d.dropped,
 	}
 	for _, s := range d.servers {
 		s.advance(now)
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -138,6 +138,7 @@
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
 		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
 	}
+	s.dispatcher.SetMemory(c.MemoryBytes)
 	s.streamRecords = recorder.New(s.log, c.Registry)
 	s.takeUps = streamrecord.NewTakeUps(maxTakeUpsKept, dispatch.TakeUpWindow)
 	s.confirmations = confirm.New(s.confirmedRevision)
@@ -480,7 +481,7 @@
 	first := min(len(r.Servers), serversPerLine)
 	s.log.WithFields(logrus.Fields{
 		"pressure_ms": r.Pressure.Milliseconds(), "capacity": int64(r.Capacity), "share": int64(r.FairShare),
-		"waiting": r.QueueLength, "edges": r.EdgeHosts, "unlogged_refusals": s.unloggedRefusals.Swap(0), "unlogged_take_ups": s.metrics.takeUpLog.unlogged.Swap(0), "servers": r.Servers[:first],
+		"waiting": r.QueueLength, "edges": r.EdgeHosts, "dropped_parts": r.Dropped.CachedParts, "dropped_placements": r.Dropped.Placements, "unlogged_refusals": s.unloggedRefusals.Swap(0), "unlogged_take_ups": s.metrics.takeUpLog.unlogged.Swap(0), "servers": r.Servers[:first],
 	}).Info("beliefs")
 	for more := range slices.Chunk(r.Servers[first:], serversPerLine) {
 		s.log.WithField("servers", more).Info("beliefs on more servers")
