dispatch: believe no release of a server process that has ended

Streams went on at a server that came back under its id with another software version, until its late heartbeat arrived. A host took the release from the last announcement although it had found the process ended, and a health check that the new process answered made the server usable again.

The host now records the end of a process when its address refuses a connection: the check after a lost request, the one after a caller left, or an attempt. No stream goes on or begins there until the server announces another start; health checks and late announcements of the ended process do not end that, an announcement heard over 10 s after the end does. A stream that has no other server is refused at once instead of waiting.

newStreamTestOf has a dispatcher now, which every host has.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -258,7 +258,7 @@
 	candidates := d.evaluateServers(now, r, svc)
 	if candidates.cheapest == nil {
 		v.Class = Late
-		if anyAvailableWithin(now, svc.serversLeft(r), d.remainingWait(now, r, Late)) {
+		if anyAvailableWithin(now, r, svc.serversLeft(r), d.remainingWait(now, r, Late)) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
@@ -303,9 +303,9 @@
 // anyAvailableWithin reports whether one of the servers accepts requests within the
 // given time. A server whose release is not recorded counts, because that takes less
 // time than most requests may wait.
-func anyAvailableWithin(now time.Time, servers []*server, wait time.Duration) bool {
+func anyAvailableWithin(now time.Time, r *Request, servers []*server, wait time.Duration) bool {
 	return slices.ContainsFunc(servers, func(s *server) bool {
-		return s.info.Ready && s.downSince.IsZero() && s.backoffUntil.Sub(now) <= wait
+		return s.info.Ready && s.downSince.IsZero() && !r.lacksReleaseOf(s) && s.backoffUntil.Sub(now) <= wait
 	})
 }
 
--- a/pkg/dispatch/release.go
+++ b/pkg/dispatch/release.go
@@ -2,9 +2,15 @@
 
 import "jackdawtrack.example/jackdawtrack/pkg/release"
 
+// lacksReleaseOf reports whether the request needs a release and the server has none that
+// is known, because its process has ended and the next one has not announced itself.
+func (r *Request) lacksReleaseOf(s *server) bool {
+	return s.hasEnded() && (r.Release != release.Unknown || r.RecordedOnly)
+}
+
 // fits reports whether a server of its release may get the request.
 func (r *Request) fits(s *server) bool {
-	return (r.Release == release.Unknown || s.info.Release == r.Release) && (!r.RecordedOnly || s.info.Recorded)
+	return !r.lacksReleaseOf(s) && (r.Release == release.Unknown || s.info.Release == r.Release) && (!r.RecordedOnly || s.info.Recorded)
 }
 
 // countReleases groups the servers by release and counts those that are announced as
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -95,6 +95,7 @@
 	downUntil       time.Time // end of the backoff; health checks follow nextProbeAt
 	downCount       int       // consecutive transitions to down and failed health checks
 	misdirected     bool      // another server answered at its address
+	endedAt         time.Time // when the announced process was found to have ended, zero if it was not
 	nextProbeAt     time.Time
 
 	coldSentAt []time.Time // times of the requests in coldWindow
@@ -119,6 +120,7 @@
 	if info.StartMS != s.info.StartMS || info.Address != s.info.Address || info.Release != s.info.Release {
 		s.resetState(now)
 	}
+	s.refuteEnd(info.Heard)
 	if info.Heard.After(s.downSince) && !s.downSince.IsZero() {
 		s.markUp()
 	}
@@ -131,7 +133,7 @@
 	s.backlogTokens, s.updatedAt = 0, now
 	s.prefillRate = max(s.prefillRate*restartRateFactor, minPrefillRate)
 	s.failureRate, s.downCount = 0, 0
-	s.downSince, s.misdirected = time.Time{}, false
+	s.downSince, s.misdirected, s.endedAt = time.Time{}, false, time.Time{}
 	s.backoffUntil = time.Time{}
 }
 
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
@@ -149,6 +150,9 @@
 	if a.outcome == dispatch.ConnectionLost {
 		x.recordLostConnection(v)
 	}
+	if a.outcome == dispatch.ConnectFailed && errors.Is(a.err, syscall.ECONNREFUSED) {
+		x.s.recordEnd(processOf(v))
+	}
 	if a.outcome == dispatch.CallerDisconnected && a.sent && !x.answerBegan() {
 		x.watchServer(v)
 	}
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -220,7 +220,7 @@
 // no start time look equal. The caller must hold mu.
 func (s *Server) releaseOnArrival(v dispatch.Decision) release.ID {
 	e, ok := s.fleetView.servers.Get(v.Server)
-	if ok && e.Release != v.Release {
+	if ok && e.Release != v.Release || s.dispatcher.HasEnded(v.Server, v.StartMS) {
 		return release.Unknown
 	}
 	return v.Release
--- a/pkg/edge/resumption_test.go
+++ b/pkg/edge/resumption_test.go
@@ -35,7 +35,7 @@
 
 // newStreamTestOf is newStreamTest with the start time of the server processes.
 func newStreamTestOf(startMS int64) *proxiedRequest {
-	s := &Server{log: logging.ForComponent("edge"), metrics: newMetrics(metrics.NewRegistry())}
+	s := &Server{log: logging.ForComponent("edge"), metrics: newMetrics(metrics.NewRegistry()), dispatcher: dispatch.New("edge", "z", time.Now())}
 	s.fleetView = newFleetView(nil, s.log)
 	s.streamRecords = recorder.New(s.log, s.metrics.registry)
 	s.takeUps = streamrecord.NewTakeUps(maxTakeUpsKept, dispatch.TakeUpWindow)
--- a/pkg/edge/server_loss.go
+++ b/pkg/edge/server_loss.go
@@ -24,7 +24,7 @@
 
 // addLostConnection does so for an attempt that began at the given time.
 func (x *proxiedRequest) addLostConnection(v dispatch.Decision, sent time.Time, begun bool) {
-	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
+	server := processOf(v)
 	if l := x.s.losses.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: sent, Begun: begun, Further: !begun && x.markLost()}); l != nil {
 		go x.s.checkLoss(l)
 	}
@@ -42,6 +42,9 @@
 // checkLoss finds out whether a server process has ended.
 func (s *Server) checkLoss(l *losses.Loss) {
 	ended := losses.HasEnded(s.ctx, l.Address, connectTimeout)
+	if ended {
+		s.recordEnd(l.Process)
+	}
 	confirmed := s.losses.Finish(l, ended)
 	s.logLoss(l, ended, "connection check")
 	if confirmed {
@@ -51,6 +54,18 @@
 	}
 }
 
+// processOf returns the process that the decision chose.
+func processOf(v dispatch.Decision) losses.Process {
+	return losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
+}
+
+// recordEnd records that a server process has ended.
+func (s *Server) recordEnd(p losses.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.RecordEnd(time.Now(), p.ID, p.StartMS)
+}
+
 // logLoss logs how many requests were lost with a server, and whether its process
 // has ended.
 func (s *Server) logLoss(l *losses.Loss, ended bool, source string) {
@@ -67,7 +82,7 @@
 // watchServer records an attempt whose caller left before the answer began, and has the
 // server checked.
 func (x *proxiedRequest) watchServer(v dispatch.Decision) {
-	server := losses.Process{ID: v.Server, Address: v.Address, StartMS: v.StartMS}
+	server := processOf(v)
 	if x.s.left.Add(time.Now(), server, losses.Request{Suspects: x.suspects, Sent: x.attemptStartedAt, Further: x.markLost()}) {
 		go x.s.checkLeft(server)
 	}
@@ -84,6 +99,9 @@
 		}
 		began := time.Now().Add(losses.CollectTime)
 		ended := losses.HasEnded(s.ctx, server.Address, connectTimeout)
+		if ended {
+			s.recordEnd(server)
+		}
 		var lost []losses.Request
 		lost, again = s.left.Take(began, server, ended)
 		for _, r := range lost {
