standin: state a request limit and record arrivals

Tests of Server-Limit need a server that states it and a record of what reached it. The fault limit sets the header of all answers, as text so that tests can state a malformed one.

--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -24,6 +24,7 @@
 	FaultStopAnnounce  FaultKind = "stop_announcing"
 	FaultStartAnnounce FaultKind = "start_announcing"
 	FaultLeave         FaultKind = "leave"
+	FaultLimit         FaultKind = "limit" // answers state Limit as Server-Limit
 )
 
 // Fault is the body of POST /v1/faults.
@@ -32,6 +33,7 @@
 	Count   int       `json:"count"`            // affected responses, 0 means 1
 	DelayMS int64     `json:"delay_ms"`         // of FaultRestartCold: time in state starting, 0: as in the settings, negative: none
 	Version string    `json:"software_version"` // of the process after FaultRestartCold, empty: as before
+	Limit   string    `json:"limit"`            // of FaultLimit, requests a second; empty: none
 }
 
 // Delay returns the delay of a FaultLate response or of a start.
@@ -76,6 +78,8 @@
 		s.restartCold(cmp.Or(f.Delay(), s.cfg.StartTime.AsDuration()))
 	case FaultStopAnnounce, FaultStartAnnounce:
 		s.faults.announcementsStopped = f.Kind == FaultStopAnnounce
+	case FaultLimit:
+		s.limit.text = f.Limit
 	case FaultLeave:
 		s.state = backend.Leaving
 		s.requestAnnouncement()
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -61,6 +61,7 @@
 	executedOrders    []ExecutedOrder
 	faults            faults
 	loadSamples       []loadSample
+	limit             statedLimit
 }
 
 type loadSample struct {
@@ -120,12 +121,12 @@
 	mux.HandleFunc("POST /v1/faults", s.handleFault)
 	mux.HandleFunc("POST /v1/orders", s.handleOrder)
 	mux.HandleFunc("GET /v1/orders", s.handleListOrders)
-	mux.HandleFunc("POST /v1/cancel", s.handleCancel)
+	mux.Handle("POST /v1/cancel", s.recordArrivals(http.HandlerFunc(s.handleCancel)))
 	mux.HandleFunc("GET /v1/cache_events", s.handleCacheEvents)
 	if s.cfg.Kind == backend.Engine {
-		mux.HandleFunc("POST /v1/chat/completions", s.handleChat)
+		mux.Handle("POST /v1/chat/completions", s.recordArrivals(http.HandlerFunc(s.handleChat)))
 	} else {
-		mux.HandleFunc("/", s.handlePlainRequest)
+		mux.Handle("/", s.recordArrivals(http.HandlerFunc(s.handlePlainRequest)))
 	}
 	return mux
 }
