router: keep the request limit that a server states

Callers of a server in need: it names Server-Limit, the requests a second that it takes from all hosts together, and gets all that its slots allow.

Cause: nothing read the header. Owners bound concurrent requests only.

Change: routers report what the head of each answer states to the owner of the pool, at once, because streams settle late. The owner grants no more than the lowest limit of the last second: a token bucket for each process of a server, beside the limit on concurrent requests. Loans to other data centres, resume and cancel requests take tokens too. The limit moves with a handover; a new owner without one gets it from the routers. It ends with an answer without the header to a later request, or with the process. Predicted waits and Retry-After count the limits. Grants say that a server is limited, so that any router reports the end.

--- a/pkg/cli/routers.go
+++ b/pkg/cli/routers.go
@@ -45,7 +45,7 @@
 // serverTable lists every backend server once, as reported by the owner of its
 // shard: only the owner knows the server's limit.
 func serverTable(statuses []routerResponse[router.Status]) table {
-	t := table{columns: []string{"server", "pool", "state", "owner", "limit", "full_limit", "cold", "in_flight", "queue", "floor"}}
+	t := table{columns: []string{"server", "pool", "state", "owner", "limit", "full_limit", "cold", "in_flight", "request_limit", "queue", "floor"}}
 	for _, response := range statuses {
 		for _, shard := range response.value.Shards {
 			floor := "-"
@@ -53,7 +53,11 @@
 				floor = fmt.Sprint(shard.Floor)
 			}
 			for _, server := range shard.Servers {
-				t.addRow(server.Name, shard.Shard.Pool, server.State, response.value.Name, server.Limit, server.Full, server.Cold, server.InFlight, shard.Waiting, floor)
+				var requestLimit any = "-"
+				if server.RequestLimit != nil {
+					requestLimit = *server.RequestLimit // requests a second
+				}
+				t.addRow(server.Name, shard.Shard.Pool, server.State, response.value.Name, server.Limit, server.Full, server.Cold, server.InFlight, requestLimit, shard.Waiting, floor)
 			}
 		}
 	}
--- a/pkg/peer/convert.go
+++ b/pkg/peer/convert.go
@@ -44,6 +44,7 @@
 		PrefixHash:  a.PrefixHash,
 		Avoid:       a.Avoid,
 		TakesUp:     a.TakesUp,
+		SendTo:      a.SendTo,
 		Model:       a.Model,
 	}}}
 }
@@ -63,6 +64,7 @@
 		PrefixHash:  m.PrefixHash,
 		Avoid:       m.Avoid,
 		TakesUp:     m.TakesUp,
+		SendTo:      m.SendTo,
 	}
 }
 
@@ -87,6 +89,7 @@
 		BootId:        g.BootID,
 		Abilities:     abilitiesToProto(g.Abilities),
 		EstimateUnits: g.EstimateUnits,
+		Limited:       g.Limited,
 	}
 }
 
@@ -102,6 +105,7 @@
 		BootID:        m.BootId,
 		Abilities:     abilitiesFromProto(m.Abilities),
 		EstimateUnits: m.EstimateUnits,
+		Limited:       m.Limited,
 	}
 }
 
@@ -247,6 +251,7 @@
 		TtlMs:     uint32(l.TTL.Milliseconds()),
 		Models:    l.Models,
 		Abilities: abilitiesToProto(l.Abilities),
+		Limited:   l.Limited,
 	}
 }
 
@@ -264,6 +269,7 @@
 		Models:    m.Models,
 		Abilities: abilitiesFromProto(m.Abilities),
 		TTL:       time.Duration(m.TtlMs) * time.Millisecond,
+		Limited:   m.Limited,
 	}
 }
 
@@ -297,12 +303,57 @@
 	return l
 }
 
+// LimitToEnvelope converts a statement of a server to an envelope for the owner of shard.
+func LimitToEnvelope(shard pool.ShardID, s pool.LimitStatement) *apiv1.Envelope {
+	return &apiv1.Envelope{Item: &apiv1.Envelope_ServerLimit{ServerLimit: &apiv1.ServerLimit{
+		Shard:     ShardToProto(shard),
+		Server:    s.Server,
+		BootId:    s.BootID,
+		Limited:   s.Limited,
+		PerSecond: s.PerSecond,
+		AgeUs:     s.Age.Microseconds(),
+		SentAgeUs: s.SentAge.Microseconds(),
+		GrantId:   s.GrantID,
+		Epoch:     s.Epoch,
+	}}}
+}
+
+// LimitFromProto converts a protobuf message to a statement of a server. It reports false
+// if the limit is not a usable number.
+func LimitFromProto(m *apiv1.ServerLimit) (pool.LimitStatement, bool) {
+	s := pool.LimitStatement{
+		Server:    m.Server,
+		BootID:    m.BootId,
+		Limited:   m.Limited,
+		PerSecond: m.PerSecond,
+		Age:       ageFromMicroseconds(m.AgeUs),
+		SentAge:   ageFromMicroseconds(m.SentAgeUs),
+		GrantID:   m.GrantId,
+		Epoch:     m.Epoch,
+	}
+	return s, !s.Limited || isRequestRate(s.PerSecond)
+}
+
+// isRequestRate reports whether a limit in requests a second is usable. It is false for
+// numbers that are not finite.
+func isRequestRate(perSecond float64) bool {
+	return perSecond >= 0 && perSecond <= backend.MaxRequestRate
+}
+
+// maxAge bounds ages from other routers, so that a time less an age stays valid.
+const maxAge = 24 * time.Hour
+
+func ageFromMicroseconds(us int64) time.Duration {
+	return time.Duration(min(max(us, 0), maxAge.Microseconds())) * time.Microsecond
+}
+
 // HandoverToEnvelope converts the handover of a shard to an envelope.
 func HandoverToEnvelope(h pool.Handover) *apiv1.Envelope {
 	m := &apiv1.Handover{Shard: ShardToProto(h.Shard), Epoch: h.Epoch, Grants: heldGrantsToProto(h.Grants)}
 	for _, s := range h.Servers {
 		m.Servers = append(m.Servers, &apiv1.ServerState{
 			AnnouncementJson: s.Announcement, Limit: uint32(max(s.Limit, 0)), Cold: s.Cold, Unsettled: uint32(max(s.Unsettled, 0)),
+			Limited: s.Limited, PerSecond: s.PerSecond, LimitAgeUs: s.LimitAge.Microseconds(),
 		})
 	}
 	for _, g := range h.Grants {
@@ -316,7 +367,10 @@
 func HandoverFromProto(m *apiv1.Handover) pool.Handover {
 	h := pool.Handover{Shard: ShardFromProto(m.Shard), Epoch: m.Epoch}
 	for _, s := range m.Servers {
-		h.Servers = append(h.Servers, pool.ServerState{Announcement: s.AnnouncementJson, Limit: int(s.Limit), Cold: s.Cold, Unsettled: int(s.Unsettled)})
+		h.Servers = append(h.Servers, pool.ServerState{
+			Announcement: s.AnnouncementJson, Limit: int(s.Limit), Cold: s.Cold, Unsettled: int(s.Unsettled),
+			Limited: s.Limited && isRequestRate(s.PerSecond), PerSecond: s.PerSecond, LimitAge: ageFromMicroseconds(s.LimitAgeUs),
+		})
 	}
 	for i, g := range m.Grants {
 		if i < len(m.Holders) {
--- a/pkg/peer/convert_test.go
+++ b/pkg/peer/convert_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -76,3 +77,42 @@
 		assert.DeepEqual(t, AskFromProto(from, c, marshalRoundTrip(t, AskToEnvelope(north, newAsk, now).GetAsk(), &apiv1.Ask{}), now), newAsk)
 	}
 }
+
+// Guards against a limit of a server that is lost or changed between two routers: in the
+// statement itself, in a handover, and in what tells a router that the end of a limit counts.
+func TestMessagesKeepServerLimits(t *testing.T) {
+	g := pool.Grant{RequestID: 1, GrantID: 2, Epoch: 3, Server: "s1", Limited: true}
+	assert.DeepEqual(t, GrantFromProto(marshalRoundTrip(t, GrantToProto(north, g), &apiv1.Grant{})), g)
+	l := pool.Loan{From: north, To: south, Server: "s1", Limited: true}
+	assert.DeepEqual(t, LoanFromProto(marshalRoundTrip(t, LoanToProto(l), &apiv1.Loan{})), l)
+	a := pool.Ask{RequestID: 1, Class: class.Class{Name: "chat"}, Arrived: time.Unix(1_700_000_000, 0), SendTo: "s1", TakesUp: true}
+	m := marshalRoundTrip(t, AskToEnvelope(north, a, a.Arrived), &apiv1.Envelope{})
+	assert.DeepEqual(t, AskFromProto(a.Router, a.Class, m.GetAsk(), a.Arrived), a)
+	h := pool.Handover{Shard: north, Epoch: 4, Servers: []pool.ServerState{{Announcement: []byte("{}"), Limit: 5, Limited: true, PerSecond: 2.5, LimitAge: time.Second}}}
+	m = marshalRoundTrip(t, HandoverToEnvelope(h), &apiv1.Envelope{})
+	assert.DeepEqual(t, HandoverFromProto(m.GetHandover()), h)
+	for _, s := range []pool.LimitStatement{
+		{Server: "s1", BootID: 5, Limited: true, PerSecond: 0.5, Age: time.Second, SentAge: 2 * time.Second, GrantID: 6, Epoch: 7},
+		{Server: "s1", BootID: 5, SentAge: 300 * time.Microsecond},
+	} {
+		m = marshalRoundTrip(t, LimitToEnvelope(north, s), &apiv1.Envelope{})
+		got, ok := LimitFromProto(m.GetServerLimit())
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, got, s)
+		assert.Equal(t, ShardFromProto(m.GetServerLimit().Shard), north)
+	}
+}
+
+// Guards against numbers from another router that are no limits or ages.
+func TestOddServerLimitIsRejected(t *testing.T) {
+	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1), 2 * backend.MaxRequestRate} {
+		_, ok := LimitFromProto(&apiv1.ServerLimit{Server: "s1", Limited: true, PerSecond: perSecond})
+		assert.Assert(t, !ok, "%g", perSecond)
+		h := HandoverFromProto(&apiv1.Handover{Servers: []*apiv1.ServerState{{Limited: true, PerSecond: perSecond}}})
+		assert.Assert(t, !h.Servers[0].Limited, "%g", perSecond)
+	}
+	s, ok := LimitFromProto(&apiv1.ServerLimit{Server: "s1", AgeUs: -5, SentAgeUs: math.MaxInt64})
+	assert.Assert(t, ok)
+	assert.Equal(t, s.Age, time.Duration(0))
+	assert.Equal(t, s.SentAge, maxAge)
+}
--- a/pkg/pool/handover.go
+++ b/pkg/pool/handover.go
@@ -32,7 +32,11 @@
 			continue // a decoded announcement always encodes
 		}
 		st := s.limit.State()
-		h.Servers = append(h.Servers, ServerState{Announcement: text, Limit: st.Full, Cold: st.Cold, Unsettled: o.unsettledSlots(s)})
+		state := ServerState{Announcement: text, Limit: st.Full, Cold: st.Cold, Unsettled: o.unsettledSlots(s)}
+		if s.isLimited() {
+			state.Limited, state.PerSecond, state.LimitAge = true, s.rate.limit(), o.now.Sub(s.rate.statedAt)
+		}
+		h.Servers = append(h.Servers, state)
 	}
 	for _, g := range o.sortedGrants() {
 		h.Grants = append(h.Grants, heldGrant(g))
@@ -110,6 +114,7 @@
 			s.limit.Restore(now, state.Limit, state.Cold)
 			s.restoreDecided = true
 			o.occupyUnsettled(s, state.Unsettled)
+			o.restoreRate(s, state)
 		}
 	}
 	for _, g := range h.Grants {
--- a/pkg/pool/loans.go
+++ b/pkg/pool/loans.go
@@ -23,6 +23,8 @@
 	given     time.Time // when the loan was made
 	confirmed bool      // the borrower has answered: it uses the slots that it did not return
 	openSlots uint32    // slots not yet returned
+	// rateCharged: counts against the limit that the server has stated.
+	rateCharged bool
 }
 
 // borrowedSlot is a slot of a loan from a peer, in use by one grant.
@@ -143,7 +145,9 @@
 		Models:    s.announcement.Models,
 		Abilities: s.announcement.Abilities,
 		TTL:       o.cfg.LoanTTL,
+		Limited:   s.isLimited(),
 	}}
+	l.rateCharged = o.takeRequest(s)
 	o.lentSlots[o.lastLoan] = l
 	o.takeSlot(s)
 	o.outbox.Loans = append(o.outbox.Loans, l.loan)
@@ -232,6 +236,9 @@
 	l.confirmed = true
 	unused := min(r.Unused, l.openSlots)
 	for range unused {
+		if l.rateCharged && l.loan.BootID == l.server.announcement.BootID {
+			o.returnRequest(l.server)
+		}
 		o.settleSlot(l.server, 0, limiter.Sample{Result: limiter.Inconclusive})
 	}
 	l.openSlots -= unused
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -42,6 +42,7 @@
 	promptUnits   uint32
 	estimateUnits uint64    // charged cost
 	takeUpUnits   float64   // charged to the bound of take-ups
+	rateCharged   bool      // counts against the limit that the server has stated
 	granted       time.Time // when this owner made or learned of the grant
 	message       Grant     // repeated if the router asks again
 }
@@ -71,8 +72,10 @@
 	lastGrant  uint64                // id
 
 	servers           map[string]*server
-	serversByNumber   []*server // index is server.number; removed servers stay
-	slotsByModel      []int     // sum of the limits of the usable servers, by model index
+	rates             map[string]*requestRate // by server name, also of servers not announced yet
+	limited           []*server               // those that have stated a limit
+	serversByNumber   []*server               // index is server.number; removed servers stay
+	slotsByModel      []int                   // sum of the limits of the usable servers, by model index
 	heapsByModel      []serverHeap
 	indexByModel      map[string]int // 0 for the pool itself
 	prefixes          prefixTable
@@ -120,6 +123,7 @@
 		grants:            map[grantKey]*grant{},
 		granted:           map[requestKey]*grant{},
 		servers:           map[string]*server{},
+		rates:             map[string]*requestRate{},
 		indexByModel:      map[string]int{"": 0, id.Pool: 0},
 		heapsByModel:      make([]serverHeap, 1),
 		slotsByModel:      make([]int, 1),
@@ -158,9 +162,12 @@
 	out.Loans = append(out.Loans, o.outbox.Loans...)
 	out.LoanReturns = append(out.LoanReturns, o.outbox.LoanReturns...)
 	out.Summaries = append(out.Summaries, o.outbox.Summaries...)
+	out.ForwardedLimits = append(out.ForwardedLimits, o.outbox.ForwardedLimits...)
+	out.LimitChanges = append(out.LimitChanges, o.outbox.LimitChanges...)
 	b := &o.outbox
 	b.Grants, b.Refusals, b.Loans = b.Grants[:0], b.Refusals[:0], b.Loans[:0]
 	b.LoanReturns, b.Summaries = b.LoanReturns[:0], b.Summaries[:0]
+	b.ForwardedLimits, b.LimitChanges = b.ForwardedLimits[:0], b.LimitChanges[:0]
 }
 
 // Ask grants a slot, queues the ask or refuses it. A repeated ask that still
@@ -172,6 +179,11 @@
 	}
 	o.now = now
 	o.endEarlierIncarnations(a.Router)
+	o.refreshLimited()
+	if a.SendTo != "" {
+		o.askToSend(&a)
+		return
+	}
 	key := requestKey{a.Router, a.RequestID}
 	if g := o.granted[key]; g != nil {
 		if g.message.Address != "" {
@@ -294,7 +306,9 @@
 	if g := o.granted[key]; g != nil {
 		o.settleGrant(g, Settle{GrantID: g.key.id, Epoch: g.key.epoch, Outcome: OutcomeUnused})
 		o.dispatch()
+		return
 	}
+	o.cancelSend(key)
 }
 
 // Settle ends a grant and returns its slot. It ignores unknown grants.
@@ -366,6 +380,7 @@
 	if o.handedOver || o.now.Before(o.recoveryEnd) {
 		return
 	}
+	o.refreshLimited()
 	for o.grantOrLend() {
 	}
 	for _, w := range o.skipped {
@@ -410,8 +425,10 @@
 	if b != nil {
 		g.loan = b
 		g.message.Server, g.message.Address, g.message.BootID = b.loan.Server, b.loan.Address, b.loan.BootID
-		g.message.Abilities = b.loan.Abilities
+		g.message.Abilities, g.message.Limited = b.loan.Abilities, b.loan.Limited
 	} else {
+		g.message.Limited = s.isLimited()
+		g.rateCharged = o.takeRequest(s)
 		o.occupySlot(g, s)
 		o.prefixes.addHolder(w.ask.PrefixHash, s.number)
 		g.message.Server, g.message.Address, g.message.BootID = s.announcement.Name, s.announcement.Address, s.announcement.BootID
--- a/pkg/pool/predict.go
+++ b/pkg/pool/predict.go
@@ -64,9 +64,8 @@
 	if latest := o.now.Add(maxRetryAfter); retryAt.After(latest) {
 		retryAt = latest
 	}
-	if slots := o.usableSlots(modelIndex); slots > 0 {
-		slotInterval := o.stats.slotTime / time.Duration(slots) * time.Duration(max(o.queue.Active(), 1))
-		flow.LatestRetryAt = retryAt.Add(slotInterval)
+	if o.usableSlots(modelIndex) > 0 {
+		flow.LatestRetryAt = retryAt.Add(o.slotInterval(modelIndex) * time.Duration(max(o.queue.Active(), 1)))
 	}
 	return retryAt.Sub(o.now)
 }
@@ -82,11 +81,10 @@
 // predictWait returns the expected wait of a new ask of the workspace for a
 // slot, 0 if no request has succeeded yet or the model has no slot.
 func (o *Owner) predictWait(flow *fairshare.Flow, modelIndex int, mayWait bool) time.Duration {
-	slots := o.usableSlots(modelIndex)
-	if o.stats.slotTime == 0 || slots == 0 {
+	perSlot := o.slotInterval(modelIndex) // mean time between two slots that become free
+	if perSlot == 0 {
 		return 0
 	}
-	perSlot := o.stats.slotTime / time.Duration(slots) // mean time between two slots that become free
 	ahead := o.queue.WaitingForModel(modelIndex)
 	if !mayWait {
 		ahead = min(ahead, o.waitingUrgent)
@@ -111,9 +109,8 @@
 // nextSlotDelay returns the expected time until a workspace that waits gets its
 // next slot: one slot for each waiting workspace.
 func (o *Owner) nextSlotDelay(flow *fairshare.Flow) time.Duration {
-	slots := o.usableSlots(0)
-	if slots == 0 {
+	if o.usableSlots(0) == 0 {
 		return minRetryAfter
 	}
-	return o.stats.slotTime / time.Duration(slots) * time.Duration(o.queue.Active())
+	return o.slotInterval(0) * time.Duration(o.queue.Active())
 }
--- a/pkg/pool/servers.go
+++ b/pkg/pool/servers.go
@@ -23,20 +23,21 @@
 	number           uint32               // index in Owner.serversByNumber
 	announcement     backend.Announcement // the last one
 	limit            *limiter.Limiter
-	announcedAt      time.Time // when the last announcement arrived
-	bootSeenAt       time.Time // first announcement of this boot id, or of this server
-	dataCentreBackAt time.Time // when its data centre was taken back in
-	connectionLost   bool      // no announcement since a request lost its connection or stalled
-	restoreDecided   bool      // restoreIfWarm has nothing more to decide
-	orphanedSlots    int       // slots in use by requests whose end nobody will report
-	lastOrphanAt     time.Time // when orphanedSlots last rose
-	loadTakenAt      time.Time // when the last load report was taken
-	lastUse          uint64    // sequence number of the last grant or loan
-	countedSlots     int       // slots counted in Owner.slotsByModel
-	lowReports       int       // consecutive load reports with fewer requests than slots in use
-	modelIndexes     []int     // indexes of the models that the server serves
-	heapIndexes      []int     // index in the heap of each of modelIndexes
-	loadKey          float64   // see serverLoadKey
+	announcedAt      time.Time    // when the last announcement arrived
+	bootSeenAt       time.Time    // first announcement of this boot id, or of this server
+	dataCentreBackAt time.Time    // when its data centre was taken back in
+	connectionLost   bool         // no announcement since a request lost its connection or stalled
+	restoreDecided   bool         // restoreIfWarm has nothing more to decide
+	orphanedSlots    int          // slots in use by requests whose end nobody will report
+	lastOrphanAt     time.Time    // when orphanedSlots last rose
+	loadTakenAt      time.Time    // when the last load report was taken
+	lastUse          uint64       // sequence number of the last grant or loan
+	countedSlots     int          // slots counted in Owner.slotsByModel
+	lowReports       int          // consecutive load reports with fewer requests than slots in use
+	modelIndexes     []int        // indexes of the models that the server serves
+	heapIndexes      []int        // index in the heap of each of modelIndexes
+	loadKey          float64      // see serverLoadKey
+	rate             *requestRate // by what the answers of the process state, nil if nothing
 }
 
 // isUsable reports whether the server may receive new requests. A cold server
@@ -57,10 +58,11 @@
 }
 
 // serverLoadKey returns the used part of the limit of a server, by which the
-// heaps are ordered: +Inf if the server is not usable or has no free slot.
+// heaps are ordered: +Inf if the server is not usable, has no free slot or has got as many
+// requests as its stated limit allows.
 func (o *Owner) serverLoadKey(s *server) float64 {
 	st := s.limit.State()
-	if !o.isUsable(s) || st.InFlight >= st.Limit {
+	if !o.isUsable(s) || st.InFlight >= st.Limit || !o.mayGetRequest(s) {
 		return math.Inf(1)
 	}
 	return float64(st.InFlight) / float64(st.Limit)
@@ -122,6 +124,7 @@
 	s.limit.SetKnownRouters(o.now, o.known, o.live, o.rank)
 	o.servers[a.Name] = s
 	o.serversByNumber = append(o.serversByNumber, s)
+	o.attachRate(s)
 	o.assignModels(s)
 	o.attachHeldGrants(s)
 	return s
@@ -149,6 +152,7 @@
 		o.releaseSlot(s, limiter.Sample{Result: limiter.Inconclusive})
 	}
 	o.prefixes.removeServer(s.number)
+	o.detachRate(s)
 }
 
 // applyLoadReport passes the load report of the last announcement to the limiter
@@ -327,6 +331,7 @@
 			o.slotsByModel[modelIndex] -= s.countedSlots
 		}
 		s.modelIndexes, s.heapIndexes, s.countedSlots = nil, nil, 0
+		o.detachRate(s)
 		delete(o.servers, name)
 	}
 }
--- a/pkg/pool/settle.go
+++ b/pkg/pool/settle.go
@@ -25,6 +25,9 @@
 		o.returnBorrowedSlot(g.loan, s)
 	}
 	if g.server != nil {
+		if g.rateCharged && !mayHaveReachedServer(s.Outcome) && g.message.BootID == g.server.announcement.BootID {
+			o.returnRequest(g.server)
+		}
 		o.settleGrantSlot(g, s)
 	}
 	o.deleteGrant(g)
--- a/pkg/pool/snapshot.go
+++ b/pkg/pool/snapshot.go
@@ -14,6 +14,9 @@
 	Cold     bool // the limit is in the cold start ramp
 	InFlight int  // slots in use that this owner counts
 	Unseen   int  // reported requests that this owner does not count
+	// RequestLimit is what the server has stated of the requests a second that it takes
+	// from all routers together, nil if nothing.
+	RequestLimit *float64
 }
 
 // OwnerView is the state of an Owner for status output. Its JSON fields have
@@ -44,7 +47,7 @@
 	v.Floor, _ = o.queue.Floor()
 	for _, s := range o.sortedServers() {
 		st := s.limit.State()
-		v.Servers = append(v.Servers, ServerView{
+		view := ServerView{
 			Name:     s.announcement.Name,
 			Address:  s.announcement.Address,
 			State:    s.announcement.State,
@@ -54,7 +57,12 @@
 			Cold:     st.Cold,
 			InFlight: st.InFlight,
 			Unseen:   st.Unseen,
-		})
+		}
+		if s.isLimited() {
+			limit := s.rate.limit()
+			view.RequestLimit = &limit
+		}
+		v.Servers = append(v.Servers, view)
 	}
 	return v
 }
--- a/pkg/pool/takeup.go
+++ b/pkg/pool/takeup.go
@@ -149,17 +149,13 @@
 // predictTakeUpWait returns the expected wait of an ask that goes ahead: for those before
 // it, and for new asks between them once the burst is used.
 func (o *Owner) predictTakeUpWait(modelIndex int) time.Duration {
-	slots := o.usableSlots(modelIndex)
-	if slots == 0 {
-		return 0
-	}
 	before := 0
 	if modelIndex < len(o.takeUps.byModel) {
 		before = o.takeUps.byModel[modelIndex].Len()
 	}
 	between := max(before+1-(o.burst()-o.takeUps.ahead), 0)
 	between = min(between, o.queue.WaitingForModel(modelIndex)-before)
-	return o.stats.slotTime / time.Duration(slots) * time.Duration(before+between+1)
+	return o.slotInterval(modelIndex) * time.Duration(before+between+1)
 }
 
 // displaceable returns the waiting ask that a take-up takes the place of in a full queue,
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -9,12 +9,14 @@
 		return
 	}
 	o.now = now
+	o.refreshLimited()
 	o.refuseExpired()
 	if now.Sub(o.housekeepingAt) >= housekeepingInterval {
 		o.housekeepingAt = now
 		o.queue.RefreshVirtualTimes()
 		o.reclaimLapsedLoans()
 		o.removeSilentServers()
+		o.removeOldRates()
 		o.updateFloor()
 		for _, s := range o.servers {
 			o.reposition(s)
@@ -49,6 +51,9 @@
 	if at, ok := o.queue.NextStarvationCheck(); ok && at.After(o.now) {
 		next = earlierTime(next, at)
 	}
+	if at, ok := o.nextTokenAt(); ok && o.queue.Len() > 0 {
+		next = earlierTime(next, at)
+	}
 	if o.cfg.LendingEnabled {
 		next = earlierTime(next, o.nextSummaryAt())
 	}
@@ -65,13 +70,18 @@
 	return a
 }
 
-// freeSlots returns the number of free slots of the usable servers.
+// freeSlots returns the number of free slots of the usable servers that may get requests now.
 func (o *Owner) freeSlots() int {
 	n := 0
 	for _, s := range o.servers {
 		if o.isUsable(s) {
 			st := s.limit.State()
-			n += max(st.Limit-st.InFlight, 0)
+			free := max(st.Limit-st.InFlight, 0)
+			if s.isLimited() {
+				s.rate.refill(o.now, o.ratePart())
+				free = min(free, max(int(s.rate.tokens), 0))
+			}
+			n += free
 		}
 	}
 	return n
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -44,6 +44,9 @@
 	PrefixHash  uint64    // 0 if there is no prefix
 	Avoid       []string  // names of servers that must not be chosen
 	TakesUp     bool      // asks for the rest of a stream
+	// SendTo asks for one more send to this server for a request that holds a slot there.
+	// It is granted with the GrantID 0, and no slot.
+	SendTo string
 }
 
 // Grant allows one request to be sent to one BackendServer.
@@ -57,6 +60,7 @@
 	BootID        uint64
 	Abilities     backend.Abilities // only those that api/v1 transmits
 	EstimateUnits uint64            // service units that the owner charged
+	Limited       bool              // the server has stated a limit on requests a second
 }
 
 // Refusal answers an ask without a grant. The request has not run.
@@ -136,6 +140,7 @@
 	Models    []string          // models that the server serves besides that of its pool
 	Abilities backend.Abilities // only those that api/v1 transmits
 	TTL       time.Duration     // the lender reclaims unconfirmed slots after twice this time
+	Limited   bool              // the server has stated a limit on requests a second
 }
 
 // LoanReturn returns slots of a loan, unused or after their requests ended. It
@@ -155,6 +160,9 @@
 	Limit        int    // over all routers
 	Cold         bool
 	Unsettled    int // slots in use besides the grants: lent ones and those with an unknown end
+	Limited      bool
+	PerSecond    float64       // limit that the server has stated, requests a second
+	LimitAge     time.Duration // since the server last stated it
 }
 
 // Handover passes a shard to its next owner. The sender grants nothing after it.
@@ -172,4 +180,7 @@
 	Loans       []Loan
 	LoanReturns []LoanReturn
 	Summaries   []Summary // for each owner of the same pool in another data centre
+	// ForwardedLimits are for the owners of borrowed servers.
+	ForwardedLimits []ForwardedLimit
+	LimitChanges    []LimitChange // for the log
 }
--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -43,6 +43,9 @@
 		case <-time.After(delay):
 		}
 		delay *= 2
+		if !f.r.maySendAgain(f.requestCtx, true) {
+			continue
+		}
 		err := f.resumeOnce()
 		if err == nil {
 			return nil
@@ -54,6 +57,11 @@
 	return errors.New("every attempt to resume the stream failed")
 }
 
+// maySendAgain calls MaySendAgain if it is set.
+func (r *Request) maySendAgain(ctx context.Context, wait bool) bool {
+	return r.MaySendAgain == nil || r.MaySendAgain(ctx, wait)
+}
+
 // resumeOnce sends one resume request and checks that the server continues at
 // the requested offset.
 func (f *forwarder) resumeOnce() error {
@@ -177,11 +185,13 @@
 	if !f.r.Abilities.Cancel || f.report.Err.Code == result.ServerError {
 		return
 	}
-	t, address, id := f.t, f.r.Address, f.r.ID
+	t, r := f.t, f.r
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		_ = t.Cancel(ctx, address, id)
+		if r.maySendAgain(ctx, false) {
+			_ = t.Cancel(ctx, r.Address, r.ID)
+		}
 	}()
 }
 
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -59,6 +59,13 @@
 	// one of its servers stated the release. nil: the servers may differ.
 	Versions func(stated release.ID) release.Versions
 
+	// ObserveHead is called with the head of each answer, also of one that is not
+	// forwarded. It may be nil.
+	ObserveHead func(Head)
+	// MaySendAgain reports whether the server may get one more request for this one. It
+	// may wait for the rest of a broken stream, not for a cancel request. nil: always.
+	MaySendAgain func(ctx context.Context, wait bool) bool
+
 	// PromptTokens is the router's estimate, used when the engine reports no usage.
 	PromptTokens uint64
 	// InterceptServerError ends the exchange before any of a response with
@@ -67,6 +74,13 @@
 	InterceptServerError bool
 }
 
+// Head is the head of an answer of a server.
+type Head struct {
+	Header  http.Header
+	SentAt  time.Time // before the first byte of the request was sent
+	Matches bool      // the answer belongs to the request
+}
+
 // Sink receives the response for the caller.
 type Sink interface {
 	// WriteHead writes the status line and the headers. It is called once,
@@ -178,6 +192,7 @@
 	ctx, cancelRoundTrip := context.WithCancelCause(f.requestCtx)
 	f.cancelRoundTrip = cancelRoundTrip
 	f.progressTimer = time.AfterFunc(f.progressTimeout(), func() { cancelRoundTrip(errProgressTimeout) })
+	sentAt := time.Now()
 	resp, tr, err := f.t.sendRequest(ctx, r, unpooled, extra, body)
 	f.progressTimer.Stop()
 	f.roundTrip = tr
@@ -187,6 +202,9 @@
 	}
 	f.report.Sent = true
 	f.resp = resp
+	if f.r.ObserveHead != nil {
+		f.r.ObserveHead(Head{Header: resp.Header, SentAt: sentAt, Matches: f.checkRequestID() == nil})
+	}
 	return nil
 }
 
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -70,6 +70,7 @@
 	metrics.GetOrRegisterGauge("requests.open", r.metrics).Update(r.openRequests.Load())
 	metrics.GetOrRegisterGauge("requests.waiting", r.metrics).Update(int64(waiting))
 	metrics.GetOrRegisterGauge("requests.running", r.metrics).Update(int64(held))
+	metrics.GetOrRegisterGauge("server_limits.heard", r.metrics).Update(int64(r.limits.limitedCount()))
 	metrics.GetOrRegisterGauge("body_memory_bytes", r.metrics).Update(r.bodyMemoryBytes.Load())
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(r.metrics, w)
@@ -103,21 +104,24 @@
 
 // ServerStatus describes a BackendServer of the data centre.
 type ServerStatus struct {
-	Name       string  `json:"name"`
-	Pool       string  `json:"pool"`
-	Address    string  `json:"address"`
-	State      string  `json:"state"`
-	Owner      string  `json:"owner"`
-	SeenMS     float64 `json:"seen_ms"`
-	Limit      int     `json:"limit,omitempty"`      // concurrency limit at this router, owned shards only
-	FullLimit  int     `json:"full_limit,omitempty"` // sum over all routers
-	Cold       bool    `json:"cold,omitempty"`
-	InFlight   int     `json:"in_flight,omitempty"`
-	Accounted  bool    `json:"accounted"` // this router owns the shard and knows the limit
-	BootID     uint64  `json:"boot_id"`
-	Version    string  `json:"software_version,omitempty"`
-	CanResume  bool    `json:"can_resume"`
-	RepeatsIDs bool    `json:"repeats_ids"`
+	Name      string  `json:"name"`
+	Pool      string  `json:"pool"`
+	Address   string  `json:"address"`
+	State     string  `json:"state"`
+	Owner     string  `json:"owner"`
+	SeenMS    float64 `json:"seen_ms"`
+	Limit     int     `json:"limit,omitempty"`      // concurrency limit at this router, owned shards only
+	FullLimit int     `json:"full_limit,omitempty"` // sum over all routers
+	Cold      bool    `json:"cold,omitempty"`
+	InFlight  int     `json:"in_flight,omitempty"`
+	// RequestLimit is what the server has stated of the requests a second that it takes
+	// from all routers together.
+	RequestLimit *float64 `json:"request_limit,omitempty"`
+	Accounted    bool     `json:"accounted"` // this router owns the shard and knows the limit
+	BootID       uint64   `json:"boot_id"`
+	Version      string   `json:"software_version,omitempty"`
+	CanResume    bool     `json:"can_resume"`
+	RepeatsIDs   bool     `json:"repeats_ids"`
 }
 
 // Status returns the current state of the router for operators.
@@ -173,6 +177,7 @@
 	if v, ok := views[a.Name]; ok {
 		s.Accounted = true
 		s.Limit, s.FullLimit, s.Cold, s.InFlight = v.Limit, v.Full, v.Cold, v.InFlight
+		s.RequestLimit = v.RequestLimit
 	}
 	return s
 }
--- a/pkg/router/asks.go
+++ b/pkg/router/asks.go
@@ -88,6 +88,10 @@
 		return repeated
 	}
 	delete(t.waiting, g.RequestID)
+	if g.GrantID == 0 { // one more send of a request that holds a grant
+		w.reply <- reply{grant: g}
+		return true
+	}
 	t.held[grantKey{shard, g.Epoch, g.GrantID}] = held{shard: shard, grant: pool.HeldGrant{
 		Router:        w.ask.Router,
 		GrantID:       g.GrantID,
--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -146,6 +147,10 @@
 			r.servers.noteRelease(time.Now(), q.poolName, stated)
 			return r.confirmedVersions(q, versions)
 		},
+		ObserveHead: func(h proxy.Head) { r.observeHead(shard, g, h) },
+		MaySendAgain: func(ctx context.Context, wait bool) bool {
+			return r.maySendAgain(ctx, q, shard, g, wait)
+		},
 		PromptTokens:         uint64(q.chat.PromptUnits),
 		InterceptServerError: holdServerError,
 	}, monitor)
--- a/pkg/router/handover.go
+++ b/pkg/router/handover.go
@@ -7,7 +7,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/pool"
 )
 
-// shardBufferTTL is how long handovers and reports of held grants are kept
+// shardBufferTTL is how long handovers, limits and reports of held grants are kept
 // until this router owns the shard. It is longer than the time until all
 // routers know a membership change plus the wait of a new owner.
 const shardBufferTTL = 5 * time.Second
@@ -19,6 +19,13 @@
 	handover  *pool.Handover
 	held      map[pool.RouterID][]pool.HeldGrant // latest report of each router
 	asks      map[askKey]pool.Ask
+	limits    []bufferedLimit
+}
+
+// bufferedLimit is what an answer of a server has stated.
+type bufferedLimit struct {
+	receivedAt time.Time
+	statement  pool.LimitStatement
 }
 
 // askKey identifies an ask of another router.
@@ -31,6 +38,9 @@
 // new owner.
 const maxBufferedAsks = 1 << 16
 
+// maxBufferedLimits limits the memory for the limits of servers in the same way.
+const maxBufferedLimits = 1 << 12
+
 // shardBuffers holds the buffers of all shards.
 type shardBuffers struct {
 	mu      sync.Mutex
@@ -76,6 +86,20 @@
 	return true
 }
 
+// addLimit buffers what an answer of a server has stated. It does not keep an existing buffer
+// for longer, because such messages come often.
+func (b *shardBuffers) addLimit(now time.Time, shard pool.ShardID, st pool.LimitStatement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	buffer := b.buffers[shard]
+	if buffer == nil || now.Sub(buffer.updatedAt) > shardBufferTTL {
+		buffer = b.freshBuffer(now, shard)
+	}
+	if len(buffer.limits) < maxBufferedLimits {
+		buffer.limits = append(buffer.limits, bufferedLimit{now, st})
+	}
+}
+
 func (b *shardBuffers) removeAsk(shard pool.ShardID, from pool.RouterID, id uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,6 +144,12 @@
 	if b.handover != nil {
 		o.AcceptHandover(now, *b.handover)
 	}
+	for _, l := range b.limits {
+		waited := now.Sub(l.receivedAt)
+		l.statement.Age += waited
+		l.statement.SentAge += waited
+		o.HandleLimitStatement(now, l.statement)
+	}
 	for from, grants := range b.held {
 		o.HandleHeldGrants(now, from, grants)
 	}
--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -38,12 +38,13 @@
 }
 
 // usedShards returns the shards with asks, grants or recent settles of this
-// router.
+// router, and with limits that servers have stated to it.
 func (r *Router) usedShards() []pool.ShardID {
 	all := r.replays.shards()
 	for _, s := range r.askTable.shards() {
 		all[s] = struct{}{}
 	}
+	r.limits.addShards(all)
 	return slices.Collect(maps.Keys(all))
 }
 
@@ -111,6 +112,7 @@
 }
 
 func (r *Router) reportHeldGrants(shard pool.ShardID, owner pool.RouterID, grants []pool.HeldGrant) {
+	r.reportLimits(shard, owner)
 	if owner.Name == r.self.Name {
 		r.receiveHeldGrants(shard, r.self, grants)
 		return
--- a/pkg/router/remote.go
+++ b/pkg/router/remote.go
@@ -85,6 +85,9 @@
 	for _, l := range out.LoanReturns {
 		r.sendWithReplay(l.To, &apiv1.Envelope{Item: &apiv1.Envelope_LoanReturn{LoanReturn: peer.LoanReturnToProto(l)}})
 	}
+	for _, f := range out.ForwardedLimits {
+		r.sendToOwner(f.To, peer.LimitToEnvelope(f.To, f.Statement))
+	}
 	if len(out.Summaries) == 0 {
 		return
 	}
@@ -109,7 +112,8 @@
 }
 
 // HandleMessages implements peer.Handler. It ignores all messages of other data
-// centres except summaries, loans, loan returns, totals and quarantine news.
+// centres except summaries, loans, loan returns, limits of servers, totals and quarantine
+// news.
 func (r *Router) HandleMessages(from pool.RouterID, items []*apiv1.Envelope) {
 	local := from.DataCentre == r.self.DataCentre
 	for _, e := range items {
@@ -134,6 +138,10 @@
 	case *apiv1.Envelope_LoanReturn:
 		l := peer.LoanReturnFromProto(item.LoanReturn)
 		r.applyIfOwner(l.To, func(now time.Time, o *pool.Owner) { o.HandleLoanReturn(now, l) })
+	case *apiv1.Envelope_ServerLimit:
+		if st, ok := peer.LimitFromProto(item.ServerLimit); ok {
+			r.receiveLimit(peer.ShardFromProto(item.ServerLimit.Shard), st)
+		}
 	case *apiv1.Envelope_Totals:
 		r.receiveTotals(item.Totals)
 	case *apiv1.Envelope_Quarantine:
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -90,6 +90,9 @@
 	abortLogLimiter *rate.Limiter
 	metrics         metrics.Registry
 	counters        counters
+	limits          *limitTable
+	limitCounters   limitCounters
+	limitLogLimiter *rate.Limiter
 
 	startedAt       time.Time
 	requestIDPrefix string
@@ -174,6 +177,7 @@
 	// Request ids of an earlier incarnation must not match grants of this one.
 	r.askTable.lastRequestID = self.Incarnation
 	r.counters = newCounters(r.metrics)
+	r.limits, r.limitCounters, r.limitLogLimiter = newLimitTable(), newLimitCounters(r.metrics), newLimitLogLimiter()
 	r.confirmations = newCatalogConfirmations(deps)
 	r.ready.Store(true)
 	r.sending, r.endSending = context.WithCancel(context.Background())
@@ -219,6 +223,7 @@
 			r.reconcile(now)
 		case now := <-expiryTicker.C:
 			r.servers.removeExpired(now)
+			r.limits.removeExpired(now)
 		}
 	}
 }
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -99,6 +99,12 @@
 // startStandin starts a stand-in that announces itself to the router and waits
 // until it can receive work.
 func (tr *testRouter) startStandin(t testing.TB, s standin.ServerSettings) string {
+	t.Helper()
+	return tr.startServer(t, s).Address()
+}
+
+// startServer is startStandin for tests that look at the stand-in itself.
+func (tr *testRouter) startServer(t testing.TB, s standin.ServerSettings) *standin.Server {
 	t.Helper()
 	s.DataCentre, s.Listen, s.Credential, s.StartWarm = "north", "127.0.0.1:0", serverKey, true
 	s.ReportLag = settings.Duration(10 * time.Millisecond)
@@ -123,7 +129,7 @@
 		}
 		return false
 	})
-	return server.Address()
+	return server
 }
 
 // announcer sends announcements. It is not the default client, whose idle connections
--- a/pkg/router/shards.go
+++ b/pkg/router/shards.go
@@ -109,6 +109,9 @@
 	for _, f := range out.Refusals {
 		r.deliverRefusal(shard, f)
 	}
+	for _, c := range out.LimitChanges {
+		r.recordLimitChange(shard, c)
+	}
 	r.deliverRemote(shard, out)
 }
 
