router: report an unchanged request limit each 0.5 s

A server that answers often was reported five times a second by each router, about 3.5 KB/s with ten limited servers (computed), beside the 4 KB/s that a node may use for control. The owner needs a statement within the second for which it compares limits.

--- a/pkg/router/limits.go
+++ b/pkg/router/limits.go
@@ -17,8 +17,9 @@
 
 const (
 	// limitReportInterval is how often a limit that stays the same is reported to the
-	// owner, which compares the times of statements.
-	limitReportInterval = 200 * time.Millisecond
+	// owner, which compares the times of statements. It is below the second for which a
+	// limit counts beside higher ones.
+	limitReportInterval = 500 * time.Millisecond
 	// limitRetention is how long the last statement of a server is reported to new owners.
 	limitRetention = 10 * time.Minute
 	// sendAgainTimeout is longer than an owner lets a send wait.
