replica: keep the members of a group while it is founded

Cause: a host that founds a group identifies the listed members again if the first entry is not durable within 500 ms, and wrote the answers into the list that its worker was writing to the log and had given to the node. A member whose disk was wiped meanwhile would have had one identity in the log and another one in memory.

TestFoundedGroupKeepsItsMembers failed before, with and without the race detector.

Change: the worker gets a list of its own.

--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -150,7 +150,7 @@
 	for ctx.Err() == nil && r.Status().IsNew {
 		ready, retry := r.identifyMembers(ctx, members)
 		if ready {
-			r.runOnWorker(ctx, func() { r.worker.found(members) })
+			_ = r.foundOnWorker(ctx, members) // fails when the replica stops only
 		}
 		if !ready && !retry {
 			r.logger.Warn("a listed member already belongs to a group: add this host with a membership change")
@@ -165,6 +165,13 @@
 	}
 }
 
+// foundOnWorker lets the worker found a group of these members. The worker keeps its own
+// list: found goes on with this one if the entry is not durable before its next try.
+func (r *Replica) foundOnWorker(ctx context.Context, members []Member) error {
+	founders := slices.Clone(members)
+	return r.runOnWorker(ctx, func() { r.worker.found(founders) })
+}
+
 // identifyMembers sets the identities of the members. It returns ready if every
 // data folder is new, and retry if a member did not respond or has another ID.
 func (r *Replica) identifyMembers(ctx context.Context, members []Member) (ready, retry bool) {
