edge: log and count the request limits that servers state

A server in need names in its answers the requests a second that it takes from all edge hosts together (Server-Limit). Nothing in the product read the header, so no log or metric told a host that did not know of a limit from one that did not keep it.

Every response head is read now, of whatever status and on retries and second attempts too. The dispatcher keeps the lowest statement of the last 1.5 s. An answer without the header ends the limit if it answers a request that was sent after the last statement, and if that statement is 1.5 s old or it is the second such answer in a row. A new process starts without a limit. A value that is repeated, negative or no finite number states nothing.

Log: "request limit of a server changed", "invalid Server-Limit of a server ignored"; `limit` in "beliefs". Metrics: edge.limits.servers, edge.limits.changes, edge.limits.invalid.

applyServerHints takes the time at which the request was sent; its test passes one. No decision uses the limit yet.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -42,6 +42,7 @@
 	silenceCheckedAt time.Time
 	observedSince    time.Time // start of the checks of silence without a gap
 	avoidanceChanges []AvoidanceChange
+	limitChanges     []LimitChange
 }
 
 // service groups the servers of one service.
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -16,6 +16,8 @@
 	KVTokens        int     `json:"kv"`
 	FailureRate     float64 `json:"failures"`
 	LatencyMS       int64   `json:"latency_ms"`
+	// Limit is the requests per second that the server states to take, nil if it states none.
+	Limit *float64 `json:"limit,omitempty"`
 }
 
 // Report is a snapshot of the state of the Dispatcher.
@@ -39,7 +41,13 @@
 		s.advance(now)
 		s.decayFailureRate(now)
 		running, kvTokens := s.load()
+		var limit *float64
+		if perSecond := s.limit.rate(now); perSecond != noLimit {
+			limit = &perSecond
+		}
 		out.Servers = append(out.Servers, ServerReport{
+			Limit: limit,
+
 			Server: s.info.ID, Ready: s.info.Ready, Down: !s.downSince.IsZero(), Cold: d.isCold(now, s),
 			BacklogMS: s.prefillTime(0).Milliseconds(), TokensPerMS: int64(s.prefillRate / 1000), DelayMS: s.firstEventDelay.Milliseconds(),
 			RunningRequests: running, OwnRequests: s.running, KVTokens: kvTokens, FailureRate: float64(int(s.failureRate*100)) / 100, LatencyMS: s.latency.Milliseconds(),
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -90,6 +90,8 @@
 	// toldSilentAt is the latest silentAt of peers.
 	toldSilentAt time.Time
 
+	limit requestLimit
+
 	connectTimeouts int       // consecutive connection attempts that timed out
 	downSince       time.Time // zero if the server is up
 	downUntil       time.Time // end of the backoff; health checks follow nextProbeAt
@@ -135,6 +137,7 @@
 	s.failureRate, s.downCount = 0, 0
 	s.downSince, s.misdirected, s.endedAt = time.Time{}, false, time.Time{}
 	s.backoffUntil = time.Time{}
+	s.limit.reset()
 }
 
 // markUp makes a server that was down available again. downCount is kept until
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -79,7 +79,7 @@
 	reply := x.s.config.Dialect.ReadHead(resp)
 	a, bad := x.rejectHead(resp, reply, x.headSent, slices.Contains(x.sentTo, v.Address))
 	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
-		x.s.applyServerHints(v, reply)
+		x.s.applyServerHints(v, reply, e.startedAt)
 	}
 	if bad {
 		return a
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -376,7 +376,7 @@
 	reply := x.s.config.Dialect.ReadHead(resp)
 	a, bad := x.rejectHead(resp, reply, began, sentBefore)
 	if a.outcome != dispatch.InvalidResponse && a.outcome != dispatch.Misdirected {
-		x.s.applyServerHints(e.decision, reply)
+		x.s.applyServerHints(e.decision, reply, e.startedAt)
 	}
 	if bad {
 		return a
--- a/pkg/edge/leaving.go
+++ b/pkg/edge/leaving.go
@@ -28,10 +28,12 @@
 }
 
 // applyServerHints applies what a response head states about the server: that it
-// is shutting down, or that it wants no requests from this host for a time. The
-// head of a stream is sent at its start only; later changes arrive with other
-// responses and with announcements.
-func (s *Server) applyServerHints(v dispatch.Decision, reply ResponseMetadata) {
+// is shutting down, that it wants no requests from this host for a time, or how many
+// requests a second it takes from all hosts. The head of a stream is sent at its start
+// only; later changes arrive with other responses and with announcements. sentAt is when
+// the answered request was sent.
+func (s *Server) applyServerHints(v dispatch.Decision, reply ResponseMetadata, sentAt time.Time) {
+	s.applyLimit(v, reply.Limit, sentAt)
 	if reply.Leaving {
 		s.markLeaving(time.Now(), v.Server, v.StartMS)
 	}
--- a/pkg/edge/leaving_test.go
+++ b/pkg/edge/leaving_test.go
@@ -31,7 +31,7 @@
 	first, second := newTestServer("first"), newTestServer("second")
 	a := testAnnouncement(0, 0)
 	assert.Assert(t, first.dispatchesToServer())
-	first.applyServerHints(dispatch.Decision{Server: a.GetId(), StartMS: a.GetBornMs()}, ResponseMetadata{Leaving: true})
+	first.applyServerHints(dispatch.Decision{Server: a.GetId(), StartMS: a.GetBornMs()}, ResponseMetadata{Leaving: true}, time.Now())
 	assert.Assert(t, !first.dispatchesToServer())
 	_, _ = first.Digest() // this digest is lost
 	m, changed := first.Digest()
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -159,6 +159,7 @@
 	go s.expire()
 	go s.logState()
 	go s.watchAvoidance()
+	go s.watchLimits()
 	return s, nil
 }
 
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -84,7 +84,16 @@
 	Leaving       bool          // the server is shutting down and accepts no new requests
 	ColdRemaining time.Duration // remaining time of the cold start, during which the server takes a limited rate
 	RetryAfter    time.Duration // Retry-After of the server for this host, 0 if not stated
-	Server        string        // id of the server, set in responses to health checks
+	Limit         RequestLimit
+	Server        string // id of the server, set in responses to health checks
+}
+
+// RequestLimit is what a response states about the requests that its server takes from all
+// edge hosts together.
+type RequestLimit struct {
+	PerSecond float64 // set if Stated
+	Stated    bool
+	Invalid   bool // the response states something that is no limit
 }
 
 // Dialect encodes and decodes the HTTP metadata that backend servers use.
