dispatch: keep the request limits that servers state

A server in need states how many requests a second it takes from all edge hosts together.

Cause: a budget that belongs to the whole fleet was known to nobody. Each host decided by load alone.

Hosts now keep a copy of one token bucket for each limited server. Own requests and those in the digests of the others take tokens, so one host may use the whole limit when it alone has the demand. Digests and summaries carry what the sender itself was told, its age and the process, and the requests that it has sent. A second bucket, a number of tokens that differs between hosts and changes, and in fleets with more hosts than the limit allows at once a wait before a first request keep small what several hosts send before they hear of each other. Hosts that hear at most half of the fleet use that part of the limit only. Large fleets choose a few hosts for each server. A server with a limit below 0.4 a second is still tried at that rate, to notice the end.

The check is in isEligible and the count in assign, so first attempts, retries, second attempts, take-ups and queued requests all pass through them; what was not sent is returned. No slot is reserved at a limited server. The wait for a token counts in the predicted queue time, so that a request that cannot get one in time is refused at once, and in Retry-After. Fair shares take limited engines for what they serve.

The tests of predictedQueueTime and readyPrefillRate pass the time that these now need.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -114,10 +114,18 @@
 	if !d.coldLimitAllows(now, s) {
 		return false
 	}
-	if !s.isEngine() {
-		return true
+	if running, kvTokens := s.load(); s.isEngine() && !s.hasPlaceFor(r, running, kvTokens) {
+		return false
 	}
-	running, kvTokens := s.load()
+	if !d.limitAllows(now, s) {
+		d.countHold(r)
+		return false
+	}
+	return true
+}
+
+// hasPlaceFor reports whether the engine has a slot and memory for the request.
+func (s *server) hasPlaceFor(r *Request, running, kvTokens int) bool {
 	neededTokens := r.PromptTokens + r.OutputTokens
 	return running < s.info.Slots && (kvTokens == 0 || float64(kvTokens+neededTokens) <= maxKVFraction*float64(s.info.KVTokens))
 }
--- a/pkg/dispatch/digest.go
+++ b/pkg/dispatch/digest.go
@@ -45,6 +45,8 @@
 	consecutive uint32  // received datagrams with consecutive numbers
 	capacity    float64 // estimated service tokens per second of all engines
 	heardAt     time.Time
+	nameHash    uint64
+	summary     bool // it is a data centre
 	expired     bool // its load no longer counts
 	// synced is set by a complete digest. From then on, the counters of a server
 	// or workspace that appears for the first time count from 0. Before, its first
@@ -66,6 +68,9 @@
 	running     int
 	failed      uint32
 	silent      bool
+	limitSent   int64
+	limit       float64 // requests per second, as told
+	limitTold   bool
 	repeatsLeft int // number of further digests that carry it
 }
 
@@ -78,11 +83,12 @@
 		d.lastCompleteAt = now
 	}
 	for _, s := range d.servers {
-		if s.digestDue(out.Complete) {
+		limit := s.toldLimit(now, func(st limitStatement) bool { return st.own })
+		if s.digestDue(out.Complete, limit) {
 			out.Servers = append(out.Servers, &apiv1.ServerLoad{
 				Server: s.hash, PromptTokens: s.sentTokens, Running: uint32(max(s.running, 0)), KvTokens: uint32(max(s.kvTokens, 0)),
 				BacklogMs: s.backlogMS(now), Failed: s.outcomeCounts.failed, Good: s.outcomeCounts.good,
-				Silent: s.isFoundSilent(),
+				Silent: s.isFoundSilent(), LimitSent: s.limit.sent, Limit: limit,
 			})
 		}
 	}
@@ -120,8 +126,8 @@
 }
 
 // digestDue reports whether the next digest carries the load of the server.
-func (s *server) digestDue(complete bool) bool {
-	current := loadTotals{s.sentTokens, s.running, s.outcomeCounts.failed, s.isFoundSilent(), s.sentLoad.repeatsLeft}
+func (s *server) digestDue(complete bool, limit *apiv1.LimitStatement) bool {
+	current := loadTotals{s.sentTokens, s.running, s.outcomeCounts.failed, s.isFoundSilent(), s.limit.sent, limit.GetPerSecond(), limit != nil && !limit.GetEnded(), s.sentLoad.repeatsLeft}
 	if current != s.sentLoad {
 		s.sentLoad = current
 		s.sentLoad.repeatsLeft = loadRepeats
@@ -130,7 +136,7 @@
 		s.sentLoad.repeatsLeft--
 		return true
 	}
-	return complete && (s.running != 0 || s.sentTokens != 0 || s.sentLoad.silent)
+	return complete && (s.running != 0 || s.sentTokens != 0 || s.sentLoad.silent || s.limit.sent != 0 || limit != nil)
 }
 
 // addPlacements adds pending placements to the digest and drops those that have
@@ -164,7 +170,7 @@
 	}
 	if p == nil || m.GetIncarnation() != p.incarnation || now.Sub(p.heardAt) > peerResyncTime {
 		local := !m.GetSummary() && m.GetDataCentre() == d.dataCentre
-		p = &peer{name: name, local: local, incarnation: m.GetIncarnation(), demand: map[string]float64{}, served: map[string]float64{}}
+		p = &peer{name: name, local: local, incarnation: m.GetIncarnation(), nameHash: hashOf(name), summary: m.GetSummary(), demand: map[string]float64{}, served: map[string]float64{}}
 		d.peers[name] = p
 		d.removePeerLoad(name)
 		d.lastCompleteAt = time.Time{} // the other host may not know the load of this one
@@ -174,6 +180,7 @@
 	for _, l := range m.GetServers() {
 		if s := d.serversByHash[l.GetServer()]; s != nil {
 			s.applyPeerLoad(now, p, l, d.Summarises())
+			d.applyPeerLimit(now, s, p, l)
 			s.applyPeerBacklog(now, m, l)
 		}
 	}
@@ -248,7 +255,7 @@
 		p = &peerLoad{local: from.local}
 		s.peers[from.name] = p
 		if !from.synced {
-			p.sentTokens, p.outcomeCounts = l.GetPromptTokens(), outcomeCounts{l.GetFailed(), l.GetGood()}
+			p.sentTokens, p.outcomeCounts, p.limitSent = l.GetPromptTokens(), outcomeCounts{l.GetFailed(), l.GetGood()}, l.GetLimitSent()
 		}
 	}
 	if added := s.outcomeDelta(p, l); useOutcomes {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -43,13 +43,17 @@
 	observedSince    time.Time // start of the checks of silence without a gap
 	avoidanceChanges []AvoidanceChange
 	limitChanges     []LimitChange
+	limitScope       limitScope
+	limitHolds       int // requests that a limit kept from a server, until taken
 }
 
 // service groups the servers of one service.
 type service struct {
-	servers []*server
-	latency time.Duration // mean answer time of the plain servers
-	ahead   *slidingSum   // prompt tokens that this host sent ahead of new streams
+	servers    []*server
+	latency    time.Duration // mean answer time of the plain servers
+	meanPrompt float64       // mean prompt tokens of requests
+	meanCost   float64       // mean service tokens of requests
+	ahead      *slidingSum   // prompt tokens that this host sent ahead of new streams
 	// nextIdleOnly is when the next take-up beyond the bounds may be sent.
 	nextIdleOnly time.Time
 
@@ -63,6 +67,7 @@
 	return &Dispatcher{
 		self: self, selfHash: hashOf(self), dataCentre: dataCentre, servers: map[string]*server{}, services: map[string]*service{},
 		shares: newShares(now), peers: map[string]*peer{}, localEdges: []string{self}, edges: 1, startedAt: now,
+		limitScope: limitScope{part: 1},
 	}
 }
 
@@ -121,7 +126,7 @@
 		if svc == nil {
 			svc = &service{latency: defaultLatency, ahead: &slidingSum{}}
 			if old := before[s.info.Service]; old != nil {
-				svc.ahead, svc.nextIdleOnly = old.ahead, old.nextIdleOnly
+				svc.ahead, svc.nextIdleOnly, svc.meanPrompt, svc.meanCost = old.ahead, old.nextIdleOnly, old.meanPrompt, old.meanCost
 			}
 			d.services[s.info.Service] = svc
 		}
@@ -152,6 +157,7 @@
 func (d *Dispatcher) Admit(now time.Time, r *Request) Decision {
 	if !r.demandCounted {
 		r.demandCounted = true
+		d.measureRequest(r)
 		d.shares.recordDemand(now, r.Workspace, serviceTokens(r))
 	}
 	return d.queueIfWaiting(now, r, d.decide(now, r))
@@ -209,18 +215,18 @@
 	}
 	d.expireSilentPeers(now)
 	d.checkSilence(now)
-	var backlogs []time.Duration
+	d.updateLimitScope(now)
+	var pressures []enginePressure
+	limits := limitedEngines{}
 	for _, s := range d.servers {
 		if s.isEngine() && s.info.Ready && s.downSince.IsZero() {
 			s.advance(now)
-			backlogs = append(backlogs, max(s.prefillTime(0), s.slotPressure()))
+			limited := limits.add(s.limit.rate(now), d.services[s.info.Service].meanCost)
+			pressures = append(pressures, enginePressure{max(s.prefillTime(0), s.slotPressure(), d.limitPressure(now, s)), limited})
 		}
 	}
-	d.shares.pressure = 0
-	if n := len(backlogs); n > 0 {
-		slices.Sort(backlogs)
-		d.shares.pressure = backlogs[n/2]
-	}
+	d.shares.limits = limits
+	d.shares.pressure = medianPressure(pressures, d.shares.statedRate)
 	sum, count := 0.0, 0
 	for _, p := range d.peers {
 		if p.capacity > 0 && now.Sub(p.heardAt) < peerTimeout {
@@ -259,7 +265,7 @@
 	candidates := d.evaluateServers(now, r, svc)
 	if candidates.cheapest == nil {
 		v.Class = Late
-		if anyAvailableWithin(now, r, svc.serversLeft(r), d.remainingWait(now, r, Late)) {
+		if d.anyAvailableWithin(now, r, svc.serversLeft(r), d.remainingWait(now, r, Late)) {
 			return v
 		}
 		return d.refuse(now, r, v, ReasonNoServer)
@@ -304,9 +310,9 @@
 // anyAvailableWithin reports whether one of the servers accepts requests within the
 // given time. A server whose release is not recorded counts, because that takes less
 // time than most requests may wait.
-func anyAvailableWithin(now time.Time, r *Request, servers []*server, wait time.Duration) bool {
+func (d *Dispatcher) anyAvailableWithin(now time.Time, r *Request, servers []*server, wait time.Duration) bool {
 	return slices.ContainsFunc(servers, func(s *server) bool {
-		return s.info.Ready && s.downSince.IsZero() && !r.lacksReleaseOf(s) && s.backoffUntil.Sub(now) <= wait
+		return s.info.Ready && s.downSince.IsZero() && !r.lacksReleaseOf(s) && s.backoffUntil.Sub(now) <= wait && d.limitWait(now, s) <= max(wait, 0)
 	})
 }
 
@@ -331,6 +337,7 @@
 	if d.isCold(now, s) {
 		s.coldSentAt = append(s.coldSentAt, now)
 	}
+	d.takeTokens(now, r, s)
 	d.countUsage(now, r)
 	v.Action, v.Reason = Send, ReasonSent
 	v.Server, v.StartMS, v.Release = s.info.ID, s.info.StartMS, s.info.Release
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -7,9 +7,8 @@
 )
 
 // A server in need states in its answers how many requests a second it takes from all edge
-// hosts together. Answers of one moment may differ, and they arrive in any order, so the
-// lowest statement of the last limitMemory counts, and an answer without one ends a limit that
-// was stated within limitMemory only if it is the second in a row.
+// hosts together, and nothing in an answer takes the limit back. Answers of one moment may
+// differ, and they arrive in any order, so the lowest statement of the last limitMemory counts.
 
 const (
 	// limitMemory is how long a statement counts beside newer ones.
@@ -17,8 +16,6 @@
 	// limitEndMemory is how long the end of a limit is kept: hosts that have not heard of it
 	// repeat the limit.
 	limitEndMemory = 10 * time.Second
-	// limitEndAnswers is the number of answers in a row without a limit that end it.
-	limitEndAnswers = 2
 	// MaxRequestLimit is the limit from which on a server counts as unlimited, in requests
 	// per second.
 	MaxRequestLimit = 100_000
@@ -38,14 +35,11 @@
 // requestLimit is the limit of a server as known to this host.
 type requestLimit struct {
 	statements []limitStatement // in the order of their time
-	withoutOne int              // answers in a row to this host that state no limit
 	noted      float64          // as of the last check for changes, 0 before the first one
 	notedAny   bool             // noted is set
+	limitTokens
 }
 
-// reset discards what an earlier process of the server stated.
-func (l *requestLimit) reset() { l.statements, l.withoutOne = nil, 0 }
-
 // rate returns the limit in requests per second, noLimit if there is none.
 func (l *requestLimit) rate(now time.Time) float64 {
 	if len(l.statements) == 0 {
@@ -81,14 +75,14 @@
 	l.statements = slices.DeleteFunc(l.statements, func(old limitStatement) bool {
 		return old.perSecond == st.perSecond && old.own == st.own && old.local == st.local && !old.at.After(st.at)
 	})
-	i, _ := slices.BinarySearchFunc(l.statements, st, func(a, b limitStatement) int { return a.at.Compare(b.at) })
+	i := len(l.statements)
+	for i > 0 && l.statements[i-1].at.After(st.at) {
+		i--
+	}
 	l.statements = slices.Insert(l.statements, i, st)
 	if len(l.statements) > maxLimitStatements {
 		l.statements = l.statements[len(l.statements)-maxLimitStatements:]
 	}
-	if st.perSecond != noLimit && i == len(l.statements)-1 {
-		l.withoutOne = 0
-	}
 	l.forget(now)
 }
 
@@ -107,6 +101,7 @@
 	}
 	l := &s.limit
 	if stated && perSecond < MaxRequestLimit {
+		d.startTokens(now, s)
 		l.add(now, limitStatement{perSecond: max(perSecond, 0), at: now, own: true, local: true})
 		d.noteLimit(now, s)
 		return
@@ -115,10 +110,8 @@
 	if limited < 0 || sentAt.Before(l.statements[len(l.statements)-1].at) {
 		return
 	}
-	if l.withoutOne++; l.withoutOne >= limitEndAnswers || now.Sub(l.statements[len(l.statements)-1].at) >= limitMemory {
-		l.add(now, limitStatement{perSecond: noLimit, at: now, own: true, local: true})
-		d.noteLimit(now, s)
-	}
+	l.add(now, limitStatement{perSecond: noLimit, at: now, own: true, local: true})
+	d.noteLimit(now, s)
 }
 
 // LimitChange says that the limit of a server has begun, changed or ended.
@@ -147,12 +140,13 @@
 // LimitNews is what is new about limits of servers.
 type LimitNews struct {
 	Changes []LimitChange // since the last call
+	Held    int           // requests that a limit kept from a server since the last call
 	Limited int           // servers that have a limit now
 }
 
 // TakeLimitNews returns what is new since the last call.
 func (d *Dispatcher) TakeLimitNews(now time.Time) LimitNews {
-	var out LimitNews
+	out := LimitNews{Held: d.limitHolds}
 	for _, s := range d.servers {
 		if len(s.limit.statements) > 0 || s.limit.notedAny {
 			d.noteLimit(now, s)
@@ -161,6 +155,6 @@
 			out.Limited++
 		}
 	}
-	out.Changes, d.limitChanges = d.limitChanges, nil
+	out.Changes, d.limitChanges, d.limitHolds = d.limitChanges, nil, 0
 	return out
 }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -49,6 +49,10 @@
 		}
 	}
 	switch o {
+	case NotSent, NoSlot, ConnectFailed, ConnectTimeout:
+		d.returnTokens(r, s)
+	}
+	switch o {
 	// After a lost connection the caller needs the whole request again, so the work
 	// of the server does not count against its workspace.
 	case NotExecuted, ConnectFailed, ConnectTimeout, Misdirected, NotSent, NoSlot, ConnectionLost:
--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -33,7 +33,7 @@
 	if best == nil {
 		v.Class = Late
 		left := time.Duration(maxPlainWaitFraction*float64(r.Objective)) - now.Sub(r.Arrived)
-		if !anyAvailableWithin(now, r, svc.serversOf(r), left) {
+		if !d.anyAvailableWithin(now, r, svc.serversOf(r), left) {
 			return d.refuse(now, r, v, ReasonNoServer)
 		}
 		if left < 0 {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -11,7 +11,7 @@
 // enqueue queues the request, or refuses it if its predicted queueing time
 // exceeds the limit of its class.
 func (d *Dispatcher) enqueue(now time.Time, r *Request, v Decision) Decision {
-	if d.predictedQueueTime(r, v) > d.remainingWait(now, r, v.Class) {
+	if d.predictedQueueTime(now, r, v) > d.remainingWait(now, r, v.Class) {
 		return d.refuse(now, r, v, refusalReason(v.Class))
 	}
 	r.queued, r.decision = true, v
@@ -21,13 +21,16 @@
 }
 
 // predictedQueueTime predicts the queueing time of the request: the prefill of
-// the requests ahead of it by all engines that it may use.
-func (d *Dispatcher) predictedQueueTime(r *Request, v Decision) time.Duration {
+// the requests ahead of it by all engines that it may use, as far as their limits allow.
+func (d *Dispatcher) predictedQueueTime(now time.Time, r *Request, v Decision) time.Duration {
 	svc := d.services[r.Service]
-	if svc == nil || len(svc.servers) == 0 || !svc.servers[0].isEngine() {
+	if svc == nil || len(svc.servers) == 0 {
 		return 0
 	}
-	prefillRate, totalRate := readyPrefillRate(svc.serversLeft(r)), readyPrefillRate(svc.servers)
+	if !svc.servers[0].isEngine() {
+		return d.limitedQueueTime(now, r, svc)
+	}
+	prefillRate, totalRate := d.readyPrefillRate(now, svc, svc.serversLeft(r)), d.readyPrefillRate(now, svc, svc.servers)
 	if prefillRate == 0 {
 		return 0
 	}
@@ -51,13 +54,18 @@
 	return time.Duration(seconds * float64(d.edges) * float64(time.Second))
 }
 
-// readyPrefillRate returns the prefill rate of those servers that are up, in tokens per
-// second.
-func readyPrefillRate(servers []*server) (tokensPerSecond float64) {
+// readyPrefillRate returns the prefill rate of those servers of the service that are up, in
+// tokens per second. An engine that limits its requests prefills no more than these need.
+func (d *Dispatcher) readyPrefillRate(now time.Time, svc *service, servers []*server) (tokensPerSecond float64) {
 	for _, s := range servers {
-		if s.info.Ready && s.downSince.IsZero() {
-			tokensPerSecond += s.prefillRate
+		if !s.info.Ready || !s.downSince.IsZero() {
+			continue
+		}
+		rate := s.prefillRate
+		if limit := s.limit.rate(now); limit != noLimit {
+			rate = min(rate, max(limit, minLimitRate)*max(svc.meanPrompt, 1))
 		}
+		tokensPerSecond += rate
 	}
 	return tokensPerSecond
 }
@@ -120,7 +128,14 @@
 		// Usage leaves shareWindow at an even rate.
 		base += time.Duration((v.ServedTokens - v.FairShare) / v.ServedTokens * float64(shareWindow))
 	}
-	stagger := time.Duration(u.retries%maxRetrySteps) * retryStep(r, v)
+	step := retryStep(r, v)
+	if svc := d.services[r.Service]; svc != nil {
+		base = max(base, d.limitedQueueTime(now, r, svc))
+		if perSecond, limited := d.limitedRate(now, r, svc); limited {
+			step = max(step, time.Duration(min(1/max(perSecond, minLimitRate), maxRetryStep.Seconds())*float64(time.Second)))
+		}
+	}
+	stagger := time.Duration(u.retries%maxRetrySteps) * step
 	return d.remainingBackoff(now, r) + min(max(base+stagger, minRetryAfter), maxRetryAfter)
 }
 
--- a/pkg/dispatch/report.go
+++ b/pkg/dispatch/report.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ServerReport is the state of one server as estimated by the Dispatcher.
 type ServerReport struct {
@@ -18,6 +21,9 @@
 	LatencyMS       int64   `json:"latency_ms"`
 	// Limit is the requests per second that the server states to take, nil if it states none.
 	Limit *float64 `json:"limit,omitempty"`
+	// LimitTokens is the number of requests that the limit allows the fleet at once, negative
+	// after too many.
+	LimitTokens float64 `json:"limit_tokens,omitempty"`
 }
 
 // Report is a snapshot of the state of the Dispatcher.
@@ -41,12 +47,15 @@
 		s.advance(now)
 		s.decayFailureRate(now)
 		running, kvTokens := s.load()
-		var limit *float64
+		limit, tokens := (*float64)(nil), 0.0
 		if perSecond := s.limit.rate(now); perSecond != noLimit {
-			limit = &perSecond
+			rounded := math.Round(1000*perSecond) / 1000
+			limit = &rounded
+			d.advanceTokens(now, s)
+			tokens = math.Round(10*s.limit.tokens) / 10
 		}
 		out.Servers = append(out.Servers, ServerReport{
-			Limit: limit,
+			Limit: limit, LimitTokens: tokens,
 
 			Server: s.info.ID, Ready: s.info.Ready, Down: !s.downSince.IsZero(), Cold: d.isCold(now, s),
 			BacklogMS: s.prefillTime(0).Milliseconds(), TokensPerMS: int64(s.prefillRate / 1000), DelayMS: s.firstEventDelay.Milliseconds(),
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -24,9 +24,9 @@
 
 // needsReservation reports whether a slot of the engine has to be reserved
 // before sending. Reservation calls to a cold engine would count against its
-// ColdRequestsPerSecond, so none are made.
+// ColdRequestsPerSecond, and those to an engine with a limit against that, so none are made.
 func (d *Dispatcher) needsReservation(now time.Time, s *server) bool {
-	if !s.info.SupportsReservation || d.isCold(now, s) {
+	if !s.info.SupportsReservation || d.isCold(now, s) || s.limit.rate(now) != noLimit {
 		return false
 	}
 	running, _ := s.load()
@@ -37,7 +37,7 @@
 // ahead of the requests that wait there: engines admit these in order of arrival. A take-up
 // that an engine has kept waiting for its reservation is sent without one.
 func (d *Dispatcher) overtakes(now time.Time, r *Request, s *server) bool {
-	return r.ahead && r.retriedAt.IsZero() && !r.overtakeFailed && s.info.SupportsReservation && !d.isCold(now, s)
+	return r.ahead && r.retriedAt.IsZero() && !r.overtakeFailed && s.info.SupportsReservation && !d.isCold(now, s) && s.limit.rate(now) == noLimit
 }
 
 // ConfirmReservation records that the slot for a request has been reserved, as
--- a/pkg/dispatch/resumption.go
+++ b/pkg/dispatch/resumption.go
@@ -60,7 +60,7 @@
 	if !r.continues() || r.aheadCounted {
 		return r.continues()
 	}
-	prefillRate := readyPrefillRate(svc.servers)
+	prefillRate := d.readyPrefillRate(now, svc, svc.servers)
 	u := d.shares.usageOf(r.Workspace)
 	u.ahead.advance(d.takeUpBucket(now))
 	hosts := float64(d.liveEdges(now))
@@ -119,7 +119,7 @@
 // this host prefills this one.
 func (d *Dispatcher) countIdleOnly(now time.Time, r *Request, svc *service) {
 	if r.idleOnly {
-		rate := maxIdleOnlyFraction * readyPrefillRate(svc.servers) / float64(d.liveEdges(now))
+		rate := maxIdleOnlyFraction * d.readyPrefillRate(now, svc, svc.servers) / float64(d.liveEdges(now))
 		svc.nextIdleOnly = now.Add(time.Duration(float64(r.PromptTokens) / rate * float64(time.Second)))
 	}
 }
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -176,7 +176,7 @@
 	assert.Assert(t, !d.mayGoAhead(start, begun, svc), "its release is not known")
 	begun.Release = v1
 	assert.Assert(t, d.mayGoAhead(start, begun, svc) && begun.unbounded)
-	d.shares.recordServed(start, "flood", 2*d.takeUpShare(start, readyPrefillRate(svc.servers)))
+	d.shares.recordServed(start, "flood", 2*d.takeUpShare(start, d.readyPrefillRate(start, svc, svc.servers)))
 	assert.Assert(t, d.mayGoAhead(start, begun, svc) && !begun.unbounded)
 	d.shares.usageOf("flood").ahead.add(d.takeUpBucket(start), 1e9)
 	assert.Assert(t, !d.mayGoAhead(start, begun, svc))
--- a/pkg/dispatch/scarce_release_test.go
+++ b/pkg/dispatch/scarce_release_test.go
@@ -179,7 +179,7 @@
 		for range 3 {
 			d.queue = append(d.queue, queued(release.Unknown), queued(v1), queued(v2))
 		}
-		got := d.predictedQueueTime(queued(c.needs), Decision{Class: Late})
+		got := d.predictedQueueTime(start, queued(c.needs), Decision{Class: Late})
 		assert.Assert(t, (got-c.want).Abs() < time.Millisecond, "%s: %s, want %s", c.name, got, c.want)
 	}
 }
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -44,6 +44,7 @@
 	sentTokens    int64 // cumulative
 	running       int
 	kvTokens      int
+	limitSent     int64 // requests under a limit, cumulative
 	outcomeCounts outcomeCounts
 	local         bool      // the host belongs to this data centre
 	silentAt      time.Time // last digest, if it says that the server is silent
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -97,6 +97,7 @@
 	usage         map[string]*workspaceUsage
 	statedRate    float64 // service tokens per second of all engines, 0 if not stated
 	readyFraction float64 // fraction of the engines that are ready
+	limits        limitedEngines
 	// capacity is the estimated service rate of the engines in service tokens per
 	// second. It differs from statedRate by the effect of cached prompt parts,
 	// failures and slow engines.
@@ -194,8 +195,8 @@
 		s.capacity += (1 - math.Pow(1-peerCapacityGain, steps)) * (s.peerCapacity - s.capacity)
 	}
 	stated := s.statedRate * s.readyFraction
-	s.capacity = max(s.capacity, minCapacityFactor*stated)
-	s.capacity = min(s.capacity, maxCapacityFactor*max(stated, served))
+	most := s.limits.capacity(maxCapacityFactor * max(stated, served))
+	s.capacity = min(max(s.capacity, min(minCapacityFactor*stated, minCapacityFactor*most)), most)
 }
 
 // maxMinShare returns the max-min fair share: the limit at which the demands,
--- a/pkg/dispatch/summary.go
+++ b/pkg/dispatch/summary.go
@@ -110,7 +110,9 @@
 	}
 	for _, s := range d.servers {
 		isLocal := s.info.DataCentre == d.dataCentre
-		current := loadTotals{sentTokens: s.sentTokens + s.localPeers.sentTokens, running: s.running + s.localPeers.running, failed: s.outcomeCounts.failed + s.localPeers.outcomeCounts.failed, silent: s.isSilentHere(now)}
+		current := loadTotals{sentTokens: s.sentTokens + s.localPeers.sentTokens, running: s.running + s.localPeers.running, failed: s.outcomeCounts.failed + s.localPeers.outcomeCounts.failed, silent: s.isSilentHere(now), limitSent: s.limit.sent + s.localPeers.limitSent}
+		limit := s.toldLimit(now, func(st limitStatement) bool { return st.local })
+		current.limit, current.limitTold = limit.GetPerSecond(), limit != nil && !limit.GetEnded()
 		changed := current != s.lastSummarised
 		if s.lastSummarised = current; !changed && !(m.Complete && (current != loadTotals{} || isLocal)) {
 			continue
@@ -118,7 +120,7 @@
 		m.Servers = append(m.Servers, &apiv1.ServerLoad{
 			Server: s.hash, PromptTokens: current.sentTokens, Running: uint32(max(current.running, 0)), KvTokens: uint32(max(s.kvTokens+s.localPeers.kvTokens, 0)),
 			BacklogMs: s.backlogMS(now), Failed: current.failed, Good: s.outcomeCounts.good + s.localPeers.outcomeCounts.good,
-			Silent: current.silent,
+			Silent: current.silent, LimitSent: current.limitSent, Limit: limit,
 		})
 	}
 	for _, p := range placements {
--- a/pkg/dispatch/takeup_overload_test.go
+++ b/pkg/dispatch/takeup_overload_test.go
@@ -97,7 +97,7 @@
 	v := d.Admit(start, takeUp)
 	assert.Equal(t, v.Action, Wait)
 	assert.Equal(t, v.Class, Late)
-	assert.Assert(t, d.predictedQueueTime(newRequest(start, "others", 100, time.Second), Decision{Class: OnTime}) > 0)
+	assert.Assert(t, d.predictedQueueTime(start, newRequest(start, "others", 100, time.Second), Decision{Class: OnTime}) > 0)
 }
 
 // Plays a flood of take-ups of one workspace beyond what all engines serve: new streams of
@@ -148,7 +148,7 @@
 	const tokens = 1000
 	d := newFleetOf(false, v1, v1)
 	d.SetEdgeHosts([]string{d.self}, 2)
-	limit := maxAheadFraction * readyPrefillRate(d.services["models"].servers) * shareWindow.Seconds() / 2
+	limit := maxAheadFraction * d.readyPrefillRate(start, d.services["models"], d.services["models"].servers) * shareWindow.Seconds() / 2
 	ahead := func(now time.Time) (n float64) {
 		for range 1000 {
 			for _, s := range d.servers {
--- a/pkg/dispatch/takeup_share_test.go
+++ b/pkg/dispatch/takeup_share_test.go
@@ -110,7 +110,7 @@
 		return r
 	}
 	overShare, takeUp := admit("w", false), admit("w", true)
-	before := d.predictedQueueTime(newRequest(start, "x", 100, longObjective), Decision{Class: Late})
+	before := d.predictedQueueTime(start, newRequest(start, "x", 100, longObjective), Decision{Class: Late})
 	assert.Equal(t, before, time.Duration(0))
 	within := admit("others", false)
 	assert.DeepEqual(t, []bool{overShare.idleOnly, takeUp.idleOnly, within.idleOnly}, []bool{false, true, false})
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -76,6 +76,8 @@
 	firstEventSeen bool
 	decision       Decision
 	retriedAt      time.Time // last decision on another server, zero before the first one
+	limitCounted   bool      // counted for the limit of the server
+	limitHeld      bool      // the limit of a server kept it from there
 	order          float64   // sort key in the queue, lowest first
 }
 
--- a/pkg/edge/beliefs_test.go
+++ b/pkg/edge/beliefs_test.go
@@ -22,11 +22,12 @@
 	for _, servers := range []int{0, 1, serversPerLine, serversPerLine + 1, 100} {
 		var r dispatch.Report
 		var want []string
+		limit := -12345.678
 		for i := range servers {
 			want = append(want, fmt.Sprintf("i-%010d", i))
 			r.Servers = append(r.Servers, dispatch.ServerReport{
 				Server: want[i], BacklogMS: math.MaxInt32, TokensPerMS: math.MaxInt32, DelayMS: math.MaxInt32,
-				RunningRequests: math.MaxInt16, OwnRequests: math.MaxInt16, KVTokens: math.MaxInt32, FailureRate: 0.99, LatencyMS: math.MaxInt32,
+				RunningRequests: math.MaxInt16, OwnRequests: math.MaxInt16, KVTokens: math.MaxInt32, FailureRate: 0.99, LatencyMS: math.MaxInt32, Limit: &limit, LimitTokens: -12345.6,
 			})
 		}
 		var out bytes.Buffer
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -474,8 +474,8 @@
 }
 
 // serversPerLine bounds the servers of one line, so that it is no longer than a pipe takes
-// in one piece. One has up to 200 bytes.
-const serversPerLine = 16
+// in one piece. One has up to 250 bytes.
+const serversPerLine = 14
 
 // logBeliefs logs the dispatcher's view of the servers.
 func (s *Server) logBeliefs(r dispatch.Report) {
