callers: end a stop beside callers of refused bodies

Cause: the host reads on for up to 2 s, so that no reset takes the place of the refusal, and the connection counted as one that is cut.

Evidence: TestRefusedBodyDoesNotHoldUpTheStop failed before.

Change: a caller whose refusal says that the connection is closed counts as told. A stop that is over does not wait for it.

--- a/pkg/callers/refused_body.go
+++ b/pkg/callers/refused_body.go
@@ -63,13 +63,17 @@
 	if conn.SetReadDeadline(time.Now().Add(refusedBodyTime)) != nil || conn.Flush() != nil {
 		return // the connection is closed
 	}
+	c, _ := r.Context().Value(connContextKey{}).(net.Conn)
+	tracked, ok := transport(c).(*callerConn)
+	if ok && w.Header().Get("Connection") == "close" {
+		tracked.setAnnounced() // a stop need not wait for what the caller still sends
+	}
 	// The copy ends with the body, the connection or the deadline, and at once if an
 	// earlier read of a body in chunks has failed: its reader repeats the error.
 	if _, err := io.Copy(io.Discard, r.Body); err == nil || bodyEnded(err) {
 		return // what follows on the connection is the next request
 	}
-	c, _ := r.Context().Value(connContextKey{}).(net.Conn)
-	if tracked, ok := transport(c).(*callerConn); ok {
+	if ok {
 		tracked.dropRest()
 	}
 }
--- a/pkg/callers/refused_body_next_test.go
+++ b/pkg/callers/refused_body_next_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
@@ -138,10 +139,47 @@
 	return ended
 }
 
+// heldBody is a body that ends when it is released.
+type heldBody chan struct{}
+
+func (b heldBody) Read([]byte) (int, error) {
+	<-b
+	return 0, io.EOF
+}
+
+func (heldBody) Close() error { return nil }
+
+// Guards against a stop that counts a connection as cut, and does not end in time, because
+// the caller of a refused request still sends its body.
+func TestRefusedBodyDoesNotHoldUpTheStop(t *testing.T) {
+	s, body := NewConnTracker(0, 0, metrics.NewRegistry()), make(heldBody)
+	caller := dialTracked(t, s, false, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		r.Body = body
+		SendEarlyRefusal(w, r)
+	})
+	defer close(body)
+	assert.Equal(t, s.CutCount(), 1)
+	_, err := io.WriteString(caller, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\n")
+	assert.NilError(t, err)
+	refusal, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, refusal.Close)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	waitFor(t, "a stop that cuts no caller", func() bool { return s.WaitClosed(ended, time.Minute) == nil })
+}
+
 // dialHandler returns the connection of a caller to a server with this handler.
 func dialHandler(t *testing.T, encrypted bool, handler http.HandlerFunc) net.Conn {
 	t.Helper()
-	s := NewConnTracker(0, 0, metrics.NewRegistry())
+	return dialTracked(t, NewConnTracker(0, 0, metrics.NewRegistry()), encrypted, handler)
+}
+
+// dialTracked is dialHandler with the tracker of the server. The connection is accepted.
+func dialTracked(t *testing.T, s *ConnTracker, encrypted bool, handler http.HandlerFunc) net.Conn {
+	t.Helper()
 	server := &http.Server{Handler: s.Handler(handler), ConnState: s.OnStateChange, ConnContext: s.ContextWithConn}
 	l, err := Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -159,5 +197,6 @@
 		caller = tls.Client(caller, callerConfig)
 	}
 	assert.NilError(t, caller.SetDeadline(time.Now().Add(waitLimit)))
+	waitFor(t, "the connection", func() bool { return s.OpenCount() == 1 })
 	return caller
 }
