router: take the list of held grants under the owner's lock

Callers of a server with few slots: about a second after a router started, or after a change of the owner, all further requests waited until they were refused.

Cause: a router that is the owner itself listed its held grants, and the owner took the list later. A grant that was settled in between was not known any more, so the owner added it as a held one that nobody settles. The window was small; the report of limits, between the two, widened it.

Change: limits are reported before the list is taken, and an owner at the same router gets the list under its lock. The same can still happen to a report on its way to another router, as before.

--- a/pkg/router/reconcile.go
+++ b/pkg/router/reconcile.go
@@ -92,8 +92,7 @@
 		}
 		delete(r.secondReportAt, shard)
 		if owner, _, ok := r.ownership.Owner(shard); ok {
-			_, grants := r.askTable.forShard(shard)
-			r.reportHeldGrants(shard, owner, grants)
+			r.reportHeldGrants(shard, owner)
 		}
 	}
 }
@@ -103,20 +102,30 @@
 // all other grants of this router, and a settle that arrives before it still
 // counts with its cost.
 func (r *Router) reportToOwner(shard pool.ShardID, owner pool.RouterID) {
-	waiting, grants := r.askTable.forShard(shard)
+	waiting, _ := r.askTable.forShard(shard)
 	r.replayShard(shard)
-	r.reportHeldGrants(shard, owner, grants)
+	r.reportHeldGrants(shard, owner)
 	for _, a := range waiting {
 		r.sendAsk(shard, a)
 	}
 }
 
-func (r *Router) reportHeldGrants(shard pool.ShardID, owner pool.RouterID, grants []pool.HeldGrant) {
+// reportHeldGrants reports the limits of servers and the held grants of a shard to its owner.
+// An owner at this router gets the list under its lock: a grant that is settled between the
+// list and its report would come back and never end.
+func (r *Router) reportHeldGrants(shard pool.ShardID, owner pool.RouterID) {
 	r.reportLimits(shard, owner)
 	if owner.Name == r.self.Name {
-		r.receiveHeldGrants(shard, r.self, grants)
+		if !r.applyIfOwner(shard, func(now time.Time, o *pool.Owner) {
+			_, grants := r.askTable.forShard(shard)
+			o.HandleHeldGrants(now, r.self, grants)
+		}) {
+			_, grants := r.askTable.forShard(shard)
+			r.receiveHeldGrants(shard, r.self, grants)
+		}
 		return
 	}
+	_, grants := r.askTable.forShard(shard)
 	r.send(owner.Name, peer.HeldGrantsToEnvelope(shard, grants))
 }
 
