callers: end a body at its deadline whatever the buffer holds

A request whose body had a chunk line or a trailer that left one byte of the read buffer free got no answer, and its handler never ended.

Cause: a read of one byte was taken for the check for a closed connection, whose deadline removes. net/http also reads into the last byte of its buffer.

Change: the check is told from a read into the buffer by the place of the byte.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -22,6 +22,7 @@
 	mu             sync.Mutex
 	deadline       time.Time // read deadline that net/http has set
 	bufferSize     int       // of the read buffer of net/http
+	bufferEnd      *byte     // last byte of that buffer
 	idle           bool
 	deadlines      int  // read deadlines set since the connection became idle
 	begun          bool // bytes of the next request have arrived
@@ -80,12 +81,12 @@
 // none arrives, or its head is not complete in time, the caller is told before net/http
 // closes the connection.
 func (c *callerConn) Read(p []byte) (int, error) {
-	c.beforeRead(len(p))
+	c.beforeRead(p)
 	if c.dropsRest() {
 		return 0, io.EOF
 	}
 	n, err := c.TCPConn.Read(p)
-	for len(p) == 1 && errors.Is(err, os.ErrDeadlineExceeded) && c.endBodyDeadline() {
+	for c.isCloseCheck(p) && errors.Is(err, os.ErrDeadlineExceeded) && c.endBodyDeadline() {
 		n, err = c.TCPConn.Read(p)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsHead() {
@@ -101,7 +102,7 @@
 	c.readErr = err
 	if n > 0 {
 		c.lastActive = time.Now()
-		c.early = len(p) == 1 // only the check for a closed connection reads single bytes
+		c.early = c.isCloseCheck(p)
 		c.markRead(p[:n])
 		c.markBegun()
 	}
@@ -194,17 +195,23 @@
 
 // beforeRead detects bytes of the next request that were read with the request before:
 // then net/http reads into the rest of its buffer.
-func (c *callerConn) beforeRead(size int) {
+func (c *callerConn) beforeRead(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bufferSize == 0 {
-		c.bufferSize = size
+	size := len(p)
+	if c.bufferSize == 0 && size > 0 {
+		c.bufferSize, c.bufferEnd = size, &p[size-1]
 	}
 	if c.idle && !c.encrypted && size < c.bufferSize { // TLS reads parts of any size
 		c.markBegun()
 	}
 }
 
+// isCloseCheck reports whether p is the buffer of the check for a closed connection, which has
+// one byte. A read into the last byte of the read buffer of net/http is none. Only the reader
+// of the connection may call it.
+func (c *callerConn) isCloseCheck(p []byte) bool { return len(p) == 1 && &p[0] != c.bufferEnd }
+
 // markBegun records that a request has begun to arrive. The caller must hold mu.
 func (c *callerConn) markBegun() {
 	c.begun = true
