callers: end connections of refused requests with Expect

Callers who asked for 100 Continue, were refused and neither sent the body nor closed kept their connections for as long as they liked; a stop ended with "context deadline exceeded" beside one.

Cause: net/http waits for the rest of a short body after the response, with no bound in time, and SendEarlyRefusal left such requests alone.

Evidence: TestRefusalOfAnExpectedBodyEndsTheConnection failed before.

Change: the wait has the bound of other refused bodies.

--- a/pkg/callers/refused_body.go
+++ b/pkg/callers/refused_body.go
@@ -78,10 +78,16 @@
 	}
 }
 
-// SendEarlyRefusal is SendRefusal for a request with a body that the caller sends without
-// being asked for it. net/http would wait for the rest of a short one without a bound.
+// SendEarlyRefusal is SendRefusal for a request whose body has not been read. net/http would
+// wait for the rest of a short one without a bound. A caller that waits to be asked for the
+// body needs no more than that bound.
 func SendEarlyRefusal(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 && r.Header.Get("Expect") == "" {
+	switch {
+	case r.ContentLength == 0 || r.ProtoMajor > 1:
+	case r.Header.Get("Expect") != "":
+		// net/http reads the body after the response, which closes the connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTime)) // fails on a closed connection only
+	default:
 		SendRefusal(w, r)
 	}
 }
--- a/pkg/callers/refused_body_end_test.go
+++ b/pkg/callers/refused_body_end_test.go
@@ -46,3 +46,29 @@
 		}
 	}
 }
+
+// Guards against a connection that stays open for as long as its caller likes: a refused
+// request asked for 100 Continue, and net/http waits for the body that never comes.
+func TestRefusalOfAnExpectedBodyEndsTheConnection(t *testing.T) {
+	for name, framing := range map[string]string{"in chunks": "Transfer-Encoding: chunked", "with a length": "Content-Length: 100"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			caller := dialHandler(t, false, func(w http.ResponseWriter, r *http.Request) {
+				if !ReadRefusedBody(w, r) {
+					w.Header().Set("Connection", "close")
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+				SendEarlyRefusal(w, r)
+			})
+			_, err := fmt.Fprintf(caller, "POST / HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\n%s\r\n\r\n", framing)
+			assert.NilError(t, err)
+			responses := bufio.NewReader(caller)
+			refusal, err := http.ReadResponse(responses, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, refusal.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, refusal.Close)
+			_, err = io.Copy(io.Discard, responses)
+			assert.NilError(t, err, "the host does not close the connection")
+		})
+	}
+}
