callers: end the connection of a handler that panics at once

A handler that panics, or aborts, before it has read the body left the connection open without an answer: net/http waits for the rest of the body before it closes the connection.

Evidence: TestPanicBeforeTheBodyEndsTheConnection failed before, by an abort and by another cause.

Change: that wait ends at once.

--- a/pkg/callers/record.go
+++ b/pkg/callers/record.go
@@ -86,7 +86,7 @@
 		if ok {
 			tracked.setHandled()
 		}
-		defer s.closes.recordPanic(r)
+		defer s.closes.recordPanic(w, r)
 		if !ok {
 			next.ServeHTTP(w, r)
 			return
@@ -102,11 +102,14 @@
 
 // recordPanic is deferred around a handler. net/http closes the connection, and logs a panic
 // together with much that is of no interest.
-func (r *closeRecorder) recordPanic(req *http.Request) {
+func (r *closeRecorder) recordPanic(w http.ResponseWriter, req *http.Request) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
+	if req.ProtoMajor == 1 { // net/http reads the rest of the body before it closes the connection
+		_ = http.NewResponseController(w).SetReadDeadline(pastDeadline) // fails on a closed connection only
+	}
 	if cause != http.ErrAbortHandler {
 		metrics.GetOrRegisterCounter(panicMetric, r.registry).Inc(1)
 		r.log.WithFields(logrus.Fields{"method": req.Method, "path": req.URL.Path, "caller": req.RemoteAddr, "cause": cause, "stack": string(debug.Stack())}).Error("handler panicked, its connection is closed")
--- a/pkg/callers/refused_body_end_test.go
+++ b/pkg/callers/refused_body_end_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -72,3 +74,18 @@
 		})
 	}
 }
+
+// Guards against a connection that stays open without an answer after a panic of its handler,
+// because net/http waits for the rest of the body.
+func TestPanicBeforeTheBodyEndsTheConnection(t *testing.T) {
+	for name, cause := range map[string]any{"abort": http.ErrAbortHandler, "fault": "fault"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			caller := dialHandler(t, false, func(http.ResponseWriter, *http.Request) { panic(cause) })
+			_, err := io.WriteString(caller, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\n")
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, caller)
+			assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the host does not close the connection")
+		})
+	}
+}
