callers: forget a doubtful end of chunks

A caller whose body in chunks ended in two segments, or had the text of a head in it, counted as one that pipelines for good. In a stop no response told it that its connection is closed.

Evidence: TestDoubtfulEndOfChunksDoesNotMarkTheCaller failed before.

Change: the doubt holds for the response to that request only.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -184,7 +184,7 @@
 	case c.read == 0, c.headEnd > 0 && bodyBytes >= 0 && int64(c.read-c.headEnd) > bodyBytes:
 		c.pipelined = true
 	case bodyBytes < 0 && (c.nextHead || !c.headOrBodyEnds):
-		c.pipelined = true // its requests are answered in any case
+		return true // perhaps; its requests are answered in any case
 	}
 	if !c.pipelined {
 		state, err := netpeek.Peek(c.TCPConn)
