callers: find the end of a head that arrives in parts

A request right behind one whose head had arrived in two parts, split within its end, was closed without an answer on a connection that the host wants to close.

Change: the last bytes of an incomplete head are kept. Heads whose lines end with a line feed alone are still not seen.

--- a/pkg/callers/conn.go
+++ b/pkg/callers/conn.go
@@ -24,20 +24,21 @@
 	bufferSize     int       // of the read buffer of net/http
 	bufferEnd      *byte     // last byte of that buffer
 	idle           bool
-	deadlines      int  // read deadlines set since the connection became idle
-	begun          bool // bytes of the next request have arrived
-	early          bool // net/http has read a byte of the next request while a request runs
-	closing        bool // the wait for a request was ended
-	extended       bool // the time for the head of the next request was extended
-	announced      bool // the caller was told that the connection is closed
-	crossed        int  // bytes that were received after the wait for a request was ended
-	read           int  // bytes of the current request that were read from the socket, and any after it
-	headEnd        int  // of these, the bytes of its head, 0 if that is not known
-	pipelined      bool // the caller has sent a request before it had the response to the last one
-	nextHead       bool // bytes after the head look like the head of a further request
-	headOrBodyEnds bool // the last bytes that were read may end a head or a body in chunks
-	dropping       bool // what arrives is dropped, because the end of the last body is not known
-	dropped        int  // bytes that were dropped
+	deadlines      int    // read deadlines set since the connection became idle
+	begun          bool   // bytes of the next request have arrived
+	early          bool   // net/http has read a byte of the next request while a request runs
+	closing        bool   // the wait for a request was ended
+	extended       bool   // the time for the head of the next request was extended
+	announced      bool   // the caller was told that the connection is closed
+	crossed        int    // bytes that were received after the wait for a request was ended
+	read           int    // bytes of the current request that were read from the socket, and any after it
+	headTail       []byte // last bytes that were read, while headEnd is 0
+	headEnd        int    // of these, the bytes of its head, 0 if that is not known
+	pipelined      bool   // the caller has sent a request before it had the response to the last one
+	nextHead       bool   // bytes after the head look like the head of a further request
+	headOrBodyEnds bool   // the last bytes that were read may end a head or a body in chunks
+	dropping       bool   // what arrives is dropped, because the end of the last body is not known
+	dropped        int    // bytes that were dropped
 
 	writeLimit      time.Duration // how long a blocked write may make no progress, 0 for no limit
 	writeDeadline   time.Time     // that another package has set, zero for none
@@ -144,9 +145,18 @@
 		return
 	}
 	rest := p
-	if i := bytes.Index(p, endOfHead); i >= 0 && c.headEnd == 0 {
-		c.headEnd = c.read + i + len(endOfHead)
-		rest = p[i+len(endOfHead):]
+	if c.headEnd == 0 { // its end may arrive in parts
+		head, known := p, len(c.headTail)
+		if known > 0 {
+			head = append(c.headTail, p...)
+		}
+		if i := bytes.Index(head, endOfHead); i >= 0 {
+			c.headEnd = c.read - known + i + len(endOfHead)
+			rest = head[i+len(endOfHead):]
+			c.headTail = nil
+		} else {
+			c.headTail = bytes.Clone(head[max(len(head)-len(endOfHead)+1, 0):])
+		}
 	}
 	c.nextHead = c.nextHead || c.headEnd > 0 && bytes.Contains(rest, versionOfHead)
 	c.headOrBodyEnds = bytes.HasSuffix(p, endOfHead)
@@ -296,7 +306,7 @@
 	defer c.mu.Unlock()
 	c.idle, c.deadlines, c.extended = idle, 0, false
 	if idle {
-		c.read, c.headEnd, c.nextHead = 0, 0, false
+		c.read, c.headEnd, c.headTail, c.nextHead = 0, 0, nil, false
 		if c.early {
 			c.read = 1
 		}
--- a/pkg/callers/split_test.go
+++ b/pkg/callers/split_test.go
@@ -65,3 +65,33 @@
 		})
 	}
 }
+
+// Guards against a pipelined request that is closed without an answer because the end of the
+// head before it arrived in two parts.
+func TestRequestBehindAHeadInTwoPartsIsSeen(t *testing.T) {
+	const next = "GET /next HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	for name, segments := range map[string][]string{
+		"no body":               {"GET / HTTP/1.1\r\nHost: a.example\r\n\r", "\n" + next},
+		"a body with a length":  {"POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n", "\r\nbody" + next},
+		"a body in chunks":      {"POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r", "\n\r\n4\r\nbody\r\n0\r\n\r\n" + next},
+		"a head in three parts": {"GET / HTTP/1.1\r\nHost: a.example\r", "\n", "\r\n" + next},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := NewConnTracker(0, 0, metrics.NewRegistry())
+			caller := dialTracked(t, s, false, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if r.URL.Path == "/" && !Pipelined(r.Context(), r.ContentLength) {
+					w.Header().Set("Connection", "close")
+				}
+			})
+			writeApart(t, s, caller, segments...)
+			responses := bufio.NewReader(caller)
+			for n := range 2 {
+				resp, err := http.ReadResponse(responses, nil)
+				assert.NilError(t, err, "request %d got no answer", n+1)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
