--- a/review/_driver2/replace.go
+++ b/review/_driver2/replace.go
@@ -13,17 +13,13 @@
 	cases["replace-then-wipe"] = replaceThenWipe
 }
 
-// replaceTwice replaces two of three core machines by plan, one after the other: first the one
+// replaceTwice replaces two of four core machines by plan, one after the other: first the one
 // that leads. Each time an empty machine is added first, and the old one gets SIGTERM and is gone
 // for good once the new one has run for longer than catchUpS. The second one is removed later
 // than catchUpS after the first. The configuration that was acknowledged last has to be read back.
 func replaceTwice(d *deployment, trouble bool) (int, error) {
 	op := &operator{d}
-	var old []*host
-	for i, zone := range []string{"toowoomba", "warwick", "dalby"} {
-		old = append(old, d.addHost("core-"+zone+"-1", zone, 11+i, true))
-	}
-	d.seeds = old
+	old := addCores(d)
 	for _, h := range old {
 		if err := d.start(h, true); err != nil {
 			return notRun, err
@@ -32,14 +28,14 @@
 	if !op.order(old, "PUT", "/jackdawtrack/config", configuration(1), 10*time.Second) {
 		return notRun, errNoAck
 	}
-	first := d.leaderOf(old)
+	first := d.leaderOf(d.seeds)
 	if first == nil {
 		return notRun, errors.New("no host says that it leads")
 	}
-	second := without(old, first)[0]
+	second := without(d.seeds, first)[0] // the first three vote, as they founded the group
 	all := old
 	for i, h := range []*host{first, second} {
-		added := d.addHost("core-"+h.zone+"-2", h.zone, 15+i, true)
+		added := d.addHost("core-"+h.zone+"-2", h.zone, 16+i, true)
 		if err := d.start(added, false); err != nil {
 			return notRun, err
 		}
@@ -66,16 +62,21 @@
 	return readBack(op, all, 3), nil
 }
 
-// replaceThenWipe replaces one of three core machines by plan, like replaceTwice. Later than
+// addCores adds the core machines of the deployment, of which the first three are the seeds.
+func addCores(d *deployment) (cores []*host) {
+	for i, zone := range []string{"vasteras", "orebro", "uppsala", "eskilstuna"} {
+		cores = append(cores, d.addHost("core-"+zone+"-1", zone, 11+i, true))
+	}
+	d.seeds = cores[:3]
+	return cores
+}
+
+// replaceThenWipe replaces one of four core machines by plan, like replaceTwice. Later than
 // catchUpS after that, another one loses its disk right after a configuration was acknowledged.
 func replaceThenWipe(d *deployment, trouble bool) (int, error) {
 	op := &operator{d}
-	var cores []*host
-	for i, zone := range []string{"toowoomba", "warwick", "dalby"} {
-		cores = append(cores, d.addHost("core-"+zone+"-1", zone, 11+i, true))
-	}
-	added := d.addHost("core-dalby-2", "dalby", 14, true)
-	d.seeds = cores
+	cores := addCores(d)
+	added := d.addHost("core-uppsala-2", "uppsala", 15, true)
 	for _, h := range cores {
 		if err := d.start(h, true); err != nil {
 			return notRun, err
