review: case 8, take-ups go on at a restarted server of another version

Cause: an edge host takes a server process for ended only if its address refuses connections. An engine that was dark for a moment and is back under its id with another version resets connections only, and gets the take-ups of the streams of the process before until its first heartbeat.

Streams of the stand-in have 58 events, as order chats have; case 7 has the longer streams too.

--- a/review/_driver2/engine.go
+++ b/review/_driver2/engine.go
@@ -14,7 +14,7 @@
 const (
 	firstEventTime = 600 * time.Millisecond // an engine with some load, within the aim of the longer prompts
 	eventPeriod    = 100 * time.Millisecond
-	eventsOfStream = 30
+	eventsOfStream = 58 // as order chats have
 )
 
 // engineRun is one run of a stream at an engine, from its arrival to the end of the work on it.
@@ -49,7 +49,8 @@
 	d        *deployment
 	runs     *engineRuns
 	id, zone string
-	address  string
+	version  string // of its software
+	address  string // that it announces
 	born     int64
 	http     *http.Server
 	stop     chan struct{}
@@ -63,12 +64,21 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &engine{d: d, runs: r, id: fmt.Sprintf("i-%s-%d", zone, number), zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	s := newEngine(d, r, number, zone, "v1", l)
+	go s.announce(0)
+	return s, nil
+}
+
+// newEngine starts an engine that does not announce itself yet.
+func newEngine(d *deployment, r *engineRuns, number int, zone, version string, l net.Listener) *engine {
+	s := &engine{
+		d: d, runs: r, id: fmt.Sprintf("i-%s-%d", zone, number), zone: zone, version: version,
+		address: l.Addr().String(), born: time.Now().UnixMilli(), stop: make(chan struct{}),
+	}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }()
-	go s.announce()
-	d.rec.add("engine %s starts at %s in zone %s", s.id, s.address, zone)
-	return s, nil
+	d.rec.add("engine %s of version %s starts at %s in zone %s", s.id, version, s.address, zone)
+	return s
 }
 
 func (s *engine) fallSilent(t time.Duration) {
@@ -133,23 +143,31 @@
 			w.Header().Set("Jackdawtrack-Weight-Versions", "1")
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", i, id, i, s.version)
 		w.(http.Flusher).Flush()
 		pause = eventPeriod
 	}
 	s.d.rec.add("engine %s ends %s", s.id, id)
 }
 
-// announce sends a heartbeat to the core hosts in turn.
-func (s *engine) announce() {
+// announce sends heartbeats to the core hosts in turn, the first one after the delay.
+func (s *engine) announce(delay time.Duration) {
+	select {
+	case <-s.stop:
+		return
+	case <-time.After(delay):
+	}
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for sequence := 1; ; sequence++ {
 		body, _ := json.Marshal(map[string]any{
-			"service": "models", "address": s.address, "zone": s.zone, "version": "v1", "slots": 64, "state": "ready", "coldRemainingMs": 0,
+			"service": "models", "address": s.address, "zone": s.zone, "version": s.version, "slots": 64, "state": "ready", "coldRemainingMs": 0,
 			"stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "sequence": sequence, "born": s.born,
 		})
 		for _, h := range s.d.hosts {
 			if h.core && sendBeat(client, fmt.Sprintf("http://%s/jackdawtrack/instances/%s", s.d.address(h), s.id), body) {
+				if sequence == 1 {
+					s.d.rec.add("the first heartbeat of engine %s of version %s is acknowledged", s.id, s.version)
+				}
 				break
 			}
 		}
--- a/review/_driver2/silence.go
+++ b/review/_driver2/silence.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -60,7 +61,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			readStream(d, edge, fmt.Sprintf("s%d", n))
+			readStream(d, edge, fmt.Sprintf("s%d", n), fmt.Sprintf("s%d", n), 0)
 		}()
 		if trouble && n%30 == 0 {
 			engines[n/30-1].fallSilent(silenceTime)
@@ -76,24 +77,48 @@
 	return held, nil
 }
 
-// readStream sends one stream request and reads its answer.
-func readStream(d *deployment, edge *host, id string) {
+// answer is what a client got of one try.
+type answer struct {
+	status     int
+	body       string
+	whole      bool
+	retryAfter time.Duration
+}
+
+// events returns the number of whole events.
+func (a *answer) events() int { return strings.Count(a.body, "\n\n") }
+
+// readStream sends a request for the stream with the id, under the id of a try. It goes on after
+// an event if last is greater than 0.
+func readStream(d *deployment, edge *host, id, try string, last int) (a answer) {
 	req, _ := http.NewRequest("POST", "http://"+d.address(edge)+"/chat/"+id, strings.NewReader(strings.Repeat("p", 830)))
 	req.Host = "desk.example"
-	req.Header.Set("Jackdawtrack-Request-Id", id)
+	req.Header.Set("Jackdawtrack-Request-Id", try)
 	req.Header.Set("Jackdawtrack-Deadline-Ms", "12000")
 	req.Header.Set("Jackdawtrack-Model", "m")
 	req.Header.Set("Jackdawtrack-Token-Count", "826,300")
 	req.Header.Set("Jackdawtrack-Prompt-Prefix", fmt.Sprintf("5c1e07a2:119,91bd3f06:79,%x:628", id))
-	d.rec.add("client sends %s", id)
-	resp, err := http.DefaultClient.Do(req)
+	if last > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(last))
+		req.Header.Set("Resumes", id)
+	}
+	d.rec.add("client sends %s to %s, after event %d", try, edge.name, last)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
 	if err != nil {
-		d.rec.add("client: %s: %v", id, short(err.Error()))
-		return
+		d.rec.add("client: %s: %v", try, short(err.Error()))
+		return a
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	d.rec.add("client: %s: %d, %d events, error %v", id, resp.StatusCode, strings.Count(string(body), "\n\n"), err)
+	if resp.StatusCode == http.StatusOK {
+		a.body = string(body)
+		a.body = a.body[:strings.LastIndex(a.body, "\n\n")+2]
+	}
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	a.status, a.whole, a.retryAfter = resp.StatusCode, err == nil && resp.StatusCode == http.StatusOK, time.Duration(seconds*float64(time.Second))
+	d.rec.add("client: %s: %d, %d events, error %v", try, a.status, a.events(), err)
+	return a
 }
 
 // findOverlaps counts the runs that began after an event of an earlier run of the same request
