--- a/review/_driver2/fleet.go
+++ b/review/_driver2/fleet.go
@@ -60,6 +60,9 @@
 	ports    [4]int // internal, control or front, ready, last internal
 	seeds    []*host
 	hosts    []*host
+
+	mu      sync.Mutex
+	started []*os.Process
 }
 
 func newDeployment(rec *record, dir, programs string) (*deployment, error) {
@@ -149,6 +152,9 @@
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
+	d.mu.Lock()
+	d.started = append(d.started, h.cmd.Process)
+	d.mu.Unlock()
 	d.rec.add("%s starts at %s in zone %s, bootstrap %t, process %d", h.name, h.ip, h.zone, bootstrap, h.cmd.Process.Pid)
 	cmd, exited := h.cmd, make(chan struct{})
 	h.exited = exited
@@ -189,6 +195,15 @@
 	return os.RemoveAll(h.folder)
 }
 
+// killAll kills all processes without waiting for their end.
+func (d *deployment) killAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.started {
+		_ = p.Kill() // fails if it has ended
+	}
+}
+
 // endAll ends all processes.
 func (d *deployment) endAll() {
 	for _, h := range d.hosts {
--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Results of a case, which are the exit codes.
@@ -55,6 +57,14 @@
 		return notRun
 	}
 	defer d.endAll()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		d.killAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(notRun)
+	}()
 	rec.add("case %s, trouble %t", name, trouble)
 	code, err := cases[name](d, trouble)
 	if err != nil {
--- a/review/_driver2/silence.go
+++ b/review/_driver2/silence.go
@@ -61,7 +61,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			readStream(d, edge, fmt.Sprintf("s%d", n), fmt.Sprintf("s%d", n), 0)
+			readStream(d, edge, fmt.Sprintf("s%d", n), fmt.Sprintf("s%d", n), 0, streamDeadline)
 		}()
 		if trouble && n%30 == 0 {
 			engines[n/30-1].fallSilent(silenceTime)
@@ -88,13 +88,25 @@
 // events returns the number of whole events.
 func (a *answer) events() int { return strings.Count(a.body, "\n\n") }
 
-// readStream sends a request for the stream with the id, under the id of a try. It goes on after
-// an event if last is greater than 0.
-func readStream(d *deployment, edge *host, id, try string, last int) (a answer) {
+// streamDeadline is how long a client waits for a stream, with all its tries.
+const streamDeadline = 12 * time.Second
+
+// wholeEvents returns a stream up to its last whole event.
+func wholeEvents(body string) string {
+	end := strings.LastIndex(body, "\n\n")
+	if end < 0 {
+		return ""
+	}
+	return body[:end+2]
+}
+
+// readStream sends a request for the stream with the id, under the id of a try of a client that
+// waits for so long. It goes on after an event if last is greater than 0.
+func readStream(d *deployment, edge *host, id, try string, last int, wait time.Duration) (a answer) {
 	req, _ := http.NewRequest("POST", "http://"+d.address(edge)+"/chat/"+id, strings.NewReader(strings.Repeat("p", 830)))
 	req.Host = "desk.example"
 	req.Header.Set("Jackdawtrack-Request-Id", try)
-	req.Header.Set("Jackdawtrack-Deadline-Ms", "12000")
+	req.Header.Set("Jackdawtrack-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	req.Header.Set("Jackdawtrack-Model", "m")
 	req.Header.Set("Jackdawtrack-Token-Count", "826,300")
 	req.Header.Set("Jackdawtrack-Prompt-Prefix", fmt.Sprintf("5c1e07a2:119,91bd3f06:79,%x:628", id))
@@ -112,8 +124,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if resp.StatusCode == http.StatusOK {
-		a.body = string(body)
-		a.body = a.body[:strings.LastIndex(a.body, "\n\n")+2]
+		a.body = wholeEvents(string(body))
 	}
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	a.status, a.whole, a.retryAfter = resp.StatusCode, err == nil && resp.StatusCode == http.StatusOK, time.Duration(seconds*float64(time.Second))
--- a/review/_driver2/upgrade.go
+++ b/review/_driver2/upgrade.go
@@ -13,8 +13,8 @@
 	// otherEngines is the number of engines of the other version. One of seven engines goes
 	// dark, less than the share of .15 that the bench takes.
 	otherEngines = 6
-	// maxTries is how often a client sends a request for a stream.
-	maxTries = 4
+	// maxTries is how often a client sends a request for a stream: the sheet has one retry.
+	maxTries = 2
 )
 
 func init() { cases["restart-as-other-version"] = restartAsOtherVersion }
@@ -111,13 +111,13 @@
 // readWithTakeUps reads a stream as a client does: if its answer breaks off, the client takes it
 // up at the next edge host, and comes back as a refusal says. It returns all events.
 func readWithTakeUps(d *deployment, edges []*host, n int) (body string) {
-	id := fmt.Sprintf("s%d", n)
+	id, start := fmt.Sprintf("s%d", n), time.Now()
 	for try := range maxTries {
 		name := id
 		if try > 0 {
 			name = fmt.Sprintf("%s-%d", id, try)
 		}
-		a := readStream(d, edges[(n+try)%len(edges)], id, name, strings.Count(body, "\n\n"))
+		a := readStream(d, edges[(n+try)%len(edges)], id, name, strings.Count(body, "\n\n"), streamDeadline-time.Since(start))
 		body += a.body
 		if a.whole {
 			return body
