core: replace lost and leaving voters before the next loss may come

Cause: the group had fewer voters than it could for longer than operators wait between two losses (catchUpS, 4 s). A lost voter was replaced after 5 s of silence, counted from the last election and up to 1.8 s more; a host that was stopped kept its vote; a leader could not give up its own; a learner was promoted only at moments at which it held every committed entry; a new leader demoted any voter when it found one too many; elections failed again when two candidates ticked together.

The other causes were traced in the new simulation.

Change: voters are replaced after 1 s of silence in ticks of the leader, or as soon as they announce their shutdown; the demotion follows the promotion at once; a leader that stops demotes itself; a learner may be promoted if it holds what was committed two checks of the quorum ago; a voter too many is demoted only when each one has responded or is known to be silent; candidates try again after half an election timeout and yield to the higher id.

--- a/pkg/core/host.go
+++ b/pkg/core/host.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -77,6 +78,7 @@
 	cancel        context.CancelFunc
 	ctx           context.Context
 	confirmations confirmations
+	leaving       atomic.Bool // the host shuts down, see Leave
 
 	mu              sync.Mutex
 	servers         *registry.Registry
--- a/pkg/core/members_test.go
+++ b/pkg/core/members_test.go
@@ -28,6 +28,11 @@
 	return m
 }
 
+func leaving(m memberState) memberState {
+	m.leaving = true
+	return m
+}
+
 func notCaughtUp(m memberState) memberState {
 	m.caughtUp = false
 	return m
@@ -53,6 +58,11 @@
 		{"silent voter is replaced before it is demoted", []memberState{asSelf(voter(1, "a")), voter(2, "b"), silent(voter(3, "c")), learner(4, "d")}, 3, replica.PromoteLearner, 4},
 		{"silent voter without a replacement keeps its vote", []memberState{asSelf(voter(1, "a")), voter(2, "b"), silent(voter(3, "c"))}, 3, 0, 0},
 		{"replaced voter is demoted", []memberState{asSelf(voter(1, "a")), voter(2, "b"), silent(voter(3, "c")), voter(4, "d")}, 3, replica.DemoteVoter, 3},
+		{"one voter too many, none has responded to a new leader", []memberState{asSelf(voter(1, "a")), notCaughtUp(voter(2, "b")), voter(3, "c"), voter(4, "c")}, 3, 0, 0},
+		{"voter that shuts down", []memberState{asSelf(voter(1, "a")), voter(2, "b"), leaving(voter(3, "c")), learner(4, "d")}, 3, replica.PromoteLearner, 4},
+		{"voter that shuts down without a replacement", []memberState{asSelf(voter(1, "a")), voter(2, "b"), leaving(voter(3, "c")), leaving(learner(4, "d"))}, 3, 0, 0},
+		{"leader that shuts down was replaced", []memberState{asSelf(leaving(voter(1, "a"))), voter(2, "b"), voter(3, "c"), voter(4, "d")}, 3, replica.DemoteVoter, 1},
+		{"leader that shuts down demotes a silent voter first", []memberState{asSelf(leaving(voter(1, "a"))), voter(2, "b"), silent(voter(3, "c")), voter(4, "d")}, 3, replica.DemoteVoter, 3},
 		{"voter that came back in between", []memberState{asSelf(voter(1, "a")), voter(2, "b"), voter(3, "c"), voter(4, "c")}, 3, replica.DemoteVoter, 3},
 		{"learner that is gone for good", []memberState{asSelf(voter(1, "a")), voter(2, "b"), voter(3, "c"), lost}, 3, replica.RemoveMember, 9},
 	} {
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -87,7 +87,16 @@
 
 func (n *Node) resetVotes() {
 	n.grantedVotes = make(map[uint64]bool)
-	n.resetElectionTimer()
+	n.electionElapsed = 0
+	n.electionTimeout = n.retryTimeout()
+}
+
+// retryTimeout returns the ticks after which a candidate tries again, chosen at random from
+// the second half of ElectionTicks. A first try fails without a fault if the other voters
+// heard the leader a little later; the pre-vote keeps further ones from disturbing a leader.
+func (n *Node) retryTimeout() int {
+	least := n.cfg.ElectionTicks/2 + 1
+	return least + n.cfg.Rand(n.cfg.ElectionTicks+1-least)
 }
 
 func (n *Node) hasVoteQuorum() bool {
@@ -119,6 +128,7 @@
 	granted = granted && n.isLogUpToDate(m.Index, m.LogTerm)
 	if granted && m.Kind == MsgPreVote {
 		term = m.Term
+		n.yieldTo(m.From)
 	}
 	if granted && m.Kind == MsgVote {
 		n.hardState.Vote = m.FromIdentity
@@ -127,6 +137,16 @@
 	n.respond(m, Message{Kind: kind, Term: term, Reject: !granted})
 }
 
+// yieldTo ends the own pre-vote for one of a member with a higher ID. Two members that become
+// candidates at the same time would both vote for themselves, again and again if their clocks
+// tick together.
+func (n *Node) yieldTo(id uint64) {
+	if n.role == PreCandidate && id > n.cfg.ID {
+		n.role = Follower
+		n.resetVotes()
+	}
+}
+
 // isLogUpToDate reports whether a log that ends with this index and term is at
 // least as up to date as this node's log.
 func (n *Node) isLogUpToDate(index, term uint64) bool {
@@ -160,6 +180,7 @@
 	n.progress = make(map[uint64]*progress)
 	n.rebuildProgress()
 	n.appendAsLeader(Entry{Kind: EntryNoOp})
+	n.commitAtCheck, n.commitAtPreviousCheck = n.log.last(), n.log.last()
 	n.broadcastAppend()
 }
 
@@ -173,6 +194,7 @@
 		p.activeLastInterval = p.activeThisInterval
 		p.activeThisInterval = false
 	}
+	n.commitAtPreviousCheck, n.commitAtCheck = n.commitAtCheck, max(n.commitAtCheck, n.log.commitIndex)
 	return ok
 }
 
@@ -207,7 +229,7 @@
 	n.log.commitIndex = index
 	n.startDeferredReads()
 	n.broadcastAppend()
-	if !n.isVoter() && n.log.memberships[len(n.log.memberships)-1].index <= n.log.commitIndex {
+	if !n.isVoter() && !n.isMembershipPending() {
 		n.becomeFollower(n.hardState.Term, 0)
 	}
 }
--- a/pkg/raft/faults_test.go
+++ b/pkg/raft/faults_test.go
@@ -42,6 +42,7 @@
 	*sim
 	wipedHostID    uint64 // last wiped host, 0 if none
 	promotionIndex uint64 // index of the entry that promotes the wiped host again, 0 if not proposed
+	hostsLeave     bool   // hosts announce that they shut down, and leaders demote voters, also themselves
 }
 
 func (c *faultScenario) drawHost(t *rapid.T) *host {
@@ -59,7 +60,7 @@
 // actions returns the actions by name. Names that differ only in a number give
 // an action more weight, so that the group makes progress between faults.
 func (c *faultScenario) actions() map[string]func(*rapid.T) {
-	return map[string]func(*rapid.T){
+	actions := map[string]func(*rapid.T){
 		"": func(t *rapid.T) {
 			c.steps++
 			if c.violation != nil {
@@ -108,6 +109,28 @@
 		"repair2":  c.replaceHost,
 		"member":   c.changeMember,
 	}
+	if c.hostsLeave {
+		actions["leave"] = func(t *rapid.T) { h := c.drawRunningHost(t); h.node.Leave(); c.processReady(h, noCrash) }
+		actions["demote"] = c.demoteVoter
+	}
+	return actions
+}
+
+// demoteVoter lets the leader demote a voter that leaves, or any one; it may be the leader
+// itself.
+func (c *faultScenario) demoteVoter(t *rapid.T) {
+	l := c.leader()
+	if l == nil || c.wipedHostID != 0 && c.promotionIndex == 0 {
+		t.Skip()
+	}
+	h := c.drawHost(t)
+	for id, p := range l.node.Status().Progress {
+		if p.Leaving {
+			h = c.hosts[id]
+		}
+	}
+	l.node.ProposeMembershipChange(DemoteVoter, Member{ID: h.id})
+	c.processReady(l, noCrash)
 }
 
 // runRandomRounds runs a random number of rounds under the current faults.
@@ -269,9 +292,9 @@
 
 // runFaultScenario returns a property: after random faults end, the group elects
 // a leader and every member applies a new command.
-func runFaultScenario(size int, total *eventCounts) func(*rapid.T) {
+func runFaultScenario(size int, hostsLeave bool, total *eventCounts) func(*rapid.T) {
 	return func(t *rapid.T) {
-		c := &faultScenario{sim: newSim(size, uint64(rapid.IntRange(1, 1<<30).Draw(t, "seed")))}
+		c := &faultScenario{sim: newSim(size, uint64(rapid.IntRange(1, 1<<30).Draw(t, "seed"))), hostsLeave: hostsLeave}
 		defer total.add(c.sim)
 		c.healAndRun(20)
 		t.Repeat(c.actions())
@@ -293,9 +316,9 @@
 	}
 }
 
-func checkUnderFaults(t *testing.T, size int) {
+func checkUnderFaults(t *testing.T, size int, hostsLeave bool) {
 	var total eventCounts
-	rapid.Check(t, runFaultScenario(size, &total))
+	rapid.Check(t, runFaultScenario(size, hostsLeave, &total))
 	t.Logf("event counts: %+v", total)
 	// The runs are meaningful only if commits, reads and faults occurred.
 	assert.Assert(t, total.committed > 10*total.runs && total.reads > total.runs)
@@ -308,11 +331,18 @@
 // changes and wiped disks (F1, F5, F7, F10).
 func TestThreeMembersUnderFaults(t *testing.T) {
 	configureRapid(t, firstSeed, seeds(t))
-	checkUnderFaults(t, 3)
+	checkUnderFaults(t, 3, false)
 }
 
 // Checks the same with five members, of which two may be down.
 func TestFiveMembersUnderFaults(t *testing.T) {
 	configureRapid(t, firstSeed+1, seeds(t))
-	checkUnderFaults(t, 5)
+	checkUnderFaults(t, 5, false)
+}
+
+// Checks the same with hosts that announce their shutdown and leaders that demote voters and
+// themselves.
+func TestLeavingMembersUnderFaults(t *testing.T) {
+	configureRapid(t, firstSeed+2, seeds(t))
+	checkUnderFaults(t, 5, true)
 }
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -18,7 +18,8 @@
 	// RemoveMember removes a member.
 	RemoveMember
 	// DemoteVoter makes a voter a learner. A host that was only partitioned can
-	// catch up and be promoted again.
+	// catch up and be promoted again. A leader that demotes itself steps down once the
+	// change is committed.
 	DemoteVoter
 )
 
@@ -34,7 +35,7 @@
 	// A leader that has not committed an entry of its own term may not know of
 	// an uncommitted change of its predecessor. The majorities of two such
 	// changes need not overlap, so two leaders could be elected.
-	if !n.hasCommittedInTerm() || n.log.memberships[len(n.log.memberships)-1].index > n.log.commitIndex {
+	if !n.hasCommittedInTerm() || n.isMembershipPending() {
 		return 0, 0, ErrChangePending
 	}
 	members, err := n.membershipAfterChange(kind, m)
@@ -47,6 +48,11 @@
 	return index, n.hardState.Term, nil
 }
 
+// isMembershipPending reports whether the latest membership is not known to be committed.
+func (n *Node) isMembershipPending() bool {
+	return n.log.memberships[len(n.log.memberships)-1].index > n.log.commitIndex
+}
+
 // membershipAfterChange returns the latest membership with the change applied.
 func (n *Node) membershipAfterChange(kind MembershipChange, m Member) ([]Member, error) {
 	members := slices.Clone(n.log.members())
@@ -64,7 +70,7 @@
 		if !members[i].Learner {
 			return nil, ErrInvalidChange
 		}
-		if !n.isCaughtUp(members[i]) {
+		if p := n.progress[m.ID]; p == nil || !n.isCaughtUp(p) {
 			return nil, ErrNotCaughtUp
 		}
 		members[i].Learner = false
@@ -78,7 +84,7 @@
 		if i < 0 {
 			return nil, ErrNotMember
 		}
-		if members[i].Learner || n.isSelf(members[i]) {
+		if members[i].Learner {
 			return nil, ErrInvalidChange
 		}
 		members[i].Learner = true
@@ -114,12 +120,29 @@
 	return ErrInvalidChange
 }
 
-// isCaughtUp reports whether the learner holds every committed entry durably and
-// responded in the current or the previous quorum check interval, each of which
-// lasts ElectionTicks.
-func (n *Node) isCaughtUp(m Member) bool {
-	p := n.progress[m.ID]
-	return p.matchIndex >= n.log.commitIndex && (p.activeThisInterval || p.activeLastInterval)
+// isCaughtUp reports whether the member holds every entry durably that was committed two
+// quorum checks ago, and responded since the last quorum check but one; a quorum check comes
+// every ElectionTicks. While commands are committed faster than packets travel, a sound
+// learner never holds every committed entry, and the group would go without its vote for
+// good. The promotion commits only with the entries before it, so that nothing rests on the
+// learner that it does not hold.
+func (n *Node) isCaughtUp(p *progress) bool {
+	return p.matchIndex >= n.commitAtPreviousCheck && (p.activeThisInterval || p.activeLastInterval)
+}
+
+// Leave announces to the leader that this host shuts down, so that another member takes
+// its vote before it is gone. The announcement counts for ElectionTicks; repeat it until
+// the host ends. It does nothing if no leader is known or this node is the leader.
+func (n *Node) Leave() {
+	if leader, ok := findMember(n.log.members(), n.leaderID); ok && n.role == Follower {
+		n.send(leader, Message{Kind: MsgLeave})
+	}
+}
+
+func (n *Node) handleLeave(m Message) {
+	if p := n.progress[m.From]; n.role == Leader && p != nil {
+		p.leavingTicks = n.cfg.ElectionTicks
+	}
 }
 
 // rebuildProgress updates the leader's progress table to the latest membership.
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -42,6 +42,9 @@
 
 	grantedVotes map[uint64]bool
 	progress     map[uint64]*progress
+	// commitAtCheck and commitAtPreviousCheck are the commit indexes at the last two
+	// quorum checks of a leader, or its last index when it became the leader.
+	commitAtCheck, commitAtPreviousCheck uint64
 
 	reads    readQueue
 	incoming incomingSnapshot
@@ -89,6 +92,10 @@
 }
 
 func (n *Node) tickLeader() {
+	for _, p := range n.progress {
+		p.silentTicks++
+		p.leavingTicks = max(0, p.leavingTicks-1)
+	}
 	if n.electionElapsed >= n.cfg.ElectionTicks {
 		n.electionElapsed = 0
 		if !n.checkQuorumActive() {
@@ -127,7 +134,7 @@
 		return false
 	}
 	switch m.Kind {
-	case MsgPreVoteResponse, MsgVoteResponse, MsgAppendResponse, MsgHeartbeatResponse, MsgSnapshotChunkResponse:
+	case MsgPreVoteResponse, MsgVoteResponse, MsgAppendResponse, MsgHeartbeatResponse, MsgSnapshotChunkResponse, MsgLeave:
 		from, ok := findMember(n.log.members(), m.From)
 		return ok && from.Identity == m.FromIdentity
 	}
@@ -170,6 +177,8 @@
 		n.handleLeaderMessage(m)
 	case MsgAppendResponse, MsgHeartbeatResponse, MsgSnapshotChunkResponse:
 		n.handleFollowerResponse(m)
+	case MsgLeave:
+		n.handleLeave(m)
 	}
 }
 
@@ -248,6 +257,7 @@
 	}
 	n.role, n.leaderID = Follower, leaderID
 	n.grantedVotes, n.progress = nil, nil
+	n.commitAtCheck, n.commitAtPreviousCheck = 0, 0
 	n.failReads()
 	n.resetElectionTimer()
 }
--- a/pkg/raft/replicate.go
+++ b/pkg/raft/replicate.go
@@ -6,7 +6,7 @@
 var (
 	ErrNotLeader     = errors.New("raft: not the leader")
 	ErrChangePending = errors.New("raft: a membership change is in progress")
-	ErrNotCaughtUp   = errors.New("raft: the learner has not caught up with the commit index")
+	ErrNotCaughtUp   = errors.New("raft: the learner has not caught up")
 	ErrNotMember     = errors.New("raft: no member has this id")
 	ErrInvalidChange = errors.New("raft: invalid membership change")
 )
@@ -23,6 +23,8 @@
 	inflightIndexes    []uint64 // last index of each unacknowledged append
 	activeThisInterval bool     // responded since the last quorum check
 	activeLastInterval bool     // responded in the interval before it
+	silentTicks        int      // ticks since the last response
+	leavingTicks       int      // ticks for which the announced shutdown of the member still counts, 0 if there is none
 
 	sendingSnapshot       bool
 	snapshot              SnapshotMeta // snapshot being sent
@@ -154,7 +156,7 @@
 		return
 	}
 	member, _ := findMember(n.log.members(), m.From)
-	p.activeThisInterval = true
+	p.activeThisInterval, p.silentTicks = true, 0
 	switch m.Kind {
 	case MsgAppendResponse:
 		n.handleAppendResponse(member, p, m)
--- a/pkg/raft/scenario_test.go
+++ b/pkg/raft/scenario_test.go
@@ -192,7 +192,7 @@
 	index, _, err := n.ProposeMembershipChange(AddLearner, Member{ID: 2, Identity: 99, Address: "new"})
 	assert.NilError(t, err)
 	n.stepFrom(2, 12, 3, Message{Kind: MsgAppendResponse, Index: index})
-	assert.Equal(t, n.Status().Match[2], uint64(0))
+	assert.Equal(t, n.Status().Progress[2].Match, uint64(0))
 }
 
 // An entry of an earlier term must not be committed because a majority holds
@@ -225,3 +225,51 @@
 	n.stepFrom(3, 99, 5, Message{Kind: MsgVote, Index: 1, LogTerm: 1})
 	assert.Assert(t, n.Ready().Messages[0].Reject)
 }
+
+// Guards against a leader that cannot give up its vote before it shuts down, and so leaves the
+// group with a voter less: without it, the other two still commit.
+func TestLeaderDemotesItself(t *testing.T) {
+	s, l := newSimWithLeader(t, 4)
+	_, _, err := l.node.ProposeMembershipChange(DemoteVoter, Member{ID: l.id})
+	assert.NilError(t, err)
+	s.processReady(l, noCrash)
+	s.runRounds(3)
+	assert.Assert(t, l.node.role == Follower && !l.node.isVoter())
+	s.crashHost(l)
+	s.crashHost(s.hostExcept(l))
+	s.runRounds(20 * simElectionTicks)
+	s.propose(s.leader())
+	s.runRounds(5)
+	assert.NilError(t, s.violation)
+	assert.Assert(t, len(s.leader().applied) > len(l.applied))
+}
+
+// Guards against a shutdown that is announced to the leader and not noticed, or that counts
+// for good although the host has come back.
+func TestAnnouncedShutdownEnds(t *testing.T) {
+	s, l := newSimWithLeader(t, 3)
+	h := s.hostExcept(l)
+	h.node.Leave()
+	s.processReady(h, noCrash)
+	s.runRounds(1)
+	assert.Assert(t, l.node.Status().Progress[h.id].Leaving)
+	s.runRounds(simElectionTicks)
+	assert.Assert(t, !l.node.Status().Progress[h.id].Leaving)
+}
+
+// Guards against elections that fail again and again because two members whose clocks tick
+// together become candidates at the same time and vote for themselves.
+func TestTwoCandidatesAtOnceElectALeader(t *testing.T) {
+	s, l := newSimWithLeader(t, 3)
+	s.crashHost(l)
+	a := s.hostExcept(l)
+	b := s.hostExcept(l, a)
+	s.network = nil
+	for _, h := range []*host{a, b} {
+		h.node.becomeFollower(h.node.hardState.Term, 0)
+		h.node.startPreVote()
+		s.processReady(h, noCrash)
+	}
+	s.runRounds(simElectionTicks + 1)
+	assert.Assert(t, s.leader() != nil, "%s", s.describe())
+}
--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -1,7 +1,7 @@
 package raft
 
-// Status describes a node. For other members, Match and RecentlyActive are
-// known on the leader only.
+// Status describes a node. Progress is known on the leader only, except for the node
+// itself.
 type Status struct {
 	Role           Role
 	State          HardState
@@ -11,8 +11,16 @@
 	LastIndex      uint64 // index of the last log entry
 	Snapshot       uint64 // last included index of the newest snapshot
 	Members        []Member
-	Match          map[uint64]uint64 // match index by member ID
-	RecentlyActive map[uint64]bool   // by member ID: responded in the last two quorum check intervals of ElectionTicks each
+	MembersPending bool                // Members is not known to be committed
+	Progress       map[uint64]Progress // by member ID
+}
+
+// Progress is the leader's view of a member.
+type Progress struct {
+	Match       uint64 // match index
+	SilentTicks int    // ticks of the leader since the last response, or since it became the leader or the member was added
+	CaughtUp    bool   // a learner that may be promoted, see ProposeMembershipChange
+	Leaving     bool   // the member has announced its shutdown, see Leave
 }
 
 // Status returns the current state.
@@ -20,13 +28,11 @@
 	s := Status{
 		Role: n.role, State: n.hardState, Leader: n.leaderID,
 		Commit: n.log.commitIndex, Applied: n.log.appliedIndex, LastIndex: n.log.last(),
-		Snapshot: n.snapshot.Index, Members: n.log.members(),
-		Match:          map[uint64]uint64{n.cfg.ID: n.log.durableIndex},
-		RecentlyActive: map[uint64]bool{n.cfg.ID: true},
+		Snapshot: n.snapshot.Index, Members: n.log.members(), MembersPending: n.isMembershipPending(),
+		Progress: map[uint64]Progress{n.cfg.ID: {Match: n.log.durableIndex}},
 	}
 	for id, p := range n.progress {
-		s.Match[id] = p.matchIndex
-		s.RecentlyActive[id] = p.activeThisInterval || p.activeLastInterval
+		s.Progress[id] = Progress{Match: p.matchIndex, SilentTicks: p.silentTicks, CaughtUp: n.isCaughtUp(p), Leaving: p.leavingTicks > 0}
 	}
 	return s
 }
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -82,7 +82,7 @@
 // MessageKind is the type of a message.
 type MessageKind uint8
 
-// The kinds of messages. Each request is followed by its response.
+// The kinds of messages. Each request is followed by its response; MsgLeave has none.
 const (
 	MsgPreVote MessageKind = iota + 1
 	MsgPreVoteResponse
@@ -94,6 +94,7 @@
 	MsgHeartbeatResponse
 	MsgSnapshotChunk
 	MsgSnapshotChunkResponse
+	MsgLeave
 )
 
 // Message is a request or response between two nodes. Fields that a kind does
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -110,19 +110,23 @@
 	// member whose disk was wiped, it replaces the old identity by the new one.
 	AddLearner Action = 1
 	// PromoteLearner makes a learner a voter. It returns NotCaughtUp until the
-	// learner holds every committed entry durably.
+	// learner holds every entry durably that was committed one to two election timeouts
+	// ago.
 	PromoteLearner Action = 2
 	// RemoveMember removes a member from the group.
 	RemoveMember Action = 3
-	// DemoteVoter makes a voter a learner.
+	// DemoteVoter makes a voter a learner. A leader may demote itself.
 	DemoteVoter Action = 4
 )
 
 // MemberStatus is one member as this host sees it.
 type MemberStatus struct {
 	Member
-	Match          uint64 // match index, known on the leader only
-	RecentlyActive bool   // responded in the last two intervals of ElectionTicks, known on the leader only
+	// The leader's view of the member; zero on other hosts.
+	Match    uint64        // match index
+	Silent   time.Duration // time since its last response, or since the leader was elected or added it, to a Tick
+	CaughtUp bool          // a learner that can be promoted
+	Leaving  bool          // has announced its shutdown with Leave
 }
 
 // Status describes this host and its view of the group.
@@ -140,4 +144,6 @@
 	SnapshotIndex uint64 // last included index of the newest snapshot
 	DiskFull      bool   // the last write failed for lack of space
 	Members       []MemberStatus
+	// MembersPending is set while Members is not known to be committed.
+	MembersPending bool
 }
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -35,6 +35,12 @@
 	return r.awaitOutcome(ctx, p.done, errOutcomeUnknown).err
 }
 
+// Leave announces to the leader that this host shuts down, see raft.Node.Leave. It does
+// not wait for an effect.
+func (r *Replica) Leave(ctx context.Context) error {
+	return r.runOnWorker(ctx, func() { r.worker.node.Leave() })
+}
+
 // fetchLearnerIdentity requests the identity of the host at m.Address. It returns
 // InvalidCommand for a data folder that belongs to another group, because its
 // entries would conflict with committed ones.
--- a/pkg/replica/ready.go
+++ b/pkg/replica/ready.go
@@ -346,10 +346,13 @@
 		ID: w.config.ID, Identity: w.identity, IsNew: w.node.IsNew(), Role: s.Role.String(),
 		Leader: s.Leader, LeaderAddress: w.leaderAddress(s), Term: s.State.Term,
 		Commit: s.Commit, Applied: w.appliedIndex, LastIndex: s.LastIndex, SnapshotIndex: w.snapshotIndex,
-		DiskFull: w.diskFull,
+		DiskFull: w.diskFull, MembersPending: s.MembersPending,
 	}
 	for _, m := range s.Members {
-		out.Members = append(out.Members, MemberStatus{Member: m, Match: s.Match[m.ID], RecentlyActive: s.RecentlyActive[m.ID]})
+		p := s.Progress[m.ID]
+		out.Members = append(out.Members, MemberStatus{
+			Member: m, Match: p.Match, Silent: time.Duration(p.SilentTicks) * w.config.Tick, CaughtUp: p.CaughtUp, Leaving: p.Leaving,
+		})
 	}
 	w.metrics.term.Update(int64(out.Term))
 	w.metrics.appliedIndex.Update(int64(out.Applied))
