proxy: do not take a part of a reset response for a whole one

What callers saw: a part of an answer with status 200 and a Content-Length that fits it, if the server answers a long upload at once, without a length or chunks, and ends its connection in the same moment (MIXED).

Cause: the kernel reports the error of a reset connection to one call. If the write of the upload or a look at the connection takes it, the read of the answer meets an end of file, which counted as an orderly end.

Change: at the end of an answer that ends with its connection, the answer is whole only if the request was written without an error, the connection is not reset by its state in the kernel, and the server has acknowledged the whole request. Both paths share this.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,10 @@
 	table *connTable
 	addr  string
 
-	bytesReceived atomic.Int64 // bytes read from the socket
+	bytesReceived atomic.Int64                // bytes read from the socket
+	end           atomic.Pointer[responseEnd] // nil unless the response ends with the connection
+	closed        chan struct{}               // closed by Close
+	closeOnce     sync.Once
 
 	mu             sync.Mutex
 	writeCalls     uint64 // Write calls that can have passed bytes to the kernel
@@ -35,10 +39,14 @@
 	idle           bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. At the end of a response that ends with the connection it returns
+// io.EOF only if the response is whole.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.bytesReceived.Add(int64(n))
+	if e := c.end.Load(); e != nil && err == io.EOF {
+		err = e.check(c)
+	}
 	return n, err
 }
 
@@ -67,6 +75,7 @@
 
 // Close implements net.Conn and removes the connection from its table.
 func (c *trackedConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
 	c.table.remove(c)
 	return c.Conn.Close()
 }
@@ -93,6 +102,13 @@
 	}
 }
 
+// hasWritten reports whether there were Write calls after the first writesBefore.
+func (c *trackedConn) hasWritten(writesBefore uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeCalls > writesBefore
+}
+
 // disableWrites rejects further Write calls and reports whether there were any
 // after the first writesBefore. The result is final: no byte is written after
 // it.
@@ -115,7 +131,7 @@
 }
 
 func (t *connTable) add(addr string, c net.Conn) *trackedConn {
-	tracked := &trackedConn{Conn: c, table: t, addr: addr}
+	tracked := &trackedConn{Conn: c, table: t, addr: addr, closed: make(chan struct{})}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns[addr] == nil {
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -178,11 +178,14 @@
 // exchangeOnce sends req on one connection.
 func (t *Transport) exchangeOnce(ctx context.Context, req *http.Request, unpooled bool, unread *UnreadMonitor, body []byte) (*http.Response, *roundTrip, error) {
 	tr := &roundTrip{}
+	end := newResponseEnd()
 	trace := &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { end.wrote(info.Err) },
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*trackedConn); ok {
 				tr.conn, tr.reused = c, info.Reused
 				tr.use, tr.writesBefore = c.use(info.Reused)
+				end.begin(c, tr.writesBefore)
 				if unread != nil {
 					unread.attach(c)
 				}
@@ -202,6 +205,9 @@
 		transport = t.unpooled
 	}
 	resp, err := transport.RoundTrip(req)
+	if err == nil && tr.conn != nil && !IsFramed(resp) {
+		tr.conn.end.Store(end)
+	}
 	return resp, tr, err
 }
 
