raft: let voters campaign before demoted hosts after a restart

What callers saw: a second more without a leader after a restart of all core hosts, if one of them was demoted before.

Cause: after a restart the host does not know that its demotion is committed, so it may campaign as the voter that it was. Once elected, it commits the entry and steps down, and the others wait for another election.

Change: a host that is no voter in its latest membership waits twice its election timeout. It still campaigns if nobody else can win.

TestDemotedHostIsNotElectedAfterARestart fails without the change.

--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -29,6 +29,16 @@
 	return n.isVoter() || pending && n.isVoterIn(memberships[last-1].members)
 }
 
+// electionDelay returns the ticks without a leader after which this node starts an election. A
+// host that was demoted does not know after a restart that this is committed, and would be
+// elected only to step down, so the voters of the latest membership come first.
+func (n *Node) electionDelay() int {
+	if n.isVoter() {
+		return n.electionTimeout
+	}
+	return 2 * n.electionTimeout
+}
+
 // quorumSize returns the number of voters that form a majority.
 func quorumSize(members []Member) int {
 	voters := 0
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -86,7 +86,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.electionElapsed >= n.electionTimeout && n.canCampaign() {
+	if n.electionElapsed >= n.electionDelay() && n.canCampaign() {
 		n.startPreVote()
 	}
 }
--- a/pkg/raft/scenario_test.go
+++ b/pkg/raft/scenario_test.go
@@ -273,3 +273,25 @@
 	s.runRounds(simElectionTicks + 1)
 	assert.Assert(t, s.leader() != nil, "%s", s.describe())
 }
+
+// Guards against a second election after a restart of all hosts: a host that was demoted before
+// it was elected first, and stepped down once it had committed its demotion.
+func TestDemotedHostIsNotElectedAfterARestart(t *testing.T) {
+	s, l := newSimWithLeader(t, 4)
+	demoted := s.hostExcept(l)
+	_, _, err := l.node.ProposeMembershipChange(DemoteVoter, Member{ID: demoted.id})
+	assert.NilError(t, err)
+	s.processReady(l, noCrash)
+	s.runRounds(5)
+	assert.Assert(t, !demoted.node.isVoter())
+	for _, id := range s.hostIDs {
+		s.crashHost(s.hosts[id])
+		s.startHost(s.hosts[id])
+		s.hosts[id].node.electionTimeout = 2*simElectionTicks - 1
+	}
+	demoted.node.electionTimeout = simElectionTicks
+	for s.leader() == nil {
+		s.runRounds(1)
+	}
+	assert.Assert(t, s.leader() != demoted, "%s", s.describe())
+}
