--- a/pkg/edge/admission_test.go
+++ b/pkg/edge/admission_test.go
@@ -29,10 +29,10 @@
 		Workspaces: []routing.Workspace{{Name: "flood", Keys: []string{"k1"}}, {Name: "other", Keys: []string{"k2"}}},
 	}))
 	for range 50 {
-		s.loadShedder.shouldShed("flood")
+		s.loadShedder.shouldShed(&shedAttempt{workspace: "flood"})
 	}
-	s.loadShedder.tick(maxWaitLoad)
-	for !s.loadShedder.shouldShed("flood") {
+	s.loadShedder.tick(maxWaitLoad, 0)
+	for !s.loadShedder.shouldShed(&shedAttempt{workspace: "flood"}) {
 	}
 	return s
 }
@@ -112,7 +112,7 @@
 	for deadline := time.Now().Add(time.Minute); s.Ready(); time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline), "the host is still ready")
 		for range 200 {
-			s.loadShedder.shouldShed("flood")
+			s.loadShedder.shouldShed(&shedAttempt{workspace: "flood"})
 		}
 	}
 }
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -137,21 +137,33 @@
 type loadShedder struct {
 	mu sync.Mutex
 	*shed.Shedder
+	log sheddingLog
 }
 
-// tick records the load of the last hostCheckInterval and returns SheddingTicks.
-func (s *loadShedder) tick(load float64) (sheddingTicks int) {
+// shedAttempt is what the load shedder knows about an attempt of a caller.
+type shedAttempt struct {
+	workspace    string
+	promptTokens int
+	retry        bool
+}
+
+// tick records the load and the CPU time of the last hostCheckInterval. It returns
+// SheddingTicks, and the fields of a log line if one is due.
+func (s *loadShedder) tick(load float64, used time.Duration) (sheddingTicks int, line logrus.Fields) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Tick(load)
-	return s.SheddingTicks()
+	return s.SheddingTicks(), s.log.tick(used)
 }
 
-// shouldShed counts a request of the workspace and reports whether to shed it.
-func (s *loadShedder) shouldShed(workspace string) bool {
+// shouldShed counts an attempt and reports whether to shed it. A retried request is not
+// shed: it was refused before and has no other host to go to.
+func (s *loadShedder) shouldShed(a *shedAttempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ShouldRefuse(time.Now(), workspace)
+	refuse := !a.retry && s.ShouldRefuse(time.Now(), a.workspace)
+	s.log.add(a, refuse)
+	return refuse
 }
 
 // requestsPerSecond returns the rate limit on accepted requests, 0 if there is none.
@@ -188,7 +200,10 @@
 			wait = latency.readQuantile()
 		}
 		overloaded := monitor.tick(usedNow-used, now-last, wait)
-		monitor.sheddingTicks = s.loadShedder.tick(monitor.load(wait))
+		var shedding logrus.Fields
+		if monitor.sheddingTicks, shedding = s.loadShedder.tick(monitor.load(wait), usedNow-used); shedding != nil {
+			s.log.WithFields(shedding).WithField("limit", s.loadShedder.requestsPerSecond()).Info("requests shed")
+		}
 		if s.overloadState.setOverloaded(overloaded) {
 			s.log.WithFields(logrus.Fields{"overloaded": overloaded, "share": monitor.utilisation(), "cores": monitor.cores, "wait_ms": wait.Milliseconds()}).Warn("CPU overload state of this host changed")
 		}
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -138,9 +138,7 @@
 	if err == nil {
 		err = proxy.CheckTarget(in.Method, in.Target)
 	}
-	// A retried request (attemptAge > 0) is not shed: it was refused before and has
-	// no other host to go to.
-	if err == nil && dest.attemptAge == 0 && s.loadShedder.shouldShed(dest.workspace) {
+	if err == nil && s.loadShedder.shouldShed(&shedAttempt{workspace: dest.workspace, promptTokens: in.PromptTokens, retry: dest.attemptAge > 0}) {
 		err = errHostBusy
 	}
 	if err != nil {
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -30,6 +30,7 @@
 	CallerTimeout time.Duration // the caller's own timeout, counted from Arrived; 0 if it states none
 	LastEventID   string        // id of the last event received by the caller, to resume a stream after it
 	Resumes       string        // id of the request that brought the first event of the stream to resume, "" if not stated
+	PromptTokens  int           // tokens of the whole prompt, known before Prompt is decoded
 	Prompt        *Prompt       // nil for requests that state no prompt
 
 	dest *destination // route and workspace, set by Admit
