--- /dev/null
+++ b/pkg/shed/reserve_test.go
@@ -0,0 +1,35 @@
+package shed
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a host that admits next to nothing because its refusals cause load: 260
+// refusals a tick took 60 of 100 parts of the processor, 127 of 2,700 requests a second were
+// served. The load stays, whatever is admitted, while the refused callers come back.
+func TestRefusalsDoNotTakeTheRateOfAdmittedRequests(t *testing.T) {
+	const refused, utilisation = 260, 0.6
+	s, now := New(), start
+	lowest := 0.0
+	for tick := range 200 {
+		for i := range refused {
+			now = now.Add(TickInterval / refused)
+			s.ShouldRefuse(now, "flood")
+			if tick == 0 && i == capacityPerTick {
+				break // the first tick has no limit
+			}
+		}
+		load := 0.8
+		if tick%4 == 0 {
+			load = 2 // a burst or the collector
+		}
+		s.Tick(load, utilisation)
+		if tick >= 100 && (lowest == 0 || s.ratePerTick < lowest) {
+			lowest = s.ratePerTick
+		}
+	}
+	// All of the processor bears refused*refusalCost/utilisation admitted requests at least.
+	assert.Assert(t, lowest >= 0.9*reservedShare*refused*refusalCost/utilisation, "%v", lowest)
+}
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -24,6 +24,8 @@
 	// decreaseFactor is the factor of the admission rate at a load of 1; a higher
 	// load divides it.
 	decreaseFactor = 0.9
+	// smallDecreaseFactor is the factor of the admission rate below the reserved one.
+	smallDecreaseFactor = 0.94
 	// decreasePauseTicks is the minimum number of ticks between two decreases.
 	// Requests that were admitted before a decrease cause load for about that long.
 	decreasePauseTicks = 3
@@ -38,6 +40,12 @@
 	// minRatePerTick is the lowest admission rate, in requests per tick. A host that
 	// admits less could not detect that its overload is over.
 	minRatePerTick = 5
+	// reservedShare is the share of the processor that decreases leave for admitted
+	// requests. Refusals cause load too, and refused callers come back, some to the same
+	// host: a host that admits less because of that load gets more of it.
+	reservedShare = 0.4
+	// refusalCost is the least work of a refusal, in admitted requests.
+	refusalCost = 0.15
 	// burstFraction is the fraction of a tick's requests that may arrive at once.
 	burstFraction = 0.5
 	// countDecay is the factor of the request counts per tick, so that they cover
@@ -57,7 +65,9 @@
 	refilledAt      time.Time
 	admitted        float64 // requests admitted in this tick
 	admittedPerTick float64 // moving average of admitted
-	refused         bool    // a request was refused in this tick
+	refused         float64 // requests refused in this tick
+	work            float64 // moving average of the work in ticks with refusals, in admitted requests
+	utilisation     float64 // moving average of the utilisation in these ticks
 	pauseTicks      int     // ticks until the next decrease is allowed
 	sheddingTicks   int     // ticks with refusals less those without, 0 to maxSheddingTicks
 
@@ -68,27 +78,49 @@
 // New returns a Shedder that refuses nothing until the first overload.
 func New() *Shedder { return &Shedder{ratePerTick: math.Inf(1), requestCounts: map[string]float64{}} }
 
-// Tick adjusts the admission rate to the load of the processor in the last tick.
-// At a load of 1 or more, work waits for the processor.
-func (s *Shedder) Tick(load float64) {
+// Tick adjusts the admission rate to the load and the utilisation of the processor in the
+// last tick. At a load of 1 or more, work waits for the processor. The utilisation is the
+// share of its time that the host used, 0 if that is not known.
+func (s *Shedder) Tick(load, utilisation float64) {
 	s.pauseTicks = max(s.pauseTicks-1, 0)
 	s.admittedPerTick += admittedSmoothing * (s.admitted - s.admittedPerTick)
+	if s.refused > 0 {
+		s.work += admittedSmoothing * (s.admitted + refusalCost*s.refused - s.work)
+		s.utilisation += admittedSmoothing * (utilisation - s.utilisation)
+	}
 	switch {
 	case load >= 1 && s.pauseTicks == 0:
-		s.ratePerTick = max(decreaseFactor/load*min(s.ratePerTick, s.admittedPerTick), minRatePerTick)
-		s.pauseTicks = decreasePauseTicks
-	case load < maxGrowthLoad && s.refused:
-		s.ratePerTick *= 1 + increaseFactor*(maxGrowthLoad-load)
+		s.decrease(load)
+	case load < maxGrowthLoad && s.refused > 0:
+		s.ratePerTick = max(s.ratePerTick, s.reservedRate()) * (1 + increaseFactor*(maxGrowthLoad-load))
 	}
-	if s.refused {
+	if s.refused > 0 {
 		s.sheddingTicks = min(s.sheddingTicks+1, maxSheddingTicks)
 	} else {
 		s.sheddingTicks = max(s.sheddingTicks-1, 0)
 	}
-	s.admitted, s.refused = 0, false
+	s.admitted, s.refused = 0, 0
 	s.decayCounts()
 }
 
+// decrease lowers the admission rate for the load. Below the reserved rate it does so in
+// small steps.
+func (s *Shedder) decrease(load float64) {
+	s.pauseTicks = decreasePauseTicks
+	rate := min(s.ratePerTick, s.admittedPerTick)
+	small := min(s.ratePerTick, s.reservedRate()) * smallDecreaseFactor
+	s.ratePerTick = max(decreaseFactor/load*rate, small, minRatePerTick)
+}
+
+// reservedRate returns the admission rate that takes reservedShare of the processor, at
+// least minRatePerTick. Without a known utilisation it is minRatePerTick.
+func (s *Shedder) reservedRate() float64 {
+	if s.utilisation == 0 {
+		return minRatePerTick
+	}
+	return max(reservedShare*s.work/s.utilisation, minRatePerTick)
+}
+
 // decayCounts applies one tick of decay to the request counts and deletes
 // workspaces that are no longer active.
 func (s *Shedder) decayCounts() {
@@ -113,7 +145,7 @@
 	s.refill(now)
 	atLeastEvenShare := s.requestCounts[workspace]*float64(len(s.requestCounts)) >= s.totalCount
 	if atLeastEvenShare && s.tokens < 1 {
-		s.refused = true
+		s.refused++
 		return true
 	}
 	s.tokens = max(s.tokens-1, 0)
