--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -33,10 +33,12 @@
 	// admitted requests. The average covers ticks in which a stalled host admits
 	// nothing.
 	admittedSmoothing = 0.3
-	// increaseFactor is the relative growth of the admission rate per tick and unit
-	// of load below maxGrowthLoad, while requests are refused. The rate grows slowly
-	// near maxGrowthLoad and recovers from minRatePerTick in a few seconds.
-	increaseFactor = 0.15
+	// While requests are refused, the admission rate grows per tick by increaseFactor of
+	// what is missing to targetUtilisation, as if all load came from admitted requests, and
+	// by maxIncrease at most: a host has its callers for 2 s before the balancer moves them.
+	targetUtilisation = 0.85
+	increaseFactor    = 0.3
+	maxIncrease       = 0.3
 	// minRatePerTick is the lowest admission rate, in requests per tick. A host that
 	// admits less could not detect that its overload is over.
 	minRatePerTick = 5
@@ -67,7 +69,7 @@
 	admittedPerTick float64 // moving average of admitted
 	refused         float64 // requests refused in this tick
 	work            float64 // moving average of the work in ticks with refusals, in admitted requests
-	utilisation     float64 // moving average of the utilisation in these ticks
+	utilisation     float64 // moving average of the utilisation in these ticks, 0 if it is not known
 	pauseTicks      int     // ticks until the next decrease is allowed
 	sheddingTicks   int     // ticks with refusals less those without, 0 to maxSheddingTicks
 
@@ -92,7 +94,7 @@
 	case load >= 1 && s.pauseTicks == 0:
 		s.decrease(load)
 	case load < maxGrowthLoad && s.refused > 0:
-		s.ratePerTick = max(s.ratePerTick, s.reservedRate()) * (1 + increaseFactor*(maxGrowthLoad-load))
+		s.ratePerTick = max(s.ratePerTick, s.reservedRate()) * (1 + s.increase())
 	}
 	if s.refused > 0 {
 		s.sheddingTicks = min(s.sheddingTicks+1, maxSheddingTicks)
@@ -103,6 +105,11 @@
 	s.decayCounts()
 }
 
+// increase returns the relative growth of the admission rate in a tick.
+func (s *Shedder) increase() float64 {
+	return min(max(increaseFactor*(targetUtilisation/s.utilisation-1), 0), maxIncrease)
+}
+
 // decrease lowers the admission rate for the load. Below the reserved rate it does so in
 // small steps.
 func (s *Shedder) decrease(load float64) {
