--- a/pkg/shed/reserve_test.go
+++ b/pkg/shed/reserve_test.go
@@ -33,3 +33,24 @@
 	// All of the processor bears refused*refusalCost/utilisation admitted requests at least.
 	assert.Assert(t, lowest >= 0.9*reservedShare*refused*refusalCost/utilisation, "%v", lowest)
 }
+
+// Guards against a host that gives all of its processor to refusals after some seconds: its
+// work waits all the while, since refusals alone saturate it.
+func TestPartForAdmittedRequestsStaysWhileWorkWaits(t *testing.T) {
+	const refused = 300
+	s, now := New(), start
+	admitted := 0
+	for tick := range 600 {
+		for i := range refused {
+			now = now.Add(TickInterval / refused)
+			if !s.ShouldRefuse(now, "flood") && tick >= 500 {
+				admitted++
+			}
+			if tick == 0 && i == capacityPerTick {
+				break // the first tick has no limit
+			}
+		}
+		s.Tick(maxLoad, 1)
+	}
+	assert.Assert(t, float64(admitted)/100 >= 0.9*minReservedShare*refused*refusalCost, "%d", admitted)
+}
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -24,7 +24,8 @@
 	// decreaseFactor is the factor of the admission rate at a load of 1; a higher
 	// load divides it.
 	decreaseFactor = 0.9
-	// smallDecreaseFactor is the factor of the admission rate below the reserved one.
+	// smallDecreaseFactor is the factor of the admission rate between the rates that take
+	// reservedShare and minReservedShare.
 	smallDecreaseFactor = 0.94
 	// decreasePauseTicks is the minimum number of ticks between two decreases.
 	// Requests that were admitted before a decrease cause load for about that long.
@@ -43,9 +44,11 @@
 	// admits less could not detect that its overload is over.
 	minRatePerTick = 5
 	// reservedShare is the share of the processor that decreases leave for admitted
-	// requests. Refusals cause load too, and refused callers come back, some to the same
+	// requests, unless work goes on waiting. Refusals cause load too, and refused callers come back, some to the same
 	// host: a host that admits less because of that load gets more of it.
 	reservedShare = 0.4
+	// minReservedShare is the share that is left however long work waits.
+	minReservedShare = 0.18
 	// refusalCost is the least work of a refusal, in admitted requests.
 	refusalCost = 0.15
 	// burstFraction is the fraction of a tick's requests that may arrive at once.
@@ -94,7 +97,7 @@
 	case load >= 1 && s.pauseTicks == 0:
 		s.decrease(load)
 	case load < maxGrowthLoad && s.refused > 0:
-		s.ratePerTick = max(s.ratePerTick, s.reservedRate()) * (1 + s.increase())
+		s.ratePerTick = max(s.ratePerTick, reservedShare*s.fullRate()) * (1 + s.increase())
 	}
 	if s.refused > 0 {
 		s.sheddingTicks = min(s.sheddingTicks+1, maxSheddingTicks)
@@ -110,22 +113,23 @@
 	return min(max(increaseFactor*(targetUtilisation/s.utilisation-1), 0), maxIncrease)
 }
 
-// decrease lowers the admission rate for the load. Below the reserved rate it does so in
-// small steps.
+// decrease lowers the admission rate for the load. Below the rate that takes
+// reservedShare of the processor it does so in small steps.
 func (s *Shedder) decrease(load float64) {
 	s.pauseTicks = decreasePauseTicks
-	rate := min(s.ratePerTick, s.admittedPerTick)
-	small := min(s.ratePerTick, s.reservedRate()) * smallDecreaseFactor
-	s.ratePerTick = max(decreaseFactor/load*rate, small, minRatePerTick)
+	fullRate := s.fullRate()
+	small := min(s.ratePerTick, reservedShare*fullRate) * smallDecreaseFactor
+	least := max(minReservedShare*fullRate, minRatePerTick)
+	s.ratePerTick = max(decreaseFactor/load*min(s.ratePerTick, s.admittedPerTick), small, least)
 }
 
-// reservedRate returns the admission rate that takes reservedShare of the processor, at
-// least minRatePerTick. Without a known utilisation it is minRatePerTick.
-func (s *Shedder) reservedRate() float64 {
+// fullRate returns the admission rate that would take the whole processor if nothing were
+// refused, 0 if it is not known.
+func (s *Shedder) fullRate() float64 {
 	if s.utilisation == 0 {
-		return minRatePerTick
+		return 0
 	}
-	return max(reservedShare*s.work/s.utilisation, minRatePerTick)
+	return s.work / s.utilisation
 }
 
 // decayCounts applies one tick of decay to the request counts and deletes
