--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -75,20 +75,15 @@
 	return p.overloaded
 }
 
-// lastUtilisation returns the fraction of the CPU that was used in the last tick, 0 if the
-// number of cores is not known.
-func (p *cpuMonitor) lastUtilisation() float64 {
-	last := (p.nextTick + overloadTicks - 1) % overloadTicks
-	if available := p.cores * p.time[last].Seconds(); available > 0 {
-		return p.used[last].Seconds() / available
-	}
-	return 0
-}
-
 // load returns the CPU utilisation in the last tick, or wait divided by
 // schedulerWaitLimit if that is higher. 1 means saturation.
 func (p *cpuMonitor) load(wait time.Duration) float64 {
-	return max(p.lastUtilisation(), min(float64(wait)/float64(schedulerWaitLimit), maxWaitLoad))
+	last := (p.nextTick + overloadTicks - 1) % overloadTicks
+	load := 0.0
+	if available := p.cores * p.time[last].Seconds(); available > 0 {
+		load = p.used[last].Seconds() / available
+	}
+	return max(load, min(float64(wait)/float64(schedulerWaitLimit), maxWaitLoad))
 }
 
 // utilisation returns the fraction of the CPU that was used in the last
@@ -153,12 +148,12 @@
 	delayLimit   time.Duration // longest delay after which it is still worth to serve it
 }
 
-// tick records the load, the utilisation and the CPU time of the last hostCheckInterval. It
-// returns SheddingTicks, and the fields of a log line if one is due.
-func (s *loadShedder) tick(load, utilisation float64, used time.Duration) (sheddingTicks int, line logrus.Fields) {
+// tick records the load and the CPU time of the last hostCheckInterval. It returns
+// SheddingTicks, and the fields of a log line if one is due.
+func (s *loadShedder) tick(load float64, used time.Duration) (sheddingTicks int, line logrus.Fields) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Tick(load, utilisation)
+	s.Tick(load)
 	return s.SheddingTicks(), s.log.tick(used)
 }
 
@@ -209,7 +204,7 @@
 		}
 		overloaded := monitor.tick(usedNow-used, now-last, wait)
 		var shedding logrus.Fields
-		if monitor.sheddingTicks, shedding = s.loadShedder.tick(monitor.load(wait), monitor.lastUtilisation(), usedNow-used); shedding != nil {
+		if monitor.sheddingTicks, shedding = s.loadShedder.tick(monitor.load(wait), usedNow-used); shedding != nil {
 			s.log.WithFields(shedding).WithField("limit", s.loadShedder.requestsPerSecond()).Info("requests shed")
 		}
 		if s.overloadState.setOverloaded(overloaded) {
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -45,8 +45,9 @@
 	// admits less could not detect that its overload is over.
 	minRatePerTick = 5
 	// reservedShare is the share of the processor that decreases leave for admitted
-	// requests, unless work goes on waiting. Refusals cause load too, and refused callers come back, some to the same
-	// host: a host that admits less because of that load gets more of it.
+	// requests, unless work goes on waiting. Refusals cause load too, and refused
+	// callers come back, some to the same host: a host that admits less because of that
+	// load gets more of it.
 	reservedShare = 0.4
 	// minReservedShare is the share that is left however long work waits.
 	minReservedShare = 0.18
@@ -81,7 +82,7 @@
 	saturated       bool    // a request was refused or delayed in this tick
 	refused         float64 // requests refused in this tick
 	work            float64 // moving average of the work in saturated ticks, in admitted requests
-	workUtilisation float64 // moving average of the utilisation in these ticks, 0 if it is not known
+	workUtilisation float64 // moving average of the utilisation in these ticks
 	utilisation     float64 // moving average of the utilisation in all ticks
 	pauseTicks      int     // ticks until the next decrease is allowed
 	sheddingTicks   int     // saturated ticks less others, 0 to maxSheddingTicks
@@ -93,10 +94,12 @@
 // New returns a Shedder that refuses nothing until the first overload.
 func New() *Shedder { return &Shedder{ratePerTick: math.Inf(1), requestCounts: map[string]float64{}} }
 
-// Tick adjusts the admission rate to the load and the utilisation of the processor in the
-// last tick. At a load of 1 or more, work waits for the processor. The utilisation is the
-// share of its time that the host used, 0 if that is not known.
-func (s *Shedder) Tick(load, utilisation float64) {
+// Tick adjusts the admission rate to the load of the processor in the last tick.
+// At a load of 1 or more, work waits for the processor.
+func (s *Shedder) Tick(load float64) {
+	// While work waits, the processor is fully used, also if the process does not use
+	// it: the kernel's work for connections is not part of its CPU time.
+	utilisation := min(load, 1)
 	s.pauseTicks = max(s.pauseTicks-1, 0)
 	s.admitted += s.begins[0]
 	copy(s.begins[:], s.begins[1:])
