--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -35,9 +35,10 @@
 	// admitted requests. The average covers ticks in which a stalled host admits
 	// nothing.
 	admittedSmoothing = 0.3
-	// While requests are refused or delayed, the admission rate grows per tick by increaseFactor of
-	// what is missing to targetUtilisation, as if all load came from admitted requests, and
-	// by maxIncrease at most: a host has its callers for 2 s before the balancer moves them.
+	// While requests are refused or delayed, the admission rate grows per tick by
+	// increaseFactor of what is missing to targetUtilisation, as if all load came from
+	// admitted requests, and by maxIncrease at most: a host has its callers for 2 s
+	// before the balancer moves them.
 	targetUtilisation = 0.85
 	increaseFactor    = 0.3
 	maxIncrease       = 0.3
