review: mixed streams of an engine that was announced 6 s after its start

Cause: a stream is recorded with the release that its server announced last. The announcement of another release doubts only streams begun in the 5 s before it, and a server that restarts behind a cut of 5 s is heard of later.

--- a/review/_driver3/main.go
+++ b/review/_driver3/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]func(f *record, trouble bool) (verdict, error){
 	"in-place":          inPlace,
+	"late-record":       lateRecord,
 	"unnoticed-restart": unnoticedRestart,
 }
 
--- a/review/_driver3/server.go
+++ b/review/_driver3/server.go
@@ -20,6 +20,7 @@
 	events            int           // of a stream
 	gap               time.Duration // between two events
 	lateness          time.Duration // of its heartbeats
+	cutUntil          time.Time     // until then it has no path to control
 	handle            func(s *server, w http.ResponseWriter, r *http.Request, version string)
 
 	mu       sync.Mutex
@@ -29,6 +30,7 @@
 	http     *http.Server
 	cancel   context.CancelFunc // ends the process
 	running  int
+	known    bool // a heartbeat of this process was acknowledged
 }
 
 // start starts a process of the server.
@@ -44,7 +46,7 @@
 		return err
 	}
 	s.address = l.Addr().String()
-	s.version, s.born, s.sequence = version, time.Now().UnixMilli(), 0
+	s.version, s.born, s.sequence, s.known = version, time.Now().UnixMilli(), 0, false
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(ctx, w, r, version) })}
@@ -95,17 +97,30 @@
 		return
 	case <-time.After(late):
 	}
+	if s.isCutOff() {
+		return
+	}
 	for _, p := range s.f.cores {
 		status, _, err := s.f.control(p, "PUT", "/jackdawtrack/instances/"+s.id, body)
 		if err == nil && status/100 == 2 {
-			if sequence == 1 {
-				s.f.record.printf("server %s: first heartbeat of this process acknowledged by %s", s.id, p.name)
+			if s.isFirstHeartbeat() {
+				s.f.record.printf("server %s: heartbeat %d, the first one of this process that arrives, acknowledged by %s", s.id, sequence, p.name)
 			}
 			return
 		}
 	}
 }
 
+// isFirstHeartbeat records an acknowledgement and reports whether it is the first one of the
+// process.
+func (s *server) isFirstHeartbeat() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.known
+	s.known = true
+	return first
+}
+
 // setLateness delays the heartbeats that are made from now on.
 func (s *server) setLateness(late time.Duration) {
 	s.mu.Lock()
@@ -113,6 +128,19 @@
 	s.lateness = late
 }
 
+// cutOff cuts the server off from control until the given time.
+func (s *server) cutOff(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutUntil = until
+}
+
+func (s *server) isCutOff() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.cutUntil)
+}
+
 // count changes the number of requests in progress.
 func (s *server) count(n int) {
 	s.mu.Lock()
