review: an order of the operator that a frozen core host carries out late

Cause: a core host submits an evacuation, or its end, without looking whether the caller has left. A host that wakes from a freeze carries out an order that another host has acknowledged meanwhile, also after a later one, and marks have no number by which it would be refused.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3-driver ] || { echo "target/review-3-driver is missing: run review/build-3.sh"; exit 2; }
-exec target/review-3-driver late-record review/13
+exec target/review-3-driver stale-order review/13
--- a/review/_driver3/main.go
+++ b/review/_driver3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *record, trouble bool) (verdict, error){
 	"in-place":          inPlace,
 	"late-record":       lateRecord,
+	"stale-order":       staleOrder,
 	"unnoticed-restart": unnoticedRestart,
 }
 
--- a/review/_driver3/server.go
+++ b/review/_driver3/server.go
@@ -21,6 +21,7 @@
 	gap               time.Duration // between two events
 	lateness          time.Duration // of its heartbeats
 	cutUntil          time.Time     // until then it has no path to control
+	home              int           // core host that it reports to first
 	handle            func(s *server, w http.ResponseWriter, r *http.Request, version string)
 
 	mu       sync.Mutex
@@ -100,7 +101,8 @@
 	if s.isCutOff() {
 		return
 	}
-	for _, p := range s.f.cores {
+	for n := range s.f.cores {
+		p := s.f.cores[(n+s.home)%len(s.f.cores)]
 		status, _, err := s.f.control(p, "PUT", "/jackdawtrack/instances/"+s.id, body)
 		if err == nil && status/100 == 2 {
 			if s.isFirstHeartbeat() {
