edge: believe a connection on which process has begun a stream

What callers saw: an engine ended and returned in place with another software version, announced at once.

Cause: the doubt knew of announcements only, which come late. Which process had written a stream was known to nobody, so each announcement of another one put all in doubt that was begun lately.

Change: a connection leads to one process as long as it lives. On each new connection to an engine whose streams may go on, the host first asks the engine's report when its process started. The release of a stream is that of the process which its connection has named, its record needs no process and cannot be doubted later, and a stream of a process that has not announced itself is recorded as one of an unknown release. Engines that do not answer within 100 ms, or state no start, get a second connection that is not asked and are treated as before; they are not asked again for 10 s.

--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -31,6 +31,7 @@
 	cancel      context.CancelCauseFunc
 	decision    dispatch.Decision
 	dispatchReq *dispatch.Request
+	process     proxy.Identification
 	startedAt   time.Time
 	arrival     proxy.UnreadMonitor
 	resp        *http.Response // nil until it was sent
@@ -41,6 +42,7 @@
 func (x *proxiedRequest) newExchange(v dispatch.Decision, r *dispatch.Request) *serverExchange {
 	e := &serverExchange{decision: v, dispatchReq: r, startedAt: time.Now()}
 	e.ctx, e.cancel = context.WithCancelCause(x.callerCtx)
+	e.ctx = x.s.identifyProcess(e.ctx, r.Service, &e.process)
 	return e
 }
 
@@ -411,7 +413,7 @@
 	if bound == release.Unknown {
 		return !began
 	}
-	return x.s.releaseOnArrival(e.decision) == bound && (!began || x.mayGoOnLocked())
+	return x.s.releaseOf(e) == bound && (!began || x.mayGoOnLocked())
 }
 
 // readFirstEvents reads the body of a stream until it has a complete event, and puts
--- a/pkg/edge/reserve.go
+++ b/pkg/edge/reserve.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 )
 
 const (
@@ -85,7 +86,7 @@
 	}
 	req.Header["Content-Type"] = []string{"application/json"}
 	req.Header["User-Agent"] = []string{""} // prevents net/http from setting its default
-	resp, sent, err := x.s.transport.SendRequest(ctx, req, nil, body)
+	resp, sent, err := x.s.transport.SendRequest(x.s.identifyProcess(ctx, x.dispatchReq.Service, &proxy.Identification{}), req, nil, body)
 	if err != nil {
 		if x.s.refusalLogLimiter.Allow() {
 			x.s.log.WithFields(logrus.Fields{"id": x.in.ID, "server": v.Server, "error": err}).Info("slot reservation failed")
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -59,6 +59,7 @@
 	expires  time.Time
 	server   string
 	startMS  int64 // start time of the server process that the request was sent to
+	proven   bool  // the connection has named that process, and its announcement the release
 	release  release.ID
 	at       time.Time
 	doubtful bool   // another process may have written it
@@ -201,7 +202,7 @@
 	switch {
 	case bound == release.Unknown:
 		return !x.headSent
-	case x.s.releaseOnArrival(e.decision) != bound || x.headSent && !x.mayGoOnLocked():
+	case x.s.releaseOf(e) != bound || x.headSent && !x.mayGoOnLocked():
 		return false
 	}
 	if x.start != nil {
@@ -244,7 +245,10 @@
 		st.abort = func() { e.cancel(errReleaseDoubtful) }
 	}
 	x.s.mu.Lock()
-	st.release = x.s.releaseOnArrival(v)
+	st.release, st.proven = x.s.releaseOf(e), e.process.StartMS() != 0 && v.StartMS != 0
+	if st.proven {
+		st.startMS = e.process.StartMS()
+	}
 	x.start, x.dispatchReq.Release = st, st.release
 	x.s.addStreamStart(st)
 	record := st.record()
@@ -281,10 +285,10 @@
 
 // record returns the record of the stream. It names the process that was asked, for the
 // core hosts to doubt the release if this host ends before another process of the server
-// announces itself.
+// announces itself. If the connection has named the process, there is nothing to doubt.
 func (st *streamStart) record() streamrecord.Record {
 	r := streamrecord.Record{Key: st.key, Release: st.release, Expires: st.expires}
-	if st.release != release.Unknown {
+	if st.release != release.Unknown && !st.proven {
 		r.Process = streamrecord.ProcessOf(st.server, st.startMS)
 	}
 	return r
@@ -321,7 +325,7 @@
 	doubted := map[streamrecord.Key]bool{}
 	for _, st := range s.streamStarts {
 		e, ok := s.fleetView.servers.Get(st.server)
-		if st.doubtful || !ok || e.Release == st.release {
+		if st.doubtful || !ok || e.Release == st.release || st.proven && e.StartMS != st.startMS {
 			continue
 		}
 		silence := time.Duration(0)
@@ -333,7 +337,9 @@
 		}
 		s.doubt(st)
 		doubted[st.key] = true
-		s.log.WithFields(logrus.Fields{"server": st.server, "born_ms": e.StartMS, "release": e.Release.String()}).Info("release of a stream is in doubt, because its server was restarted")
+		s.log.WithFields(logrus.Fields{
+			"server": st.server, "born_ms": e.StartMS, "release": e.Release.String(), "asked_born_ms": st.startMS, "proven": st.proven, "begun_before_ms": now.Sub(st.at).Milliseconds(),
+		}).Info("release of a stream is in doubt, because its server was restarted")
 	}
 	if len(doubted) == 0 {
 		return
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -133,7 +133,7 @@
 	now := time.Now()
 	s := &Server{
 		config: c, stopping: newStopping(), log: logging.ForComponent("edge"), metrics: newMetrics(c.Registry),
-		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout}),
+		transport:  proxy.NewTransportWithOptions(proxy.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout, Identity: c.Dialect}),
 		dispatcher: dispatch.New(c.Name, c.DataCentre, now), pendingDecisions: map[*dispatch.Request]chan dispatch.Decision{},
 		incarnation: uint64(now.UnixNano()), retryBudget: newRetryBudget(c.RetryBudget),
 		quarantine: quarantine.New(hashName(c.Name)), storedVerdicts: map[uint64]uint32{},
@@ -430,7 +430,7 @@
 		return
 	}
 	healthy, cold := false, time.Duration(0)
-	resp, _, err := s.transport.SendRequest(ctx, req, nil, nil)
+	resp, _, err := s.transport.SendRequest(s.identifyProcess(ctx, p.Service, &proxy.Identification{}), req, nil, nil)
 	if err == nil {
 		reply := s.config.Dialect.ReadHead(resp)
 		healthy, cold = resp.StatusCode == http.StatusOK && reply.Server == p.Server, reply.ColdRemaining
@@ -465,7 +465,10 @@
 func (s *Server) logState() {
 	var load processUsage
 	s.runEvery(stateLogInterval, func() {
-		s.log.WithFields(load.read()).WithFields(logrus.Fields{"callers": s.openRequests.Load(), "streams": s.openStreams.Load(), "limit": s.loadShedder.requestsPerSecond()}).Info("resource usage of this process")
+		asked, unidentified := s.transport.Identified()
+		s.log.WithFields(load.read()).WithFields(logrus.Fields{
+			"callers": s.openRequests.Load(), "streams": s.openStreams.Load(), "limit": s.loadShedder.requestsPerSecond(), "servers_asked": asked, "servers_unidentified": unidentified,
+		}).Info("resource usage of this process")
 		s.mu.Lock()
 		r := s.dispatcher.Report(time.Now())
 		s.mu.Unlock()
--- a/pkg/edge/types.go
+++ b/pkg/edge/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 )
 
 // Request is an HTTP request received from a caller.
@@ -110,4 +111,6 @@
 	// ReadReservation returns the reservation id from the response to
 	// ReservationRequest, "" if the server granted none.
 	ReadReservation(resp *http.Response) (string, error)
+	// Identity is how an engine is asked which process it is.
+	proxy.Identity
 }
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -23,8 +23,9 @@
 // can disable further ones.
 type trackedConn struct {
 	net.Conn
-	table *connTable
-	addr  string
+	table   *connTable
+	addr    string
+	startMS int64 // start of the process at the other end in Unix milliseconds, 0 if not known
 
 	bytesReceived atomic.Int64                // bytes read from the socket
 	end           atomic.Pointer[responseEnd] // nil unless the response ends with the connection
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -47,12 +47,17 @@
 	conns    *connTable
 	pooled   *http.Transport
 	unpooled *http.Transport // uses a new connection for each request
+
+	identifier identifier
 }
 
 // Options are the timeouts of a Transport. A zero value selects the default.
 type Options struct {
 	ConnectTimeout time.Duration // timeout of a TCP handshake
 	IdleTimeout    time.Duration // after this time an idle connection is closed
+	// Identity is how servers are asked which process they are, for requests with an
+	// Identification. It is nil to ask none.
+	Identity Identity
 }
 
 // NewTransport returns a Transport with the default timeouts.
@@ -66,7 +71,7 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = idleTimeout
 	}
-	t := &Transport{conns: newConnTable()}
+	t := &Transport{conns: newConnTable(), identifier: identifier{identity: o.Identity, unanswered: map[string]time.Time{}}}
 	t.pooled = t.newHTTPTransport(o, false)
 	t.unpooled = t.newHTTPTransport(o, true)
 	return t
@@ -85,14 +90,7 @@
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetReadBuffer(receiveBufferBytes) // fails on a closed connection only, as the request does
-			}
-			return t.conns.add(addr, c), nil
+			return t.dial(ctx, dialer, network, addr)
 		},
 		DisableKeepAlives:      unpooled,
 		DisableCompression:     true,
@@ -105,6 +103,47 @@
 	}
 }
 
+// dial opens a connection to a server, and asks the server which process it is if the request
+// wants that.
+func (t *Transport) dial(ctx context.Context, dialer *net.Dialer, network, addr string) (net.Conn, error) {
+	c, err := dialConn(ctx, dialer, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if !t.identifier.shouldAsk(ctx, addr) {
+		return t.conns.add(addr, c), nil
+	}
+	startMS, err := t.identifier.ask(c, addr)
+	if err == nil {
+		tracked := t.conns.add(addr, c)
+		tracked.startMS = startMS
+		return tracked, nil
+	}
+	_ = c.Close()
+	t.identifier.recordUnanswered(addr)
+	if c, err = dialConn(ctx, dialer, network, addr); err != nil {
+		return nil, err
+	}
+	return t.conns.add(addr, c), nil
+}
+
+func dialConn(ctx context.Context, dialer *net.Dialer, network, addr string) (net.Conn, error) {
+	c, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(receiveBufferBytes) // fails on a closed connection only, as the request does
+	}
+	return c, nil
+}
+
+// Identified returns how many servers were asked on a new connection which process they are,
+// and how many of them did not state it.
+func (t *Transport) Identified() (asked, failed int64) {
+	return t.identifier.asked.Load(), t.identifier.failed.Load()
+}
+
 // Close closes all idle connections.
 func (t *Transport) Close() {
 	t.pooled.CloseIdleConnections()
@@ -184,6 +223,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*trackedConn); ok {
 				tr.conn, tr.reused = c, info.Reused
+				if id := identificationOf(ctx); id != nil {
+					id.startMS.Store(c.startMS)
+				}
 				tr.use, tr.writesBefore = c.use(info.Reused)
 				end.begin(c, tr.writesBefore)
 				if unread != nil {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -15,6 +15,7 @@
 	routes       map[string]map[string]*Route // by normalized host name and path prefix
 	services     map[string]*Service
 	workspaces   map[string]*Workspace // by key
+	resumable    map[string]bool       // services with streams that can go on at another server
 	keysRequired bool
 }
 
@@ -26,9 +27,15 @@
 		routes:     make(map[string]map[string]*Route),
 		services:   make(map[string]*Service, len(c.Services)),
 		workspaces: make(map[string]*Workspace),
+		resumable:  make(map[string]bool),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		if r.RetryPolicy == Resumable {
+			for _, service := range r.Services() {
+				t.resumable[service] = true
+			}
+		}
 		host := NormalizeHost(r.Host)
 		if t.routes[host] == nil {
 			t.routes[host] = make(map[string]*Route)
@@ -76,6 +83,10 @@
 // Service returns a service by name, nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasResumableStreams reports whether a route leads streams to the service that can go on at
+// another server.
+func (t *Table) HasResumableStreams(service string) bool { return t.resumable[service] }
+
 // Services returns all services by name. Callers must not change the map.
 func (t *Table) Services() map[string]*Service { return t.services }
 
