edge: send no stream on to a process that has not announced itself

The hosts send such a stream by the release that the server announced last; an idle engine that restarts is not tried while its address is closed, so nothing contradicts it.

Change: a stream that goes on names the process that it needs. If the connection has named another one, the request is not sent on it, and no other stream goes on at that server until the new process has announced itself, or the old one is heard over 10 s later. New streams begin there as before, because what they do not need is not refused by a statement that may be wrong.

--- a/pkg/dispatch/ended.go
+++ b/pkg/dispatch/ended.go
@@ -15,6 +15,16 @@
 	}
 }
 
+// RecordOtherProcess records that another process than the announced one, with that start, has
+// answered on a connection to the server. No stream goes on there until that process has
+// announced itself. Others begin there: what they need no proof for is not refused by a
+// statement that may be wrong.
+func (d *Dispatcher) RecordOtherProcess(now time.Time, id string, startMS int64) {
+	if s := d.servers[id]; s != nil && s.info.StartMS == startMS {
+		s.otherAt = now
+	}
+}
+
 // HasEnded reports whether the end of the process was recorded and no other one of the
 // server has announced itself since.
 func (d *Dispatcher) HasEnded(id string, startMS int64) bool {
@@ -25,10 +35,13 @@
 // hasEnded reports whether the process that the server announced has ended.
 func (s *server) hasEnded() bool { return !s.endedAt.IsZero() }
 
-// refuteEnd forgets the end if the process announces itself later than it could have
-// before the end.
+// refuteEnd forgets the end, or the other process, if the process announces itself later than
+// it could have before.
 func (s *server) refuteEnd(heard time.Time) {
 	if s.hasEnded() && heard.Sub(s.endedAt) > maxAnnouncementDelay {
 		s.endedAt = time.Time{}
 	}
+	if heard.Sub(s.otherAt) > maxAnnouncementDelay {
+		s.otherAt = time.Time{}
+	}
 }
--- a/pkg/dispatch/ended_test.go
+++ b/pkg/dispatch/ended_test.go
@@ -76,3 +76,33 @@
 		assert.Equal(t, sentTo(d, now, v1, true), c.want, c.after)
 	}
 }
+
+// Guards against streams that go on at a server while another process than the announced one
+// answers there, and against new ones that a wrong statement keeps away.
+func TestStreamsDoNotGoOnAtAnotherProcess(t *testing.T) {
+	for _, plain := range []bool{false, true} {
+		t.Run(fmt.Sprint(plain), func(t *testing.T) {
+			infos := infosOf(plain, v1, v1)
+			d := newFleetOf(plain, v1, v1)
+			now := start.Add(time.Second)
+			d.RecordOtherProcess(now, "engine-0", 2) // not the announced one
+			assert.Equal(t, sentTo(d, now, v1, true), "engine-0")
+			d.RecordOtherProcess(now, "engine-0", 1)
+			d.RecordOtherProcess(now, "engine-9", 1)
+			for range 8 { // announcements of the process before that were under way
+				now = now.Add(time.Second)
+				infos[0].Heard = now
+				d.SetServers(now, infos)
+				assert.Equal(t, sentTo(d, now, v1, true), "")
+				assert.Equal(t, sentTo(d, now, release.Unknown, true), "engine-0", "a new stream needs no proof")
+			}
+			infos[0].StartMS, infos[0].Release = 9, v2
+			d.SetServers(now, infos)
+			assert.Equal(t, sentTo(d, now, v2, true), "engine-0")
+			d.RecordOtherProcess(now, "engine-0", 9)
+			infos[0].Heard = now.Add(maxAnnouncementDelay + time.Millisecond)
+			d.SetServers(infos[0].Heard, infos)
+			assert.Equal(t, sentTo(d, infos[0].Heard, v2, true), "engine-0", "the announced process lives")
+		})
+	}
+}
--- a/pkg/dispatch/release.go
+++ b/pkg/dispatch/release.go
@@ -3,9 +3,11 @@
 import "jackdawtrack.example/jackdawtrack/pkg/release"
 
 // lacksReleaseOf reports whether the request needs a release and the server has none that
-// is known, because its process has ended and the next one has not announced itself.
+// is known, because its process has ended, or another one answers at its address, and that
+// has not announced itself.
 func (r *Request) lacksReleaseOf(s *server) bool {
-	return s.hasEnded() && (r.Release != release.Unknown || r.RecordedOnly)
+	goesOn := r.Release != release.Unknown
+	return s.hasEnded() && (goesOn || r.RecordedOnly) || goesOn && !s.otherAt.IsZero()
 }
 
 // fits reports whether a server of its release may get the request.
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -99,6 +99,7 @@
 	downCount       int       // consecutive transitions to down and failed health checks
 	misdirected     bool      // another server answered at its address
 	endedAt         time.Time // when the announced process was found to have ended, zero if it was not
+	otherAt         time.Time // when another process answered on a connection, zero if none did
 	nextProbeAt     time.Time
 
 	coldSentAt []time.Time // times of the requests in coldWindow
@@ -136,7 +137,7 @@
 	s.backlogTokens, s.updatedAt = 0, now
 	s.prefillRate = max(s.prefillRate*restartRateFactor, minPrefillRate)
 	s.failureRate, s.downCount = 0, 0
-	s.downSince, s.misdirected, s.endedAt = time.Time{}, false, time.Time{}
+	s.downSince, s.misdirected, s.endedAt, s.otherAt = time.Time{}, false, time.Time{}, time.Time{}
 	s.backoffUntil = time.Time{}
 	s.limit.reset()
 }
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -153,6 +153,7 @@
 	if a.outcome == dispatch.ConnectFailed && errors.Is(a.err, syscall.ECONNREFUSED) {
 		x.s.recordEnd(processOf(v))
 	}
+	x.s.recordOtherProcess(v, a.err)
 	if a.outcome == dispatch.CallerDisconnected && a.sent && !x.answerBegan() {
 		x.watchServer(v)
 	}
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -42,6 +42,7 @@
 func (x *proxiedRequest) newExchange(v dispatch.Decision, r *dispatch.Request) *serverExchange {
 	e := &serverExchange{decision: v, dispatchReq: r, startedAt: time.Now()}
 	e.ctx, e.cancel = context.WithCancelCause(x.callerCtx)
+	e.process.Wanted = wantedProcess(v, r)
 	e.ctx = x.s.identifyProcess(e.ctx, r.Service, &e.process)
 	return e
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -14,6 +14,8 @@
 	queueWait     metrics.Timer // from arrival to the first attempt
 	configVersion metrics.Gauge // version of the configuration in force
 
+	otherProcess metrics.Counter // attempts that were not sent, because another process answered on the connection
+
 	responsesTooLarge  metrics.Counter // responses and events that exceeded their maximum size
 	responseMemoryFull metrics.Counter // responses for which the memory of all was used up
 
@@ -27,6 +29,8 @@
 		queueWait:     metrics.GetOrRegisterTimer("edge.wait", r),
 		configVersion: metrics.GetOrRegisterGauge("edge.config_version", r),
 
+		otherProcess: metrics.GetOrRegisterCounter("edge.other_process", r),
+
 		responsesTooLarge:  metrics.GetOrRegisterCounter("edge.responses_too_large", r),
 		responseMemoryFull: metrics.GetOrRegisterCounter("edge.response_memory_full", r),
 
--- a/pkg/edge/reserve.go
+++ b/pkg/edge/reserve.go
@@ -86,8 +86,10 @@
 	}
 	req.Header["Content-Type"] = []string{"application/json"}
 	req.Header["User-Agent"] = []string{""} // prevents net/http from setting its default
-	resp, sent, err := x.s.transport.SendRequest(x.s.identifyProcess(ctx, x.dispatchReq.Service, &proxy.Identification{}), req, nil, body)
+	process := &proxy.Identification{Wanted: wantedProcess(v, x.dispatchReq)}
+	resp, sent, err := x.s.transport.SendRequest(x.s.identifyProcess(ctx, x.dispatchReq.Service, process), req, nil, body)
 	if err != nil {
+		x.s.recordOtherProcess(v, err)
 		if x.s.refusalLogLimiter.Allow() {
 			x.s.log.WithFields(logrus.Fields{"id": x.in.ID, "server": v.Server, "error": err}).Info("slot reservation failed")
 		}
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -37,6 +37,7 @@
 	useCount       uint64 // HTTP exchanges started on this connection
 	checkClosed    bool   // the next write is the first one of a reused connection
 	writesDisabled bool
+	otherProcess   bool // writes are disabled because the request must not reach this process
 	idle           bool
 }
 
@@ -58,8 +59,12 @@
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.writesDisabled {
+		err := errWritesDisabled
+		if c.otherProcess {
+			err = ErrOtherProcess
+		}
 		c.mu.Unlock()
-		return 0, errWritesDisabled
+		return 0, err
 	}
 	if c.checkClosed {
 		c.checkClosed = false
@@ -120,6 +125,21 @@
 	return c.writeCalls > writesBefore
 }
 
+// refuseOtherProcess disables further Write calls, because the request needs another process
+// than the one at the other end.
+func (c *trackedConn) refuseOtherProcess() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writesDisabled, c.otherProcess = true, true
+}
+
+// isOtherProcess reports whether refuseOtherProcess was called.
+func (c *trackedConn) isOtherProcess() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.otherProcess
+}
+
 // connTable holds the open connections by server address, so that idle ones can
 // be closed when a connection to the same address stopped responding.
 type connTable struct {
--- a/pkg/proxy/identity.go
+++ b/pkg/proxy/identity.go
@@ -26,6 +26,10 @@
 	maxUnanswered = 1 << 12
 )
 
+// ErrOtherProcess is returned for a request that was not sent, because another process than
+// the one it needs has answered on the connection.
+var ErrOtherProcess = errors.New("another process has taken the place of the server")
+
 var errNotIdentified = errors.New("the server did not state which process it is")
 
 // Identity tells how a server is asked which process it is.
@@ -42,6 +46,9 @@
 // holds for all requests on it. A connection whose server does not answer in time is replaced
 // by one that is not asked, so that no request depends on the answer.
 type Identification struct {
+	// Wanted is the start of the only process that may get the request, in Unix
+	// milliseconds, 0 if any may. A connection whose process is not known may be used.
+	Wanted  int64
 	startMS atomic.Int64
 }
 
@@ -61,6 +68,15 @@
 	return i
 }
 
+// admits sets the process of the connection, and reports whether it may get the request.
+func (i *Identification) admits(c *trackedConn) bool {
+	if i.Wanted != 0 && c.startMS != 0 && c.startMS != i.Wanted {
+		return false
+	}
+	i.startMS.Store(c.startMS)
+	return true
+}
+
 // identifier asks servers which process they are. It is safe for concurrent use.
 type identifier struct {
 	identity Identity     // nil to ask no server
--- a/pkg/proxy/identity_test.go
+++ b/pkg/proxy/identity_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -74,18 +75,20 @@
 	}
 }
 
-// send sends a request and returns the process that got it.
-func (s *identityServer) send(t *testing.T, transport *Transport) int64 {
-	id := &Identification{}
+// send sends a request that needs the process, 0 for any, and returns the process that got it.
+func (s *identityServer) send(t *testing.T, transport *Transport, wanted int64) (startMS int64, mayHaveRun bool, err error) {
+	id := &Identification{Wanted: wanted}
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.address+"/x", nil)
 	assert.NilError(t, err)
-	resp, _, err := transport.SendRequest(WithIdentification(context.Background(), id), req, nil, []byte("body"))
-	assert.NilError(t, err)
+	resp, abort, err := transport.SendRequest(WithIdentification(context.Background(), id), req, nil, []byte("body"))
+	if err != nil {
+		return id.StartMS(), abort(), err
+	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "ok")
-	return id.StartMS()
+	return id.StartMS(), true, nil
 }
 
 // Guards against requests that fail, run twice or are answered with other bytes, because their
@@ -121,13 +124,16 @@
 			s, transport := newIdentityServer(t, c.answer, c.closes), NewTransportWithOptions(Options{Identity: testIdentity{}})
 			defer transport.Close()
 			for n := range 2 {
-				assert.Equal(t, s.send(t, transport), c.startMS)
+				startMS, _, err := s.send(t, transport, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, startMS, c.startMS)
 				assert.Equal(t, s.requests.Load(), int64(n+1))
 			}
 			assert.Equal(t, s.conns.Load(), c.conns)
 			assert.Equal(t, s.questions.Load(), int64(1), "asked again")
 			transport.CloseIdleTo(s.address)
-			_ = s.send(t, transport)
+			_, _, err := s.send(t, transport, 0)
+			assert.NilError(t, err)
 			asked, failed := transport.Identified()
 			if c.startMS == 0 {
 				assert.Equal(t, asked, int64(1), "a server that did not state its process is asked again at once")
@@ -140,6 +146,29 @@
 	}
 }
 
+// Guards against a request that reaches another process than the one that it needs, on a new
+// connection or a kept one, and against one that is said to have run then.
+func TestRequestForAnotherProcessIsNotSent(t *testing.T) {
+	for _, kept := range []int{0, 1} {
+		t.Run(fmt.Sprintf("%d kept connections", kept), func(t *testing.T) {
+			s, transport := newIdentityServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"+`{"born":7}`, false), NewTransportWithOptions(Options{Identity: testIdentity{}})
+			defer transport.Close()
+			for range kept {
+				_, _, err := s.send(t, transport, 0)
+				assert.NilError(t, err)
+			}
+			before := s.requests.Load()
+			_, mayHaveRun, err := s.send(t, transport, 8)
+			assert.Assert(t, errors.Is(err, ErrOtherProcess), "%v", err)
+			assert.Equal(t, mayHaveRun, false)
+			startMS, _, err := s.send(t, transport, 7)
+			assert.NilError(t, err)
+			assert.Equal(t, startMS, int64(7))
+			assert.Equal(t, s.requests.Load(), before+1)
+		})
+	}
+}
+
 // Guards against requests that need no proof and pay for one.
 func TestRequestsWithoutIdentificationAskNoServer(t *testing.T) {
 	s, transport := newIdentityServer(t, "", false), NewTransportWithOptions(Options{Identity: testIdentity{}})
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -209,6 +209,9 @@
 	for {
 		resp, tr, err := t.exchangeOnce(ctx, req, unpooled, unread, body)
 		if err == nil || ctx.Err() != nil || !tr.reused || tr.abort() {
+			if tr.conn != nil && tr.conn.isOtherProcess() {
+				err = ErrOtherProcess // net/http does not always wrap the error of the connection
+			}
 			return resp, tr, err
 		}
 	}
@@ -223,8 +226,8 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*trackedConn); ok {
 				tr.conn, tr.reused = c, info.Reused
-				if id := identificationOf(ctx); id != nil {
-					id.startMS.Store(c.startMS)
+				if id := identificationOf(ctx); id != nil && !id.admits(c) {
+					c.refuseOtherProcess()
 				}
 				tr.use, tr.writesBefore = c.use(info.Reused)
 				end.begin(c, tr.writesBefore)
