core: apply no order of the operator over a later one

Cause: an order has no number, and a mark was applied to whatever the state was on its arrival in the log.

Change: a mark names the first log index that its sender did not know, and is applied only if no order for the data centre is at that index or after it. An order that changes nothing counts too. So a later order has a higher index than the one named, and no queue, retry or host carries an earlier one over it.

--- a/pkg/callers/conns.go
+++ b/pkg/callers/conns.go
@@ -369,3 +369,15 @@
 	p, err := netpeek.Peek(c)
 	return err != nil || p.PeerClosed // an error means that the connection is closed
 }
+
+// SinceReceived returns the time since the last bytes of the request with this context arrived
+// at the machine, and false if the system does not tell that. They may have waited for a
+// handler.
+func SinceReceived(ctx context.Context) (time.Duration, bool) {
+	c, ok := ctx.Value(connContextKey{}).(net.Conn)
+	if !ok {
+		return 0, false
+	}
+	since, err := netpeek.SinceReceived(c)
+	return since, err == nil
+}
--- a/pkg/core/power_test.go
+++ b/pkg/core/power_test.go
@@ -65,7 +65,7 @@
 	}
 	operators.Go(func() {
 		for ctx.Err() == nil {
-			if m := mark.Load() + 1; c.hosts[1].SubmitDataCentreMark(ctx, fmt.Sprint("dc-", m), true) == nil {
+			if m := mark.Load() + 1; c.hosts[1].SubmitDataCentreMark(ctx, fmt.Sprint("dc-", m), true, func() bool { return true }) == nil {
 				mark.Store(m)
 				c.marks.Store(m)
 				failPower()
--- a/pkg/core/submit.go
+++ b/pkg/core/submit.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/feed"
@@ -36,13 +38,32 @@
 	return h.submit(ctx, &apiv1.FleetCommand{Document: d})
 }
 
-// SubmitDataCentreMark commits a mark that takes a data centre out of service,
-// or back in. It returns NoQuorum if ctx ends first; the mark may then still be
-// committed.
-func (h *Host) SubmitDataCentreMark(ctx context.Context, dataCentre string, out bool) error {
-	return h.submit(ctx, &apiv1.FleetCommand{Mark: &apiv1.FleetMark{DataCentre: dataCentre, Out: out}})
+// SubmitDataCentreMark commits a mark that takes a data centre out of service, or back in.
+// isCurrent reports whether the order may still be the newest one of its sender. It returns
+// RevisionConflict if another order may have been acknowledged since, and NoQuorum if ctx ends
+// first; the mark may then still be committed, but not over a later order.
+//
+// The mark names what was known of the marks before isCurrent was asked. So orders that are sent
+// later have higher log indexes, and whatever host, queue or retry delays this one, it is not
+// applied over them.
+func (h *Host) SubmitDataCentreMark(ctx context.Context, dataCentre string, out bool, isCurrent func() bool) error {
+	var unknown uint64
+	err := h.retry(ctx, func(ctx context.Context) error {
+		state, err := h.readFromLeader(ctx, false)
+		unknown = state.GetRevision() + 1
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if !isCurrent() {
+		return errStaleOrder
+	}
+	return h.submit(ctx, &apiv1.FleetCommand{Mark: &apiv1.FleetMark{DataCentre: dataCentre, Out: out, Revision: unknown}})
 }
 
+var errStaleOrder = result.New(result.RevisionConflict, "another order may have been acknowledged meanwhile")
+
 // ReadDocument returns the latest committed document, nil if there is none. It is a
 // linearizable read, confirmed by a majority. It returns NoQuorum if ctx ends first.
 func (h *Host) ReadDocument(ctx context.Context) (*apiv1.FleetDocument, error) {
@@ -62,8 +83,8 @@
 	})
 }
 
-// retry repeats an idempotent call until it succeeds, fails with TooLarge or
-// InvalidCommand, or ctx ends.
+// retry repeats an idempotent call until it succeeds, fails with TooLarge, InvalidCommand or
+// RevisionConflict, or ctx ends.
 func (h *Host) retry(ctx context.Context, call func(context.Context) error) error {
 	for {
 		attempt, cancel := context.WithTimeout(ctx, leaderCallTimeout)
@@ -72,7 +93,7 @@
 		if err == nil {
 			return nil
 		}
-		if code, _ := result.CodeOf(err); code == result.TooLarge || code == result.InvalidCommand {
+		if code, _ := result.CodeOf(err); code == result.TooLarge || code == result.InvalidCommand || code == result.RevisionConflict {
 			return err
 		}
 		select {
@@ -103,11 +124,18 @@
 	if err != nil {
 		return nil, err
 	}
+	var out *apiv1.FleetSubmitted
 	if client == nil {
-		return h.Submit(ctx, c)
+		out, err = h.Submit(ctx, c)
+	} else {
+		out, err = client.Submit(ctx, c)
+	}
+	if status.Code(err) == codes.Aborted {
+		return nil, result.New(result.RevisionConflict, "%s", status.Convert(err).Message())
+	}
+	if client != nil {
+		h.clients.dropOnError(address, err)
 	}
-	out, err := client.Submit(ctx, c)
-	h.clients.dropOnError(address, err)
 	return out, err
 }
 
@@ -141,6 +169,9 @@
 	case *apiv1.FleetSubmitted:
 		return v, nil
 	case error:
+		if code, _ := result.CodeOf(v); code == result.RevisionConflict {
+			return nil, status.Error(codes.Aborted, v.Error()) // the caller may be another host
+		}
 		return nil, v
 	}
 	return nil, result.New(result.InvalidCommand, "unexpected result type %T", out)
--- a/pkg/edge/confirmation_test.go
+++ b/pkg/edge/confirmation_test.go
@@ -18,6 +18,7 @@
 	"jackdawtrack.example/jackdawtrack/pkg/registry"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/routing"
+	"jackdawtrack.example/jackdawtrack/pkg/suspension"
 )
 
 // newRestTest returns a request for the rest of an answer on a route that is not declared
@@ -126,12 +127,12 @@
 	})
 }
 
-// Guards against a host that has just gone on after a standstill and takes a stream up by
-// its own record alone, before or after its monitor has noticed the standstill.
+// Guards against a host that has just gone on after a suspension and takes a stream up by
+// its own record alone, before or after its monitor has noticed the suspension.
 func TestTakeUpRightAfterAStandstillIsNotGuessed(t *testing.T) {
 	for name, standStill := range map[string]func(s *Server){
 		"not noticed yet": func(s *Server) {
-			s.checkedAt.Store(int64(bootTime() - suspensionThreshold - hostCheckInterval - time.Second))
+			s.checkedAt.Store(int64(suspension.BootTime() - suspensionThreshold - hostCheckInterval - time.Second))
 		},
 		"noticed": func(s *Server) {
 			s.dispatcher, s.quarantine = dispatch.New("edge", "z", time.Now()), quarantine.New(1)
@@ -144,8 +145,8 @@
 				x.s.applyState(1, v1)
 				w := httptest.NewRecorder()
 				x.w, x.headSent, x.in.Resumes = w, false, "id"
-				x.s.checkedAt.Store(int64(bootTime() + time.Hour)) // however slow this test is
-				assert.Assert(t, x.bindRelease(), "without a standstill: %s", w.Body)
+				x.s.checkedAt.Store(int64(suspension.BootTime() + time.Hour)) // however slow this test is
+				assert.Assert(t, x.bindRelease(), "without a suspension: %s", w.Body)
 				standStill(x.s)
 				assert.Assert(t, !x.bindRelease(), "taken up by the record of this host alone")
 				assert.Check(t, strings.Contains(w.Body.String(), "records_unread"), w.Body)
--- a/pkg/edge/fleet_view.go
+++ b/pkg/edge/fleet_view.go
@@ -122,6 +122,9 @@
 			continue
 		}
 		v.fleetState[m.GetDataCentre()] = m
+		if current != nil && current.GetOut() == m.GetOut() {
+			continue // another order for the same
+		}
 		changed = true
 		if !m.GetOut() {
 			v.reinstatedAt[m.GetDataCentre()] = now
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"jackdawtrack.example/jackdawtrack/pkg/shed"
+	"jackdawtrack.example/jackdawtrack/pkg/suspension"
 )
 
 const (
@@ -185,7 +185,7 @@
 func (s *Server) monitorHost() {
 	ticker := time.NewTicker(hostCheckInterval)
 	defer ticker.Stop()
-	last, used := bootTime(), processCPUTime()
+	last, used := suspension.BootTime(), processCPUTime()
 	monitor, latency := cpuMonitor{cores: s.config.Cores}, schedulerLatency{}
 	for {
 		select {
@@ -193,7 +193,7 @@
 			return
 		case <-ticker.C:
 		}
-		now, usedNow := bootTime(), processCPUTime()
+		now, usedNow := suspension.BootTime(), processCPUTime()
 		s.checkedAt.Store(int64(now))
 		if gap := now - last; gap > suspensionThreshold+hostCheckInterval {
 			s.handleSuspension(gap)
@@ -229,16 +229,7 @@
 // can come before monitorHost has noticed that this host was suspended.
 func (s *Server) noticeSuspension() {
 	last := time.Duration(s.checkedAt.Load())
-	if last != 0 && bootTime()-last > suspensionThreshold+hostCheckInterval {
+	if last != 0 && suspension.BootTime()-last > suspensionThreshold+hostCheckInterval {
 		s.streamRecords.RequireAnswer()
 	}
 }
-
-// bootTime returns the time since the host booted, including suspensions.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0 // not reached: Linux has CLOCK_BOOTTIME since 2.6.39
-	}
-	return time.Duration(t.Nano())
-}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -45,7 +45,8 @@
 }
 
 // Apply executes the command of the log entry with that index. It returns a
-// *apiv1.FleetSubmitted, or an InvalidCommand error if the command cannot be decoded.
+// *apiv1.FleetSubmitted, an InvalidCommand error if the command cannot be decoded, or a
+// RevisionConflict error if a mark was decided on before another order for its data centre.
 func (s *State) Apply(index uint64, command []byte) any {
 	c := &apiv1.FleetCommand{}
 	if err := proto.Unmarshal(command, c); err != nil {
@@ -59,10 +60,10 @@
 		s.document, s.services = d, services
 		s.recordChange(index)
 	}
-	if m := c.GetMark(); m != nil && s.marks[m.GetDataCentre()].GetOut() != m.GetOut() {
-		m.Revision = index
-		s.marks[m.GetDataCentre()] = m
-		s.recordChange(index)
+	if m := c.GetMark(); m != nil {
+		if err := s.applyMark(index, m); err != nil {
+			return err
+		}
 	}
 	if v := c.GetVerdict(); v != nil && isNewerVerdict(s.verdicts[v.GetSuspect()], v) {
 		s.verdicts[v.GetSuspect()] = v
@@ -79,6 +80,23 @@
 	return &apiv1.FleetSubmitted{Version: s.document.GetVersion()}
 }
 
+// applyMark stores a mark unless a later order than its sender knew has come before it. An order
+// that changes nothing is stored too: no earlier one may undo it. The caller must hold s.mu.
+func (s *State) applyMark(index uint64, m *apiv1.FleetMark) error {
+	stored, unknown := s.marks[m.GetDataCentre()], m.GetRevision()
+	isChange, isLate := stored.GetOut() != m.GetOut(), stored.GetRevision() >= unknown
+	switch {
+	case isChange && unknown > 0 && isLate:
+		return result.New(result.RevisionConflict, "another order for data centre %q came first", m.GetDataCentre())
+	case !isChange && isLate: // a copy of an order that is in force
+		return nil
+	}
+	m.Revision = index
+	s.marks[m.GetDataCentre()] = m
+	s.recordChange(index)
+	return nil
+}
+
 // isNewerVerdict reports whether v replaces the stored verdict, by the order of
 // quarantine.Verdict.
 func isNewerVerdict(stored, v *apiv1.QuarantineVerdict) bool {
