streamrecord: give the streams of a late process their release once it is announced

Cause: a record of an unknown release is a conflict, which nothing resolves.

Change: such a record names the process in place of a release. Core hosts and the host that began the stream give it the release of the process when that is announced, in any order of record and announcement; until then it fits nothing, as before. Hosts of the version before take the record for a conflict, which is safe. Records of processes that never announce themselves are bounded like the others.

TestReleaseFollowsFromTheAnnouncementOfTheProcess compares records and announcements in any order with a simple oracle.

--- a/pkg/core/stream_records.go
+++ b/pkg/core/stream_records.go
@@ -32,7 +32,7 @@
 	logDrops rate.Sometimes
 
 	mu    sync.Mutex // guards table
-	table *streamrecord.Table
+	table *streamrecord.Records
 }
 
 func newStreamRecords(log *logrus.Entry, r metrics.Registry, maxRecords int) *streamRecords {
@@ -43,7 +43,7 @@
 		doubted:  metrics.GetOrRegisterCounter("core.streams.doubted", r),
 		answers:  map[streamrecord.State]metrics.Counter{},
 		logDrops: rate.Sometimes{Interval: dropLogInterval},
-		table:    streamrecord.New(maxRecords),
+		table:    streamrecord.NewRecords(maxRecords),
 	}
 	for state := streamrecord.Unknown; state <= streamrecord.Unconfirmed; state++ {
 		s.answers[state] = metrics.GetOrRegisterCounter("core.streams.queries."+state.String(), r)
@@ -72,11 +72,15 @@
 }
 
 // replace makes the release of the streams unknown that the new process of the server
-// may have written. The edge host that began them does the same, unless it has ended.
+// may have written, and known of those that it has written. The edge host that began them does the same, unless it has ended.
 func (s *streamRecords) replace(now time.Time, server string, r streamrecord.Replacement) {
 	s.mu.Lock()
 	doubted := s.table.Replace(now, r)
+	resolved := s.table.Announce(now, r.After, r.Release)
 	s.mu.Unlock()
+	if resolved > 0 {
+		s.log.WithFields(logrus.Fields{"server": server, "release": r.Release.String(), "streams": resolved}).Info("release of streams is known, because their server has announced itself")
+	}
 	if doubted > 0 {
 		s.doubted.Inc(int64(doubted))
 		s.log.WithFields(logrus.Fields{"server": server, "release": r.Release.String(), "streams": doubted}).Info("release of streams is in doubt, because their server was restarted")
--- a/pkg/edge/resumption.go
+++ b/pkg/edge/resumption.go
@@ -279,16 +279,19 @@
 	x.s.mu.Lock()
 	record := x.start.record()
 	x.s.mu.Unlock()
-	record.Process = streamrecord.NoProcess
+	if record.Release != release.Unknown {
+		record.Process = streamrecord.NoProcess
+	}
 	x.s.streamRecords.Record(record, false)
 }
 
 // record returns the record of the stream. It names the process that was asked, for the
 // core hosts to doubt the release if this host ends before another process of the server
-// announces itself. If the connection has named the process, there is nothing to doubt.
+// announces itself. If the connection has named the process, there is nothing to doubt, and the
+// process is only named if its release is not known yet.
 func (st *streamStart) record() streamrecord.Record {
 	r := streamrecord.Record{Key: st.key, Release: st.release, Expires: st.expires}
-	if st.release != release.Unknown && !st.proven {
+	if !st.doubtful && st.proven == (st.release == release.Unknown) {
 		r.Process = streamrecord.ProcessOf(st.server, st.startMS)
 	}
 	return r
@@ -304,6 +307,9 @@
 
 // mayGoOnLocked is mayGoOn. The caller must hold Server.mu.
 func (x *proxiedRequest) mayGoOnLocked() bool {
+	if x.start != nil && x.start.proven && !x.start.doubtful && x.dispatchReq.Release == release.Unknown {
+		x.dispatchReq.Release = x.start.release // its process has announced itself meanwhile
+	}
 	return x.dispatchReq.Release != release.Unknown && (x.start == nil || !x.start.doubtful)
 }
 
@@ -325,6 +331,10 @@
 	doubted := map[streamrecord.Key]bool{}
 	for _, st := range s.streamStarts {
 		e, ok := s.fleetView.servers.Get(st.server)
+		if ok && st.proven && st.release == release.Unknown && e.StartMS == st.startMS {
+			s.resolveStart(st, e.Release)
+			continue
+		}
 		if st.doubtful || !ok || e.Release == st.release || st.proven && e.StartMS != st.startMS {
 			continue
 		}
@@ -351,6 +361,18 @@
 	}
 }
 
+// resolveStart sets the release of a stream whose process had not announced itself when the
+// stream began. The caller must hold mu.
+func (s *Server) resolveStart(st *streamStart, id release.ID) {
+	if st.doubtful || id == release.Unknown {
+		return
+	}
+	st.release = id
+	if n := s.streamRecords.Announce(streamrecord.ProcessOf(st.server, st.startMS), id); n > 0 {
+		s.log.WithFields(logrus.Fields{"server": st.server, "born_ms": st.startMS, "release": id.String(), "streams": n}).Info("release of streams is known, because their server has announced itself")
+	}
+}
+
 // doubt makes the release of the stream unknown and ends the attempt that goes on with
 // it. The caller must hold mu.
 func (s *Server) doubt(st *streamStart) {
--- a/pkg/streamrecord/recorder/recorder.go
+++ b/pkg/streamrecord/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"jackdawtrack.example/jackdawtrack/pkg/release"
 	"jackdawtrack.example/jackdawtrack/pkg/streamrecord"
 )
 
@@ -33,7 +34,7 @@
 	ownOnly     metrics.Counter // calls of Find that ended as Recorded by the record of this host alone
 
 	mu         sync.Mutex // guards the fields below and those of the links
-	table      *streamrecord.Table
+	table      *streamrecord.Records
 	links      map[*link]bool
 	unstored   []*delivery // oldest first; includes some that are stored
 	lastNumber uint64      // of a query
@@ -58,7 +59,7 @@
 		dropped:     metrics.GetOrRegisterCounter("edge.streamrecords.dropped", r),
 		unconfirmed: metrics.GetOrRegisterCounter("edge.streamrecords.unconfirmed", r),
 		ownOnly:     metrics.GetOrRegisterCounter("edge.streamrecords.own_only", r),
-		table:       streamrecord.New(maxRecords),
+		table:       streamrecord.NewRecords(maxRecords),
 		links:       map[*link]bool{},
 	}
 }
@@ -81,6 +82,14 @@
 	return d.done
 }
 
+// Announce gives the streams of a process that has announced itself their release, and returns
+// how many there are. The core hosts hear the announcement too.
+func (r *Recorder) Announce(p streamrecord.Process, id release.ID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Announce(time.Now(), p, id)
+}
+
 // RequireAnswer makes the records of this host count only once a core host has answered
 // too, until one replies to what is sent from now on. A host that stood still has missed
 // what happened meanwhile: the core hosts may know that a release is in doubt, and servers
