cli: name the present revision in each command of operators

What operators could see: a mark, a departure or a class that was held up on its way to control, in the socket of a host that stood still for example, undid the operator's next command on the same item.

Change: a command that is based on no revision is sent for the one that the CLI reads first, and again, under another id, if another command came between, up to five times.

One more read for each command.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -133,7 +133,7 @@
 	c.app.Flag("key-file", "File with the operator's key, mode 0600.").Envar("JACKDAWTRACK_KEY_FILE").StringVar(&c.keyFile)
 	c.app.Flag("timeout", "Timeout of the command.").Default(defaultTimeout.String()).DurationVar(&c.timeout)
 	c.app.Flag("output", "table or json.").Default("table").EnumVar(&c.outputFormat, "table", "json")
-	c.app.Flag("revision", "Refuse the command unless the catalog is at this revision; 0 accepts any.").Uint64Var(&c.expectedRevision)
+	c.app.Flag("revision", "Refuse the command unless the catalog is at this revision; 0 is the present one, and with --command-id any.").Uint64Var(&c.expectedRevision)
 	c.app.Flag("command-id", "Command id, to resend a command whose response was lost.").StringVar(&c.commandID)
 	c.app.Flag("tls-certificate", "Client certificate (PEM).").StringVar(&c.tlsFiles.Certificate)
 	c.app.Flag("tls-key", "Key of the client certificate (PEM).").StringVar(&c.tlsFiles.Key)
--- a/pkg/cli/submit.go
+++ b/pkg/cli/submit.go
@@ -6,6 +6,7 @@
 
 	apiv1 "jackdawtrack.example/jackdawtrack/api/v1"
 	"jackdawtrack.example/jackdawtrack/pkg/catalog"
+	"jackdawtrack.example/jackdawtrack/pkg/result"
 )
 
 // readCatalog returns the present catalog.
@@ -21,10 +22,37 @@
 	return catalog.Empty().WithChanges(s.GetRevision(), s.GetItems()), nil
 }
 
+// maxRevisionConflicts bounds the attempts at a command that comes after another one each time.
+const maxRevisionConflicts = 5
+
 // submit sends the changes as one command and prints the result. expected is
-// the catalog revision on which the changes are based, 0 for any; --revision
-// overrides it.
+// the catalog revision on which the changes are based, 0 for the present one; --revision
+// overrides it. A command that is resent by its id is sent as it was.
+//
+// A command always names a revision: one that is held up on its way, while its operator gives
+// it up and sends another, must not undo that one.
 func (c *CLI) submit(ctx context.Context, expected uint64, secrets []string, changes ...*apiv1.Change) error {
+	if expected != 0 || c.expectedRevision != 0 || c.commandID != "" {
+		return c.submitAt(ctx, expected, secrets, changes...)
+	}
+	if _, _, err := c.operatorCredential(); err != nil {
+		return err
+	}
+	for n := 1; ; n++ {
+		present, err := c.readCatalog(ctx)
+		if err != nil {
+			return err
+		}
+		err = c.submitAt(ctx, present.Revision(), secrets, changes...)
+		if code, _ := result.CodeOf(err); code != result.RevisionConflict || n == maxRevisionConflicts {
+			return err
+		}
+		c.commandID = "" // the command was refused, this is another one
+	}
+}
+
+// submitAt sends the changes as one command for the revision.
+func (c *CLI) submitAt(ctx context.Context, expected uint64, secrets []string, changes ...*apiv1.Change) error {
 	name, key, err := c.operatorCredential()
 	if err != nil {
 		return err
