edge: keep a server in use whose process a stream cannot go on at

What callers would see: a server that returned in place and is announced late gets no new streams for a while, because a stream that needs the process before was not sent to it, and that counted as a connection that could not be opened, which takes the server out until a health check.

Change: such an attempt counts as not sent. Second attempts report the other process too.

Result: TestServerWithAnotherProcessStaysInUse, which fails without the change ("connect failed").

--- a/pkg/core/stream_records.go
+++ b/pkg/core/stream_records.go
@@ -72,7 +72,8 @@
 }
 
 // replace makes the release of the streams unknown that the new process of the server
-// may have written, and known of those that it has written. The edge host that began them does the same, unless it has ended.
+// may have written, and known of those that it has written. The edge host that began them
+// does the same, unless it has ended.
 func (s *streamRecords) replace(now time.Time, server string, r streamrecord.Replacement) {
 	s.mu.Lock()
 	doubted := s.table.Replace(now, r)
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -171,6 +171,8 @@
 	switch {
 	case x.callerCtx.Err() != nil:
 		a.outcome = dispatch.CallerDisconnected
+	case errors.Is(err, proxy.ErrOtherProcess):
+		a.outcome = dispatch.NotSent // the server is up, and others may use it
 	case !a.sent && (isTimeout(err) || cause != nil):
 		a.outcome = dispatch.ConnectTimeout
 	case !a.sent:
--- a/pkg/edge/ended_server_test.go
+++ b/pkg/edge/ended_server_test.go
@@ -10,6 +10,7 @@
 
 	"jackdawtrack.example/jackdawtrack/pkg/dispatch"
 	"jackdawtrack.example/jackdawtrack/pkg/losses"
+	"jackdawtrack.example/jackdawtrack/pkg/proxy"
 	"jackdawtrack.example/jackdawtrack/pkg/quarantine"
 	"jackdawtrack.example/jackdawtrack/pkg/release"
 )
@@ -52,3 +53,36 @@
 		})
 	}
 }
+
+// Guards against a server that gets no requests because a stream could not go on there: it is
+// up, and only its process is another one.
+func TestServerWithAnotherProcessStaysInUse(t *testing.T) {
+	v := dispatch.Decision{Server: "first", Address: "10.0.0.1:80", StartMS: 5, Release: v1}
+	for name, fail := range map[string]func(x *proxiedRequest){
+		"request": func(x *proxiedRequest) {
+			a := x.finishAttempt(v, x.classifySendError(t.Context(), proxy.ErrOtherProcess, func() bool { return false }))
+			assert.Equal(t, a.outcome, dispatch.NotSent)
+			assert.Equal(t, a.sent, false)
+		},
+		"reservation": func(x *proxiedRequest) {
+			x.s.recordOtherProcess(v, proxy.ErrOtherProcess)
+			assert.Equal(t, x.recordNoReservation(reserveOutcome(proxy.ErrOtherProcess, false, false)), false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, now := newStreamTestOf(5), time.Now()
+			x.s.dispatcher.SetServers(now, []dispatch.ServerInfo{{ID: "first", Service: "s", Address: v.Address, DataCentre: "z", Slots: 9, StartMS: 5, Release: v1, Ready: true, Heard: now}})
+			send := func(id release.ID) dispatch.Action {
+				r := &dispatch.Request{ID: "r", Workspace: "w", Service: "s", Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute), Release: id}
+				return x.s.dispatcher.Admit(now, r).Action
+			}
+			x.dispatchReq = &dispatch.Request{ID: "id", Workspace: "w", Service: "s", Arrived: now, Objective: time.Second, Deadline: now.Add(time.Minute), Release: v1}
+			x.decision = x.s.dispatcher.Admit(now, x.dispatchReq)
+			assert.Equal(t, x.decision.Action, dispatch.Send)
+			fail(x)
+			assert.Equal(t, x.s.metrics.otherProcess.Count(), int64(1))
+			assert.Equal(t, send(release.Unknown), dispatch.Send, "a new stream")
+			assert.Assert(t, send(v1) != dispatch.Send, "another stream that goes on")
+		})
+	}
+}
--- a/pkg/edge/hedge.go
+++ b/pkg/edge/hedge.go
@@ -373,6 +373,7 @@
 func (x *proxiedRequest) awaitBegin(e *serverExchange, began, sentBefore bool, lastEventID string) attemptResult {
 	resp, sent, err := x.s.transport.SendRequest(e.ctx, x.buildRequest(e.decision, lastEventID, ""), &e.arrival, x.in.Body)
 	if err != nil {
+		x.s.recordOtherProcess(e.decision, err)
 		return x.classifySendError(e.ctx, err, sent)
 	}
 	e.resp = resp
--- a/pkg/edge/reserve.go
+++ b/pkg/edge/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -108,12 +109,12 @@
 }
 
 // reserveOutcome returns the outcome of a reservation request that got no
-// response. Two cases do not count as a failure of the server: this host
-// cancelled the request because the caller left, or the request was sent and its
-// response may be late only because this host is busy.
+// response. Three cases do not count as a failure of the server: this host
+// cancelled the request because the caller left, the request was sent and its
+// response may be late only because this host is busy, or it needs another process.
 func reserveOutcome(err error, sent, callerLeft bool) dispatch.Outcome {
 	switch {
-	case callerLeft:
+	case callerLeft || errors.Is(err, proxy.ErrOtherProcess):
 		return dispatch.NotSent
 	case sent:
 		return dispatch.NoSlot
